--- /dev/null
+++ b/src/callers/create-caller-server.ts
@@ -0,0 +1,209 @@
+import {randomUUID} from 'node:crypto';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import polka from 'polka';
+import {answers} from '../errors/answers.js';
+import {createRefusalBody} from '../errors/refusal-body.js';
+import {Refusal} from '../errors/refusal.js';
+import {BodyTooLargeError} from '../http/body-too-large-error.js';
+import {listen} from '../http/listen.js';
+import {parseAddress} from '../http/parse-address.js';
+import {readBody} from '../http/read-body.js';
+import {sendJson} from '../http/send-json.js';
+import {type DecisionLog} from '../observe/decision-log.js';
+import {log} from '../observe/log.js';
+import {type Metrics} from '../observe/metrics.js';
+import {type Snapshot} from '../publishing/snapshot.js';
+import {type HostSettings} from '../settings/host-settings.js';
+import {sleep} from '../util/sleep.js';
+import {type createCompletionHandler} from './create-completion-handler.js';
+import {type createPlainHandler} from './create-plain-handler.js';
+import {findWorkspaces} from './find-workspaces.js';
+
+const notReadyComeBackMs = 1000;
+const waitStepMs = 20;
+const requestIdPattern = /^[\w\-]{1,64}$/v;
+
+/** What the server towards callers needs. */
+type CallerServerOptions = {
+	readonly settings: HostSettings;
+	readonly snapshot: () => Snapshot | undefined;
+	readonly handleCompletion: ReturnType<typeof createCompletionHandler>;
+	readonly handlePlain: ReturnType<typeof createPlainHandler>;
+	readonly decisions: DecisionLog;
+	readonly metrics: Metrics;
+};
+
+/** The running server towards callers. */
+type CallerServer = {
+	readonly port: number;
+	/** Tells callers to open no further requests on their connections. */
+	readonly drain: () => void;
+	/** Waits until no request is under way. */
+	readonly idle: () => Promise<void>;
+	readonly underWay: () => number;
+	readonly stop: () => Promise<void>;
+};
+
+type Handler = (req: IncomingMessage, res: ServerResponse, entered: {
+	readonly requestId: string;
+	readonly snapshot: Snapshot;
+	readonly workspaces: ReadonlyMap<string, {readonly name: string; readonly weight: number}>;
+	readonly text: string;
+	readonly receivedAt: number;
+	readonly signal: AbortSignal;
+}) => Promise<void>;
+
+function toRefusal(error: unknown): Refusal {
+	if (error instanceof Refusal) {
+		return error;
+	}
+
+	if (error instanceof BodyTooLargeError) {
+		return new Refusal('too-large', error.message, 'no');
+	}
+
+	log.error({error: String((error as Error).stack)}, 'request failed');
+	return new Refusal('internal', 'internal error', 'unknown');
+}
+
+function answerRefusal(res: ServerResponse, refusal: Refusal): void {
+	const {status, comeBack} = answers[refusal.kind];
+	const isLong = refusal.kind === 'too-large' || refusal.kind === 'slow-caller';
+	sendJson(res, status, createRefusalBody(refusal), {
+		...(comeBack && refusal.retryAfterMs !== undefined ? {'retry-after': String(Math.ceil(refusal.retryAfterMs / 1000))} : {}),
+		...(isLong ? {connection: 'close'} : {}),
+	});
+}
+
+/** Starts the server towards callers. */
+export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
+	const {settings, snapshot, handleCompletion, handlePlain, decisions, metrics} = options;
+	const {limits} = settings;
+	let underWay = 0;
+	let isDraining = false;
+
+	const readText = async (req: IncomingMessage): Promise<string> => {
+		if (Number(req.headers['content-length'] ?? 0) > limits.bodyBytes) {
+			throw new BodyTooLargeError(limits.bodyBytes);
+		}
+
+		const slow = sleep(limits.bodyMs).then(() => {
+			throw new Refusal('slow-caller', `the body did not arrive within ${limits.bodyMs} ms`, 'no');
+		});
+		slow.catch(() => undefined);
+		const reading = readBody(req, limits.bodyBytes);
+		reading.catch(() => undefined);
+		return Promise.race([reading, slow]);
+	};
+
+	const enter = async (req: IncomingMessage, res: ServerResponse, requestId: string, handle: Handler): Promise<void> => {
+		const receivedAt = Date.now();
+		const current = snapshot();
+		if (!current) {
+			throw new Refusal('not-ready', 'this host has no configuration yet', 'no', notReadyComeBackMs);
+		}
+
+		const workspaces = findWorkspaces(current, req.headers.authorization);
+		if (!workspaces) {
+			throw new Refusal('unauthorized', 'the bearer key is missing or unknown', 'no');
+		}
+
+		const gone = new AbortController();
+		res.on('close', () => {
+			gone.abort();
+		});
+		const text = await readText(req);
+		await handle(req, res, {
+			requestId, snapshot: current, workspaces, text, receivedAt, signal: gone.signal,
+		});
+	};
+
+	const serve = (handle: Handler) => async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+		const given = req.headers['x-request-id'];
+		const requestId = typeof given === 'string' && requestIdPattern.test(given) ? given : randomUUID();
+		res.setHeader('x-request-id', requestId);
+		if (isDraining) {
+			res.setHeader('connection', 'close');
+		}
+
+		underWay++;
+		metrics.underWay.set(underWay);
+		try {
+			await enter(req, res, requestId, handle);
+		} catch (error) {
+			const refusal = toRefusal(error);
+			metrics.refusals.inc({kind: refusal.kind});
+			decisions.note({requestId, what: 'refuse', reason: `${refusal.kind} (ran: ${refusal.ran}): ${refusal.message}`});
+			answerRefusal(res, refusal);
+		} finally {
+			underWay--;
+			metrics.underWay.set(underWay);
+		}
+	};
+
+	const listModels: Handler = async (_req, res, {snapshot: current, workspaces}) => {
+		const models = current.services
+			.filter(service => service.kind === 'model' && workspaces.has(service.service))
+			.flatMap(service => service.kind === 'model' ? service.models : []);
+		sendJson(res, 200, {object: 'list', data: models.map(model => ({id: model.name, object: 'model', owned_by: 'hemlockpier'}))});
+	};
+
+	const refuseWith = (kind: 'unknown-route' | 'method-not-allowed', message: string): Handler => async () => {
+		throw new Refusal(kind, message, 'no');
+	};
+
+	const server = createServer({
+		maxHeaderSize: limits.headerBytes,
+		headersTimeout: limits.bodyMs,
+		requestTimeout: 2 * limits.bodyMs,
+		connectionsCheckingInterval: 1000,
+	});
+	server.maxConnections = limits.connections;
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+		if (socket.writable) {
+			const kind = error.code === 'HPE_HEADER_OVERFLOW' ? 'too-large' : 'bad-request';
+			const body = JSON.stringify(createRefusalBody(new Refusal(kind, 'the request is not well-formed HTTP', 'no')));
+			const status = kind === 'too-large' ? '431 Request Header Fields Too Large' : '400 Bad Request';
+			socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\nx-request-id: ${randomUUID()}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
+		}
+	});
+
+	const app = polka({
+		server, onNoMatch: serve(refuseWith('unknown-route', 'there is no such route')), onError(error: unknown, _req: IncomingMessage, res: ServerResponse) {
+			answerRefusal(res, new Refusal('bad-request', String((error as Error).message), 'no'));
+		},
+	});
+	app.post('/v1/completions', serve(handleCompletion) as never);
+	app.post('/v1/chat/completions', serve(handleCompletion) as never);
+	app.get('/v1/models', serve(listModels) as never);
+	for (const path of ['/v1/completions', '/v1/chat/completions', '/v1/models']) {
+		app.all(path, serve(refuseWith('method-not-allowed', 'this route does not take this method')) as never);
+	}
+
+	app.all('/services/*', serve(handlePlain) as never);
+	server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+		try {
+			app.handler(req as never, res);
+		} catch {
+			answerRefusal(res, new Refusal('bad-request', 'the address is not well-formed', 'no'));
+		}
+	});
+	const port = await listen(server, parseAddress(settings.callers));
+	return {
+		port,
+		drain() {
+			isDraining = true;
+		},
+		async idle() {
+			while (underWay > 0) {
+				await sleep(waitStepMs);
+			}
+		},
+		underWay: () => underWay,
+		async stop() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
--- /dev/null
+++ b/src/callers/create-commitment-runner.ts
@@ -0,0 +1,166 @@
+import {randomUUID} from 'node:crypto';
+import {type LedgerTask} from '../commitments/ledger-task.js';
+import {type ClaimAnswer} from '../decide/commitments/claim-answer.js';
+import {type Claim} from '../decide/commitments/claim.js';
+import {type KeptAnswer} from '../decide/commitments/kept-answer.js';
+import {BrokenStreamError} from '../errors/broken-stream-error.js';
+import {Refusal} from '../errors/refusal.js';
+import {type DecisionLog} from '../observe/decision-log.js';
+import {type Upstream} from '../settings/upstream.js';
+import {callService} from '../upstreams/call-service.js';
+import {digest} from '../util/digest.js';
+import {sleep} from '../util/sleep.js';
+import {type PlainAnswer} from './plain-answer.js';
+import {type PlainRequest} from './plain-request.js';
+import {type PlainRunner} from './plain-runner.js';
+
+const pollMs = 150;
+const comeBackMs = 1000;
+
+/** What the runner of commitments needs. */
+type CommitmentRunnerOptions = {
+	/** Name and incarnation of this host. */
+	readonly holder: () => string;
+	/** Whether the host that holds a claim may still be running it. */
+	readonly isHolderUp: (holder: string) => boolean;
+	readonly ledger: LedgerTask;
+	readonly pick: (upstreams: readonly Upstream[]) => readonly Upstream[];
+	readonly decisions: DecisionLog;
+	/** Called before the request is sent; for tests that stop the host here. */
+	readonly beforeSend: () => Promise<void>;
+};
+
+/**
+Creates the function that runs requests which may not be repeated. The claim is in the platform before the first byte is
+sent, and only the holder of the claim sends, once.
+*/
+export function createCommitmentRunner(options: CommitmentRunnerOptions): PlainRunner {
+	const {holder, isHolderUp, ledger, pick, decisions, beforeSend} = options;
+
+	const note = (req: PlainRequest, what: string, reason: string): void => {
+		decisions.note({requestId: req.requestId, what, reason});
+	};
+
+	/** Claims the key in the time that is left; a claim that is granted too late is given back. */
+	const claimInTime = async (claim: Claim, deadlineAt: number): Promise<ClaimAnswer> => {
+		const claiming = ledger.claim(claim);
+		const late = sleep(deadlineAt - Date.now()).then(() => 'late' as const);
+		let answer: ClaimAnswer | 'late';
+		try {
+			answer = await Promise.race([claiming, late]);
+		} catch (error) {
+			// The claim may still reach the platform; releasing it keeps the key usable.
+			ledger.settle({...claim, state: 'released'});
+			throw error;
+		}
+
+		if (answer === 'late') {
+			ledger.settle({...claim, state: 'released'});
+			throw new Refusal('deadline', 'the commitment could not be recorded in time', 'no', comeBackMs);
+		}
+
+		return answer;
+	};
+
+	const settleAnswer = async (claim: Claim, {status, contentType, body}: PlainAnswer): Promise<void> => {
+		const answer = await ledger.keepAnswer(claim, {status, contentType, body});
+		ledger.settle({...claim, state: 'done', answer});
+	};
+
+	/** Sends a granted claim; tries another upstream only while nothing was sent. */
+	const send = async (req: PlainRequest, claim: Claim): Promise<PlainAnswer> => {
+		await beforeSend();
+		for (const upstream of pick(req.service.upstreams)) {
+			note(req, 'send', `claim ${claim.id} to upstream ${upstream.name}`);
+			try {
+				const answer = await callService(upstream.url, req, req.service.limits.deadlineMs);
+				void settleAnswer(claim, answer);
+				return answer;
+			} catch (error) {
+				if (!(error instanceof BrokenStreamError) || error.sent) {
+					ledger.settle({...claim, state: 'unknown'});
+					throw new Refusal('outcome-unknown', 'the service gave no whole answer; it may have run the request', 'unknown');
+				}
+			}
+		}
+
+		ledger.settle({...claim, state: 'released'});
+		throw new Refusal('no-upstream', 'no upstream of the service could be reached', 'no', comeBackMs);
+	};
+
+	/** Sends again what may have run, to an upstream that answers a known key without another run. */
+	const sendAgain = async (req: PlainRequest, claim: Claim): Promise<PlainAnswer> => {
+		const checking = pick(req.service.upstreams.filter(upstream => upstream.checksKeys));
+		for (const upstream of checking) {
+			note(req, 'send', `claim ${claim.id} again to upstream ${upstream.name}, which checks keys`);
+			try {
+				const answer = await callService(upstream.url, req, req.deadlineAt - Date.now());
+				void settleAnswer(claim, answer);
+				return answer;
+			} catch (error) {
+				note(req, 'failed', `upstream ${upstream.name}: ${String(error)}`);
+			}
+		}
+
+		throw new Refusal('outcome-unknown', 'an earlier request with this key may have run', 'unknown');
+	};
+
+	const replay = async (req: PlainRequest, kept: KeptAnswer): Promise<PlainAnswer> => {
+		note(req, 'replay', 'the key has run; its answer is replayed');
+		const body = await ledger.readAnswer(kept);
+		if (body === undefined) {
+			throw new Refusal('outcome-unknown', `the request has run with status ${kept.status}; its answer is no longer kept`, 'yes');
+		}
+
+		return {
+			status: kept.status, contentType: kept.contentType, body, isReplay: true,
+		};
+	};
+
+	return async req => {
+		const claim: Claim = {
+			key: digest(JSON.stringify([req.workspace, req.service.service, req.idempotencyKey])),
+			digest: digest(JSON.stringify([req.method, req.path, req.body])),
+			id: randomUUID(),
+			holder: holder(),
+		};
+		for (;;) {
+			const answer = await claimInTime(claim, req.deadlineAt);
+			switch (answer.kind) {
+				case 'granted': {
+					return send(req, claim);
+				}
+
+				case 'done': {
+					return replay(req, answer.answer);
+				}
+
+				case 'reused': {
+					throw new Refusal('key-reused', 'the idempotency key was used for another request', 'no');
+				}
+
+				case 'unknown': {
+					return sendAgain(req, {...claim, id: answer.id});
+				}
+
+				case 'given-up': {
+					throw new Refusal('deadline', 'the claim was given up', 'no', comeBackMs);
+				}
+
+				case 'running': {
+					if (!isHolderUp(answer.holder)) {
+						note(req, 'unknown', `host ${answer.holder} went away while it held the claim`);
+						ledger.settle({...claim, id: answer.id, state: 'unknown'});
+						return sendAgain(req, {...claim, id: answer.id});
+					}
+
+					if (Date.now() + pollMs >= req.deadlineAt) {
+						throw new Refusal('outcome-unknown', 'an earlier request with this key is still running', 'unknown', comeBackMs);
+					}
+
+					await sleep(pollMs);
+				}
+			}
+		}
+	};
+}
--- /dev/null
+++ b/src/callers/create-completion-handler.ts
@@ -0,0 +1,171 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import {z} from 'zod';
+import {Refusal} from '../errors/refusal.js';
+import {createRefusalBody} from '../errors/refusal-body.js';
+import {sendJson} from '../http/send-json.js';
+import {type Snapshot} from '../publishing/snapshot.js';
+import {type ModelService} from '../settings/model-service.js';
+import {completionSchema} from './completion-schema.js';
+import {type ModelRequest} from './model-request.js';
+import {type ModelRunner} from './model-runner.js';
+import {readPrompt} from './read-prompt.js';
+import {type Usage} from './usage.js';
+
+const defaultMaxTokens = 64;
+const drainLimitMs = 30_000;
+
+/** What every caller's request has been checked for before it is handled. */
+type Entered = {
+	readonly requestId: string;
+	readonly snapshot: Snapshot;
+	readonly workspaces: ReadonlyMap<string, {readonly name: string; readonly weight: number}>;
+	readonly text: string;
+	readonly receivedAt: number;
+	readonly signal: AbortSignal;
+};
+
+function findService(snapshot: Snapshot, name: string): ModelService | undefined {
+	return snapshot.services.find((service): service is ModelService =>
+		service.kind === 'model' && service.models.some(model => model.name === name));
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		throw new Refusal('bad-request', 'the body is not JSON', 'no');
+	}
+}
+
+function toRequest(entered: Entered, body: z.infer<typeof completionSchema>): ModelRequest {
+	const service = findService(entered.snapshot, body.model);
+	const workspace = service && entered.workspaces.get(service.service);
+	if (!service) {
+		throw new Refusal('unknown-model', `model "${body.model.slice(0, 100)}" is not served`, 'no');
+	}
+
+	if (!workspace) {
+		throw new Refusal('not-allowed', `this key may not use model "${body.model}"`, 'no');
+	}
+
+	const prompt = readPrompt(body);
+	if (prompt === undefined || prompt === '') {
+		throw new Refusal('bad-request', 'the body has neither "prompt" nor "messages"', 'no');
+	}
+
+	const wanted = body.max_tokens ?? body.max_completion_tokens ?? defaultMaxTokens;
+	return {
+		requestId: entered.requestId,
+		service,
+		model: service.models.find(model => model.name === body.model)!,
+		workspace,
+		prompt,
+		maxTokens: Math.min(wanted, service.limits.maxTokens),
+		hint: body.prompt_cache_key,
+		receivedAt: entered.receivedAt,
+		deadlineAt: entered.receivedAt + service.limits.deadlineMs,
+		signal: entered.signal,
+	};
+}
+
+/** Form of the answer: text completions and chats differ in their fields. */
+type Form = {
+	readonly object: string;
+	readonly chunk: string;
+	readonly choice: (text: string, finish: string | null) => unknown;
+	readonly delta: (text: string, finish: string | null) => unknown;
+};
+
+const textForm: Form = {
+	object: 'text_completion',
+	chunk: 'text_completion',
+	choice: (text, finish) => ({index: 0, text, finish_reason: finish}),
+	delta: (text, finish) => ({index: 0, text, finish_reason: finish}),
+};
+
+const chatForm: Form = {
+	object: 'chat.completion',
+	chunk: 'chat.completion.chunk',
+	choice: (text, finish) => ({index: 0, message: {role: 'assistant', content: text}, finish_reason: finish}),
+	delta: (text, finish) => ({index: 0, delta: text === '' ? {} : {content: text}, finish_reason: finish}),
+};
+
+function toUsage({promptTokens, cachedTokens, completionTokens}: Usage): unknown {
+	return {
+		prompt_tokens: promptTokens,
+		completion_tokens: completionTokens,
+		total_tokens: promptTokens + completionTokens,
+		prompt_tokens_details: {cached_tokens: cachedTokens},
+	};
+}
+
+async function writeEvent(res: ServerResponse, data: unknown, signal: AbortSignal): Promise<void> {
+	if (!res.write(`data: ${typeof data === 'string' ? data : JSON.stringify(data)}\n\n`)) {
+		await once(res, 'drain', {signal: AbortSignal.any([signal, AbortSignal.timeout(drainLimitMs)])});
+	}
+}
+
+/** Ends a stream that has begun with an explicit error event; a stream without `[DONE]` is not a whole answer. */
+function endWithError(res: ServerResponse, error: unknown): void {
+	const refusal = error instanceof Refusal ? error : new Refusal('internal', 'internal error', 'unknown');
+	res.end(`event: error\ndata: ${JSON.stringify(createRefusalBody(refusal))}\n\n`);
+}
+
+async function answerStream(res: ServerResponse, request: ModelRequest, form: Form, run: ModelRunner): Promise<void> {
+	const base = {
+		id: request.requestId, object: form.chunk, created: Math.floor(request.receivedAt / 1000), model: request.model.name,
+	};
+	const begin = (): void => {
+		if (!res.headersSent) {
+			res.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-store'});
+		}
+	};
+
+	try {
+		const usage = await run(request, async text => {
+			begin();
+			await writeEvent(res, {...base, choices: [form.delta(text, null)]}, request.signal);
+		});
+		begin();
+		await writeEvent(res, {...base, choices: [form.delta('', 'stop')], usage: toUsage(usage)}, request.signal);
+		res.end('data: [DONE]\n\n');
+	} catch (error) {
+		if (!res.headersSent) {
+			throw error;
+		}
+
+		endWithError(res, error);
+		throw error;
+	}
+}
+
+async function answerWhole(res: ServerResponse, request: ModelRequest, form: Form, run: ModelRunner): Promise<void> {
+	const parts: string[] = [];
+	const usage = await run(request, async text => {
+		parts.push(text);
+	});
+	sendJson(res, 200, {
+		id: request.requestId,
+		object: form.object,
+		created: Math.floor(request.receivedAt / 1000),
+		model: request.model.name,
+		choices: [form.choice(parts.join(''), 'stop')],
+		usage: toUsage(usage),
+	});
+}
+
+/** Creates the handler of completion requests. */
+export function createCompletionHandler(run: ModelRunner) {
+	return async (req: IncomingMessage, res: ServerResponse, entered: Entered): Promise<void> => {
+		const parsed = completionSchema.safeParse(parseJson(entered.text));
+		if (!parsed.success) {
+			throw new Refusal('bad-request', z.prettifyError(parsed.error), 'no');
+		}
+
+		const request = toRequest(entered, parsed.data);
+		const form = req.url!.startsWith('/v1/chat/') ? chatForm : textForm;
+		const answer = parsed.data.stream === true ? answerStream : answerWhole;
+		await answer(res, request, form, run);
+	};
+}
--- /dev/null
+++ b/src/callers/create-plain-handler.ts
@@ -0,0 +1,77 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {Refusal} from '../errors/refusal.js';
+import {type Snapshot} from '../publishing/snapshot.js';
+import {type PlainService} from '../settings/plain-service.js';
+import {matchRoute} from './match-route.js';
+import {type PlainRequest} from './plain-request.js';
+import {type PlainRunner} from './plain-runner.js';
+
+const longestKey = 256;
+
+/** What every caller's request has been checked for before it is handled. */
+type Entered = {
+	readonly requestId: string;
+	readonly snapshot: Snapshot;
+	readonly workspaces: ReadonlyMap<string, {readonly name: string}>;
+	readonly text: string;
+	readonly receivedAt: number;
+	readonly signal: AbortSignal;
+};
+
+function toRequest(req: IncomingMessage, entered: Entered): PlainRequest {
+	const target = `http://host${req.url}`;
+	if (!URL.canParse(target)) {
+		throw new Refusal('bad-request', 'the address is not well-formed', 'no');
+	}
+
+	const url = new URL(target);
+	const [name = '', ...rest] = url.pathname.split('/').slice(2);
+	const service = entered.snapshot.services.find((candidate): candidate is PlainService => candidate.kind === 'plain' && candidate.service === name);
+	if (!service) {
+		throw new Refusal('unknown-service', `service "${name.slice(0, 100)}" is not known`, 'no');
+	}
+
+	const workspace = entered.workspaces.get(name);
+	if (!workspace) {
+		throw new Refusal('not-allowed', `this key may not use service "${name}"`, 'no');
+	}
+
+	const path = `/${rest.join('/')}`;
+	const route = matchRoute(service, req.method!, path);
+	if (typeof route === 'string') {
+		throw new Refusal(route === 'path' ? 'unknown-route' : 'method-not-allowed', `service "${name}" has no such ${route}`, 'no');
+	}
+
+	const idempotencyKey = req.headers['idempotency-key'] as string | undefined;
+	if (!route.repeatable && (idempotencyKey === undefined || idempotencyKey === '' || idempotencyKey.length > longestKey)) {
+		throw new Refusal('key-required', `this route needs an Idempotency-Key of 1 to ${longestKey} characters`, 'no');
+	}
+
+	return {
+		requestId: entered.requestId,
+		service,
+		workspace: workspace.name,
+		method: route.method,
+		path: `${path}${url.search}`,
+		isRepeatable: route.repeatable,
+		idempotencyKey: route.repeatable ? undefined : idempotencyKey,
+		contentType: req.headers['content-type'] ?? 'application/octet-stream',
+		body: entered.text,
+		deadlineAt: entered.receivedAt + service.limits.deadlineMs,
+		signal: entered.signal,
+	};
+}
+
+/** Creates the handler of requests to plain services. */
+export function createPlainHandler(runRead: PlainRunner, runCommitment: PlainRunner) {
+	return async (req: IncomingMessage, res: ServerResponse, entered: Entered): Promise<void> => {
+		const request = toRequest(req, entered);
+		const {status, contentType, body, isReplay} = await (request.isRepeatable ? runRead : runCommitment)(request);
+		res.writeHead(status, {
+			'content-type': contentType,
+			'content-length': String(Buffer.byteLength(body)),
+			...(isReplay ? {'idempotent-replayed': 'true'} : {}),
+		});
+		res.end(body);
+	};
+}
--- /dev/null
+++ b/src/callers/find-workspaces.ts
@@ -0,0 +1,37 @@
+import {type Snapshot} from '../publishing/snapshot.js';
+import {digest} from '../util/digest.js';
+
+/** A workspace by service name. */
+type Workspaces = ReadonlyMap<string, {readonly name: string; readonly weight: number}>;
+
+const indexes = new WeakMap<Snapshot, ReadonlyMap<string, Workspaces>>();
+
+function createIndex(snapshot: Snapshot): ReadonlyMap<string, Workspaces> {
+	const index = new Map<string, Map<string, {readonly name: string; readonly weight: number}>>();
+	for (const {service, workspaces} of snapshot.services) {
+		for (const {name, weight, keys} of workspaces) {
+			for (const key of keys) {
+				index.set(key, (index.get(key) ?? new Map()).set(service, {name, weight}));
+			}
+		}
+	}
+
+	return index;
+}
+
+/**
+Finds the workspaces that a bearer key stands for, by service.
+
+Only SHA-256 digests are compared, so the time of the look-up tells nothing of a key that is not already known.
+@returns `undefined` for an unknown key.
+*/
+export function findWorkspaces(snapshot: Snapshot, authorization: string | undefined): Workspaces | undefined {
+	const key = /^Bearer (?<key>\S+)$/v.exec(authorization ?? '')?.groups?.key;
+	if (key === undefined) {
+		return undefined;
+	}
+
+	const index = indexes.get(snapshot) ?? createIndex(snapshot);
+	indexes.set(snapshot, index);
+	return index.get(digest(key));
+}
--- /dev/null
+++ b/src/commands/check.ts
@@ -0,0 +1,21 @@
+import {type CommandModule} from 'yargs';
+import {readServices} from '../settings/read-services.js';
+import {printResult} from './print-result.js';
+
+/** Arguments of `check`. */
+type CheckArguments = {
+	readonly dir: readonly string[];
+	readonly json: boolean;
+};
+
+/** Checks service files without publishing them. */
+export const checkCommand: CommandModule<unknown, CheckArguments> = {
+	command: 'check <dir...>',
+	describe: 'check service files',
+	builder: yargs => yargs.positional('dir', {type: 'string', array: true, demandOption: true}) as never,
+	handler({dir, json}) {
+		const files = readServices(dir);
+		const result = files.map(({file, service}) => ({file, service: service.service}));
+		printResult(json, {services: result}, result.map(entry => `${entry.file}: service ${entry.service} is fine`));
+	},
+};
--- /dev/null
+++ b/src/commands/demo.ts
@@ -0,0 +1,41 @@
+import {appendFileSync} from 'node:fs';
+import process from 'node:process';
+import {type CommandModule} from 'yargs';
+import {startDemo} from '../demo/start-demo.js';
+import {startLog} from '../observe/start-log.js';
+
+/** Arguments of `demo`. */
+type DemoArguments = {
+	readonly listen: string;
+	readonly log: string | undefined;
+};
+
+/** Runs the whole path in one process on loopback. */
+export const demoCommand: CommandModule<unknown, DemoArguments> = {
+	command: 'demo',
+	describe: 'run the whole path in one process on loopback',
+	builder: {
+		listen: {type: 'string', default: '127.0.0.1:8080', describe: 'address for callers, IP:PORT'},
+		log: {type: 'string', describe: 'write the log to this file'},
+	} as never,
+	async handler({listen, log}) {
+		startLog(log === undefined
+			? () => undefined
+			: line => {
+				appendFileSync(log, `${line}\n`);
+			});
+		const demo = await startDemo(listen);
+		process.stdout.write(`${demo.lines.join('\n')}\n`);
+		const leave = async (): Promise<void> => {
+			await demo.stop();
+			process.exit(0);
+		};
+
+		process.on('SIGTERM', () => {
+			void leave();
+		});
+		process.on('SIGINT', () => {
+			void leave();
+		});
+	},
+};
--- /dev/null
+++ b/src/commands/explain.ts
@@ -0,0 +1,35 @@
+import {type CommandModule} from 'yargs';
+import {callJson} from '../http/call-json.js';
+import {type Decision} from '../observe/decision.js';
+import {printResult} from './print-result.js';
+
+const timeoutMs = 3000;
+
+/** Arguments of `explain`. */
+type ExplainArguments = {
+	readonly requestId: string;
+	readonly operators: string;
+	readonly json: boolean;
+};
+
+/** Shows the decisions about one request, from all hosts that took part. */
+export const explainCommand: CommandModule<unknown, ExplainArguments> = {
+	command: 'explain <request-id>',
+	describe: 'show the decisions about a request',
+	builder: yargs => yargs
+		.positional('request-id', {type: 'string', demandOption: true})
+		.option('operators', {type: 'string', demandOption: true, describe: 'operators\' address of any host, IP:PORT'}) as never,
+	async handler({requestId, operators, json}) {
+		const {body} = await callJson(`http://${operators}/explain/${encodeURIComponent(requestId)}`, {timeoutMs});
+		const decisions = body.decisions as readonly Decision[];
+		if (decisions.length === 0) {
+			throw new Error(`no host remembers request ${requestId}`);
+		}
+
+		const began = decisions[0]!.at;
+		printResult(json, body, decisions.flatMap(decision => [
+			`+${decision.at - began} ms ${decision.host} ${decision.what}: ${decision.reason}`,
+			...(decision.candidates ?? []).map(candidate => `    ${JSON.stringify(candidate)}`),
+		]));
+	},
+};
--- /dev/null
+++ b/src/commands/publish.ts
@@ -0,0 +1,83 @@
+import {userInfo, hostname} from 'node:os';
+import {type CommandModule} from 'yargs';
+import {type DomainStatus} from '../orders/domain-status.js';
+import {callJson} from '../http/call-json.js';
+import {createHttpPlatform} from '../platform/http-platform.js';
+import {type Platform} from '../platform/platform.js';
+import {publish} from '../publishing/publish.js';
+import {readServices} from '../settings/read-services.js';
+import {sleep} from '../util/sleep.js';
+import {printResult} from './print-result.js';
+
+const pollMs = 200;
+const statusTimeoutMs = 1000;
+
+/** Arguments of `publish`. */
+type PublishArguments = {
+	readonly dir: readonly string[];
+	readonly platform: string;
+	readonly wait: number;
+	readonly json: boolean;
+};
+
+/** A host and the revision that it has in force; 0 when it gives no answer. */
+type HostRevision = {
+	readonly host: string;
+	readonly revision: number;
+};
+
+async function readHosts(platform: Platform): Promise<ReadonlyArray<{readonly name: string; readonly operators: string}>> {
+	const keys = await platform.list('status/');
+	const objects = await Promise.all(keys.map(async key => platform.read(key)));
+	return objects
+		.flatMap(object => object ? (JSON.parse(object.value) as DomainStatus).hosts : [])
+		.filter(host => host.state !== 'dead' && host.state !== 'left');
+}
+
+async function readRevision(operators: string): Promise<number> {
+	try {
+		const {body} = await callJson(`http://${operators}/status`, {timeoutMs: statusTimeoutMs});
+		return body.revision as number;
+	} catch {
+		return 0;
+	}
+}
+
+async function waitInForce(platform: Platform, revision: number, waitS: number): Promise<readonly HostRevision[]> {
+	const until = Date.now() + (waitS * 1000);
+	for (;;) {
+		const hosts = await readHosts(platform);
+		const revisions = await Promise.all(hosts.map(async ({name, operators}) => ({host: name, revision: await readRevision(operators)})));
+		const isInForce = revisions.length > 0 && revisions.every(host => host.revision >= revision);
+		if (isInForce || Date.now() >= until) {
+			return revisions;
+		}
+
+		await sleep(pollMs);
+	}
+}
+
+/** Checks service files and puts them in force. */
+export const publishCommand: CommandModule<unknown, PublishArguments> = {
+	command: 'publish <dir...>',
+	describe: 'put service files in force',
+	builder: yargs => yargs
+		.positional('dir', {type: 'string', array: true, demandOption: true})
+		.option('platform', {type: 'string', demandOption: true, describe: 'the platform\'s URL'})
+		.option('wait', {type: 'number', default: 0, describe: 'seconds to wait until all hosts have it in force'}) as never,
+	async handler({dir, platform: url, wait, json}) {
+		const files = readServices(dir);
+		const platform = createHttpPlatform(url);
+		const revision = await publish(platform, files, `${userInfo().username}@${hostname()}`);
+		const hosts = wait > 0 ? await waitInForce(platform, revision, wait) : [];
+		const missing = hosts.filter(host => host.revision < revision);
+		const lines = [
+			`revision ${revision} is accepted`,
+			...hosts.map(host => `${host.host}: ${host.revision >= revision ? 'in force' : `not in force (revision ${host.revision})`}`),
+		];
+		printResult(json, {revision, hosts}, lines);
+		if (missing.length > 0) {
+			throw new Error(`revision ${revision} is not in force at ${missing.map(host => host.host).join(', ')}`);
+		}
+	},
+};
--- /dev/null
+++ b/src/commands/serve.ts
@@ -0,0 +1,38 @@
+import process from 'node:process';
+import {type CommandModule} from 'yargs';
+import {startLog} from '../observe/start-log.js';
+import {readHostSettings} from '../settings/read-host-settings.js';
+import {startHost} from '../wire.js';
+
+/** Arguments of `serve`. */
+type ServeArguments = {
+	readonly settings: string;
+	readonly 'allow-faults': boolean;
+};
+
+/** Runs one host until SIGTERM or SIGINT; SIGHUP reads the TLS keys again. */
+export const serveCommand: CommandModule<unknown, ServeArguments> = {
+	command: 'serve',
+	describe: 'run a host',
+	builder: {
+		settings: {type: 'string', demandOption: true, describe: 'the host\'s settings file'},
+		'allow-faults': {type: 'boolean', default: false, describe: 'take fault switches over the operators\' address, for tests'},
+	} as never,
+	async handler({settings, 'allow-faults': allowFaults}) {
+		const checked = readHostSettings(settings);
+		startLog();
+		const host = await startHost(checked, {allowFaults});
+		const leave = async (): Promise<void> => {
+			await host.drain();
+			process.exit(0);
+		};
+
+		process.on('SIGTERM', () => {
+			void leave();
+		});
+		process.on('SIGINT', () => {
+			void leave();
+		});
+		process.on('SIGHUP', host.reloadKeys);
+	},
+};
--- /dev/null
+++ b/src/context/create-offload-task.ts
@@ -0,0 +1,110 @@
+import PQueue from 'p-queue';
+import {pieceValue} from '../decide/context/piece-value.js';
+import {type Piece} from '../decide/context/piece.js';
+import {type LinkEstimate} from '../decide/routing/link-estimate.js';
+import {log} from '../observe/log.js';
+import {type StoreSettings} from '../settings/store-settings.js';
+import {type Engine} from '../upstreams/engine.js';
+import {type Store} from '../upstreams/store.js';
+import {type ContextTask} from './context-task.js';
+
+const transfersAtOnce = 2;
+const queueLimit = 500;
+const linkBacklogMs = 2000;
+
+/** A piece that an engine has cached and a store should keep. */
+type Offload = {
+	readonly service: string;
+	readonly workspace: string;
+	readonly label: string;
+	readonly piece: Piece;
+	readonly depth: number;
+	readonly bytes: number;
+	readonly engine: Engine;
+	readonly engineName: string;
+	readonly store: StoreSettings;
+};
+
+/** What the offload task needs. */
+type OffloadTaskOptions = {
+	readonly context: ContextTask;
+	readonly storeAt: (url: string) => Store;
+	readonly linkOf: (store: StoreSettings) => LinkEstimate;
+	readonly onBytes: (service: string, bytes: number) => void;
+};
+
+/** The running offload task. */
+type OffloadTask = {
+	/** Queues a piece; drops it when the link is behind, since a later run offers it again. */
+	readonly offer: (offload: Offload) => void;
+};
+
+/** Creates the task that writes pieces to stores: reserve, write, seal, and only then tell the directory. */
+export function createOffloadTask({context, storeAt, linkOf, onBytes}: OffloadTaskOptions): OffloadTask {
+	const queue = new PQueue({concurrency: transfersAtOnce});
+
+	const reserve = async (offload: Offload, value: number) => {
+		const {service, label, piece, bytes, store} = offload;
+		const client = storeAt(store.url);
+		const tag = context.tagOf(label);
+		const place = await client.reserve(piece.key, bytes, tag);
+		if (place) {
+			return place;
+		}
+
+		const freed = await context.evict(service, store.name, label, value);
+		return freed === 0 ? undefined : client.reserve(piece.key, bytes, tag);
+	};
+
+	const write = async (offload: Offload): Promise<void> => {
+		const {service, workspace, label, piece, depth, bytes, engine, store} = offload;
+		const client = storeAt(store.url);
+		const value = pieceValue({
+			uses: 1, ageMs: 0, tokens: piece.tokens, bytes, depth,
+		});
+		const place = await reserve(offload, value);
+		if (!place) {
+			return;
+		}
+
+		const link = linkOf(store);
+		const began = Date.now();
+		link.begin(bytes);
+		try {
+			const checksum = await engine.exportPiece(piece.key, store.url, place.block, place.generation);
+			link.end(bytes, Date.now() - began);
+			if (checksum === undefined || !await client.seal(place.block, place.generation, checksum)) {
+				await client.free(place.block, place.generation);
+				return;
+			}
+
+			onBytes(service, bytes);
+			const stored = {
+				key: piece.key, store: store.name, block: place.block, generation: place.generation, checksum, bytes,
+			};
+			context.add([{
+				service, label, key: piece.key, workspace, tokens: piece.tokens, depth, engine: offload.engineName, stored,
+			}]);
+		} catch (error) {
+			link.fail(bytes);
+			await client.free(place.block, place.generation);
+			throw error;
+		}
+	};
+
+	return {
+		offer(offload) {
+			if (queue.size >= queueLimit || linkOf(offload.store).expectMs(offload.bytes) > linkBacklogMs) {
+				return;
+			}
+
+			void queue.add(async () => {
+				try {
+					await write(offload);
+				} catch (error) {
+					log.debug({store: offload.store.name, error: String(error)}, 'offload failed');
+				}
+			});
+		},
+	};
+}
--- /dev/null
+++ b/src/decide/commitments/decide-outcome.ts
@@ -0,0 +1,21 @@
+import {type LedgerRecord} from './ledger-record.js';
+import {type Outcome} from './outcome.js';
+
+/**
+Decides an outcome against the newest record of its key.
+
+@returns The record to append, or `undefined` when nothing changes.
+*/
+export function decideOutcome(known: LedgerRecord | undefined, outcome: Outcome, now: number): LedgerRecord | undefined {
+	const {key, digest, id, state, answer} = outcome;
+	const record = {
+		key, digest, id, holder: known?.holder ?? '', state, at: now, ...(answer ? {answer} : {}),
+	};
+	if (!known) {
+		// The claim may still be on its way; the record keeps it from being granted.
+		return state === 'released' ? record : undefined;
+	}
+
+	const isOpen = known.state === 'claimed' || (known.state === 'unknown' && state !== 'unknown');
+	return known.id === id && isOpen ? record : undefined;
+}
--- /dev/null
+++ b/src/decide/commitments/outcome.ts
@@ -0,0 +1,14 @@
+import {type KeptAnswer} from './kept-answer.js';
+
+/** What became of a claim. */
+export type Outcome = {
+	readonly key: string;
+	readonly digest: string;
+	readonly id: string;
+	/**
+	`done`: run, with its answer. `released`: proved unsent; the key may be claimed again.
+	`unknown`: may have run; never sent again.
+	*/
+	readonly state: 'done' | 'released' | 'unknown';
+	readonly answer?: KeptAnswer;
+};
--- /dev/null
+++ b/src/decide/context/piece-value.ts
@@ -0,0 +1,18 @@
+import {type PieceUse} from './piece-use.js';
+
+const firstReturnMs = 600_000;
+const tailExponent = 0.7;
+const priorReturns = 0.5;
+const priorMisses = 1;
+const depthDiscount = 0.002;
+
+/**
+Gives the value of keeping a piece: chance of return, times tokens saved, per byte. The chance falls with a power of the
+age, since gaps run from minutes to days.
+*/
+export function pieceValue({uses, ageMs, tokens, bytes, depth}: PieceUse): number {
+	const returns = Math.max(0, uses - 1);
+	const everReturns = (returns + priorReturns) / (returns + priorReturns + priorMisses);
+	const stillReturns = (1 + (ageMs / firstReturnMs)) ** -tailExponent;
+	return everReturns * stillReturns * tokens / bytes / (1 + (depthDiscount * depth));
+}
--- /dev/null
+++ b/src/decide/fairness/fair-item.ts
@@ -0,0 +1,10 @@
+/** Something that waits in a fair queue. */
+export type FairItem = {
+	readonly id: string;
+	readonly service: string;
+	readonly serviceWeight: number;
+	readonly workspace: string;
+	readonly workspaceWeight: number;
+	/** Expected work, in tokens. */
+	readonly cost: number;
+};
--- /dev/null
+++ b/src/decide/grants/ask.ts
@@ -0,0 +1,16 @@
+import {type FairItem} from '../fairness/fair-item.js';
+
+/** A receiving host's request for a slot of an engine. */
+export type Ask = FairItem & {
+	readonly engine: string;
+	/** Receiving host. */
+	readonly host: string;
+	/** Time left to the request's deadline, in milliseconds. */
+	readonly leftMs: number;
+	/** Keys of the prompt's pieces, for the count of those that the engine still caches. */
+	readonly keys: readonly string[];
+	/** Wants the engine for itself alone, for a request that may crash it. */
+	readonly alone: boolean;
+	/** Resumes a broken stream; goes before new work. */
+	readonly resumed: boolean;
+};
--- /dev/null
+++ b/src/decide/grants/create-engine-queue.ts
@@ -0,0 +1,203 @@
+import {createFairQueue} from '../fairness/create-fair-queue.js';
+import {type Ask} from './ask.js';
+import {type EngineQueue} from './engine-queue.js';
+import {type GrantAction} from './grant-action.js';
+import {type RefuseReason} from './refuse-reason.js';
+import {type RunningGrant} from './running-grant.js';
+
+const leaseMs = 10_000;
+const assumedRunMs = 500;
+const smoothing = 0.1;
+const refuseSpread = 0.5;
+
+/** Size and start of an engine's queue. */
+type EngineQueueOptions = {
+	readonly slots: number;
+	readonly queueLimit: number;
+	/** No grant before this time, so that receiving hosts can first report the grants of an earlier owner. */
+	readonly openAt: number;
+	readonly random: () => number;
+};
+
+/** A grant in use and the time at which it lapses unless renewed. */
+type Held = RunningGrant & {
+	readonly expiresAt: number;
+	readonly since: number;
+};
+
+/** Creates the queue that an engine's owner keeps for it. */
+export function createEngineQueue(options: EngineQueueOptions): EngineQueue {
+	const {queueLimit, openAt, random} = options;
+	const queue = createFairQueue<Ask>();
+	const resumed: Ask[] = [];
+	const alone: Ask[] = [];
+	const deadlines = new Map<string, number>();
+	const running = new Map<string, Held>();
+	let {slots} = options;
+	let leaving = false;
+	let runMs = assumedRunMs;
+
+	const waiting = (): readonly Ask[] => [...resumed, ...alone, ...queue.items()];
+
+	const waitMs = (now: number): number => {
+		const before = queue.size() + resumed.length + alone.length + Math.max(0, running.size + 1 - slots);
+		return Math.max(openAt - now, before * runMs / Math.max(1, slots), 0);
+	};
+
+	const refuse = (ask: Ask, reason: RefuseReason, now: number): GrantAction => {
+		deadlines.delete(ask.id);
+		// The spread keeps refused callers from coming back all at once.
+		const retryAfterMs = Math.ceil(Math.max(runMs, waitMs(now)) * (1 + (refuseSpread * random())));
+		return {
+			kind: 'refuse', ask, reason, retryAfterMs,
+		};
+	};
+
+	const hold = (ask: Ask, now: number): GrantAction => {
+		deadlines.delete(ask.id);
+		running.set(ask.id, {
+			engine: ask.engine, host: ask.host, alone: ask.alone, item: ask, expiresAt: now + leaseMs, since: now,
+		});
+		return {kind: 'grant', ask};
+	};
+
+	const next = (): Ask | undefined => {
+		const isAlone = [...running.values()].some(held => held.alone);
+		if (isAlone || running.size >= slots) {
+			return undefined;
+		}
+
+		// A request that has to run alone drains the engine first, else it would wait for ever.
+		if (alone.length > 0) {
+			return running.size === 0 ? alone.shift() : undefined;
+		}
+
+		return resumed.shift() ?? queue.pop();
+	};
+
+	const grantNext = (now: number): readonly GrantAction[] => {
+		const actions: GrantAction[] = [];
+		if (now < openAt || leaving) {
+			return actions;
+		}
+
+		for (let ask = next(); ask; ask = next()) {
+			actions.push(hold(ask, now));
+		}
+
+		return actions;
+	};
+
+	const takeOut = (id: string): Ask | undefined => {
+		for (const list of [resumed, alone]) {
+			const at = list.findIndex(ask => ask.id === id);
+			if (at !== -1) {
+				return list.splice(at, 1)[0];
+			}
+		}
+
+		return queue.remove(id);
+	};
+
+	const refuseWhere = (test: (ask: Ask) => boolean, reason: RefuseReason, now: number): readonly GrantAction[] =>
+		waiting().filter(ask => test(ask)).map(ask => {
+			takeOut(ask.id);
+			return refuse(ask, reason, now);
+		});
+
+	const learn = (held: Held, now: number): void => {
+		runMs += smoothing * (now - held.since - runMs);
+	};
+
+	return {
+		waitMs,
+		ask(ask, now) {
+			if (leaving) {
+				return [refuse(ask, 'leaving', now)];
+			}
+
+			if (waiting().length >= queueLimit) {
+				return [refuse(ask, 'queue-full', now)];
+			}
+
+			if (waitMs(now) >= ask.leftMs) {
+				return [refuse(ask, 'deadline', now)];
+			}
+
+			deadlines.set(ask.id, now + ask.leftMs);
+			if (ask.alone) {
+				alone.push(ask);
+			} else if (ask.resumed) {
+				resumed.push(ask);
+			} else {
+				queue.push(ask);
+			}
+
+			return grantNext(now);
+		},
+		withdraw(id, now) {
+			const ask = takeOut(id);
+			if (ask) {
+				return [refuse(ask, 'withdrawn', now)];
+			}
+
+			const held = running.get(id);
+			if (held) {
+				running.delete(id);
+				queue.settle(held.item, 0);
+			}
+
+			return grantNext(now);
+		},
+		release(id, tokens, now) {
+			const held = running.get(id);
+			if (held) {
+				running.delete(id);
+				queue.settle(held.item, tokens);
+				learn(held, now);
+			}
+
+			return grantNext(now);
+		},
+		renew(host, grants, now) {
+			for (const grant of grants) {
+				const known = running.get(grant.item.id);
+				running.set(grant.item.id, {
+					...grant, host, since: known?.since ?? now, expiresAt: now + leaseMs,
+				});
+			}
+
+			return [];
+		},
+		tick(now) {
+			for (const [id, held] of running) {
+				if (held.expiresAt <= now) {
+					running.delete(id);
+				}
+			}
+
+			const late = refuseWhere(ask => (deadlines.get(ask.id) ?? 0) <= now, 'deadline', now);
+			return [...late, ...grantNext(now)];
+		},
+		dropHosts(isUp, now) {
+			for (const [id, held] of running) {
+				if (!isUp(held.host)) {
+					running.delete(id);
+				}
+			}
+
+			const gone = refuseWhere(ask => !isUp(ask.host), 'withdrawn', now);
+			return [...gone, ...grantNext(now)];
+		},
+		setSlots(count, now) {
+			slots = count;
+			return grantNext(now);
+		},
+		setLeaving(mark, now) {
+			leaving = mark;
+			return leaving ? refuseWhere(() => true, 'leaving', now) : grantNext(now);
+		},
+		close: now => refuseWhere(() => true, 'not-owner', now),
+		state: () => ({running: running.size, waiting: waiting().length, leaving}),
+	};
+}
--- /dev/null
+++ b/src/decide/grants/engine-queue.ts
@@ -0,0 +1,23 @@
+import {type Ask} from './ask.js';
+import {type GrantAction} from './grant-action.js';
+import {type RunningGrant} from './running-grant.js';
+
+/** The decisions of an engine's owner about its slots. Times are in milliseconds. */
+export type EngineQueue = {
+	readonly ask: (ask: Ask, now: number) => readonly GrantAction[];
+	readonly withdraw: (id: string, now: number) => readonly GrantAction[];
+	readonly release: (id: string, tokens: number, now: number) => readonly GrantAction[];
+	/** Renews grants of `host`; unknown ones are taken over from an earlier owner. */
+	readonly renew: (host: string, grants: readonly RunningGrant[], now: number) => readonly GrantAction[];
+	/** Ends grants that were not renewed and requests whose deadline has come. */
+	readonly tick: (now: number) => readonly GrantAction[];
+	/** Drops what hosts that are gone held and asked for. */
+	readonly dropHosts: (isUp: (host: string) => boolean, now: number) => readonly GrantAction[];
+	readonly setSlots: (slots: number, now: number) => readonly GrantAction[];
+	readonly setLeaving: (leaving: boolean, now: number) => readonly GrantAction[];
+	/** Refuses everything that waits; this host is not the owner any more. */
+	readonly close: (now: number) => readonly GrantAction[];
+	/** Expected wait of a new request. */
+	readonly waitMs: (now: number) => number;
+	readonly state: () => {readonly running: number; readonly waiting: number; readonly leaving: boolean};
+};
--- /dev/null
+++ b/src/decide/routing/choose-version.ts
@@ -0,0 +1,31 @@
+/**
+Chooses the weight version of a request: the one it is pinned to, else the wanted one where any engine has it, else the
+one that most engines have loaded.
+
+@param loaded - Loaded model versions of each usable engine, `model@version`.
+@returns `undefined` when no engine can run it.
+*/
+export function chooseVersion(
+	model: {readonly name: string; readonly version: string},
+	loaded: ReadonlyArray<readonly string[]>,
+	pinned: string | undefined,
+): string | undefined {
+	const prefix = `${model.name}@`;
+	const counts = new Map<string, number>();
+	for (const what of loaded.flat()) {
+		if (what.startsWith(prefix)) {
+			const version = what.slice(prefix.length);
+			counts.set(version, (counts.get(version) ?? 0) + 1);
+		}
+	}
+
+	if (pinned !== undefined) {
+		return counts.has(pinned) ? pinned : undefined;
+	}
+
+	if (counts.has(model.version)) {
+		return model.version;
+	}
+
+	return [...counts].toSorted((a, b) => b[1] - a[1])[0]?.[0];
+}
--- /dev/null
+++ b/src/decide/routing/route.ts
@@ -0,0 +1,13 @@
+import {type StoredPiece} from './stored-piece.js';
+
+/** A scored way to run a request. */
+export type Route = {
+	readonly engine: string;
+	/** Weighted cost; the least is best. */
+	readonly score: number;
+	readonly firstTokenMs: number;
+	readonly recomputedTokens: number;
+	readonly linkBytes: number;
+	/** Pieces to import before the run, in order. */
+	readonly fetch: readonly StoredPiece[];
+};
--- /dev/null
+++ b/src/errors/answers.ts
@@ -0,0 +1,26 @@
+import {type Answer} from './answer.js';
+import {type ErrorKind} from './error-kind.js';
+
+/** The table from error kind to HTTP answer. */
+export const answers: Readonly<Record<ErrorKind, Answer>> = {
+	'bad-request': {status: 400, comeBack: false},
+	unauthorized: {status: 401, comeBack: false},
+	'not-allowed': {status: 403, comeBack: false},
+	'unknown-model': {status: 404, comeBack: false},
+	'unknown-service': {status: 404, comeBack: false},
+	'unknown-route': {status: 404, comeBack: false},
+	'method-not-allowed': {status: 405, comeBack: false},
+	'too-large': {status: 413, comeBack: false},
+	'slow-caller': {status: 408, comeBack: false},
+	'key-required': {status: 400, comeBack: false},
+	'key-reused': {status: 422, comeBack: false},
+	'outcome-unknown': {status: 409, comeBack: false},
+	overloaded: {status: 429, comeBack: true},
+	deadline: {status: 503, comeBack: true},
+	'no-upstream': {status: 503, comeBack: true},
+	condemned: {status: 422, comeBack: true},
+	'platform-unavailable': {status: 503, comeBack: true},
+	'upstream-failed': {status: 502, comeBack: true},
+	'not-ready': {status: 503, comeBack: true},
+	internal: {status: 500, comeBack: false},
+};
--- /dev/null
+++ b/src/errors/error-kinds.ts
@@ -0,0 +1,23 @@
+/** The closed list of error kinds. Every refusal and failure towards a caller carries one of them. */
+export const errorKinds = [
+	'bad-request',
+	'unauthorized',
+	'not-allowed',
+	'unknown-model',
+	'unknown-service',
+	'unknown-route',
+	'method-not-allowed',
+	'too-large',
+	'slow-caller',
+	'key-required',
+	'key-reused',
+	'outcome-unknown',
+	'overloaded',
+	'deadline',
+	'no-upstream',
+	'condemned',
+	'platform-unavailable',
+	'upstream-failed',
+	'not-ready',
+	'internal',
+] as const;
--- /dev/null
+++ b/src/grants/create-grant-asker-task.ts
@@ -0,0 +1,251 @@
+import {randomUUID} from 'node:crypto';
+import {type AskAnswer} from '../decide/grants/ask-answer.js';
+import {type Ask} from '../decide/grants/ask.js';
+import {type RunningGrant} from '../decide/grants/running-grant.js';
+import {type WaitMemory} from '../decide/routing/wait-memory.js';
+import {PeerUnreachableError} from '../errors/peer-unreachable-error.js';
+import {Refusal} from '../errors/refusal.js';
+import {type Owners} from '../membership/owners.js';
+import {type PeerCaller} from '../peers/peer-caller.js';
+import {type PeerMethod} from '../peers/peer-method.js';
+import {type PeerMethods} from '../peers/peer-methods.js';
+import {type Engine} from '../upstreams/engine.js';
+import {sleep} from '../util/sleep.js';
+import {type GrantAskerTask} from './grant-asker-task.js';
+import {type GrantOwnerTask} from './grant-owner-task.js';
+import {type GrantWish} from './grant-wish.js';
+import {type Grant} from './grant.js';
+
+const renewMs = 3000;
+const answerSlackMs = 500;
+const directReportMs = 300;
+const directAtOnce = 1;
+const movedPauseMs = 100;
+const movedTries = 30;
+const comeBackMs = 1000;
+
+/** What the asker task needs. */
+type GrantAskerTaskOptions = {
+	readonly self: string;
+	readonly owners: Owners;
+	readonly call: PeerCaller;
+	readonly local: GrantOwnerTask;
+	readonly engineAt: (url: string) => Engine;
+	readonly waits: WaitMemory;
+	/** Owners asked at the same time for one request. */
+	readonly fanout: number;
+};
+
+type Candidate = GrantWish['candidates'][number];
+
+/** Starts the task that asks for grants. */
+export function createGrantAskerTask(options: GrantAskerTaskOptions): GrantAskerTask {
+	const {self, owners, call, local, engineAt, waits, fanout} = options;
+	const running = new Map<string, {readonly grant: RunningGrant; readonly domain: string}>();
+	const waiting = new Map<string, {readonly engine: string; readonly domain: string; readonly owner: string; readonly abort: AbortController}>();
+	const direct = new Map<string, number>();
+
+	const callOwner = async <M extends PeerMethod & keyof GrantOwnerTask['handlers']>(
+		candidate: Pick<Candidate, 'engine' | 'domain'>,
+		method: M,
+		params: PeerMethods[M]['params'],
+		timing: {readonly timeoutMs?: number; readonly signal?: AbortSignal} = {},
+	): Promise<PeerMethods[M]['result']> => {
+		const owner = owners.inDomain(candidate.domain, candidate.engine);
+		if (!owner) {
+			throw new PeerUnreachableError(candidate.domain, method, 'no host of the domain is up');
+		}
+
+		if (owner.name === self) {
+			return local.handlers[method](params);
+		}
+
+		return call(owner.peers, method, params, timing);
+	};
+
+	const tellOwner = <M extends 'grant.withdraw' | 'grant.release'>(candidate: Pick<Candidate, 'engine' | 'domain'>, method: M, params: PeerMethods[M]['params']): void => {
+		// A lost message is made up for by the lapse of the grant.
+		callOwner(candidate, method, params).catch(() => undefined);
+	};
+
+	const hold = (candidate: Candidate, ask: Ask, answer: AskAnswer): Grant => {
+		const {leftMs, keys, engine, host, alone, resumed, ...item} = ask;
+		running.set(ask.id, {
+			grant: {
+				engine, host, alone, item,
+			}, domain: candidate.domain,
+		});
+		return {
+			id: ask.id,
+			engine,
+			cachedPieces: answer.cachedPieces,
+			release(tokens) {
+				if (running.delete(ask.id)) {
+					tellOwner(candidate, 'grant.release', {engine, id: ask.id, tokens});
+				}
+			},
+		};
+	};
+
+	/** Uses an engine without its owner, within a small allowance, after asking the engine itself. */
+	const goDirect = async (candidate: Candidate, wish: GrantWish): Promise<Grant> => {
+		const {engine, url} = candidate;
+		const used = direct.get(engine) ?? 0;
+		if (used >= directAtOnce || wish.alone) {
+			throw new Refusal('no-upstream', `the owner of engine ${engine} is out of reach`, 'no', comeBackMs);
+		}
+
+		direct.set(engine, used + 1);
+		const leave = (): void => {
+			direct.set(engine, (direct.get(engine) ?? 1) - 1);
+		};
+
+		try {
+			const report = await engineAt(url).report(directReportMs);
+			if (report.leaving) {
+				throw new Refusal('no-upstream', `engine ${engine} is leaving`, 'no', comeBackMs);
+			}
+		} catch (error) {
+			leave();
+			throw error instanceof Refusal ? error : new Refusal('no-upstream', `engine ${engine} is out of reach`, 'no', comeBackMs);
+		}
+
+		return {
+			id: randomUUID(), engine, cachedPieces: undefined, release: leave,
+		};
+	};
+
+	const askOwner = async (candidate: Candidate, wish: GrantWish, signal: AbortSignal): Promise<Grant> => {
+		const {engine, domain} = candidate;
+		for (let tries = 1; ; tries++) {
+			const owner = owners.inDomain(domain, engine);
+			if (!owner || (owner.state === 'suspect' && owner.name !== self)) {
+				return goDirect(candidate, wish);
+			}
+
+			const leftMs = wish.deadlineAt - Date.now();
+			const ask: Ask = {
+				...wish.item, id: randomUUID(), engine, host: self, leftMs, keys: wish.keys, alone: wish.alone, resumed: wish.resumed,
+			};
+			const abort = new AbortController();
+			waiting.set(ask.id, {
+				engine, domain, owner: owner.name, abort,
+			});
+			const withdraw = (): void => {
+				tellOwner(candidate, 'grant.withdraw', {engine, id: ask.id});
+			};
+
+			signal.addEventListener('abort', withdraw, {once: true});
+			try {
+				const answer = await callOwner(candidate, 'grant.ask', ask, {timeoutMs: leftMs + answerSlackMs, signal: AbortSignal.any([abort.signal, signal])});
+				waits.learn(engine, answer.waitMs, Date.now());
+				if (signal.aborted) {
+					withdraw();
+					throw new Refusal('deadline', 'another engine granted first', 'no');
+				}
+
+				return hold(candidate, ask, answer);
+			} catch (error) {
+				if (error instanceof Refusal && error.retryAfterMs !== undefined) {
+					waits.learn(engine, error.retryAfterMs, Date.now());
+				}
+
+				const hasMoved = abort.signal.aborted || (error instanceof Refusal && error.kind === 'not-ready');
+				if (hasMoved && !signal.aborted && tries < movedTries && Date.now() < wish.deadlineAt) {
+					await sleep(movedPauseMs);
+					continue;
+				}
+
+				if (error instanceof PeerUnreachableError && !signal.aborted) {
+					return await goDirect(candidate, wish);
+				}
+
+				throw error;
+			} finally {
+				waiting.delete(ask.id);
+				signal.removeEventListener('abort', withdraw);
+			}
+		}
+	};
+
+	const askSome = async (candidates: readonly Candidate[], wish: GrantWish): Promise<Grant> => {
+		const losers = candidates.map(() => new AbortController());
+		const asks = candidates.map(async (candidate, index) => {
+			const grant = await askOwner(candidate, wish, AbortSignal.any([losers[index]!.signal, wish.signal]));
+			return {grant, index};
+		});
+		const {grant, index: winner} = await Promise.any(asks);
+		for (const [index, loser] of losers.entries()) {
+			if (index !== winner) {
+				loser.abort();
+			}
+		}
+
+		for (const ask of asks) {
+			void ask.then(other => {
+				if (other.index !== winner) {
+					other.grant.release(0);
+				}
+			}, () => undefined);
+		}
+
+		return grant;
+	};
+
+	const renew = (): void => {
+		const byOwner = new Map<string, RunningGrant[]>();
+		for (const {grant, domain} of running.values()) {
+			const owner = owners.inDomain(domain, grant.engine);
+			if (owner) {
+				byOwner.set(owner.name, [...byOwner.get(owner.name) ?? [], grant]);
+			}
+		}
+
+		for (const [name, grants] of byOwner) {
+			if (name === self) {
+				void local.handlers['grant.renew']({host: self, grants});
+			} else {
+				const {peers} = owners.up().find(member => member.name === name)!;
+				call(peers, 'grant.renew', {host: self, grants}).catch(() => undefined);
+			}
+		}
+	};
+
+	const renewing = setInterval(renew, renewMs);
+
+	return {
+		running: () => running.size,
+		onOwnersChange() {
+			renew();
+			for (const {engine, domain, owner, abort} of waiting.values()) {
+				const now = owners.inDomain(domain, engine);
+				if (now?.name !== owner || now.state === 'suspect') {
+					abort.abort();
+				}
+			}
+		},
+		async acquire(wish) {
+			let last: unknown;
+			for (let at = 0; at < wish.candidates.length; at += fanout) {
+				if (Date.now() >= wish.deadlineAt || wish.signal.aborted) {
+					break;
+				}
+
+				try {
+					return await askSome(wish.candidates.slice(at, at + fanout), wish);
+				} catch (error) {
+					last = (error as AggregateError).errors?.[0] ?? error;
+				}
+			}
+
+			if (last instanceof Refusal) {
+				throw last;
+			}
+
+			throw new Refusal(last ? 'no-upstream' : 'deadline', 'no engine granted a slot in time', 'no', comeBackMs);
+		},
+		async stop() {
+			clearInterval(renewing);
+		},
+	};
+}
--- /dev/null
+++ b/src/grants/create-grant-owner-task.ts
@@ -0,0 +1,263 @@
+import {createEngineQueue} from '../decide/grants/create-engine-queue.js';
+import {type AskAnswer} from '../decide/grants/ask-answer.js';
+import {type EngineQueue} from '../decide/grants/engine-queue.js';
+import {type GrantAction} from '../decide/grants/grant-action.js';
+import {type RefuseReason} from '../decide/grants/refuse-reason.js';
+import {createLeaveHold} from '../decide/upstreams/create-leave-hold.js';
+import {type LeaveHold} from '../decide/upstreams/leave-hold.js';
+import {type ErrorKind} from '../errors/error-kind.js';
+import {Refusal} from '../errors/refusal.js';
+import {type MembershipTask} from '../membership/membership-task.js';
+import {type Owners} from '../membership/owners.js';
+import {log} from '../observe/log.js';
+import {type Snapshot} from '../publishing/snapshot.js';
+import {type Upstream} from '../settings/upstream.js';
+import {type Engine} from '../upstreams/engine.js';
+import {type EngineStatus} from './engine-status.js';
+import {type GrantOwnerTask} from './grant-owner-task.js';
+
+const tickMs = 100;
+const pollMs = 1000;
+const reportTimeoutMs = 800;
+const adoptionMs = 500;
+const failedPollsToDown = 2;
+
+const refusalKinds: Readonly<Record<RefuseReason, ErrorKind>> = {
+	'queue-full': 'overloaded',
+	deadline: 'deadline',
+	leaving: 'no-upstream',
+	withdrawn: 'deadline',
+	closed: 'not-ready',
+	'not-owner': 'not-ready',
+};
+
+/** What the owner task needs. */
+type GrantOwnerTaskOptions = {
+	readonly self: string;
+	readonly domain: string;
+	readonly owners: Owners;
+	readonly membership: MembershipTask;
+	readonly snapshot: () => Snapshot | undefined;
+	readonly engineAt: (url: string) => Engine;
+	readonly random: () => number;
+};
+
+/** An engine that this host owns. */
+type OwnedEngine = {
+	upstream: Upstream;
+	readonly queue: EngineQueue;
+	readonly hold: LeaveHold;
+	readonly cached: Set<string>;
+	cacheSeq: number;
+	failedPolls: number;
+	reportedLeaving: boolean;
+};
+
+/** Answers of asks that are still waiting, by the ask's identity. */
+type Pending = {
+	readonly resolve: (answer: AskAnswer) => void;
+	readonly reject: (refusal: Refusal) => void;
+};
+
+/** Starts the task that queues requests for the engines that this host owns. */
+export function createGrantOwnerTask(options: GrantOwnerTaskOptions): GrantOwnerTask {
+	const {self, domain, owners, membership, snapshot, engineAt, random} = options;
+	const engines = new Map<string, OwnedEngine>();
+	const pending = new Map<string, Pending>();
+
+	const countCached = ({cached}: OwnedEngine, keys: readonly string[]): number => {
+		const miss = keys.findIndex(key => !cached.has(key));
+		return miss === -1 ? keys.length : miss;
+	};
+
+	const act = (owned: OwnedEngine, actions: readonly GrantAction[]): void => {
+		for (const action of actions) {
+			const waiting = pending.get(action.ask.id);
+			pending.delete(action.ask.id);
+			if (action.kind === 'grant') {
+				waiting?.resolve({cachedPieces: countCached(owned, action.ask.keys), waitMs: owned.queue.waitMs(Date.now())});
+			} else {
+				waiting?.reject(new Refusal(refusalKinds[action.reason], `engine ${action.ask.engine}: ${action.reason}`, 'no', action.retryAfterMs));
+			}
+		}
+	};
+
+	const isMarked = (name: string): boolean => (membership.gossip.get('marks', name)?.value as {readonly leaving: boolean} | undefined)?.leaving ?? false;
+
+	const applyLeaving = (owned: OwnedEngine): void => {
+		const now = Date.now();
+		const leaving = owned.hold.observe(owned.reportedLeaving || owned.upstream.leaving || isMarked(owned.upstream.name), now);
+		if (leaving !== owned.queue.state().leaving) {
+			log.info({engine: owned.upstream.name, leaving}, 'engine leaving mark');
+			act(owned, owned.queue.setLeaving(leaving, now));
+		}
+	};
+
+	const tell = (owned: OwnedEngine, status: EngineStatus): void => {
+		const section = `engines/${domain}`;
+		const known = membership.gossip.get(section, owned.upstream.name)?.value as EngineStatus | undefined;
+		if (JSON.stringify(known) !== JSON.stringify(status)) {
+			membership.put(section, owned.upstream.name, status);
+		}
+	};
+
+	const readCache = async (owned: OwnedEngine, engine: Engine): Promise<void> => {
+		const {seq, events} = await engine.cacheEvents(owned.cacheSeq);
+		const hasGap = seq < owned.cacheSeq || events.length !== seq - owned.cacheSeq;
+		if (hasGap) {
+			const list = await engine.cacheList();
+			owned.cached.clear();
+			for (const key of list.keys) {
+				owned.cached.add(key);
+			}
+
+			owned.cacheSeq = list.seq;
+			return;
+		}
+
+		for (const event of events) {
+			if (event.kind === 'added') {
+				owned.cached.add(event.key);
+			} else {
+				owned.cached.delete(event.key);
+			}
+		}
+
+		owned.cacheSeq = seq;
+	};
+
+	const poll = async (owned: OwnedEngine): Promise<void> => {
+		const engine = engineAt(owned.upstream.url);
+		try {
+			const report = await engine.report(reportTimeoutMs);
+			owned.failedPolls = 0;
+			owned.reportedLeaving = report.leaving;
+			applyLeaving(owned);
+			tell(owned, {loaded: report.loaded, leaving: owned.queue.state().leaving, isUp: true});
+			await readCache(owned, engine);
+		} catch {
+			owned.failedPolls++;
+			if (owned.failedPolls === failedPollsToDown) {
+				const known = membership.gossip.get(`engines/${domain}`, owned.upstream.name)?.value as EngineStatus | undefined;
+				tell(owned, {loaded: known?.loaded ?? [], leaving: owned.queue.state().leaving, isUp: false});
+			}
+		}
+	};
+
+	const listOwn = (): ReadonlyArray<{readonly upstream: Upstream; readonly queueLimit: number}> => (snapshot()?.services ?? [])
+		.filter(service => service.kind === 'model')
+		.flatMap(service => service.upstreams.map(upstream => ({upstream, queueLimit: service.limits.queued})))
+		.filter(({upstream}) => upstream.domain === domain && owners.inDomain(domain, upstream.name)?.name === self);
+
+	const open = (upstream: Upstream, queueLimit: number): void => {
+		const owned: OwnedEngine = {
+			upstream,
+			queue: createEngineQueue({
+				slots: upstream.slots, queueLimit, openAt: Date.now() + adoptionMs, random,
+			}),
+			hold: createLeaveHold(),
+			cached: new Set(),
+			cacheSeq: 0,
+			failedPolls: 0,
+			reportedLeaving: false,
+		};
+		engines.set(upstream.name, owned);
+		applyLeaving(owned);
+		void poll(owned);
+	};
+
+	const close = (name: string): void => {
+		const owned = engines.get(name)!;
+		engines.delete(name);
+		act(owned, owned.queue.close(Date.now()));
+	};
+
+	const review = (): void => {
+		const own = listOwn();
+		const names = new Set(own.map(({upstream}) => upstream.name));
+		for (const name of engines.keys()) {
+			if (!names.has(name)) {
+				close(name);
+			}
+		}
+
+		const up = new Set(membership.members().filter(member => member.state !== 'dead' && member.state !== 'left').map(member => member.name));
+		for (const {upstream, queueLimit} of own) {
+			const known = engines.get(upstream.name);
+			if (known) {
+				known.upstream = upstream;
+				act(known, known.queue.setSlots(upstream.slots, Date.now()));
+				act(known, known.queue.dropHosts(host => up.has(host), Date.now()));
+				applyLeaving(known);
+			} else {
+				open(upstream, queueLimit);
+			}
+		}
+	};
+
+	const ticking = setInterval(() => {
+		for (const owned of engines.values()) {
+			act(owned, owned.queue.tick(Date.now()));
+		}
+	}, tickMs);
+	const polling = setInterval(() => {
+		for (const owned of engines.values()) {
+			void poll(owned);
+		}
+	}, pollMs);
+
+	const withOwned = (name: string, use: (owned: OwnedEngine) => void): Readonly<Record<string, never>> => {
+		const owned = engines.get(name);
+		if (owned) {
+			use(owned);
+		}
+
+		return {};
+	};
+
+	return {
+		review,
+		reset() {
+			for (const name of engines.keys()) {
+				close(name);
+			}
+
+			review();
+		},
+		states: () => [...engines].map(([engine, {queue}]) => ({engine, ...queue.state()})),
+		handlers: {
+			'grant.ask': async ask => new Promise((resolve, reject) => {
+				const owned = engines.get(ask.engine);
+				if (!owned) {
+					reject(new Refusal('not-ready', `this host does not own engine ${ask.engine}`, 'no'));
+					return;
+				}
+
+				pending.set(ask.id, {resolve, reject});
+				act(owned, owned.queue.ask(ask, Date.now()));
+			}),
+			'grant.withdraw': async ({engine, id}) => withOwned(engine, owned => {
+				act(owned, owned.queue.withdraw(id, Date.now()));
+			}),
+			'grant.release': async ({engine, id, tokens}) => withOwned(engine, owned => {
+				act(owned, owned.queue.release(id, tokens, Date.now()));
+			}),
+			async 'grant.renew'({host, grants}) {
+				for (const grant of grants) {
+					withOwned(grant.engine, owned => {
+						act(owned, owned.queue.renew(host, [grant], Date.now()));
+					});
+				}
+
+				return {};
+			},
+		},
+		async stop() {
+			clearInterval(ticking);
+			clearInterval(polling);
+			for (const name of engines.keys()) {
+				close(name);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/grants/engine-status.ts
@@ -0,0 +1,8 @@
+/** What an engine's owner tells all hosts of it, on change only. */
+export type EngineStatus = {
+	/** Loaded model versions, `model@version`. */
+	readonly loaded: readonly string[];
+	readonly leaving: boolean;
+	/** Whether it answered the owner's last reports. */
+	readonly isUp: boolean;
+};
--- /dev/null
+++ b/src/grants/grant-wish.ts
@@ -0,0 +1,15 @@
+import {type FairItem} from '../decide/fairness/fair-item.js';
+
+/** What a receiving host wants a slot for. */
+export type GrantWish = {
+	readonly requestId: string;
+	/** Engines with their domains, best first. */
+	readonly candidates: ReadonlyArray<{readonly engine: string; readonly domain: string; readonly url: string}>;
+	readonly item: Omit<FairItem, 'id'>;
+	readonly keys: readonly string[];
+	readonly alone: boolean;
+	readonly resumed: boolean;
+	/** Wall-clock deadline in milliseconds. */
+	readonly deadlineAt: number;
+	readonly signal: AbortSignal;
+};
--- /dev/null
+++ b/src/http/json-answer.ts
@@ -0,0 +1,7 @@
+/** An HTTP answer whose body has been parsed as JSON. */
+export type JsonAnswer = {
+	readonly status: number;
+	readonly body: any;
+	/** Length of the body in bytes. */
+	readonly bytes: number;
+};
--- /dev/null
+++ b/src/membership/create-owners.ts
@@ -0,0 +1,41 @@
+import {rankOwners} from '../decide/membership/rank-owners.js';
+import {type Member} from '../decide/membership/member.js';
+import {type MembershipTask} from './membership-task.js';
+import {type Owners} from './owners.js';
+
+/** Creates the look-up of owners; results are kept until members change. */
+export function createOwners(membership: MembershipTask): Owners {
+	let cache = new Map<string, Member | undefined>();
+	let up: readonly Member[] | undefined;
+	membership.onChange(() => {
+		cache = new Map();
+		up = undefined;
+	});
+
+	const listUp = (): readonly Member[] => {
+		up ??= membership.members().filter(member => member.state === 'alive' || member.state === 'suspect');
+		return up;
+	};
+
+	const first = (group: string, key: string, hosts: () => readonly Member[]): Member | undefined => {
+		const id = `${group}\n${key}`;
+		if (!cache.has(id)) {
+			const list = hosts();
+			const [name] = rankOwners(list.map(member => member.name), key);
+			cache.set(id, list.find(member => member.name === name));
+		}
+
+		return cache.get(id);
+	};
+
+	return {
+		up: listUp,
+		inDomain: (domain, key) => first(domain, key, () => listUp().filter(member => member.domain === domain)),
+		inRegion: key => first('#region', key, () => listUp().filter(member => member.region === membership.self().region)),
+		overall(key) {
+			const domains = [...new Set(listUp().map(member => member.domain))];
+			const [domain] = rankOwners(domains, key);
+			return domain === undefined ? undefined : first(domain, key, () => listUp().filter(member => member.domain === domain));
+		},
+	};
+}
--- /dev/null
+++ b/src/orders/create-orders-task.ts
@@ -0,0 +1,178 @@
+import {createLease} from '../decide/orders/create-lease.js';
+import {planOrders} from '../decide/orders/plan-orders.js';
+import {type PlannedOrder} from '../decide/orders/planned-order.js';
+import {type MembershipTask} from '../membership/membership-task.js';
+import {type Owners} from '../membership/owners.js';
+import {log} from '../observe/log.js';
+import {type Platform} from '../platform/platform.js';
+import {type Snapshot} from '../publishing/snapshot.js';
+import {type ModelService} from '../settings/model-service.js';
+import {type Engine} from '../upstreams/engine.js';
+import {type EngineReport} from '../upstreams/engine-report.js';
+import {type Stop} from '../util/stop.js';
+import {type DomainStatus} from './domain-status.js';
+
+const renewMs = 3000;
+const reconcileMs = 1000;
+const statusMs = 5000;
+const reportTimeoutMs = 500;
+
+/** The lease object's value. */
+type LeaseValue = {
+	readonly holder: string;
+	readonly fencing: number;
+};
+
+/** What the orders task needs. */
+type OrdersTaskOptions = {
+	readonly self: string;
+	readonly domain: string;
+	readonly platform: Platform;
+	readonly owners: Owners;
+	readonly membership: MembershipTask;
+	readonly snapshot: () => Snapshot | undefined;
+	readonly engineAt: (url: string) => Engine;
+	/** Monotonic clock in milliseconds. */
+	readonly clock: () => number;
+};
+
+/** The running orders task. */
+type OrdersTask = {
+	readonly isHolder: () => boolean;
+	readonly stop: Stop;
+};
+
+/**
+Starts the task that holds the domain's lease, when this host is the one to do so, and under it gives orders to engines
+and writes the domain's status.
+*/
+export function createOrdersTask(options: OrdersTaskOptions): OrdersTask {
+	const {self, domain, platform, owners, membership, snapshot, engineAt, clock} = options;
+	const key = `lease/${domain}`;
+	const lease = createLease(clock());
+	const busy = new Set<string>();
+	let statusVersion = 0;
+
+	const isCandidate = (): boolean => owners.inDomain(domain, 'lease')?.name === self;
+
+	const renew = async (): Promise<void> => {
+		const startedAt = clock();
+		const isHeld = lease.fencing(startedAt) !== undefined;
+		if (!isHeld && !isCandidate()) {
+			return;
+		}
+
+		try {
+			if (!isHeld) {
+				const object = await platform.read(key);
+				lease.observe(object?.version ?? 0, object ? (JSON.parse(object.value) as LeaseValue).fencing : 0, clock());
+			}
+
+			if (!isHeld && !lease.canTake(clock())) {
+				return;
+			}
+
+			const fencing = isHeld ? lease.newestFencing() : lease.newestFencing() + 1;
+			const version = await platform.write(key, JSON.stringify({holder: self, fencing}), lease.version());
+			if (version === undefined) {
+				lease.lose();
+			} else {
+				lease.renewed(version, fencing, startedAt);
+			}
+		} catch (error) {
+			log.debug({error: String(error)}, 'lease renewal failed');
+		}
+	};
+
+	const give = async (engineName: string, engine: Engine, order: PlannedOrder): Promise<void> => {
+		const fencing = lease.fencing(clock());
+		if (fencing === undefined) {
+			return;
+		}
+
+		busy.add(engineName);
+		try {
+			const result = await engine.order({kind: order.kind, what: order.what, fencing});
+			log.info({...order, fencing, result}, 'order given');
+		} catch (error) {
+			log.warn({...order, error: String(error)}, 'order failed');
+		} finally {
+			busy.delete(engineName);
+		}
+	};
+
+	const readReport = async (url: string): Promise<EngineReport | undefined> => {
+		try {
+			return await engineAt(url).report(reportTimeoutMs);
+		} catch {
+			return undefined;
+		}
+	};
+
+	const reconcileService = async (service: ModelService): Promise<void> => {
+		const upstreams = service.upstreams.filter(upstream => upstream.domain === domain);
+		const reports = await Promise.all(upstreams.map(async ({url}) => readReport(url)));
+		const wanted = service.models.map(model => `${model.name}@${model.version}`);
+		const states = upstreams.map(({name}, index) => ({
+			engine: name, loaded: reports[index]?.loaded ?? [], isUp: reports[index] !== undefined, busy: busy.has(name),
+		}));
+		for (const order of planOrders(wanted, states, service.concurrentLoads)) {
+			const {url} = upstreams.find(upstream => upstream.name === order.engine)!;
+			void give(order.engine, engineAt(url), order);
+		}
+	};
+
+	const reconcile = (): void => {
+		if (lease.fencing(clock()) === undefined) {
+			return;
+		}
+
+		for (const service of snapshot()?.services ?? []) {
+			if (service.kind === 'model') {
+				void reconcileService(service);
+			}
+		}
+	};
+
+	const writeStatus = async (): Promise<void> => {
+		if (lease.fencing(clock()) === undefined) {
+			return;
+		}
+
+		const hosts = membership.members().filter(member => member.domain === domain);
+		const status: DomainStatus = {
+			domain, at: Date.now(), holder: self, revision: snapshot()?.revision ?? 0, hosts,
+		};
+		try {
+			const version = await platform.write(`status/${domain}`, JSON.stringify(status), statusVersion);
+			const current = version === undefined ? await platform.read(`status/${domain}`) : {version};
+			statusVersion = current?.version ?? 0;
+		} catch (error) {
+			log.debug({error: String(error)}, 'status not written');
+		}
+	};
+
+	const timers = [
+		setInterval(() => {
+			void renew();
+		}, renewMs),
+		setInterval(reconcile, reconcileMs),
+		setInterval(() => {
+			void writeStatus();
+		}, statusMs),
+	];
+	const first = setTimeout(async () => {
+		await renew();
+		await writeStatus();
+	}, reconcileMs);
+
+	return {
+		isHolder: () => lease.fencing(clock()) !== undefined,
+		async stop() {
+			clearTimeout(first);
+			for (const timer of timers) {
+				clearInterval(timer);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/peers/create-peer-caller.ts
@@ -0,0 +1,85 @@
+import {randomUUID} from 'node:crypto';
+import {JSONRPCClient, JSONRPCErrorException, type JSONRPCResponse} from 'json-rpc-2.0';
+import {Agent, request} from 'undici';
+import {PeerUnreachableError} from '../errors/peer-unreachable-error.js';
+import {Refusal} from '../errors/refusal.js';
+import {type ErrorKind} from '../errors/error-kind.js';
+import {type Ran} from '../errors/ran.js';
+import {type TlsKeys} from '../settings/tls-keys.js';
+import {type PeerCaller} from './peer-caller.js';
+
+const defaultTimeoutMs = 1000;
+const connectTimeoutMs = 1000;
+
+/** What a refusal carries over JSON-RPC. */
+type RefusalData = {
+	readonly kind: ErrorKind;
+	readonly ran: Ran;
+	readonly retryAfterMs?: number;
+};
+
+/** The caller of peers and the switch of its keys. */
+type PeerCalling = {
+	readonly call: PeerCaller;
+	readonly setKeys: (keys: TlsKeys) => void;
+	readonly stop: () => Promise<void>;
+};
+
+/**
+Creates the caller of peers: JSON-RPC over HTTP, with mutual TLS when `keys` are given.
+
+@param isCut - Says whether an address is cut off by a fault switch.
+@param onCall - Called with the method and the length of each call.
+*/
+export function createPeerCaller(
+	keys: TlsKeys | undefined,
+	isCut: (address: string) => boolean,
+	onCall: (method: string, bytes: number) => void,
+): PeerCalling {
+	const createAgent = (now: TlsKeys | undefined): Agent => new Agent({
+		connect: {timeout: connectTimeoutMs, ...(now ? {...now, checkServerIdentity: () => undefined} : {})},
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	});
+	let agent = createAgent(keys);
+	const scheme = keys ? 'https' : 'http';
+
+	const call: PeerCaller = async (address, method, params, {timeoutMs = defaultTimeoutMs, signal} = {}) => {
+		if (isCut(address)) {
+			throw new PeerUnreachableError(address, method, 'cut off');
+		}
+
+		const timeout = AbortSignal.timeout(timeoutMs);
+		const until = signal ? AbortSignal.any([timeout, signal]) : timeout;
+		const client: JSONRPCClient = new JSONRPCClient(async payload => {
+			const text = JSON.stringify(payload);
+			onCall(method, text.length);
+			const {body} = await request(`${scheme}://${address}/rpc`, {
+				method: 'POST', body: text, headers: {'content-type': 'application/json'}, signal: until, dispatcher: agent,
+			});
+			client.receive(await body.json() as JSONRPCResponse);
+		}, () => randomUUID());
+		try {
+			return await client.request(method, params);
+		} catch (error) {
+			if (error instanceof JSONRPCErrorException) {
+				const data = error.data as RefusalData | undefined;
+				throw new Refusal(data?.kind ?? 'internal', error.message, data?.ran ?? 'unknown', data?.retryAfterMs);
+			}
+
+			throw new PeerUnreachableError(address, method, error);
+		}
+	};
+
+	return {
+		call,
+		setKeys(now) {
+			const before = agent;
+			agent = createAgent(now);
+			void before.close();
+		},
+		async stop() {
+			await agent.destroy();
+		},
+	};
+}
--- /dev/null
+++ b/src/peers/create-peer-server.ts
@@ -0,0 +1,87 @@
+import {createServer as createHttpServer, type RequestListener, type Server} from 'node:http';
+import {createServer as createHttpsServer, type Server as TlsServer} from 'node:https';
+import {JSONRPCErrorException, JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
+import {Refusal} from '../errors/refusal.js';
+import {listen} from '../http/listen.js';
+import {parseAddress} from '../http/parse-address.js';
+import {readBody} from '../http/read-body.js';
+import {sendJson} from '../http/send-json.js';
+import {log} from '../observe/log.js';
+import {type TlsKeys} from '../settings/tls-keys.js';
+import {type PeerHandlers} from './peer-handlers.js';
+
+const bodyLimitBytes = 8 * 1024 * 1024;
+const refusalCode = -32_001;
+
+/** A running peer server. */
+type PeerServer = {
+	readonly port: number;
+	readonly setKeys: (keys: TlsKeys) => void;
+	readonly stop: () => Promise<void>;
+};
+
+function toRpcError(error: unknown): JSONRPCErrorException {
+	if (error instanceof Refusal) {
+		const {kind, ran, retryAfterMs} = error;
+		return new JSONRPCErrorException(error.message, refusalCode, {kind, ran, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
+	}
+
+	log.error({error: String((error as Error).stack)}, 'peer method failed');
+	return new JSONRPCErrorException('internal error', refusalCode, {kind: 'internal', ran: 'unknown'});
+}
+
+/**
+Serves the methods between hosts. With `keys`, a peer without a certificate of the same authority gets no answer.
+
+@param isCut - Says whether all peers are cut off by a fault switch.
+*/
+export async function createPeerServer(
+	address: string,
+	keys: TlsKeys | undefined,
+	handlers: PeerHandlers,
+	isCut: () => boolean,
+): Promise<PeerServer> {
+	const rpc = new JSONRPCServer({errorListener: () => undefined});
+	for (const [method, handle] of Object.entries(handlers)) {
+		rpc.addMethod(method, async (params: unknown) => {
+			try {
+				return await handle((params ?? {}) as never);
+			} catch (error) {
+				throw toRpcError(error);
+			}
+		});
+	}
+
+	const answer: RequestListener = async (req, res) => {
+		try {
+			if (isCut()) {
+				res.destroy();
+				return;
+			}
+
+			const response = await rpc.receive(JSON.parse(await readBody(req, bodyLimitBytes)) as JSONRPCRequest);
+			if (isCut()) {
+				res.destroy();
+				return;
+			}
+
+			sendJson(res, 200, response);
+		} catch (error) {
+			sendJson(res, 400, {error: String(error)});
+		}
+	};
+
+	const secure = keys ? createHttpsServer({...keys, requestCert: true, rejectUnauthorized: true}, answer) : undefined;
+	const server: Server | TlsServer = secure ?? createHttpServer(answer);
+	const port = await listen(server, parseAddress(address));
+	return {
+		port,
+		setKeys(now) {
+			secure?.setSecureContext(now);
+		},
+		async stop() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
--- /dev/null
+++ b/src/peers/peer-methods.ts
@@ -0,0 +1,93 @@
+import {type Ask} from '../decide/grants/ask.js';
+import {type AskAnswer} from '../decide/grants/ask-answer.js';
+import {type RunningGrant} from '../decide/grants/running-grant.js';
+import {type ClaimAnswer} from '../decide/commitments/claim-answer.js';
+import {type Claim} from '../decide/commitments/claim.js';
+import {type Outcome} from '../decide/commitments/outcome.js';
+import {type ContextAddition} from '../context/context-addition.js';
+import {type PieceRecord} from '../context/piece-record.js';
+import {type GossipEntry} from '../decide/membership/gossip-entry.js';
+import {type PoisonVerdict} from '../decide/poison/poison-verdict.js';
+import {type Decision} from '../observe/decision.js';
+
+/** Entries of gossip sections. */
+type Sections = Readonly<Record<string, readonly GossipEntry[]>>;
+
+/** Methods between hosts, with their parameters and results. */
+export type PeerMethods = {
+	/** Compares digests; the vector comes back where they differ. */
+	readonly 'gossip.probe': {
+		readonly params: {readonly from: string; readonly digest: string; readonly revision: number};
+		readonly result: {readonly digest: string; readonly revision: number; readonly vector?: Readonly<Record<string, string>>};
+	};
+	/** Gives entries and asks for the answerer's entries of the same and of the wanted sections. */
+	readonly 'gossip.sync': {
+		readonly params: {readonly sections: Sections; readonly want: readonly string[]};
+		readonly result: {readonly sections: Sections};
+	};
+	/** Probes an address on behalf of a peer that can't reach it. */
+	readonly 'gossip.probeThrough': {
+		readonly params: {readonly peers: string};
+		readonly result: {readonly answered: boolean};
+	};
+	/** Gives the head in force. */
+	readonly 'config.head': {
+		readonly params: Readonly<Record<string, never>>;
+		readonly result: {readonly revision: number; readonly services: Readonly<Record<string, string>>};
+	};
+	/** Tells of a new head. */
+	readonly 'config.push': {
+		readonly params: {readonly revision: number; readonly services: Readonly<Record<string, string>>; readonly peers: string};
+		readonly result: Readonly<Record<string, never>>;
+	};
+	/** Gives the text of a service file in force. */
+	readonly 'config.text': {
+		readonly params: {readonly digest: string};
+		readonly result: {readonly text: string | null};
+	};
+	/** Asks an engine's owner for a grant; answered when granted or refused. */
+	readonly 'grant.ask': {readonly params: Ask; readonly result: AskAnswer};
+	readonly 'grant.withdraw': {
+		readonly params: {readonly engine: string; readonly id: string};
+		readonly result: Readonly<Record<string, never>>;
+	};
+	readonly 'grant.release': {
+		readonly params: {readonly engine: string; readonly id: string; readonly tokens: number};
+		readonly result: Readonly<Record<string, never>>;
+	};
+	/** Keeps grants from expiring; an owner that does not know them yet takes them over. */
+	readonly 'grant.renew': {
+		readonly params: {readonly host: string; readonly grants: readonly RunningGrant[]};
+		readonly result: Readonly<Record<string, never>>;
+	};
+	readonly 'context.lookup': {
+		readonly params: {readonly service: string; readonly keys: readonly string[]; readonly labels: readonly string[]};
+		readonly result: {readonly pieces: ReadonlyArray<PieceRecord | null>};
+	};
+	readonly 'context.add': {
+		readonly params: {readonly additions: readonly ContextAddition[]};
+		readonly result: Readonly<Record<string, never>>;
+	};
+	/** Frees blocks of less value than the asker's; answers how many. */
+	readonly 'context.evict': {
+		readonly params: {readonly service: string; readonly store: string; readonly value: number};
+		readonly result: {readonly freed: number};
+	};
+	readonly 'commit.claim': {readonly params: {readonly slice: number; readonly claim: Claim}; readonly result: ClaimAnswer};
+	readonly 'commit.settle': {
+		readonly params: {readonly slice: number; readonly outcome: Outcome};
+		readonly result: Readonly<Record<string, never>>;
+	};
+	readonly 'poison.begin': {
+		readonly params: {readonly digest: string; readonly run: string};
+		readonly result: {readonly verdict: PoisonVerdict};
+	};
+	readonly 'poison.end': {
+		readonly params: {readonly digest: string; readonly run: string; readonly crashed: boolean};
+		readonly result: Readonly<Record<string, never>>;
+	};
+	readonly explain: {
+		readonly params: {readonly requestId: string};
+		readonly result: {readonly decisions: readonly Decision[]};
+	};
+};
--- /dev/null
+++ b/src/poison/create-poison-task.ts
@@ -0,0 +1,103 @@
+import {createPoisonRegister} from '../decide/poison/create-poison-register.js';
+import {type MembershipTask} from '../membership/membership-task.js';
+import {type Owners} from '../membership/owners.js';
+import {type PeerCaller} from '../peers/peer-caller.js';
+import {type PeerMethods} from '../peers/peer-methods.js';
+import {type PoisonTask} from './poison-task.js';
+
+const section = 'poison';
+const keptMs = 600_000;
+
+/** State of a digest as hosts tell each other. */
+type PoisonMark = {
+	readonly state: 'suspect' | 'condemned' | 'clear';
+};
+
+/** Creates the task that knows suspects and condemned requests. */
+export function createPoisonTask(self: string, membership: MembershipTask, owners: Owners, call: PeerCaller): PoisonTask {
+	const register = createPoisonRegister();
+
+	const tell = (digest: string, state: PoisonMark['state']): void => {
+		membership.put(section, digest, {state}, Date.now() + keptMs);
+	};
+
+	membership.onEntries((name, entries) => {
+		if (name !== section) {
+			return;
+		}
+
+		for (const {id, value} of entries) {
+			switch ((value as PoisonMark).state) {
+				case 'suspect': {
+					register.suspect(id, Date.now());
+					break;
+				}
+
+				case 'condemned': {
+					register.condemn(id, Date.now());
+					break;
+				}
+
+				case 'clear': {
+					register.clear(id);
+					break;
+				}
+			}
+		}
+	});
+
+	const beginHere = (digest: string, run: string): PeerMethods['poison.begin']['result'] =>
+		({verdict: register.begin(digest, run, Date.now())});
+
+	const endHere = (digest: string, run: string, crashed: boolean): Readonly<Record<string, never>> => {
+		const verdict = register.end(digest, run, crashed, Date.now());
+		if (verdict === 'condemned') {
+			tell(digest, 'condemned');
+		} else if (verdict === 'clear' && !crashed) {
+			tell(digest, 'clear');
+		}
+
+		return {};
+	};
+
+	const ownerAddress = (digest: string): string | undefined => {
+		const owner = owners.inRegion(`poison/${digest}`);
+		return owner && owner.name !== self ? owner.peers : undefined;
+	};
+
+	return {
+		isCondemned: digest => register.isCondemned(digest, Date.now()),
+		isSuspect: digest => register.isSuspect(digest, Date.now()),
+		suspect(digest) {
+			if (!register.isSuspect(digest, Date.now())) {
+				tell(digest, 'suspect');
+			}
+		},
+		async begin(digest, run) {
+			const address = ownerAddress(digest);
+			try {
+				const {verdict} = address === undefined ? beginHere(digest, run) : await call(address, 'poison.begin', {digest, run});
+				// The owner may not have heard of the suspicion yet.
+				return verdict === 'clear' ? beginHere(digest, run).verdict : verdict;
+			} catch {
+				return beginHere(digest, run).verdict;
+			}
+		},
+		async end(digest, run, crashed) {
+			const address = ownerAddress(digest);
+			try {
+				await (address === undefined ? endHere(digest, run, crashed) : call(address, 'poison.end', {digest, run, crashed}));
+			} catch {
+				endHere(digest, run, crashed);
+			}
+
+			if (crashed) {
+				register.condemn(digest, Date.now());
+			}
+		},
+		handlers: {
+			'poison.begin': async ({digest, run}) => beginHere(digest, run),
+			'poison.end': async ({digest, run, crashed}) => endHere(digest, run, crashed),
+		},
+	};
+}
--- /dev/null
+++ b/src/poison/poison-task.ts
@@ -0,0 +1,14 @@
+import {type PoisonVerdict} from '../decide/poison/poison-verdict.js';
+import {type PeerHandlers} from '../peers/peer-handlers.js';
+
+/** What is known in the system of requests that may crash upstreams. */
+export type PoisonTask = {
+	readonly isCondemned: (digest: string) => boolean;
+	readonly isSuspect: (digest: string) => boolean;
+	/** The request was in flight at a crash. */
+	readonly suspect: (digest: string) => void;
+	/** Asks the digest's owner whether the suspect may run now, alone. */
+	readonly begin: (digest: string, run: string) => Promise<PoisonVerdict>;
+	readonly end: (digest: string, run: string, crashed: boolean) => Promise<void>;
+	readonly handlers: Pick<PeerHandlers, 'poison.begin' | 'poison.end'>;
+};
--- /dev/null
+++ b/src/publishing/load-snapshot.ts
@@ -0,0 +1,27 @@
+import {parseServiceText} from '../settings/parse-service-text.js';
+import {type ConfigHead} from './config-head.js';
+import {type Snapshot} from './snapshot.js';
+
+/**
+Builds the snapshot for `head`, reading only texts that `known` lacks.
+
+@param readText - Gives the text with a digest.
+*/
+export async function loadSnapshot(
+	head: Pick<ConfigHead, 'revision' | 'services'>,
+	known: Snapshot | undefined,
+	readText: (digest: string) => Promise<string>,
+): Promise<Snapshot> {
+	const texts: Record<string, string> = {};
+	for (const hash of Object.values(head.services)) {
+		texts[hash] = known?.texts[hash] ?? await readText(hash);
+	}
+
+	const services = Object.entries(head.services).map(([name, hash]) => {
+		const kept = known?.digests[name] === hash ? known.services.find(service => service.service === name) : undefined;
+		return kept ?? parseServiceText(name, texts[hash]!);
+	});
+	return {
+		revision: head.revision, digests: head.services, texts, services,
+	};
+}
--- /dev/null
+++ b/src/publishing/publish.ts
@@ -0,0 +1,99 @@
+import {randomUUID} from 'node:crypto';
+import {mergeHead} from '../decide/publishing/merge-head.js';
+import {PlatformUnavailableError} from '../errors/platform-unavailable-error.js';
+import {SettingsError} from '../errors/settings-error.js';
+import {type Platform} from '../platform/platform.js';
+import {checkServices} from '../settings/check-services.js';
+import {parseServiceText} from '../settings/parse-service-text.js';
+import {type ServiceFile} from '../settings/service-file.js';
+import {digest} from '../util/digest.js';
+import {sleep} from '../util/sleep.js';
+import {type ConfigHead} from './config-head.js';
+import {configKeys} from './config-keys.js';
+import {LostRaceError} from './lost-race-error.js';
+
+const attempts = 40;
+const retryPauseMs = 50;
+
+type ReadHead = {readonly head: ConfigHead | undefined; readonly version: number};
+
+async function readHead(platform: Platform): Promise<ReadHead> {
+	const object = await platform.read(configKeys.head);
+	return {head: object && JSON.parse(object.value) as ConfigHead, version: object?.version ?? 0};
+}
+
+async function writeTexts(platform: Platform, files: readonly ServiceFile[]): Promise<Readonly<Record<string, string>>> {
+	const entries = [];
+	for (const {service, text} of files) {
+		const hash = digest(text);
+		await platform.write(configKeys.service(hash), text, 0);
+		entries.push([service.service, hash] as const);
+	}
+
+	return Object.fromEntries(entries);
+}
+
+/** Checks the published files against the services that others have in force. */
+async function checkAgainstHead(platform: Platform, files: readonly ServiceFile[], head: ConfigHead | undefined): Promise<void> {
+	const own = new Set(files.map(file => file.service.service));
+	const others: ServiceFile[] = [];
+	for (const [name, hash] of Object.entries(head?.services ?? {})) {
+		if (!own.has(name)) {
+			const object = await platform.read(configKeys.service(hash));
+			const file = `service ${name} in force`;
+			others.push({file, text: object!.value, service: parseServiceText(file, object!.value)});
+		}
+	}
+
+	const faults = checkServices([...others, ...files]);
+	if (faults.length > 0) {
+		throw new SettingsError(faults);
+	}
+}
+
+/** Runs `step` again while the platform is out of reach; each step first looks for its own earlier effect. */
+async function untilAnswered<T>(step: () => Promise<T>): Promise<T> {
+	for (let attempt = 1; ; attempt++) {
+		try {
+			return await step();
+		} catch (error) {
+			if (!(error instanceof PlatformUnavailableError) || attempt === attempts) {
+				throw error;
+			}
+
+			await sleep(retryPauseMs);
+		}
+	}
+}
+
+/**
+Puts service files in force by one conditional update of the head. A lost answer is resolved by the publication's nonce.
+
+@returns The revision that holds the publication.
+@throws {LostRaceError} When another publisher changed one of the services meanwhile.
+@throws {SettingsError} When the files clash with services in force.
+@throws {PlatformUnavailableError} When the platform stays out of reach.
+*/
+export async function publish(platform: Platform, files: readonly ServiceFile[], publisher: string): Promise<number> {
+	const nonce = randomUUID();
+	const base = await untilAnswered(async () => readHead(platform));
+	const services = await untilAnswered(async () => writeTexts(platform, files));
+	return untilAnswered(async () => {
+		for (;;) {
+			const {head, version} = await readHead(platform);
+			const merge = mergeHead(base.head, head, {nonce, publisher, services});
+			if (merge.kind === 'done') {
+				return merge.revision;
+			}
+
+			if (merge.kind === 'lost') {
+				throw new LostRaceError(merge.service, merge.winner, merge.revision);
+			}
+
+			await checkAgainstHead(platform, files, head);
+			if (await platform.write(configKeys.head, JSON.stringify(merge.head), version) !== undefined) {
+				return merge.head.revision;
+			}
+		}
+	});
+}
--- /dev/null
+++ b/src/publishing/snapshot.ts
@@ -0,0 +1,11 @@
+import {type Service} from '../settings/service.js';
+
+/** Configuration in force at one revision. A request keeps the snapshot that it began with. */
+export type Snapshot = {
+	readonly revision: number;
+	/** Digest of each service's text. */
+	readonly digests: Readonly<Record<string, string>>;
+	/** Text of each service file, by digest. */
+	readonly texts: Readonly<Record<string, string>>;
+	readonly services: readonly Service[];
+};
--- /dev/null
+++ b/src/settings/parse-jsonc.ts
@@ -0,0 +1,76 @@
+import {
+	getLocation, parseTree, printParseErrorCode, type Node, type ParseError,
+} from 'jsonc-parser';
+import {type z} from 'zod';
+import {SettingsError} from '../errors/settings-error.js';
+import {type SettingsFault} from './settings-fault.js';
+
+function findLine(text: string, offset: number): number {
+	return text.slice(0, offset).split('\n').length;
+}
+
+function showPath(path: readonly PropertyKey[]): string {
+	return path.map((part, index) => typeof part === 'number' ? `[${part}]` : `${index === 0 ? '' : '.'}${String(part)}`).join('') || '(root)';
+}
+
+function findNode(root: Node | undefined, path: readonly PropertyKey[]): Node | undefined {
+	let node = root;
+	for (const part of path) {
+		const child = typeof part === 'number'
+			? node?.children?.[part]
+			: node?.children?.find(property => property.children?.[0]?.value === part)?.children?.[1];
+		if (!child) {
+			break;
+		}
+
+		node = child;
+	}
+
+	return node;
+}
+
+function toValue(node: Node | undefined): unknown {
+	const children = node?.children ?? [];
+	if (node?.type === 'object') {
+		return Object.fromEntries(children.map(property => [property.children![0]!.value as string, toValue(property.children![1])]));
+	}
+
+	return node?.type === 'array' ? children.map(child => toValue(child)) : node?.value as unknown;
+}
+
+function listFaults(file: string, text: string, root: Node | undefined, issues: readonly z.core.$ZodIssue[]): readonly SettingsFault[] {
+	return issues.flatMap(issue => {
+		const extra = issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...issue.path, key]) : [issue.path];
+		return extra.map(path => ({
+			file,
+			line: findLine(text, findNode(root, path)?.offset ?? 0),
+			path: showPath(path),
+			message: issue.code === 'unrecognized_keys' ? 'unknown key' : issue.message,
+		}));
+	});
+}
+
+/**
+Parses JSON with comments and checks it against a schema.
+
+@throws {SettingsError} Naming file, line and path of every fault.
+*/
+export function parseJsonc<T>(file: string, text: string, schema: z.ZodType<T>): T {
+	const errors: ParseError[] = [];
+	const root = parseTree(text, errors, {allowTrailingComma: true});
+	if (errors.length > 0) {
+		throw new SettingsError(errors.map(({error, offset}) => ({
+			file,
+			line: findLine(text, offset),
+			path: showPath(getLocation(text, offset).path),
+			message: printParseErrorCode(error),
+		})));
+	}
+
+	const parsed = schema.safeParse(toValue(root));
+	if (!parsed.success) {
+		throw new SettingsError(listFaults(file, text, root, parsed.error.issues));
+	}
+
+	return parsed.data;
+}
--- /dev/null
+++ b/src/settings/read-tls-keys.ts
@@ -0,0 +1,12 @@
+import {readFileSync} from 'node:fs';
+import {type HostSettings} from './host-settings.js';
+import {type TlsKeys} from './tls-keys.js';
+
+/** Reads the keys of mutual TLS, if the settings name any. */
+export function readTlsKeys(tls: HostSettings['tls']): TlsKeys | undefined {
+	return tls && {
+		key: readFileSync(tls.key, 'utf8'),
+		cert: readFileSync(tls.certificate, 'utf8'),
+		ca: readFileSync(tls.authority, 'utf8'),
+	};
+}
--- /dev/null
+++ b/src/settings/service.ts
@@ -0,0 +1,5 @@
+import {type z} from 'zod';
+import {type serviceSchema} from './service-schema.js';
+
+/** A service as its file describes it. */
+export type Service = z.infer<typeof serviceSchema>;
--- /dev/null
+++ b/src/settings/upstream.ts
@@ -0,0 +1,5 @@
+import {type z} from 'zod';
+import {type upstreamSchema} from './upstream-schema.js';
+
+/** An upstream as a service file describes it. */
+export type Upstream = z.infer<typeof upstreamSchema>;
--- /dev/null
+++ b/src/stand-ins/create-engine-stand-in.ts
@@ -0,0 +1,304 @@
+import {type ServerResponse} from 'node:http';
+import {callJson} from '../http/call-json.js';
+import {digest} from '../util/digest.js';
+import {sleep} from '../util/sleep.js';
+import {answerToken} from './answer-token.js';
+import {type EngineFaults} from './engine-faults.js';
+import {serveStandIn} from './serve-stand-in.js';
+import {type StandIn} from './stand-in.js';
+
+/** Time model and size of the engine stand-in. */
+type EngineOptions = {
+	readonly slots?: number;
+	/** Prefill speed in tokens a millisecond. */
+	readonly prefillTokensPerMs?: number;
+	/** Time of a decoding step in milliseconds. */
+	readonly stepMs?: number;
+	/** Cached pieces before the least recently used one is evicted. */
+	readonly cachePieces?: number;
+	/** Time to load weights, in milliseconds. */
+	readonly loadMs?: number;
+	/** Model versions loaded at start, `model@version`. */
+	readonly loaded?: readonly string[];
+	readonly faults?: Partial<EngineFaults>;
+};
+
+/** Body of a completion call to an engine. */
+type Completion = {
+	readonly model: string;
+	readonly version: string;
+	readonly prompt: string;
+	readonly max_tokens: number;
+	readonly priority: number;
+	readonly attempt: string;
+	/** Keys of the prompt's pieces, in order. */
+	readonly cache_keys: readonly string[];
+	readonly prompt_tokens: number;
+	/** First token wanted; tokens before it were given by an earlier attempt. */
+	readonly offset: number;
+};
+
+const sealedBytes = 64;
+
+/**
+Creates a stand-in for a model engine: streaming completions with continuous batching, a limited prefix cache, resume
+and cancel, KV export and import, cache events with gaps, a lagging load report and orders with fencing numbers.
+*/
+export async function createEngineStandIn(address = '127.0.0.1:0', options: EngineOptions = {}): Promise<StandIn> {
+	const {slots = 8, prefillTokensPerMs = 20, stepMs = 10, cachePieces = 400, loadMs = 1300} = options;
+	let faults: EngineFaults = {
+		down: false, crashMark: '\u0000', restartMs: 1000, cutAfter: -1, stallAfter: -1, duplicate: false, crossed: false,
+		leaving: false, loadLagMs: 500, dropEvents: 0, checksOrders: true, ...options.faults,
+	};
+	const cache = new Map<string, true>();
+	const loaded = new Set(options.loaded ?? ['small@v1']);
+	const running = new Map<string, {readonly res: ServerResponse; cancelled: boolean}>();
+	const runs: Record<string, number> = {};
+	const reports: Array<{readonly at: number; readonly running: number; readonly queued: number}> = [];
+	const waiting: Array<{readonly priority: number; readonly start: () => void}> = [];
+	let events: Array<{readonly seq: number; readonly kind: 'added' | 'evicted'; readonly key: string}> = [];
+	let seq = 0;
+	let busy = 0;
+	let prefillFreeAt = 0;
+	let fencing = 0;
+	let crashes = 0;
+	let downUntil = 0;
+
+	const note = (kind: 'added' | 'evicted', key: string): void => {
+		seq++;
+		if (faults.dropEvents === 0 || seq % faults.dropEvents !== 0) {
+			events.push({seq, kind, key});
+			events = events.slice(-2000);
+		}
+	};
+
+	const cachePiece = (key: string): void => {
+		if (!cache.delete(key)) {
+			note('added', key);
+		}
+
+		cache.set(key, true);
+		if (cache.size > cachePieces) {
+			const [oldest] = cache.keys();
+			cache.delete(oldest!);
+			note('evicted', oldest!);
+		}
+	};
+
+	const report = (): void => {
+		reports.push({at: Date.now(), running: busy, queued: waiting.length});
+		if (reports.length > 500) {
+			reports.splice(0, 250);
+		}
+	};
+
+	const takeSlot = async (priority: number): Promise<void> => {
+		if (busy < slots) {
+			busy++;
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			waiting.push({priority, start: resolve});
+			waiting.sort((a, b) => b.priority - a.priority);
+		});
+	};
+
+	const leaveSlot = (): void => {
+		const next = waiting.shift();
+		if (next) {
+			next.start();
+		} else {
+			busy--;
+		}
+
+		report();
+	};
+
+	const crash = (): void => {
+		crashes++;
+		downUntil = Date.now() + faults.restartMs;
+		cache.clear();
+		for (const {res} of running.values()) {
+			res.destroy();
+		}
+	};
+
+	const prefill = async (call: Completion): Promise<number> => {
+		const cached = call.cache_keys.findIndex(key => !cache.has(key));
+		const pieces = cached === -1 ? call.cache_keys.length : cached;
+		const tokensPerPiece = call.prompt_tokens / Math.max(1, call.cache_keys.length);
+		const cachedTokens = Math.floor(pieces * tokensPerPiece);
+		const work = (call.prompt_tokens - cachedTokens) / prefillTokensPerMs;
+		prefillFreeAt = Math.max(prefillFreeAt, Date.now()) + work;
+		await sleep(prefillFreeAt - Date.now());
+		for (const key of call.cache_keys) {
+			cachePiece(key);
+		}
+
+		return cachedTokens;
+	};
+
+	const stream = async (call: Completion, res: ServerResponse): Promise<void> => {
+		const run = {res, cancelled: false};
+		running.set(call.attempt, run);
+		res.on('close', () => {
+			run.cancelled = true;
+		});
+		res.writeHead(200, {'content-type': 'text/event-stream'});
+		res.flushHeaders();
+		await takeSlot(call.priority);
+		report();
+		try {
+			const cachedTokens = await prefill(call);
+			const id = faults.crossed ? 'another-attempt' : call.attempt;
+			for (let index = call.offset; index < call.max_tokens && !run.cancelled; index++) {
+				if (index === faults.cutAfter) {
+					res.destroy();
+					return;
+				}
+
+				if (index === faults.stallAfter) {
+					await sleep(60_000);
+				}
+
+				const text = answerToken(call.model, call.version, call.prompt, index);
+				const event = `data: ${JSON.stringify({
+					id, index, version: call.version, choices: [{text}],
+				})}\n\n`;
+				res.write(faults.duplicate ? event + event : event);
+				await sleep(stepMs);
+			}
+
+			const usage = {prompt_tokens: call.prompt_tokens, cached_tokens: cachedTokens, completion_tokens: call.max_tokens};
+			res.end(`data: ${JSON.stringify({id, finish_reason: 'stop', usage})}\n\ndata: [DONE]\n\n`);
+		} finally {
+			running.delete(call.attempt);
+			leaveSlot();
+		}
+	};
+
+	const complete = async (call: Completion, res: ServerResponse): Promise<readonly [number, unknown] | undefined> => {
+		const key = digest(call.prompt);
+		runs[key] = (runs[key] ?? 0) + 1;
+		if (!loaded.has(`${call.model}@${call.version}`)) {
+			return [409, {error: 'version not loaded'}];
+		}
+
+		if (call.prompt.includes(faults.crashMark)) {
+			crash();
+			res.destroy();
+			return undefined;
+		}
+
+		await stream(call, res);
+		return undefined;
+	};
+
+	const importPiece = async (body: {readonly key: string; readonly store: string; readonly block: number; readonly generation: number}): Promise<readonly [number, unknown]> => {
+		const answer = await callJson(`${body.store}/blocks/${body.block}?generation=${body.generation}`, {timeoutMs: 10_000});
+		if (answer.status !== 200) {
+			return [409, {error: 'store refused the read'}];
+		}
+
+		const {data, generation} = answer.body as {readonly data: string; readonly generation: number};
+		return [200, {checksum: digest(data), generation}];
+	};
+
+	const exportPiece = async (body: {readonly key: string; readonly store: string; readonly block: number; readonly generation: number}): Promise<readonly [number, unknown]> => {
+		if (!cache.has(body.key)) {
+			return [404, {error: 'not cached'}];
+		}
+
+		const data = `${body.key}:`.padEnd(sealedBytes, '.');
+		const answer = await callJson(`${body.store}/blocks/${body.block}?generation=${body.generation}`, {method: 'PUT', body: {data}, timeoutMs: 10_000});
+		return answer.status === 200 ? [200, {checksum: digest(data)}] : [409, {error: 'store refused the write'}];
+	};
+
+	const order = async (body: {readonly kind: 'load' | 'unload'; readonly what: string; readonly fencing: number}): Promise<readonly [number, unknown]> => {
+		if (faults.checksOrders && body.fencing < fencing) {
+			return [409, {error: 'old fencing number', fencing}];
+		}
+
+		fencing = Math.max(fencing, body.fencing);
+		if (body.kind === 'load') {
+			await sleep(loadMs);
+			loaded.add(body.what);
+		} else {
+			loaded.delete(body.what);
+		}
+
+		return [200, {loaded: [...loaded]}];
+	};
+
+	return serveStandIn(address, async ({path, query, body, res}) => {
+		if (path === '/control') {
+			faults = {...faults, ...body as Partial<EngineFaults>};
+			return [200, {}];
+		}
+
+		if (path === '/counts') {
+			return [200, {
+				runs, crashes, busy, cached: [...cache.keys()],
+			}];
+		}
+
+		if (faults.down || Date.now() < downUntil) {
+			res.destroy();
+			return undefined;
+		}
+
+		switch (path) {
+			case '/v1/completions': {
+				return complete(body as Completion, res);
+			}
+
+			case '/cancel': {
+				const run = running.get((body as {readonly attempt: string}).attempt);
+				if (run) {
+					run.cancelled = true;
+				}
+
+				return [200, {}];
+			}
+
+			case '/load': {
+				const then = Date.now() - faults.loadLagMs;
+				const lagging = reports.findLast(entry => entry.at <= then) ?? {running: 0, queued: 0};
+				return [200, {
+					running: lagging.running, queued: lagging.queued, slots, leaving: faults.leaving, loaded: [...loaded],
+				}];
+			}
+
+			case '/cache/events': {
+				const after = Number(query.get('after'));
+				return [200, {seq, events: events.filter(event => event.seq > after)}];
+			}
+
+			case '/cache/list': {
+				return [200, {seq, keys: [...cache.keys()]}];
+			}
+
+			case '/kv/import': {
+				return importPiece(body);
+			}
+
+			case '/kv/accept': {
+				cachePiece((body as {readonly key: string}).key);
+				return [200, {}];
+			}
+
+			case '/kv/export': {
+				return exportPiece(body);
+			}
+
+			case '/orders': {
+				return order(body);
+			}
+
+			default: {
+				return [404, {error: 'unknown path'}];
+			}
+		}
+	});
+}
--- /dev/null
+++ b/src/stand-ins/create-platform-stand-in.ts
@@ -0,0 +1,191 @@
+import {sleep} from '../util/sleep.js';
+import {type ListedHost} from '../platform/listed-host.js';
+import {type PlatformObject} from '../platform/platform-object.js';
+import {serveStandIn} from './serve-stand-in.js';
+import {type StandIn} from './stand-in.js';
+
+const valueLimitBytes = 1024 * 1024;
+
+/** Group of calls that shares a rate limit, by kind of call. */
+const groups = {
+	read: 'read', list: 'read', watch: 'read', hosts: 'read', write: 'write',
+} as const;
+
+/** Faults and limits of the platform stand-in, set over `POST /control`. */
+type Faults = {
+	/** Answers every call with 503. */
+	readonly down: boolean;
+	/** Added to every answer, in milliseconds. */
+	readonly slowMs: number;
+	/** Number of coming writes that take effect but whose answer is lost. */
+	readonly loseAnswers: number;
+	/** Writes a second before 429. */
+	readonly writesPerS: number;
+	/** Reads a second before 429. */
+	readonly readsPerS: number;
+	/** Reads give the version before the newest one. */
+	readonly staleReads: boolean;
+	/** Delay before a change of the host list shows, in milliseconds. */
+	readonly hostLagMs: number;
+};
+
+/**
+Creates a stand-in for the platform's object API: versions, conditional updates, watches, a lagging host list and call
+counts. `POST /control` takes {@link Faults} and `{hosts}`; `GET /calls` gives counts by kind and by second.
+*/
+export async function createPlatformStandIn(address = '127.0.0.1:0'): Promise<StandIn> {
+	const objects = new Map<string, PlatformObject>();
+	const earlier = new Map<string, PlatformObject>();
+	const waiting = new Map<string, Set<() => void>>();
+	const counts: Record<string, number> = {};
+	const bySecond: Record<string, number> = {};
+	let faults: Faults = {
+		down: false, slowMs: 0, loseAnswers: 0, writesPerS: 600, readsPerS: 2000, staleReads: false, hostLagMs: 0,
+	};
+	let hosts: readonly ListedHost[] = [];
+	let window = {second: 0, read: 0, write: 0};
+
+	const count = (kind: keyof typeof groups): boolean => {
+		const second = Math.floor(Date.now() / 1000);
+		counts[kind] = (counts[kind] ?? 0) + 1;
+		bySecond[second] = (bySecond[second] ?? 0) + 1;
+		if (window.second !== second) {
+			window = {second, read: 0, write: 0};
+		}
+
+		const group = groups[kind];
+		window[group]++;
+		return window[group] <= (group === 'write' ? faults.writesPerS : faults.readsPerS);
+	};
+
+	const write = (key: string, value: string, expected: number): readonly [number, unknown] => {
+		if (Buffer.byteLength(value) > valueLimitBytes) {
+			return [413, {error: 'value too large'}];
+		}
+
+		const current = objects.get(key);
+		if ((current?.version ?? 0) !== expected) {
+			return [412, {version: current?.version ?? 0}];
+		}
+
+		if (current) {
+			earlier.set(key, current);
+		}
+
+		const next = {key, version: expected + 1, value};
+		objects.set(key, next);
+		for (const wake of waiting.get(key) ?? []) {
+			wake();
+		}
+
+		return [200, {key, version: next.version}];
+	};
+
+	const watch = async (key: string, after: number, waitMs: number): Promise<readonly [number, unknown]> => {
+		if ((objects.get(key)?.version ?? 0) <= after) {
+			await new Promise<void>(resolve => {
+				const wakers = waiting.get(key) ?? new Set();
+				waiting.set(key, wakers);
+				const wake = () => {
+					clearTimeout(timer);
+					wakers.delete(wake);
+					resolve();
+				};
+
+				const timer = setTimeout(wake, waitMs);
+				wakers.add(wake);
+			});
+		}
+
+		const object = objects.get(key);
+		return object && object.version > after && !faults.down ? [200, object] : [204, undefined];
+	};
+
+	const kindOf = (method: string, root: string | undefined, key: string): keyof typeof groups => {
+		if (root === 'watch' || root === 'hosts') {
+			return root;
+		}
+
+		if (method === 'PUT') {
+			return 'write';
+		}
+
+		return key === '' ? 'list' : 'read';
+	};
+
+	const control = (body: Partial<Faults> & {readonly hosts?: readonly ListedHost[]}): void => {
+		const {hosts: listed, ...changed} = body;
+		faults = {...faults, ...changed};
+		if (listed) {
+			setTimeout(() => {
+				hosts = listed;
+			}, faults.hostLagMs);
+		}
+
+		if (faults.down) {
+			for (const wakers of waiting.values()) {
+				for (const wake of wakers) {
+					wake();
+				}
+			}
+		}
+	};
+
+	return serveStandIn(address, async ({method, path, query, headers, body, res}) => {
+		if (path === '/control') {
+			control(body);
+			return [200, {}];
+		}
+
+		if (path === '/calls') {
+			return [200, {counts, bySecond}];
+		}
+
+		const [, root, encoded] = path.split('/');
+		const key = decodeURIComponent(encoded ?? '');
+		const kind = kindOf(method, root, key);
+		const allowed = count(kind);
+		if (faults.slowMs > 0) {
+			await sleep(faults.slowMs);
+		}
+
+		if (faults.down) {
+			return [503, {error: 'down'}];
+		}
+
+		if (!allowed) {
+			return [429, {error: 'rate limit'}];
+		}
+
+		switch (kind) {
+			case 'hosts': {
+				return [200, {hosts}];
+			}
+
+			case 'list': {
+				const prefix = query.get('prefix') ?? '';
+				return [200, {keys: [...objects.keys()].filter(name => name.startsWith(prefix))}];
+			}
+
+			case 'write': {
+				const answer = write(key, body.value as string, Number(headers['if-match']));
+				if (faults.loseAnswers > 0) {
+					faults = {...faults, loseAnswers: faults.loseAnswers - 1};
+					res.destroy();
+					return undefined;
+				}
+
+				return answer;
+			}
+
+			case 'watch': {
+				return watch(key, Number(query.get('after')), Number(query.get('waitMs')));
+			}
+
+			case 'read': {
+				const object = (faults.staleReads ? earlier.get(key) : undefined) ?? objects.get(key);
+				return object ? [200, object] : [404, {error: 'absent'}];
+			}
+		}
+	});
+}
--- /dev/null
+++ b/src/stand-ins/create-service-stand-in.ts
@@ -0,0 +1,65 @@
+import {sleep} from '../util/sleep.js';
+import {serveStandIn} from './serve-stand-in.js';
+import {type StandIn} from './stand-in.js';
+
+/** Faults of the plain service stand-in, set over `POST /control`. */
+type ServiceFaults = {
+	readonly down: boolean;
+	/** Time of one run in milliseconds. */
+	readonly runMs: number;
+	/** Runs the call and then closes the connection without an answer. */
+	readonly loseAnswers: boolean;
+	/** Closes the connection in the middle of the answer. */
+	readonly truncate: boolean;
+	/** Answers a known key with its first answer, without another run. */
+	readonly checksKeys: boolean;
+};
+
+/** Creates a stand-in for a plain service that counts its runs by idempotency key; `GET /counts` gives the counts. */
+export async function createServiceStandIn(address = '127.0.0.1:0', options: Partial<ServiceFaults> = {}): Promise<StandIn> {
+	let faults: ServiceFaults = {
+		down: false, runMs: 5, loseAnswers: false, truncate: false, checksKeys: false, ...options,
+	};
+	const runs: Record<string, number> = {};
+	const reads = {count: 0};
+	return serveStandIn(address, async ({method, path, headers, body, res}) => {
+		if (path === '/control') {
+			faults = {...faults, ...body as Partial<ServiceFaults>};
+			return [200, {}];
+		}
+
+		if (path === '/counts') {
+			return [200, {runs, reads: reads.count}];
+		}
+
+		if (faults.down) {
+			res.destroy();
+			return undefined;
+		}
+
+		const key = headers['idempotency-key'] as string | undefined;
+		if (key === undefined) {
+			reads.count++;
+		} else if (!faults.checksKeys || runs[key] === undefined) {
+			runs[key] = (runs[key] ?? 0) + 1;
+		}
+
+		await sleep(faults.runMs);
+		if (faults.loseAnswers) {
+			res.destroy();
+			return undefined;
+		}
+
+		if (faults.truncate) {
+			res.writeHead(200, {'content-length': '1000'});
+			res.write('{"cut":');
+			await sleep(5);
+			res.destroy();
+			return undefined;
+		}
+
+		return [200, {
+			method, path, body, key: key ?? null,
+		}];
+	});
+}
--- /dev/null
+++ b/src/stand-ins/create-store-stand-in.ts
@@ -0,0 +1,168 @@
+import {digest} from '../util/digest.js';
+import {sleep} from '../util/sleep.js';
+import {serveStandIn} from './serve-stand-in.js';
+import {type StandIn} from './stand-in.js';
+
+/** A block as the store stand-in holds it. */
+type Block = {
+	readonly block: number;
+	readonly generation: number;
+	readonly key: string;
+	readonly tag: number;
+	readonly bytes: number;
+	readonly seq: number;
+	readonly state: 'reserved' | 'sealed' | 'free';
+	readonly data: string;
+	readonly checksum: string;
+	readonly tier: 'memory' | 'disk';
+};
+
+/** Faults and sizes of the store stand-in, set over `POST /control`. */
+type StoreFaults = {
+	readonly down: boolean;
+	/** Link speed in bytes a millisecond; the link carries one transfer after the other. */
+	readonly linkBytesPerMs: number;
+	/** Lists freed blocks as sealed. */
+	readonly lies: boolean;
+	/** Gives whatever stands in a block, whatever its generation and state. */
+	readonly unchecked: boolean;
+};
+
+/**
+Creates a stand-in for a store host: numbered blocks with generations, reserve, write, seal and free, a memory and a
+disk tier, and a limited link. `POST /restart` loses the memory tier.
+*/
+export async function createStoreStandIn(address = '127.0.0.1:0', options: {readonly blocks?: number; readonly memoryBlocks?: number; readonly faults?: Partial<StoreFaults>} = {}): Promise<StandIn> {
+	const {blocks: size = 4000, memoryBlocks = 1000} = options;
+	let faults: StoreFaults = {
+		down: false, linkBytesPerMs: 1_000_000, lies: false, unchecked: false, ...options.faults,
+	};
+	const blocks = new Map<number, Block>();
+	let seq = 0;
+	let linkFreeAt = 0;
+
+	const transfer = async (bytes: number): Promise<void> => {
+		linkFreeAt = Math.max(linkFreeAt, Date.now()) + (bytes / faults.linkBytesPerMs);
+		await sleep(linkFreeAt - Date.now());
+	};
+
+	const put = (block: Block): Block => {
+		seq++;
+		const stored = {...block, seq};
+		blocks.set(block.block, stored);
+		return stored;
+	};
+
+	const reserve = ({key, bytes, tag}: {readonly key: string; readonly bytes: number; readonly tag: number}): readonly [number, unknown] => {
+		const free = [...blocks.values()].find(entry => entry.state === 'free')?.block ?? blocks.size;
+		if (free >= size) {
+			return [507, {error: 'full'}];
+		}
+
+		const {block, generation} = put({
+			block: free, generation: (blocks.get(free)?.generation ?? 0) + 1, key, tag, bytes, seq, state: 'reserved',
+			data: blocks.get(free)?.data ?? '', checksum: '', tier: free < memoryBlocks ? 'memory' : 'disk',
+		});
+		return [200, {block, generation}];
+	};
+
+	const read = async (block: Block, generation: number): Promise<readonly [number, unknown]> => {
+		if (!faults.unchecked && (block.generation !== generation || block.state !== 'sealed')) {
+			return [409, {error: 'other generation or not sealed'}];
+		}
+
+		await transfer(block.bytes);
+		const now = blocks.get(block.block)!;
+		return [200, {data: now.data, generation: now.generation}];
+	};
+
+	const write = async (block: Block, generation: number, data: string): Promise<readonly [number, unknown]> => {
+		if (block.generation !== generation || block.state !== 'reserved') {
+			return [409, {error: 'not reserved under this generation'}];
+		}
+
+		put({...block, data: data.slice(0, data.length / 2)});
+		await transfer(block.bytes);
+		if (blocks.get(block.block)!.generation !== generation) {
+			return [409, {error: 'freed during the write'}];
+		}
+
+		put({...blocks.get(block.block)!, data});
+		return [200, {}];
+	};
+
+	const seal = (block: Block, generation: number, checksum: string): readonly [number, unknown] => {
+		if (block.generation !== generation || block.state !== 'reserved' || digest(block.data) !== checksum) {
+			return [409, {error: 'not as written'}];
+		}
+
+		put({...block, state: 'sealed', checksum});
+		return [200, {}];
+	};
+
+	const free = (block: Block, generation: number): readonly [number, unknown] => {
+		if (block.generation !== generation) {
+			return [409, {error: 'other generation'}];
+		}
+
+		put({...block, state: 'free'});
+		return [200, {}];
+	};
+
+	const list = (after: number, tags: ReadonlySet<number>): readonly [number, unknown] => {
+		const entries = [...blocks.values()]
+			.filter(entry => entry.seq > after && tags.has(entry.tag))
+			.map(({data, ...entry}) => faults.lies ? {...entry, state: 'sealed'} : entry);
+		return [200, {seq, entries}];
+	};
+
+	return serveStandIn(address, async ({method, path, query, body, res}) => {
+		if (path === '/control') {
+			faults = {...faults, ...body as Partial<StoreFaults>};
+			return [200, {}];
+		}
+
+		if (faults.down) {
+			res.destroy();
+			return undefined;
+		}
+
+		if (path === '/restart') {
+			for (const entry of blocks.values()) {
+				if (entry.tier === 'memory') {
+					put({
+						...entry, generation: entry.generation + 1, state: 'free', data: '',
+					});
+				}
+			}
+
+			return [200, {}];
+		}
+
+		if (path === '/reserve') {
+			return reserve(body);
+		}
+
+		if (path === '/list') {
+			const tags = (query.get('tags') ?? '').split(',').map(Number);
+			return list(Number(query.get('after')), new Set(tags));
+		}
+
+		const [number, action] = path.split('/').slice(2);
+		const block = blocks.get(Number(number));
+		if (!block) {
+			return [404, {error: 'unknown block'}];
+		}
+
+		const generation = Number(query.get('generation'));
+		if (action === 'seal') {
+			return seal(block, generation, (body as {readonly checksum: string}).checksum);
+		}
+
+		if (action === 'free') {
+			return free(block, generation);
+		}
+
+		return method === 'PUT' ? write(block, generation, (body as {readonly data: string}).data) : read(block, generation);
+	});
+}
--- /dev/null
+++ b/src/stand-ins/engine-faults.ts
@@ -0,0 +1,25 @@
+/** Faults of the engine stand-in, set over `POST /control`. */
+export type EngineFaults = {
+	/** Closes every connection without an answer. */
+	readonly down: boolean;
+	/** A prompt with this text crashes the engine. */
+	readonly crashMark: string;
+	/** How long the engine stays away after a crash, in milliseconds. */
+	readonly restartMs: number;
+	/** Cuts streams after this many tokens; -1 never. */
+	readonly cutAfter: number;
+	/** Stops sending, with the connection open, after this many tokens; -1 never. */
+	readonly stallAfter: number;
+	/** Sends each token twice. */
+	readonly duplicate: boolean;
+	/** Puts another attempt's identity into the stream. */
+	readonly crossed: boolean;
+	/** Says in its load report that it is leaving. */
+	readonly leaving: boolean;
+	/** Age of the load report, in milliseconds. */
+	readonly loadLagMs: number;
+	/** Drops every n-th cache event; 0 none. */
+	readonly dropEvents: number;
+	/** Checks fencing numbers of orders. */
+	readonly checksOrders: boolean;
+};
--- /dev/null
+++ b/src/stand-ins/serve-stand-in.ts
@@ -0,0 +1,59 @@
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {listen} from '../http/listen.js';
+import {parseAddress} from '../http/parse-address.js';
+import {readBody} from '../http/read-body.js';
+import {sendJson} from '../http/send-json.js';
+import {type StandIn} from './stand-in.js';
+
+const bodyLimitBytes = 16 * 1024 * 1024;
+
+/** One call to a stand-in. */
+type Call = {
+	readonly method: string;
+	readonly path: string;
+	readonly query: URLSearchParams;
+	readonly headers: IncomingMessage['headers'];
+	/** Parsed JSON body, or `undefined`. */
+	readonly body: any;
+	readonly res: ServerResponse;
+};
+
+/**
+Serves a stand-in over HTTP on loopback.
+
+@param address - `IP:PORT`; port 0 takes a free one.
+@param handle - Returns `[status, body]`, or `undefined` when it answers through `call.res` itself.
+*/
+export async function serveStandIn(
+	address: string,
+	handle: (call: Call) => Promise<readonly [number, unknown] | undefined>,
+): Promise<StandIn> {
+	const server = createServer(async (req, res) => {
+		try {
+			const text = await readBody(req, bodyLimitBytes);
+			const url = new URL(req.url!, 'http://stand-in');
+			const answer = await handle({
+				method: req.method!,
+				path: url.pathname,
+				query: url.searchParams,
+				headers: req.headers,
+				body: text === '' ? undefined : JSON.parse(text),
+				res,
+			});
+			if (answer) {
+				sendJson(res, answer[0], answer[1]);
+			}
+		} catch (error) {
+			sendJson(res, 400, {error: String(error)});
+		}
+	});
+	const {host, port} = parseAddress(address);
+	const bound = await listen(server, {host, port});
+	return {
+		url: `http://${host}:${bound}`,
+		async stop() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
--- /dev/null
+++ b/src/upstreams/call-service.ts
@@ -0,0 +1,46 @@
+import {Client} from 'undici';
+import {readBody} from '../http/read-body.js';
+import {type PlainRequest} from '../callers/plain-request.js';
+import {type PlainAnswer} from '../callers/plain-answer.js';
+import {BrokenStreamError} from '../errors/broken-stream-error.js';
+import {isUnsent} from './is-unsent.js';
+
+const answerLimitBytes = 8 * 1024 * 1024;
+const connectTimeoutMs = 1000;
+
+/**
+Sends a request to a plain service once, over a connection of its own, so that no library sends it a second time.
+
+@throws {BrokenStreamError} When no whole answer came; `sent` says whether the service may have run it.
+*/
+export async function callService(url: string, req: PlainRequest, timeoutMs: number): Promise<PlainAnswer> {
+	const {origin, pathname} = new URL(url);
+	const client = new Client(origin, {connect: {timeout: connectTimeoutMs}, pipelining: 1});
+	try {
+		const {statusCode, headers, body} = await client.request({
+			method: req.method,
+			path: `${pathname.replace(/\/$/v, '')}${req.path}`,
+			headers: {
+				'x-request-id': req.requestId,
+				'x-workspace': req.workspace,
+				...(req.body === '' ? {} : {'content-type': req.contentType}),
+				...(req.idempotencyKey === undefined ? {} : {'idempotency-key': req.idempotencyKey}),
+			},
+			...(req.body === '' ? {} : {body: req.body}),
+			signal: AbortSignal.timeout(Math.max(1, timeoutMs)),
+			reset: true,
+		});
+		const text = await readBody(body, answerLimitBytes);
+		const contentType = headers['content-type'];
+		return {
+			status: statusCode,
+			contentType: typeof contentType === 'string' ? contentType : 'application/octet-stream',
+			body: text,
+			isReplay: false,
+		};
+	} catch (error) {
+		throw new BrokenStreamError(String(error), !isUnsent(error), true);
+	} finally {
+		void client.destroy();
+	}
+}
--- /dev/null
+++ b/src/upstreams/create-http-engine.ts
@@ -0,0 +1,174 @@
+import {request} from 'undici';
+import {BrokenStreamError} from '../errors/broken-stream-error.js';
+import {callJson} from '../http/call-json.js';
+import {type CacheEvents} from './cache-events.js';
+import {type EngineEvent} from './engine-event.js';
+import {type EngineReport} from './engine-report.js';
+import {type EngineRun} from './engine-run.js';
+import {type Engine} from './engine.js';
+import {isUnsent} from './is-unsent.js';
+import {readEvents} from './read-events.js';
+
+const callTimeoutMs = 2000;
+const transferTimeoutMs = 15_000;
+const orderTimeoutMs = 30_000;
+
+/** One event of an engine's stream, as sent. */
+type WireEvent = {
+	readonly id: string;
+	readonly index?: number;
+	readonly version?: string;
+	readonly choices?: ReadonlyArray<{readonly text: string}>;
+	readonly usage?: {readonly prompt_tokens: number; readonly cached_tokens: number; readonly completion_tokens: number};
+};
+
+/** Aborts `controller` when `touch` is not called for `stallMs`. */
+function createStallTimer(controller: AbortController, stallMs: number): {readonly touch: () => void; readonly clear: () => void} {
+	let timer: NodeJS.Timeout | undefined;
+	const touch = (): void => {
+		clearTimeout(timer);
+		timer = setTimeout(() => {
+			controller.abort(new Error(`no token for ${stallMs} ms`));
+		}, stallMs);
+	};
+
+	touch();
+	return {
+		touch,
+		clear() {
+			clearTimeout(timer);
+		},
+	};
+}
+
+/** Checks that an event belongs to the run and comes next; `undefined` for a repeated token. */
+function checkEvent(run: EngineRun, event: WireEvent, next: number): EngineEvent | undefined {
+	if (event.id !== run.attempt) {
+		throw new BrokenStreamError('the stream belongs to another attempt', true, false);
+	}
+
+	if (event.usage) {
+		const {prompt_tokens: promptTokens, cached_tokens: cachedTokens, completion_tokens: completionTokens} = event.usage;
+		return {
+			kind: 'end', promptTokens, cachedTokens, completionTokens,
+		};
+	}
+
+	if (event.version !== run.version) {
+		throw new BrokenStreamError(`the engine runs version ${event.version}, not ${run.version}`, true, false);
+	}
+
+	const index = event.index ?? -1;
+	if (index > next) {
+		throw new BrokenStreamError(`token ${index} came where ${next} was due`, true, false);
+	}
+
+	return index < next ? undefined : {kind: 'token', index, text: event.choices?.[0]?.text ?? ''};
+}
+
+async function * runStream(url: string, run: EngineRun): AsyncGenerator<EngineEvent> {
+	const stalled = new AbortController();
+	const timer = createStallTimer(stalled, run.stallMs);
+	const signal = AbortSignal.any([stalled.signal, run.signal]);
+	let next = run.offset;
+	let isSent = false;
+	let isWhole = false;
+	try {
+		const {statusCode, body} = await request(`${url}/v1/completions`, {
+			method: 'POST',
+			headers: {'content-type': 'application/json', 'x-request-id': run.requestId},
+			body: JSON.stringify({
+				model: run.model, version: run.version, prompt: run.prompt, prompt_tokens: run.promptTokens,
+				max_tokens: run.maxTokens, priority: run.priority, attempt: run.attempt, cache_keys: run.keys,
+				offset: run.offset, stream: true,
+			}),
+			signal,
+		});
+		isSent = true;
+		if (statusCode !== 200) {
+			await body.dump();
+			throw new BrokenStreamError(`the engine answered ${statusCode}`, statusCode !== 409 && statusCode !== 503, false);
+		}
+
+		for await (const data of readEvents(body)) {
+			timer.touch();
+			if (data === '[DONE]') {
+				break;
+			}
+
+			const event = checkEvent(run, JSON.parse(data) as WireEvent, next);
+			if (event?.kind === 'token') {
+				next++;
+			}
+
+			isWhole ||= event?.kind === 'end';
+			if (event) {
+				yield event;
+			}
+		}
+
+		if (!isWhole) {
+			throw new BrokenStreamError('the stream ended early', true, true);
+		}
+	} catch (error) {
+		if (error instanceof BrokenStreamError) {
+			throw error;
+		}
+
+		const isCut = !signal.aborted;
+		throw new BrokenStreamError(String(error), isSent || !isUnsent(error), isCut);
+	} finally {
+		timer.clear();
+		if (!isWhole) {
+			callJson(`${url}/cancel`, {body: {attempt: run.attempt}, timeoutMs: callTimeoutMs}).catch(() => undefined);
+		}
+	}
+}
+
+/** Creates a client of the engine at `url`. */
+export function createHttpEngine(url: string): Engine {
+	return {
+		run: run => runStream(url, run),
+		async report(timeoutMs) {
+			const {body} = await callJson(`${url}/load`, {timeoutMs});
+			return body as EngineReport;
+		},
+		async cacheEvents(after) {
+			const {body} = await callJson(`${url}/cache/events?after=${after}`, {timeoutMs: callTimeoutMs});
+			return body as CacheEvents;
+		},
+		async cacheList() {
+			const {body} = await callJson(`${url}/cache/list`, {timeoutMs: callTimeoutMs});
+			return body as {readonly seq: number; readonly keys: readonly string[]};
+		},
+		async importPiece({key, block, generation, checksum}, storeUrl) {
+			const {status, body} = await callJson(`${url}/kv/import`, {
+				body: {
+					key, store: storeUrl, block, generation,
+				}, timeoutMs: transferTimeoutMs,
+			});
+			if (status !== 200 || body.generation !== generation || body.checksum !== checksum) {
+				return false;
+			}
+
+			const accepted = await callJson(`${url}/kv/accept`, {body: {key}, timeoutMs: callTimeoutMs});
+			return accepted.status === 200;
+		},
+		async exportPiece(key, storeUrl, block, generation) {
+			const {status, body} = await callJson(`${url}/kv/export`, {
+				body: {
+					key, store: storeUrl, block, generation,
+				}, timeoutMs: transferTimeoutMs,
+			});
+			return status === 200 ? body.checksum as string : undefined;
+		},
+		async order(order) {
+			const {status} = await callJson(`${url}/orders`, {body: order, timeoutMs: orderTimeoutMs});
+			if (status >= 500) {
+				throw new Error(`the engine answered the order with ${status}`);
+			}
+
+			return status === 200 ? 'done' : 'refused';
+		},
+	};
+}
--- /dev/null
+++ b/src/upstreams/engine-event.ts
@@ -0,0 +1,4 @@
+/** What a stream of an engine yields. */
+export type EngineEvent
+	= | {readonly kind: 'token'; readonly index: number; readonly text: string}
+		| {readonly kind: 'end'; readonly promptTokens: number; readonly cachedTokens: number; readonly completionTokens: number};
--- /dev/null
+++ b/src/upstreams/engine-order.ts
@@ -0,0 +1,8 @@
+/** An order to load or unload a model version. */
+export type EngineOrder = {
+	readonly kind: 'load' | 'unload';
+	/** `model@version`. */
+	readonly what: string;
+	/** Fencing number of the lease under which the order is given. */
+	readonly fencing: number;
+};
--- /dev/null
+++ b/src/upstreams/engine-report.ts
@@ -0,0 +1,9 @@
+/** An engine's lagging report. */
+export type EngineReport = {
+	readonly running: number;
+	readonly queued: number;
+	readonly slots: number;
+	readonly leaving: boolean;
+	/** Loaded model versions, `model@version`. */
+	readonly loaded: readonly string[];
+};
--- /dev/null
+++ b/src/upstreams/engine.ts
@@ -0,0 +1,23 @@
+import {type StoredPiece} from '../decide/routing/stored-piece.js';
+import {type CacheEvents} from './cache-events.js';
+import {type EngineEvent} from './engine-event.js';
+import {type EngineOrder} from './engine-order.js';
+import {type EngineReport} from './engine-report.js';
+import {type EngineRun} from './engine-run.js';
+
+/** A model engine as the system uses it. */
+export type Engine = {
+	/**
+	Streams a completion. Tokens come in order, each once, and belong to this attempt and version.
+	@throws {BrokenStreamError} When the stream ends early, stalls, crosses another or was never begun.
+	*/
+	readonly run: (run: EngineRun) => AsyncIterable<EngineEvent>;
+	readonly report: (timeoutMs: number) => Promise<EngineReport>;
+	readonly cacheEvents: (after: number) => Promise<CacheEvents>;
+	readonly cacheList: () => Promise<{readonly seq: number; readonly keys: readonly string[]}>;
+	/** Imports a stored piece; `false` when block, generation or checksum are not as sealed. */
+	readonly importPiece: (piece: StoredPiece, storeUrl: string) => Promise<boolean>;
+	/** Writes a cached piece into a reserved block; gives its checksum, or `undefined` when it is not cached. */
+	readonly exportPiece: (key: string, storeUrl: string, block: number, generation: number) => Promise<string | undefined>;
+	readonly order: (order: EngineOrder) => Promise<'done' | 'refused'>;
+};
--- /dev/null
+++ b/src/upstreams/read-events.ts
@@ -0,0 +1,16 @@
+/** Splits a stream of server-sent events into the text of their `data` fields. */
+export async function * readEvents(body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
+	const decoder = new TextDecoder();
+	let rest = '';
+	for await (const chunk of body) {
+		rest += decoder.decode(chunk, {stream: true});
+		const events = rest.split('\n\n');
+		rest = events.pop()!;
+		for (const event of events) {
+			const data = event.split('\n').filter(line => line.startsWith('data: ')).map(line => line.slice(6));
+			if (data.length > 0) {
+				yield data.join('\n');
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/upstreams/store-entry.ts
@@ -0,0 +1,11 @@
+/** A block as a store lists it. */
+export type StoreEntry = {
+	readonly block: number;
+	readonly generation: number;
+	readonly key: string;
+	readonly tag: number;
+	readonly bytes: number;
+	readonly seq: number;
+	readonly state: 'reserved' | 'sealed' | 'free';
+	readonly checksum: string;
+};
--- /dev/null
+++ b/src/upstreams/store.ts
@@ -0,0 +1,13 @@
+import {type StoreEntry} from './store-entry.js';
+
+/** A store host as the system uses it. */
+export type Store = {
+	/** Reserves a block; `undefined` when the store is full. */
+	readonly reserve: (key: string, bytes: number, tag: number) => Promise<{readonly block: number; readonly generation: number} | undefined>;
+	/** Seals a written block; `false` when it is not as written. */
+	readonly seal: (block: number, generation: number, checksum: string) => Promise<boolean>;
+	/** Frees a block if it still has this generation. */
+	readonly free: (block: number, generation: number) => Promise<boolean>;
+	/** Lists blocks of the given tags that changed after `after`. */
+	readonly list: (after: number, tags: readonly number[]) => Promise<{readonly seq: number; readonly entries: readonly StoreEntry[]}>;
+};
--- /dev/null
+++ b/src/util/sleep.ts
@@ -0,0 +1,10 @@
+import {setTimeout as delay} from 'node:timers/promises';
+
+/** Waits `ms` milliseconds; returns early, without an error, when `signal` fires. */
+export async function sleep(ms: number, signal?: AbortSignal): Promise<void> {
+	try {
+		await delay(ms, undefined, signal ? {signal} : {});
+	} catch {
+		// The signal has fired; the wait is over.
+	}
+}
--- /dev/null
+++ b/src/util/stop.ts
@@ -0,0 +1,2 @@
+/** Stops a task and waits until its sockets and timers are closed. */
+export type Stop = () => Promise<void>;
--- /dev/null
+++ b/src/wire.ts
@@ -0,0 +1,285 @@
+import {createCallerServer} from './callers/create-caller-server.js';
+import {createCommitmentRunner} from './callers/create-commitment-runner.js';
+import {createCompletionHandler} from './callers/create-completion-handler.js';
+import {createModelRunner} from './callers/create-model-runner.js';
+import {createPlainHandler} from './callers/create-plain-handler.js';
+import {createReadRunner} from './callers/create-read-runner.js';
+import {createLedgerTask} from './commitments/create-ledger-task.js';
+import {createContextTask} from './context/create-context-task.js';
+import {createOffloadTask} from './context/create-offload-task.js';
+import {createRetryBudget} from './decide/retries/create-retry-budget.js';
+import {createLinkEstimate} from './decide/routing/create-link-estimate.js';
+import {createWaitMemory} from './decide/routing/create-wait-memory.js';
+import {type Member} from './decide/membership/member.js';
+import {createGrantAskerTask} from './grants/create-grant-asker-task.js';
+import {createGrantOwnerTask} from './grants/create-grant-owner-task.js';
+import {type EngineStatus} from './grants/engine-status.js';
+import {type Host} from './host.js';
+import {createMembershipTask} from './membership/create-membership-task.js';
+import {createOwners} from './membership/create-owners.js';
+import {createDecisionLog} from './observe/create-decision-log.js';
+import {createMetrics} from './observe/create-metrics.js';
+import {type Decision} from './observe/decision.js';
+import {log} from './observe/log.js';
+import {createOperatorServer} from './operators/create-operator-server.js';
+import {createOrdersTask} from './orders/create-orders-task.js';
+import {createPeerCaller} from './peers/create-peer-caller.js';
+import {createPeerServer} from './peers/create-peer-server.js';
+import {type PeerHandlers} from './peers/peer-handlers.js';
+import {createPoisonTask} from './poison/create-poison-task.js';
+import {createHttpPlatform} from './platform/http-platform.js';
+import {withCut} from './platform/with-cut.js';
+import {createConfigTask} from './publishing/create-config-task.js';
+import {type HostSettings} from './settings/host-settings.js';
+import {readTlsKeys} from './settings/read-tls-keys.js';
+import {type StoreSettings} from './settings/store-settings.js';
+import {type Upstream} from './settings/upstream.js';
+import {createHttpEngine} from './upstreams/create-http-engine.js';
+import {createHttpStore} from './upstreams/create-http-store.js';
+import {memoize} from './util/memoize.js';
+import {sleep} from './util/sleep.js';
+
+const fanout = 2;
+const explainTimeoutMs = 800;
+const flushMs = 10_000;
+const hourMs = 3_600_000;
+const defaultAnswerHours = 72;
+
+/** Outside of the settings, what a host is started with. */
+type WireOptions = {
+	/** Takes fault switches over the operators' address. */
+	readonly allowFaults?: boolean;
+	readonly random?: () => number;
+};
+
+/** Wires the parts of one host together and starts it. */
+export async function startHost(settings: HostSettings, {allowFaults = false, random = Math.random}: WireOptions = {}): Promise<Host> {
+	const {name, domain, region} = settings;
+	const faults = {cutPeers: [] as readonly string[] | 'all', cutPlatform: false, sendPauseMs: 0};
+	const metrics = createMetrics();
+	const decisions = createDecisionLog(name);
+	const keys = readTlsKeys(settings.tls);
+
+	const platform = withCut(createHttpPlatform(settings.platform, kind => {
+		metrics.platformCalls.inc({kind});
+	}), () => faults.cutPlatform);
+	const peerCaller = createPeerCaller(
+		keys,
+		address => faults.cutPeers === 'all' || faults.cutPeers.includes(address),
+		(method, bytes) => {
+			metrics.peerCalls.inc({method});
+			metrics.peerBytes.inc({method}, bytes);
+		},
+	);
+	const {call} = peerCaller;
+
+	const engineAt = memoize((url: string) => createHttpEngine(url));
+	const storeAt = memoize((url: string) => createHttpStore(url));
+	const links = memoize((_name: string, bytesPerS: number) => createLinkEstimate(bytesPerS));
+	const linkOf = (store: StoreSettings) => links(store.name, store.linkBytesPerS);
+	const budgetOf = memoize((_service: string, share: number) => createRetryBudget(share));
+
+	const self: Member = {
+		name, domain, region, peers: settings.peers, operators: settings.operators, incarnation: Date.now(), state: 'alive',
+	};
+	const membership = createMembershipTask({
+		self, call, platform, seeds: settings.seeds, random,
+		revision: () => config.current()?.revision ?? 0,
+		onRevision(peers) {
+			void config.pull(peers);
+		},
+	});
+	const owners = createOwners(membership);
+	const config = createConfigTask({
+		platform, call, address: settings.peers,
+		isWatcher: () => owners.inDomain(domain, 'config')?.name === name,
+		neighbours: () => owners.up().filter(member => member.domain === domain && member.name !== name).map(member => member.peers),
+	});
+	const snapshot = () => config.current();
+	const services = () => snapshot()?.services ?? [];
+	const keepAnswersMs = () => Math.max(defaultAnswerHours, ...services().map(service => service.kind === 'plain' ? service.answerHours : 0)) * hourMs;
+
+	const ledger = createLedgerTask({
+		self: name, platform, owners, call, keepAnswersMs,
+	});
+	const stores = () => services().flatMap(service => service.kind === 'model' ? service.stores : []);
+	const context = createContextTask({
+		self: name, owners, call, stores, storeAt,
+	});
+	const offload = createOffloadTask({
+		context, storeAt, linkOf,
+		onBytes(service, bytes) {
+			metrics.linkBytes.inc({service, direction: 'out'}, bytes);
+		},
+	});
+	const grantOwner = createGrantOwnerTask({
+		self: name, domain, owners, membership, snapshot, engineAt, random,
+	});
+	const waits = createWaitMemory();
+	const asker = createGrantAskerTask({
+		self: name, owners, call, local: grantOwner, engineAt, waits, fanout,
+	});
+	const poison = createPoisonTask(name, membership, owners, call);
+	const orders = createOrdersTask({
+		self: name, domain, platform, owners, membership, snapshot, engineAt, clock: () => performance.now(),
+	});
+
+	const isMarked = (upstream: string): boolean => (membership.gossip.get('marks', upstream)?.value as {readonly leaving: boolean} | undefined)?.leaving ?? false;
+	const statusOf = (upstream: Upstream): EngineStatus | undefined => {
+		const status = membership.gossip.get(`engines/${upstream.domain}`, upstream.name)?.value as EngineStatus | undefined;
+		return status && isMarked(upstream.name) ? {...status, leaving: true} : status;
+	};
+
+	/** Upstreams of a plain service that take new work, those of the own domain first. */
+	const pick = (upstreams: readonly Upstream[]): readonly Upstream[] => upstreams
+		.filter(upstream => !upstream.leaving && !isMarked(upstream.name))
+		.map(upstream => ({upstream, rank: (upstream.domain === domain ? 0 : 1) + random()}))
+		.toSorted((a, b) => a.rank - b.rank)
+		.map(entry => entry.upstream);
+
+	const runModel = createModelRunner({
+		domain, asker, context, poison, engineAt, statusOf, linkOf, waits, budgetOf, decisions, metrics, random,
+		offer(request, upstream, pieces, found, labels) {
+			const {service, workspace} = request;
+			const store = service.stores.find(candidate => candidate.domain === upstream.domain) ?? service.stores[0];
+			context.add(pieces.map((piece, depth) => ({
+				service: service.service, label: labels[depth]!, key: piece.key, workspace: workspace.name, tokens: piece.tokens, depth, engine: upstream.name,
+			})));
+			for (const [depth, piece] of pieces.entries()) {
+				if (store && piece.isWhole && !found[depth]?.stored) {
+					offload.offer({
+						service: service.service, workspace: workspace.name, label: labels[depth]!, piece, depth,
+						bytes: service.pieceBytes, engine: engineAt(upstream.url), engineName: upstream.name, store,
+					});
+				}
+			}
+		},
+	});
+	const runRead = createReadRunner({
+		pick, budgetOf, decisions, random,
+	});
+	const runCommitment = createCommitmentRunner({
+		holder: () => `${name}/${membership.self().incarnation}`,
+		isHolderUp(holder) {
+			const [holderName, incarnation] = holder.split('/');
+			const member = membership.members().find(candidate => candidate.name === holderName);
+			return member !== undefined && String(member.incarnation) === incarnation && member.state !== 'dead' && member.state !== 'left';
+		},
+		ledger, pick, decisions,
+		beforeSend: async () => sleep(faults.sendPauseMs),
+	});
+
+	membership.onChange(() => {
+		grantOwner.review();
+		asker.onOwnersChange();
+		context.onOwnersChange();
+	});
+	membership.onEntries(section => {
+		if (section === 'marks') {
+			grantOwner.review();
+		}
+	});
+	membership.onFrozen(() => {
+		grantOwner.reset();
+	});
+	config.onChange(() => {
+		grantOwner.review();
+	});
+
+	const explain = async (requestId: string): Promise<readonly Decision[]> => {
+		const others = membership.members().filter(member => member.name !== name && member.state !== 'dead' && member.state !== 'left');
+		const answers = await Promise.allSettled(others.map(async member => call(member.peers, 'explain', {requestId}, {timeoutMs: explainTimeoutMs})));
+		const theirs = answers.flatMap(answer => answer.status === 'fulfilled' ? answer.value.decisions : []);
+		return [...decisions.ofRequest(requestId), ...theirs].toSorted((a, b) => a.at - b.at);
+	};
+
+	const handlers: PeerHandlers = {
+		...membership.handlers,
+		...config.handlers,
+		...grantOwner.handlers,
+		...context.handlers,
+		...ledger.handlers,
+		...poison.handlers,
+		explain: async ({requestId}) => ({decisions: decisions.ofRequest(requestId)}),
+	};
+	const peers = await createPeerServer(settings.peers, keys, handlers, () => faults.cutPeers === 'all');
+	const callers = await createCallerServer({
+		settings, snapshot, decisions, metrics,
+		handleCompletion: createCompletionHandler(runModel),
+		handlePlain: createPlainHandler(runRead, runCommitment),
+	});
+	let isLeaving = false;
+
+	const stop = async (): Promise<void> => {
+		await Promise.all([membership.stop(), config.stop(), grantOwner.stop(), asker.stop(), context.stop(), orders.stop()]);
+		await Promise.all([callers.stop(), operators.stop(), peers.stop()]);
+		await peerCaller.stop();
+	};
+
+	const drain = async (): Promise<void> => {
+		if (isLeaving) {
+			return;
+		}
+
+		isLeaving = true;
+		log.info({host: name, underWay: callers.underWay()}, 'leaving');
+		membership.leave();
+		callers.drain();
+		await sleep(settings.drainMs);
+		await callers.idle();
+		await ledger.flush(flushMs);
+		log.info({host: name}, 'left');
+		await stop();
+	};
+
+	const operators = await createOperatorServer(settings.operators, {
+		isReady: () => !isLeaving && snapshot() !== undefined,
+		metrics: async () => metrics.registry.metrics(),
+		status: () => ({
+			host: name,
+			domain,
+			region,
+			state: membership.self().state,
+			revision: snapshot()?.revision ?? 0,
+			members: membership.members().map(({name: member, domain: of, state, incarnation}) => ({
+				name: member, domain: of, state, incarnation,
+			})),
+			engines: grantOwner.states(),
+			underWay: callers.underWay(),
+			holdsLease: orders.isHolder(),
+		}),
+		explain,
+		mark(upstream, leaving) {
+			membership.put('marks', upstream, {leaving});
+			const target = services().flatMap(service => service.upstreams).find(candidate => candidate.name === upstream);
+			const owner = target && owners.inDomain(target.domain, upstream);
+			if (owner && owner.name !== name) {
+				const entry = membership.gossip.get('marks', upstream)!;
+				call(owner.peers, 'gossip.sync', {sections: {marks: [entry]}, want: []}).catch(() => undefined);
+			}
+		},
+		drain() {
+			void drain();
+		},
+		setFaults(changed) {
+			Object.assign(faults, changed);
+		},
+	}, allowFaults);
+
+	log.info({
+		host: name, domain, callers: callers.port, peers: peers.port, operators: operators.port,
+	}, 'host started');
+	return {
+		name,
+		ports: {callers: callers.port, peers: peers.port, operators: operators.port},
+		drain,
+		stop,
+		reloadKeys() {
+			const fresh = readTlsKeys(settings.tls);
+			if (fresh) {
+				peers.setKeys(fresh);
+				peerCaller.setKeys(fresh);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/test/support/book.ts
@@ -0,0 +1,19 @@
+import {request} from 'undici';
+
+/** What a caller saw of a commitment. */
+export type Booking = {
+	readonly status: number;
+	readonly body: any;
+	readonly isReplay: boolean;
+};
+
+/** Sends a booking with an idempotency key to `callers`. */
+export async function book(callers: string, key: string, idempotencyKey: string, lathe = 1): Promise<Booking> {
+	const answer = await request(`http://${callers}/services/booking/bookings`, {
+		method: 'POST',
+		headers: {authorization: `Bearer ${key}`, 'content-type': 'application/json', 'idempotency-key': idempotencyKey},
+		body: JSON.stringify({lathe}),
+		headersTimeout: 120_000,
+	});
+	return {status: answer.statusCode, body: await answer.body.json(), isReplay: answer.headers['idempotent-replayed'] === 'true'};
+}
--- /dev/null
+++ b/test/support/complete.ts
@@ -0,0 +1,58 @@
+import {request} from 'undici';
+import {readEvents} from '../../src/upstreams/read-events.js';
+import {answerToken} from '../../src/stand-ins/answer-token.js';
+
+/** What a caller saw of a streamed completion. */
+export type Completion = {
+	readonly status: number;
+	readonly text: string;
+	/** Whether the stream ended with `[DONE]`. */
+	readonly isWhole: boolean;
+	/** Refusal body, or the error event of a broken stream. */
+	readonly error: {readonly kind: string; readonly ran: string; readonly retryAfterMs?: number} | undefined;
+	readonly cachedTokens: number;
+	readonly requestId: string;
+};
+
+/** Sends a streamed completion to `callers` and reads it to its end. */
+export async function complete(callers: string, key: string, body: Readonly<Record<string, unknown>>, headers: Readonly<Record<string, string>> = {}): Promise<Completion> {
+	const answer = await request(`http://${callers}/v1/completions`, {
+		method: 'POST',
+		headers: {authorization: `Bearer ${key}`, 'content-type': 'application/json', ...headers},
+		body: JSON.stringify({model: 'small', stream: true, ...body}),
+		bodyTimeout: 120_000,
+		headersTimeout: 120_000,
+	});
+	const requestId = String(answer.headers['x-request-id']);
+	if (answer.statusCode !== 200) {
+		const {error} = await answer.body.json() as {readonly error: Completion['error']};
+		return {
+			status: answer.statusCode, text: '', isWhole: false, error, cachedTokens: 0, requestId,
+		};
+	}
+
+	let text = '';
+	let isWhole = false;
+	let cachedTokens = 0;
+	let error: Completion['error'];
+	for await (const data of readEvents(answer.body)) {
+		if (data === '[DONE]') {
+			isWhole = true;
+			break;
+		}
+
+		const event = JSON.parse(data);
+		error = event.error ?? error;
+		text += String(event.choices?.[0]?.text ?? '');
+		cachedTokens = event.usage?.prompt_tokens_details.cached_tokens ?? cachedTokens;
+	}
+
+	return {
+		status: 200, text, isWhole, error, cachedTokens, requestId,
+	};
+}
+
+/** The text that the stand-in engines answer. */
+export function expectedText(prompt: string, tokens: number, version = 'v1'): string {
+	return Array.from({length: tokens}, (_, index) => answerToken('small', version, prompt, index)).join('');
+}
--- /dev/null
+++ b/test/support/fleet.ts
@@ -0,0 +1,162 @@
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {callJson} from '../../src/http/call-json.js';
+import {createHttpPlatform} from '../../src/platform/http-platform.js';
+import {publish} from '../../src/publishing/publish.js';
+import {parseServiceText} from '../../src/settings/parse-service-text.js';
+import {createEngineStandIn} from '../../src/stand-ins/create-engine-stand-in.js';
+import {createPlatformStandIn} from '../../src/stand-ins/create-platform-stand-in.js';
+import {createServiceStandIn} from '../../src/stand-ins/create-service-stand-in.js';
+import {createStoreStandIn} from '../../src/stand-ins/create-store-stand-in.js';
+import {freePorts} from '../../src/stand-ins/free-ports.js';
+import {type StandIn} from '../../src/stand-ins/stand-in.js';
+import {digest} from '../../src/util/digest.js';
+import {startProcess, type TestProcess} from './start-process.js';
+import {waitUntil} from './wait-until.js';
+
+const timeoutMs = 5000;
+
+/** A host of a fleet under test. */
+export type FleetHost = {
+	readonly name: string;
+	readonly domain: string;
+	readonly callers: string;
+	readonly peers: string;
+	readonly operators: string;
+	readonly settingsFile: string;
+	process: TestProcess;
+};
+
+/** Hosts as processes, before stand-ins. */
+export type Fleet = {
+	readonly platform: StandIn;
+	readonly engines: readonly StandIn[];
+	readonly store: StandIn;
+	readonly service: StandIn;
+	readonly hosts: readonly FleetHost[];
+	readonly folder: string;
+	/** Publishes the services again with changes. */
+	readonly publish: (change?: ServiceChanges) => Promise<number>;
+	readonly startHost: (host: FleetHost) => void;
+	readonly ready: (hosts?: readonly FleetHost[]) => Promise<void>;
+	readonly stop: () => Promise<void>;
+};
+
+/** Changes of the published services. */
+export type ServiceChanges = {
+	readonly version?: string;
+	readonly deadlineMs?: number;
+	readonly leaving?: readonly string[];
+	readonly checksKeys?: boolean;
+};
+
+/** Size and stand-ins of a fleet. */
+export type FleetOptions = {
+	readonly domains?: readonly string[];
+	readonly hostsPerDomain?: number;
+	readonly engines?: number;
+	readonly engineOptions?: Parameters<typeof createEngineStandIn>[1];
+	readonly services?: ServiceChanges;
+	readonly drainMs?: number;
+	readonly hostSettings?: Readonly<Record<string, unknown>>;
+	/** Gives stand-ins that run elsewhere in place of those in this process. */
+	readonly standIn?: (kind: 'platform' | 'engine' | 'store' | 'service') => Promise<StandIn>;
+};
+
+/** Bearer keys of the fleet's two workspaces. */
+export const fleetKeys = {acme: 'acme-key', brook: 'brook-key'} as const;
+
+function serviceTexts(domains: readonly string[], urls: {readonly engines: readonly string[]; readonly store: string; readonly service: string}, changes: ServiceChanges): readonly string[] {
+	const workspaces = Object.entries(fleetKeys).map(([name, key]) => ({name, keys: [digest(key)]}));
+	const limits = {deadlineMs: changes.deadlineMs ?? 15_000};
+	return [
+		JSON.stringify({
+			service: 'assistant', kind: 'model', pool: 'assistant', workspaces, limits,
+			models: [{name: 'small', version: changes.version ?? 'v1'}],
+			pieceCharacters: 256,
+			pieceBytes: 1000,
+			upstreams: urls.engines.map((url, index) => ({
+				name: `engine-${index + 1}`, domain: domains[index % domains.length], url, slots: 4,
+				leaving: changes.leaving?.includes(`engine-${index + 1}`) ?? false,
+			})),
+			stores: [{
+				name: 'store-1', domain: domains[0], url: urls.store, linkBytesPerS: 1e9,
+			}],
+		}),
+		JSON.stringify({
+			service: 'booking', kind: 'plain', workspaces, limits,
+			upstreams: [{
+				name: 'booking-1', domain: domains[0], url: urls.service, checksKeys: changes.checksKeys ?? false,
+			}],
+			routes: [{path: '/slots', method: 'GET', repeatable: true}, {path: '/bookings', method: 'POST', repeatable: false}],
+		}),
+	];
+}
+
+/** Starts hosts as separate processes, with stand-ins for everything outside, and waits until they are ready. */
+export async function startFleet(options: FleetOptions = {}): Promise<Fleet> {
+	const {domains = ['west-1', 'west-2'], hostsPerDomain = 2, drainMs = 500} = options;
+	const platform = await (options.standIn?.('platform') ?? createPlatformStandIn());
+	const engines = await Promise.all(Array.from({length: options.engines ?? 2}, async () =>
+		options.standIn?.('engine') ?? createEngineStandIn('127.0.0.1:0', {slots: 4, ...options.engineOptions})));
+	const store = await (options.standIn?.('store') ?? createStoreStandIn());
+	const service = await (options.standIn?.('service') ?? createServiceStandIn());
+	const folder = mkdtempSync(path.join(tmpdir(), 'hemlockpier-'));
+	const urls = {engines: engines.map(engine => engine.url), store: store.url, service: service.url};
+
+	const publishNow = async (changes: ServiceChanges = {}): Promise<number> => {
+		const texts = serviceTexts(domains, urls, {...options.services, ...changes});
+		const files = texts.map(text => ({file: 'test', text, service: parseServiceText('test', text)}));
+		return publish(createHttpPlatform(platform.url), files, 'test');
+	};
+
+	await publishNow();
+	const names = domains.flatMap(domain => Array.from({length: hostsPerDomain}, (_, index) => ({name: `${domain}-${'abcdefgh'[index]}`, domain})));
+	const ports = await freePorts(names.length * 3);
+	const places = names.map(({name, domain}, index) => ({
+		name,
+		domain,
+		callers: `127.0.0.1:${ports[index * 3]}`,
+		peers: `127.0.0.1:${ports[(index * 3) + 1]}`,
+		operators: `127.0.0.1:${ports[(index * 3) + 2]}`,
+		settingsFile: path.join(folder, `${name}.jsonc`),
+	}));
+	const seeds = places.map(place => place.peers);
+	for (const {settingsFile, ...place} of places) {
+		writeFileSync(settingsFile, JSON.stringify({
+			...place, region: 'west', platform: platform.url, drainMs, seeds, ...options.hostSettings,
+		}));
+	}
+
+	const start = (settingsFile: string): TestProcess => startProcess(['serve', '--settings', settingsFile, '--allow-faults']);
+	const hosts: FleetHost[] = places.map(place => ({...place, process: start(place.settingsFile)}));
+
+	const ready = async (waited: readonly FleetHost[] = hosts): Promise<void> => {
+		for (const host of waited) {
+			await waitUntil(`${host.name} to be ready`, async () => {
+				const {body} = await callJson(`http://${host.operators}/status`, {timeoutMs});
+				const up = (body.members as ReadonlyArray<{readonly state: string}>).filter(member => member.state === 'alive');
+				const isReady = await callJson(`http://${host.operators}/readyz`, {timeoutMs});
+				return isReady.status === 200 && up.length >= waited.length;
+			});
+		}
+	};
+
+	await ready();
+	return {
+		platform, engines, store, service, hosts, folder, ready,
+		publish: publishNow,
+		startHost(host) {
+			host.process = start(host.settingsFile);
+		},
+		async stop() {
+			for (const host of hosts) {
+				host.process.child.kill('SIGCONT');
+				host.process.child.kill('SIGKILL');
+			}
+
+			await Promise.all([platform, ...engines, store, service].map(async standIn => standIn.stop()));
+		},
+	};
+}
--- /dev/null
+++ b/test/support/start-process.ts
@@ -0,0 +1,60 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {createInterface} from 'node:readline';
+import process from 'node:process';
+
+const program = 'dist/hemlockpier.cjs';
+
+/** A process of the program under test. */
+export type TestProcess = {
+	readonly child: ChildProcess;
+	/** Lines of standard output so far. */
+	readonly lines: readonly string[];
+	/** Waits for a line that passes `test`. */
+	readonly line: (test: (line: string) => boolean) => Promise<string>;
+	/** Waits for the end of the process; gives its exit code. */
+	readonly exit: () => Promise<number | null>;
+};
+
+/** Starts the bundled program with `args`. */
+export function startProcess(args: readonly string[]): TestProcess {
+	const child = spawn(process.execPath, [program, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
+	const lines: string[] = [];
+	const waiting = new Set<(line: string) => void>();
+	createInterface({input: child.stdout}).on('line', line => {
+		lines.push(line);
+		for (const wake of waiting) {
+			wake(line);
+		}
+	});
+	createInterface({input: child.stderr}).on('line', line => {
+		lines.push(`stderr: ${line}`);
+	});
+	return {
+		child,
+		lines,
+		line: async test => new Promise(resolve => {
+			const known = lines.find(line => test(line));
+			if (known !== undefined) {
+				resolve(known);
+				return;
+			}
+
+			const wake = (line: string): void => {
+				if (test(line)) {
+					waiting.delete(wake);
+					resolve(line);
+				}
+			};
+
+			waiting.add(wake);
+		}),
+		async exit() {
+			if (child.exitCode === null && child.signalCode === null) {
+				await once(child, 'exit');
+			}
+
+			return child.exitCode;
+		},
+	};
+}
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,36 @@
+/** Lint settings. Rules that clash with the project's agreed style are off; docs/STYLE.md gives each reason. */
+const xoConfig = [
+	{ignores: ['dist/**', 'reports/**', 'traces/**']},
+	{
+		rules: {
+			'unicorn/prevent-abbreviations': 'off',
+			'no-await-in-loop': 'off',
+			'unicorn/no-null': 'off',
+			'unicorn/prefer-event-target': 'off',
+			'unicorn/no-process-exit': 'off',
+			'unicorn/prefer-top-level-await': 'off',
+			'capitalized-comments': 'off',
+			'n/prefer-global/buffer': 'off',
+			'no-unmodified-loop-condition': 'off',
+			'max-params': ['error', {max: 6}],
+		},
+	},
+	{
+		files: ['**/*.ts'],
+		rules: {
+			'@typescript-eslint/naming-convention': 'off',
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			'@typescript-eslint/no-restricted-types': 'off',
+			'@typescript-eslint/strict-void-return': 'off',
+			'@typescript-eslint/consistent-type-assertions': 'off',
+			'@typescript-eslint/consistent-type-definitions': ['error', 'type'],
+			'@typescript-eslint/no-unsafe-assignment': 'off',
+			'@typescript-eslint/no-unsafe-call': 'off',
+			'@typescript-eslint/no-unsafe-argument': 'off',
+			'@typescript-eslint/no-unsafe-member-access': 'off',
+			'@typescript-eslint/no-unsafe-return': 'off',
+		},
+	},
+];
+
+export default xoConfig;
