Properties of the decisions, settings checks and worked examples

Cause: decisions stood without checks. Three test faults were found on the way: the model of freed blocks marked a block freed though the store had refused the stale generation (the store was right); check threw before yargs could map its exit code (exit 1 where 2 is due, now async); publishing waited real time.

--- a/src/commands/check.ts
+++ b/src/commands/check.ts
@@ -13,7 +13,7 @@
 	command: 'check <dir...>',
 	describe: 'check service files',
 	builder: yargs => yargs.positional('dir', {type: 'string', array: true, demandOption: true}) as never,
-	handler({dir, json}) {
+	async handler({dir, json}) {
 		const files = readServices(dir);
 		const result = files.map(({file, service}) => ({file, service: service.service}));
 		printResult(json, {services: result}, result.map(entry => `${entry.file}: service ${entry.service} is fine`));
--- a/src/commitments/create-slice-journal.ts
+++ b/src/commitments/create-slice-journal.ts
@@ -30,6 +30,8 @@
 	/** How long answers are kept for replay, in milliseconds. */
 	readonly keepAnswersMs: () => number;
 	readonly now?: () => number;
+	/** Waits so many milliseconds. */
+	readonly pause?: (ms: number) => Promise<void>;
 };
 
 /** A claim or an outcome that waits for the next write. */
@@ -60,7 +62,7 @@
 claim that was written is found by its identity.
 */
 export function createSliceJournal(options: SliceJournalOptions): SliceJournal {
-	const {platform, slice, keepAnswersMs, now = Date.now} = options;
+	const {platform, slice, keepAnswersMs, now = Date.now, pause = sleep} = options;
 	const segments = new Map<string, readonly LedgerRecord[]>();
 	let state: State | undefined;
 	let waiting: readonly Waiting[] = [];
@@ -219,7 +221,7 @@
 	const run = async (): Promise<void> => {
 		isWriting = true;
 		while (waiting.length > 0) {
-			await sleep(lastWrite + writeIntervalMs - now());
+			await pause(lastWrite + writeIntervalMs - now());
 			const entries = waiting;
 			waiting = [];
 			lastWrite = now();
@@ -229,7 +231,7 @@
 				state = undefined;
 				waiting = [...giveUpOld(entries, error), ...waiting];
 				lastWrite = 0;
-				await sleep(retryPauseMs * Math.random());
+				await pause(retryPauseMs * Math.random());
 			}
 		}
 
--- a/src/publishing/publish.ts
+++ b/src/publishing/publish.ts
@@ -52,7 +52,7 @@
 }
 
 /** Runs `step` again while the platform is out of reach; each step first looks for its own earlier effect. */
-async function untilAnswered<T>(step: () => Promise<T>): Promise<T> {
+async function untilAnswered<T>(step: () => Promise<T>, pause: (ms: number) => Promise<void>): Promise<T> {
 	for (let attempt = 1; ; attempt++) {
 		try {
 			return await step();
@@ -61,7 +61,7 @@
 				throw error;
 			}
 
-			await sleep(retryPauseMs);
+			await pause(retryPauseMs);
 		}
 	}
 }
@@ -69,15 +69,16 @@
 /**
 Puts service files in force by one conditional update of the head. A lost answer is resolved by the publication's nonce.
 
+@param pause - Waits so many milliseconds between tries.
 @returns The revision that holds the publication.
 @throws {LostRaceError} When another publisher changed one of the services meanwhile.
 @throws {SettingsError} When the files clash with services in force.
 @throws {PlatformUnavailableError} When the platform stays out of reach.
 */
-export async function publish(platform: Platform, files: readonly ServiceFile[], publisher: string): Promise<number> {
+export async function publish(platform: Platform, files: readonly ServiceFile[], publisher: string, pause: (ms: number) => Promise<void> = sleep): Promise<number> {
 	const nonce = randomUUID();
-	const base = await untilAnswered(async () => readHead(platform));
-	const services = await untilAnswered(async () => writeTexts(platform, files));
+	const base = await untilAnswered(async () => readHead(platform), pause);
+	const services = await untilAnswered(async () => writeTexts(platform, files), pause);
 	return untilAnswered(async () => {
 		for (;;) {
 			const {head, version} = await readHead(platform);
@@ -95,5 +96,5 @@
 				return merge.head.revision;
 			}
 		}
-	});
+	}, pause);
 }
--- a/src/stand-ins/create-engine-stand-in.ts
+++ b/src/stand-ins/create-engine-stand-in.ts
@@ -51,6 +51,9 @@
 		leaving: false, loadLagMs: 500, dropEvents: 0, checksOrders: true, ...options.faults,
 	};
 	const cache = new Map<string, true>();
+	/** Bytes of imported pieces: as received, and as accepted by the host. */
+	const received = new Map<string, string>();
+	const accepted = new Map<string, string>();
 	const loaded = new Set(options.loaded ?? ['small@v1']);
 	const running = new Map<string, {readonly res: ServerResponse; cancelled: boolean}>();
 	const runs: Record<string, number> = {};
@@ -202,6 +205,7 @@
 		}
 
 		const {data, generation} = answer.body as {readonly data: string; readonly generation: number};
+		received.set(body.key, data);
 		return [200, {checksum: digest(data), generation}];
 	};
 
@@ -284,7 +288,9 @@
 			}
 
 			case '/kv/accept': {
-				cachePiece((body as {readonly key: string}).key);
+				const {key} = body as {readonly key: string};
+				accepted.set(key, received.get(key) ?? '');
+				cachePiece(key);
 				return [200, {}];
 			}
 
--- /dev/null
+++ b/test/commitments/slice-journal.test.ts
@@ -0,0 +1,140 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {createSliceJournal} from '../../src/commitments/create-slice-journal.js';
+import {type ClaimAnswer} from '../../src/decide/commitments/claim-answer.js';
+import {type Claim} from '../../src/decide/commitments/claim.js';
+import {type LedgerHead} from '../../src/decide/commitments/ledger-head.js';
+import {type SliceJournal} from '../../src/commitments/slice-journal.js';
+import {createFakePlatform, type PlatformFaults} from '../support/create-fake-platform.js';
+import {createRandom} from '../support/create-random.js';
+
+const hour = 3_600_000;
+const noFaults: PlatformFaults = {
+	refused: 0, lost: 0, late: 0, stale: 0,
+};
+
+async function pause(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
+function createJournals(count: number, seed: number, faults: PlatformFaults, keepAnswersMs = hour) {
+	const random = createRandom(seed);
+	const platform = createFakePlatform(random, faults);
+	const journals = Array.from({length: count}, () => createSliceJournal({
+		platform, slice: 0, keepAnswersMs: () => keepAnswersMs, pause,
+	}));
+	return {platform, journals, random};
+}
+
+const makeClaim = (key: string, id: string, digest = 'same'): Claim => ({
+	key, digest, id, holder: `host-${id}`,
+});
+
+async function claimOr(journal: SliceJournal, claim: Claim): Promise<ClaimAnswer | 'refused'> {
+	try {
+		return await journal.claim(claim);
+	} catch {
+		return 'refused';
+	}
+}
+
+describe('the journal of a slice of commitments', () => {
+	it.each([
+		['without faults', noFaults],
+		['with refused calls', {...noFaults, refused: 0.2}],
+		['with answers lost after the write', {...noFaults, lost: 0.3}],
+		['with writes that take effect later', {...noFaults, late: 0.2}],
+		['with stale reads', {...noFaults, stale: 0.3}],
+		['with all of them', {
+			refused: 0.1, lost: 0.15, late: 0.15, stale: 0.2,
+		}],
+	])('grants a key at most once to racing hosts %s', async (_name, faults) => {
+		await fc.assert(fc.asyncProperty(
+			fc.integer(),
+			fc.array(fc.tuple(fc.nat(3), fc.nat(4)), {minLength: 4, maxLength: 30}),
+			async (seed, claims) => {
+				const {journals} = createJournals(4, seed, faults);
+				const answers = await Promise.all(claims.map(async ([host, key], index) =>
+					({key, answer: await claimOr(journals[host]!, makeClaim(`key-${key}`, `claim-${index}`))})));
+				for (const key of new Set(claims.map(claim => claim[1]))) {
+					const granted = answers.filter(entry => entry.key === key && entry.answer !== 'refused' && entry.answer.kind === 'granted');
+					expect(granted.length).toBeLessThanOrEqual(1);
+				}
+			},
+		), {seed: 11, numRuns: 60});
+	});
+
+	it('runs a key at most once though holders give claims back, go silent and report late', async () => {
+		await fc.assert(fc.asyncProperty(
+			fc.integer(),
+			fc.array(fc.record({host: fc.nat(3), key: fc.nat(2), end: fc.constantFrom('done', 'released', 'unknown', 'silent')}), {minLength: 4, maxLength: 24}),
+			async (seed, claims) => {
+				const {journals} = createJournals(4, seed, {
+					refused: 0.05, lost: 0.1, late: 0.1, stale: 0.1,
+				});
+				const runs = new Map<number, number>();
+				await Promise.all(claims.map(async ({host, key, end}, index) => {
+					const claim = makeClaim(`key-${key}`, `claim-${index}`);
+					const answer = await claimOr(journals[host]!, claim);
+					if (answer === 'refused') {
+						await journals[(host + 1) % 4]!.settle({...claim, state: 'released'});
+					} else if (answer.kind === 'granted') {
+						// A released claim was never sent.
+						runs.set(key, (runs.get(key) ?? 0) + (end === 'released' ? 0 : 1));
+						if (end !== 'silent') {
+							await journals[(host + 1) % 4]!.settle({...claim, state: end});
+						}
+					} else if (answer.kind === 'running') {
+						await journals[host]!.settle({...claim, id: answer.id, state: 'unknown'});
+					}
+				}));
+				for (const count of runs.values()) {
+					expect(count).toBeLessThanOrEqual(1);
+				}
+			},
+		), {seed: 12, numRuns: 120});
+	});
+
+	it('keeps every key through rotation, merging and dropped answers, within a megabyte a value', async () => {
+		const {platform, journals} = createJournals(2, 13, noFaults, 0);
+		const keys = Array.from({length: 3000}, (_, index) => `key-${index}`);
+		for (let at = 0; at < keys.length; at += 50) {
+			await Promise.all(keys.slice(at, at + 50).map(async key => {
+				const claim = makeClaim(key, `claim-${key}`);
+				const answer = await journals[at % 2]!.claim(claim);
+				expect(answer).toEqual({kind: 'granted'});
+				await journals[at % 2]!.settle({...claim, state: 'done', answer: {status: 200, contentType: 'text/plain', body: 'x'.repeat(200)}});
+			}));
+		}
+
+		const head = JSON.parse(platform.objects.get('ledger/0/head')!.value) as LedgerHead;
+		expect(head.segments.length).toBeGreaterThan(1);
+		expect(Buffer.byteLength(JSON.stringify(head))).toBeLessThan(64 * 1024);
+		const fresh = createSliceJournal({
+			platform, slice: 0, keepAnswersMs: () => 0, pause,
+		});
+		const again = await Promise.all(keys.map(async key => fresh.claim(makeClaim(key, `again-${key}`))));
+		expect(again.every(answer => answer.kind === 'done')).toBe(true);
+		const body = again.slice(0, 100).map(answer => answer.kind === 'done' ? answer.answer.body : 'not done');
+		expect(body.every(text => text === undefined)).toBe(true);
+	});
+
+	it.each([
+		['another request under the same key', 'other', 'reused'],
+		['the same request', 'same', 'running'],
+	])('answers %s', async (_name, digest, kind) => {
+		const {journals} = createJournals(1, 14, noFaults);
+		await journals[0]!.claim(makeClaim('key', 'first'));
+		expect(await journals[0]!.claim(makeClaim('key', 'second', digest))).toMatchObject({kind});
+	});
+
+	it('does not grant a claim that its holder gave back before it was written', async () => {
+		const {journals} = createJournals(2, 15, noFaults);
+		const claim = makeClaim('key', 'early');
+		await journals[0]!.settle({...claim, state: 'released'});
+		expect(await journals[1]!.claim(claim)).toEqual({kind: 'given-up'});
+		expect(await journals[1]!.claim(makeClaim('key', 'next'))).toEqual({kind: 'granted'});
+	});
+});
--- /dev/null
+++ b/test/context/stored-blocks.test.ts
@@ -0,0 +1,125 @@
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import fc from 'fast-check';
+import {callJson} from '../../src/http/call-json.js';
+import {createEngineStandIn} from '../../src/stand-ins/create-engine-stand-in.js';
+import {createStoreStandIn} from '../../src/stand-ins/create-store-stand-in.js';
+import {type StandIn} from '../../src/stand-ins/stand-in.js';
+import {createHttpEngine} from '../../src/upstreams/create-http-engine.js';
+import {createHttpStore} from '../../src/upstreams/create-http-store.js';
+import {type StoredPiece} from '../../src/decide/routing/stored-piece.js';
+
+const timeoutMs = 5000;
+
+describe('stored blocks', () => {
+	let engine: StandIn;
+
+	beforeAll(async () => {
+		engine = await createEngineStandIn('127.0.0.1:0', {cachePieces: 10_000});
+	});
+
+	/** Checks that the engine took over only bytes that were sealed under their key. */
+	const checkAccepted = async (): Promise<void> => {
+		const {body} = await callJson(`${engine.url}/counts`, {timeoutMs});
+		for (const [key, data] of Object.entries(body.accepted as Readonly<Record<string, string>>)) {
+			expect(data === '' || data.startsWith(`${key}:`)).toBe(true);
+		}
+	};
+
+	afterAll(async () => {
+		await engine.stop();
+	});
+
+	it.each([
+		['a store that checks generations', {unchecked: false, lies: false}],
+		['a store that gives whatever stands in a block and lists lies', {unchecked: true, lies: true}],
+	])('give no other bytes than were sealed under that key and generation: %s', async (_name, faults) => {
+		const client = createHttpEngine(engine.url);
+		const operation = fc.record({what: fc.constantFrom('write', 'write', 'half', 'free', 'restart', 'race', 'import', 'import'), pick: fc.nat(20)});
+		await fc.assert(fc.asyncProperty(fc.array(operation, {minLength: 10, maxLength: 30}), async operations => {
+			const stand = await createStoreStandIn('127.0.0.1:0', {blocks: 4, memoryBlocks: 2, faults});
+			const store = createHttpStore(stand.url);
+			const sealed: StoredPiece[] = [];
+			const gone = new Set<StoredPiece>();
+			let next = 0;
+			const markFreed = (block: number): void => {
+				for (const piece of sealed) {
+					if (piece.block === block) {
+						gone.add(piece);
+					}
+				}
+			};
+
+			for (const {what, pick} of operations) {
+				const piece = sealed[pick % Math.max(1, sealed.length)];
+				if (what === 'write' || what === 'half') {
+					const key = `${stand.url}/piece-${next++}`;
+					const place = await store.reserve(key, 100, 0);
+					if (!place) {
+						continue;
+					}
+
+					await callJson(`${engine.url}/kv/accept`, {body: {key}, timeoutMs});
+					const checksum = await client.exportPiece(key, stand.url, place.block, place.generation);
+					if (what === 'write' && await store.seal(place.block, place.generation, checksum!)) {
+						sealed.push({
+							key, store: 's', ...place, checksum: checksum!, bytes: 100,
+						});
+					} else if (what === 'half') {
+						// Never sealed; a reader with a made-up entry must not get it.
+						const isRead = await client.importPiece({
+							key, store: 's', ...place, checksum: 'f'.repeat(64), bytes: 100,
+						}, stand.url);
+						expect(isRead).toBe(false);
+					}
+				} else if (what === 'free' && piece) {
+					if (await store.free(piece.block, piece.generation)) {
+						markFreed(piece.block);
+					}
+				} else if (what === 'restart') {
+					await callJson(`${stand.url}/restart`, {method: 'POST', timeoutMs});
+					markFreed(0);
+					markFreed(1);
+				} else if (what === 'race' && piece) {
+					const [isRead, isFreed] = await Promise.all([client.importPiece(piece, stand.url), store.free(piece.block, piece.generation)]);
+					if (isFreed) {
+						markFreed(piece.block);
+					}
+
+					// Either whole and right, as checked against its checksum, or a miss.
+					expect(typeof isRead).toBe('boolean');
+				} else if (what === 'import' && piece) {
+					const isRead = await client.importPiece(piece, stand.url);
+					if (!faults.unchecked) {
+						expect(isRead).toBe(!gone.has(piece));
+					}
+				}
+			}
+
+			await checkAccepted();
+			await stand.stop();
+		}), {seed: 71, numRuns: 12});
+	});
+
+	it('are a miss when another piece stands in the block by now', async () => {
+		const client = createHttpEngine(engine.url);
+		const stand = await createStoreStandIn('127.0.0.1:0', {blocks: 1, faults: {unchecked: true}});
+		const store = createHttpStore(stand.url);
+		const place = await store.reserve('old', 100, 0);
+		await callJson(`${engine.url}/kv/accept`, {body: {key: 'old'}, timeoutMs});
+		const checksum = await client.exportPiece('old', stand.url, place!.block, place!.generation);
+		await store.seal(place!.block, place!.generation, checksum!);
+		const piece = {
+			key: 'old', store: 's', ...place!, checksum: checksum!, bytes: 100,
+		};
+		expect(await client.importPiece(piece, stand.url)).toBe(true);
+		await store.free(place!.block, place!.generation);
+		const reused = await store.reserve('new', 100, 0);
+		await callJson(`${engine.url}/kv/accept`, {body: {key: 'new'}, timeoutMs});
+		await client.exportPiece('new', stand.url, reused!.block, reused!.generation);
+		expect(await client.importPiece(piece, stand.url)).toBe(false);
+		expect(await client.importPiece({...piece, generation: reused!.generation}, stand.url)).toBe(false);
+		await stand.stop();
+	});
+});
--- /dev/null
+++ b/test/decide/decisions.test.ts
@@ -0,0 +1,215 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {splitPieces} from '../../src/decide/context/split-pieces.js';
+import {pieceValue} from '../../src/decide/context/piece-value.js';
+import {rankOwners} from '../../src/decide/membership/rank-owners.js';
+import {createLease} from '../../src/decide/orders/create-lease.js';
+import {planOrders} from '../../src/decide/orders/plan-orders.js';
+import {createPoisonRegister} from '../../src/decide/poison/create-poison-register.js';
+import {createRetryBudget} from '../../src/decide/retries/create-retry-budget.js';
+import {chooseVersion} from '../../src/decide/routing/choose-version.js';
+import {rankEngines} from '../../src/decide/routing/rank-engines.js';
+import {createLeaveHold} from '../../src/decide/upstreams/create-leave-hold.js';
+import {type EngineView} from '../../src/decide/routing/engine-view.js';
+import {type StoredPiece} from '../../src/decide/routing/stored-piece.js';
+
+const scope = {
+	workspace: 'acme', service: 'drafting', model: 'small', adapter: '', version: 'v1',
+};
+
+describe('keys of context pieces', () => {
+	it.each(Object.keys(scope))('differ with another %s', field => {
+		fc.assert(fc.property(fc.string({minLength: 1, maxLength: 400}), fc.string({minLength: 1}), (prompt, other) => {
+			fc.pre(other !== scope[field as keyof typeof scope]);
+			const own = new Set(splitPieces(scope, prompt, 64).map(piece => piece.key));
+			const theirs = splitPieces({...scope, [field]: other}, prompt, 64);
+			expect(theirs.some(piece => own.has(piece.key))).toBe(false);
+		}), {seed: 31});
+	});
+
+	it('are shared exactly by the common prefix of whole pieces', () => {
+		fc.assert(fc.property(fc.string({minLength: 300, maxLength: 300}), fc.nat(299), (prompt, at) => {
+			const changed = `${prompt.slice(0, at)}${prompt[at] === 'x' ? 'y' : 'x'}${prompt.slice(at + 1)}`;
+			const one = splitPieces(scope, prompt, 50);
+			const two = splitPieces(scope, changed, 50);
+			const same = one.filter((piece, index) => piece.key === two[index]!.key).length;
+			expect(same).toBe(Math.floor(at / 50));
+		}), {seed: 32});
+	});
+});
+
+describe('the value of a kept piece', () => {
+	const use = {
+		uses: 2, ageMs: 60_000, tokens: 1000, bytes: 1e6, depth: 0,
+	};
+	it.each([
+		['a younger piece', {ageMs: 1000}, {ageMs: 1e8}],
+		['a piece that returned more often', {uses: 5}, {uses: 1}],
+		['a piece that saves more work', {tokens: 1000}, {tokens: 500}],
+		['a smaller piece', {bytes: 1e6}, {bytes: 2e6}],
+		['a piece nearer to the start', {depth: 0}, {depth: 9}],
+	])('is higher for %s', (_name, better, worse) => {
+		expect(pieceValue({...use, ...better})).toBeGreaterThan(pieceValue({...use, ...worse}));
+	});
+});
+
+describe('owners by rendezvous', () => {
+	it('move only with the host that goes', () => {
+		fc.assert(fc.property(fc.uniqueArray(fc.string({minLength: 1}), {minLength: 2, maxLength: 12}), fc.string(), (names, key) => {
+			const [first] = rankOwners(names, key);
+			for (const gone of names) {
+				const [next] = rankOwners(names.filter(name => name !== gone), key);
+				if (gone !== first) {
+					expect(next).toBe(first);
+				}
+			}
+		}), {seed: 33});
+	});
+});
+
+describe('the lease of a domain', () => {
+	it('never lets two hosts give orders at once, though they pause at will', () => {
+		fc.assert(fc.property(fc.array(fc.record({host: fc.nat(2), wait: fc.nat(4000), pause: fc.nat(30_000)}), {maxLength: 80}), steps => {
+			// A write takes effect after the host's pause; clocks run alike but are never compared.
+			let object = {version: 0, fencing: 0};
+			let now = 0;
+			const leases = Array.from({length: 3}, () => createLease(0));
+			for (const {host, wait, pause} of steps) {
+				now += wait;
+				const lease = leases[host]!;
+				const startedAt = now;
+				const isHeld = lease.fencing(now) !== undefined;
+				if (!isHeld) {
+					lease.observe(object.version, object.fencing, now);
+				}
+
+				if (isHeld || lease.canTake(now)) {
+					const fencing = isHeld ? lease.newestFencing() : lease.newestFencing() + 1;
+					const expected = lease.version();
+					now += pause % 3 === 0 ? pause : 0;
+					if (object.version === expected) {
+						object = {version: expected + 1, fencing};
+						lease.renewed(object.version, fencing, startedAt);
+					} else {
+						lease.lose();
+					}
+				}
+
+				const holders = leases.map(candidate => candidate.fencing(now)).filter(fencing => fencing !== undefined);
+				expect(holders.length).toBeLessThanOrEqual(1);
+			}
+		}), {seed: 34, numRuns: 500});
+	});
+});
+
+describe('orders to engines', () => {
+	it('keep to the limit of loads and unload only where the wanted version is', () => {
+		const engine = fc.record({loaded: fc.subarray(['m@v1', 'm@v2']), isUp: fc.boolean(), busy: fc.boolean()});
+		fc.assert(fc.property(fc.array(engine, {maxLength: 12}), fc.integer({min: 1, max: 3}), (states, limit) => {
+			const engines = states.map((state, index) => ({...state, engine: `e${index}`}));
+			const orders = planOrders(['m@v2'], engines, limit);
+			const busy = engines.filter(state => state.busy).length;
+			expect(orders.filter(order => order.kind === 'load').length).toBeLessThanOrEqual(Math.max(0, limit - busy));
+			for (const order of orders.filter(planned => planned.kind === 'unload')) {
+				expect(engines.find(state => state.engine === order.engine)!.loaded).toContain('m@v2');
+			}
+		}), {seed: 35});
+	});
+});
+
+describe('suspect requests', () => {
+	it('are condemned by a crash alone, one run at a time, with expiry', () => {
+		const register = createPoisonRegister();
+		register.suspect('d', 0);
+		expect(register.begin('d', 'one', 1)).toBe('run-alone');
+		expect(register.begin('d', 'two', 2)).toBe('wait');
+		expect(register.end('d', 'one', true, 3)).toBe('condemned');
+		expect(register.begin('d', 'two', 4)).toBe('condemned');
+		expect(register.isCondemned('d', 599_000)).toBe(true);
+		expect(register.isCondemned('d', 601_000)).toBe(false);
+	});
+
+	it('are cleared by a completed run', () => {
+		const register = createPoisonRegister();
+		register.suspect('d', 0);
+		register.begin('d', 'one', 1);
+		expect(register.end('d', 'one', false, 2)).toBe('clear');
+		expect(register.begin('d', 'two', 3)).toBe('clear');
+	});
+});
+
+describe('the retry budget', () => {
+	it('keeps retries to its share of first attempts', () => {
+		fc.assert(fc.property(fc.array(fc.boolean(), {maxLength: 2000}), steps => {
+			const budget = createRetryBudget(0.1);
+			let first = 0;
+			let retries = 0;
+			for (const isRetry of steps) {
+				if (isRetry) {
+					retries += budget.spend() ? 1 : 0;
+				} else {
+					budget.earn();
+					first++;
+				}
+			}
+
+			expect(retries).toBeLessThanOrEqual((first * 0.1) + 1);
+		}), {seed: 36});
+	});
+});
+
+describe('the leaving mark of an upstream', () => {
+	it('counts at once and does not end while the upstream flaps', () => {
+		const hold = createLeaveHold();
+		const seen = Array.from({length: 60}, (_, second) => hold.observe(second % 4 === 0, second * 1000));
+		expect(seen.every(Boolean)).toBe(true);
+	});
+
+	it('ends after the hold time', () => {
+		const hold = createLeaveHold();
+		expect(hold.observe(true, 0)).toBe(true);
+		expect(hold.observe(false, 1000)).toBe(true);
+		expect(hold.observe(false, 6001)).toBe(false);
+	});
+});
+
+describe('the weight version of a request', () => {
+	const model = {name: 'm', version: 'v2'};
+	it.each([
+		['the wanted one where any engine has it', [['m@v1'], ['m@v1', 'm@v2']], undefined, 'v2'],
+		['the most loaded one before that', [['m@v1'], ['m@v1'], ['m@v0']], undefined, 'v1'],
+		['the one it began with', [['m@v1'], ['m@v2']], 'v1', 'v1'],
+		['none when no engine has it any more', [['m@v2']], 'v1', undefined],
+		['none of another model', [['n@v2']], undefined, undefined],
+	])('is %s', (_name, loaded, pinned, expected) => {
+		expect(chooseVersion(model, loaded, pinned)).toBe(expected);
+	});
+});
+
+describe('the ranking of engines', () => {
+	const view: EngineView = {
+		name: 'e1', domain: 'd', cachedPieces: 0, waitMs: 0, prefillTokensPerS: 10_000, distanceMs: 1,
+	};
+	const stored: readonly StoredPiece[] = ['a', 'b'].map((key, block) => ({
+		key, store: 's', block, generation: 1, checksum: '', bytes: 1e8,
+	}));
+	const request = {
+		pieceTokens: [1000, 1000], stored: [undefined, undefined], cost: {firstToken: 1, recomputed: 0.1, link: 0.1}, fetchMs: () => 50,
+	};
+	it.each([
+		['an engine that caches the prompt', request, [view, {...view, name: 'e2', cachedPieces: 2}], 'e2', 0],
+		['a free engine over a cached one with a long queue', request, [view, {
+			...view, name: 'e2', cachedPieces: 2, waitMs: 5000,
+		}], 'e1', 0],
+		['fetching over a fast link', {...request, stored}, [view], 'e1', 2],
+		['recomputing over a slow link', {...request, stored, fetchMs: () => 5000}, [view], 'e1', 0],
+		['fetching over a slow link when recomputing weighs more', {
+			...request, stored, fetchMs: () => 500, cost: {firstToken: 0.1, recomputed: 1, link: 0.1},
+		}, [view], 'e1', 2],
+		['nothing after a gap in what is stored', {...request, stored: [undefined, stored[1]]}, [view], 'e1', 0],
+	])('prefers %s', (_name, wanted, engines, engine, fetched) => {
+		const [best] = rankEngines(wanted, engines, () => 0);
+		expect(best).toMatchObject({engine});
+		expect(best!.fetch).toHaveLength(fetched);
+	});
+});
--- /dev/null
+++ b/test/decide/engine-queue.test.ts
@@ -0,0 +1,149 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {createEngineQueue} from '../../src/decide/grants/create-engine-queue.js';
+import {type Ask} from '../../src/decide/grants/ask.js';
+import {type GrantAction} from '../../src/decide/grants/grant-action.js';
+
+const makeAsk = (id: string, over: Partial<Ask> = {}): Ask => ({
+	id, engine: 'e', host: 'h1', leftMs: 10_000, keys: [], alone: false, resumed: false,
+	service: 's', serviceWeight: 1, workspace: 'w', workspaceWeight: 1, cost: 100, ...over,
+});
+
+const makeQueue = (slots = 2, queueLimit = 100, openAt = 0) => createEngineQueue({
+	slots, queueLimit, openAt, random: () => 0,
+});
+
+const show = (actions: readonly GrantAction[]): readonly string[] => actions.map(action =>
+	`${action.kind} ${action.ask.id}${action.kind === 'refuse' ? ` ${action.reason}` : ''}`);
+
+describe('the queue of an engine', () => {
+	it('answers every request exactly once and never runs more than its slots', () => {
+		const step = fc.record({
+			what: fc.constantFrom('ask', 'release', 'withdraw', 'tick', 'leave', 'back', 'gone'),
+			pick: fc.nat(30), alone: fc.boolean(), wait: fc.nat(3000), host: fc.nat(2),
+		});
+		fc.assert(fc.property(fc.array(step, {maxLength: 120}), steps => {
+			const queue = makeQueue(3, 8);
+			const asked = new Set<string>();
+			const answered = new Set<string>();
+			const running = new Map<string, boolean>();
+			let now = 0;
+			const act = (actions: readonly GrantAction[]): void => {
+				for (const action of actions) {
+					expect(answered.has(action.ask.id)).toBe(false);
+					expect(asked.has(action.ask.id)).toBe(true);
+					answered.add(action.ask.id);
+					if (action.kind === 'grant') {
+						running.set(action.ask.id, action.ask.alone);
+					}
+				}
+			};
+
+			for (const [index, {what, pick, alone, wait, host}] of steps.entries()) {
+				now += wait;
+				const id = `a${pick}`;
+				switch (what) {
+					case 'ask': {
+						const ask = makeAsk(`a${index + 100}`, {alone, host: `h${host}`});
+						asked.add(ask.id);
+						act(queue.ask(ask, now));
+						break;
+					}
+
+					case 'release':
+					case 'withdraw': {
+						const [first = id] = running.keys();
+						running.delete(first);
+						act(what === 'release' ? queue.release(first, 10, now) : queue.withdraw(first, now));
+						break;
+					}
+
+					case 'gone': {
+						queue.dropHosts(() => true, now);
+						break;
+					}
+
+					case 'tick': {
+						act(queue.tick(now));
+						break;
+					}
+
+					case 'leave':
+					case 'back': {
+						act(queue.setLeaving(what === 'leave', now));
+					}
+				}
+
+				const {running: count} = queue.state();
+				expect(count).toBeLessThanOrEqual(3);
+				for (const held of running.keys()) {
+					if (count < running.size) {
+						running.delete(held);
+					}
+				}
+			}
+
+			act(queue.close(now));
+			expect(answered.size).toBe(asked.size);
+		}), {seed: 51, numRuns: 300});
+	});
+
+	it.each([
+		['over its limit', makeQueue(1, 1), 'queue-full'],
+		['when it is leaving', (() => {
+			const queue = makeQueue();
+			queue.setLeaving(true, 0);
+			return queue;
+		})(), 'leaving'],
+		['that can not be served in time', (() => {
+			const queue = makeQueue(1);
+			for (let id = 0; id < 30; id++) {
+				queue.ask(makeAsk(`b${id}`, {leftMs: 60_000}), 0);
+			}
+
+			return queue;
+		})(), 'deadline'],
+	])('refuses a request at once %s', (_name, queue, reason) => {
+		const actions = ['x1', 'x2', 'x3'].flatMap(id => queue.ask(makeAsk(id, {leftMs: 2000}), 0));
+		const refused = actions.find(action => action.kind === 'refuse');
+		expect(refused).toMatchObject({reason});
+		expect(refused!.retryAfterMs).toBeGreaterThan(0);
+	});
+
+	it('refuses what waits when its deadline comes', () => {
+		const queue = makeQueue(1);
+		queue.ask(makeAsk('a'), 0);
+		queue.ask(makeAsk('b', {leftMs: 900}), 0);
+		expect(show(queue.tick(899))).toEqual([]);
+		expect(show(queue.tick(900))).toEqual(['refuse b deadline']);
+	});
+
+	it('takes over the grants of an earlier owner before it grants', () => {
+		const queue = makeQueue(1, 10, 500);
+		expect(show(queue.ask(makeAsk('a'), 0))).toEqual([]);
+		queue.renew('h2', [{
+			engine: 'e', host: 'h2', alone: false, item: makeAsk('old'),
+		}], 100);
+		expect(show(queue.tick(600))).toEqual([]);
+		expect(show(queue.release('old', 50, 700))).toEqual(['grant a']);
+	});
+
+	it('frees the slots of a host that is gone, and of one that does not renew', () => {
+		const queue = makeQueue(1);
+		queue.ask(makeAsk('a'), 0);
+		queue.ask(makeAsk('b', {host: 'h2', leftMs: 60_000}), 0);
+		queue.ask(makeAsk('c', {host: 'h3', leftMs: 60_000}), 0);
+		expect(show(queue.dropHosts(host => host !== 'h1', 100))).toEqual(['grant b']);
+		expect(show(queue.tick(5000))).toEqual([]);
+		expect(show(queue.tick(10_200))).toEqual(['grant c']);
+	});
+
+	it('runs a suspect alone', () => {
+		const queue = makeQueue(4);
+		queue.ask(makeAsk('a'), 0);
+		expect(show(queue.ask(makeAsk('s', {alone: true}), 0))).toEqual([]);
+		expect(show(queue.ask(makeAsk('b'), 0))).toEqual([]);
+		expect(show(queue.release('a', 10, 10))).toEqual(['grant s']);
+		expect(show(queue.release('s', 10, 20))).toEqual(['grant b']);
+	});
+});
--- /dev/null
+++ b/test/publishing/publish.test.ts
@@ -0,0 +1,78 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {LostRaceError} from '../../src/publishing/lost-race-error.js';
+import {publish} from '../../src/publishing/publish.js';
+import {type ConfigHead} from '../../src/publishing/config-head.js';
+import {parseServiceText} from '../../src/settings/parse-service-text.js';
+import {digest} from '../../src/util/digest.js';
+import {createFakePlatform, type PlatformFaults} from '../support/create-fake-platform.js';
+import {createRandom} from '../support/create-random.js';
+
+function makeFile(service: string, weight: number) {
+	const text = JSON.stringify({
+		service, kind: 'plain', weight, workspaces: [{name: 'w', keys: [digest('key')]}],
+		upstreams: [{name: `${service}-1`, domain: 'd', url: `http://127.0.0.1:1/${service}`}],
+		routes: [{path: '/', method: 'GET', repeatable: true}],
+	});
+	return {file: service, text, service: parseServiceText(service, text)};
+}
+
+const faults: Readonly<Record<string, PlatformFaults>> = {
+	none: {
+		refused: 0, lost: 0, late: 0, stale: 0,
+	},
+	lost: {
+		refused: 0.1, lost: 0.4, late: 0, stale: 0,
+	},
+	late: {
+		refused: 0, lost: 0, late: 0.3, stale: 0,
+	},
+};
+
+describe('publishing', () => {
+	it.each(Object.entries(faults))('puts every accepted publication in force, and no revision twice: %s', async (_name, fault) => {
+		await fc.assert(fc.asyncProperty(fc.integer(), fc.array(fc.nat(2), {minLength: 2, maxLength: 6}), async (seed, services) => {
+			const platform = createFakePlatform(createRandom(seed), fault);
+			const results = await Promise.allSettled(services.map(async (service, index) =>
+				publish(platform, [makeFile(`service-${service}`, index + 1)], `operator-${index}`, async () => undefined)));
+			const head = JSON.parse(platform.objects.get('config/head')!.value) as ConfigHead;
+			const accepted = results.flatMap((result, index) => result.status === 'fulfilled' ? [{revision: result.value, index}] : []);
+			expect(new Set(accepted.map(entry => entry.revision)).size).toBe(accepted.length);
+			expect(head.revision).toBeGreaterThanOrEqual(Math.max(0, ...accepted.map(entry => entry.revision)));
+			for (const result of results) {
+				if (result.status === 'rejected') {
+					expect(result.reason).toBeInstanceOf(LostRaceError);
+				}
+			}
+
+			for (const [service, hash] of Object.entries(head.services)) {
+				const winner = head.recent.findLast(entry => entry.services.includes(service))!;
+				const index = Number(winner.publisher.split('-')[1]);
+				expect(hash).toBe(digest(makeFile(service, index + 1).text));
+			}
+		}), {seed: 21, numRuns: 60});
+	});
+
+	it('lets two operators on different services both win', async () => {
+		const platform = createFakePlatform(createRandom(1), faults.none!);
+		await Promise.all([publish(platform, [makeFile('one', 1)], 'a'), publish(platform, [makeFile('two', 1)], 'b')]);
+		const head = JSON.parse(platform.objects.get('config/head')!.value) as ConfigHead;
+		expect(Object.keys(head.services).toSorted()).toEqual(['one', 'two']);
+		expect(head.revision).toBe(2);
+	});
+
+	it('tells the loser of a race on one service who won', async () => {
+		const platform = createFakePlatform(createRandom(1), faults.none!);
+		const results = await Promise.allSettled([publish(platform, [makeFile('one', 1)], 'a'), publish(platform, [makeFile('one', 2)], 'b')]);
+		const lost = results.find(result => result.status === 'rejected');
+		expect(lost?.reason).toMatchObject({name: 'LostRaceError', service: 'one', revision: 1});
+	});
+
+	it('refuses a file that clashes with a service in force', async () => {
+		const platform = createFakePlatform(createRandom(1), faults.none!);
+		await publish(platform, [makeFile('one', 1)], 'a');
+		const clash = makeFile('one', 1);
+		const text = clash.text.replace('"one"', '"two"');
+		await expect(publish(platform, [{file: 'two', text, service: parseServiceText('two', text)}], 'b')).rejects.toMatchObject({name: 'SettingsError'});
+	});
+});
--- /dev/null
+++ b/test/support/create-fake-platform.ts
@@ -0,0 +1,91 @@
+import {PlatformUnavailableError} from '../../src/errors/platform-unavailable-error.js';
+import {type PlatformObject} from '../../src/platform/platform-object.js';
+import {type Platform} from '../../src/platform/platform.js';
+
+/** Shares of calls that fail in each way, from 0 to 1. */
+export type PlatformFaults = {
+	/** The call does nothing and fails. */
+	readonly refused: number;
+	/** The write takes effect and its answer is lost. */
+	readonly lost: number;
+	/** The write fails now and takes effect some calls later. */
+	readonly late: number;
+	/** The read gives an earlier version. */
+	readonly stale: number;
+};
+
+/** Creates a platform in memory that fails as told. */
+export function createFakePlatform(random: () => number, faults: PlatformFaults): Platform & {readonly objects: ReadonlyMap<string, PlatformObject>; readonly writes: () => number} {
+	const objects = new Map<string, PlatformObject>();
+	const earlier = new Map<string, PlatformObject>();
+	const late: Array<() => void> = [];
+	let writes = 0;
+
+	const apply = (key: string, value: string, expected: number): number | undefined => {
+		const current = objects.get(key);
+		if ((current?.version ?? 0) !== expected) {
+			return undefined;
+		}
+
+		if (Buffer.byteLength(value) > 1024 * 1024) {
+			throw new Error(`value of ${key} is over a megabyte`);
+		}
+
+		if (current) {
+			earlier.set(key, current);
+		}
+
+		objects.set(key, {key, version: expected + 1, value});
+		return expected + 1;
+	};
+
+	const step = async (): Promise<void> => {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		if (late.length > 0 && random() < 0.3) {
+			late.splice(Math.floor(random() * late.length), 1)[0]!();
+		}
+	};
+
+	return {
+		objects,
+		writes: () => writes,
+		async read(key) {
+			await step();
+			if (random() < faults.refused) {
+				throw new PlatformUnavailableError('refused', 'no');
+			}
+
+			return random() < faults.stale ? earlier.get(key) ?? objects.get(key) : objects.get(key);
+		},
+		async write(key, value, expected) {
+			await step();
+			writes++;
+			if (random() < faults.refused) {
+				throw new PlatformUnavailableError('refused', 'no');
+			}
+
+			if (random() < faults.late) {
+				late.push(() => {
+					apply(key, value, expected);
+				});
+				throw new PlatformUnavailableError('timeout', 'unknown');
+			}
+
+			const version = apply(key, value, expected);
+			if (random() < faults.lost) {
+				throw new PlatformUnavailableError('answer lost', 'unknown');
+			}
+
+			await step();
+			return version;
+		},
+		async watch(key, after) {
+			const object = objects.get(key);
+			return object && object.version > after ? object : undefined;
+		},
+		list: async prefix => [...objects.keys()].filter(key => key.startsWith(prefix)),
+		hosts: async () => [],
+	};
+}
--- /dev/null
+++ b/test/support/create-random.ts
@@ -0,0 +1,8 @@
+import {xorshift128plus} from 'pure-rand/generator/xorshift128plus';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+
+/** Creates a generator of numbers from 0 to 1 that gives the same series for the same seed. */
+export function createRandom(seed: number): () => number {
+	const generator = xorshift128plus(seed);
+	return () => uniformFloat64(generator);
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -31,6 +31,7 @@
 			'@typescript-eslint/no-unsafe-return': 'off',
 		},
 	},
+	{files: ['test/**/*.ts'], rules: {'max-nested-callbacks': 'off', '@typescript-eslint/no-loop-func': 'off'}},
 ];
 
 export default xoConfig;
