--- a/src/stand-ins/create-engine-stand-in.ts
+++ b/src/stand-ins/create-engine-stand-in.ts
@@ -243,7 +243,7 @@
 
 		if (path === '/counts') {
 			return [200, {
-				runs, crashes, busy, cached: [...cache.keys()],
+				runs, crashes, busy, cached: [...cache.keys()], accepted: Object.fromEntries(accepted),
 			}];
 		}
 
