--- a/src/callers/create-model-runner.ts
+++ b/src/callers/create-model-runner.ts
@@ -221,7 +221,7 @@
 	};
 
 	const isCrash = async (engine: Engine, error: BrokenStreamError): Promise<boolean> => {
-		if (!error.isCut) {
+		if (!error.isCut || !error.sent) {
 			return false;
 		}
 
--- a/src/stand-ins/create-engine-stand-in.ts
+++ b/src/stand-ins/create-engine-stand-in.ts
@@ -39,6 +39,7 @@
 };
 
 const sealedBytes = 64;
+const stallStepMs = 20;
 
 /**
 Creates a stand-in for a model engine: streaming completions with continuous batching, a limited prefix cache, resume
@@ -161,8 +162,8 @@
 					return;
 				}
 
-				if (index === faults.stallAfter) {
-					await sleep(60_000);
+				while (index === faults.stallAfter && !run.cancelled) {
+					await sleep(stallStepMs);
 				}
 
 				const text = answerToken(call.model, call.version, call.prompt, index);
--- /dev/null
+++ b/test/end-to-end/whole-answers.test.ts
@@ -0,0 +1,121 @@
+import {
+	afterAll, beforeAll, beforeEach, describe, expect, it,
+} from 'vitest';
+import {request} from 'undici';
+import {sleep} from '../../src/util/sleep.js';
+import {type EngineFaults} from '../../src/stand-ins/engine-faults.js';
+import {complete, expectedText} from '../support/complete.js';
+import {control, readCounts, readStatus} from '../support/control.js';
+import {fleetKeys, startFleet, type Fleet} from '../support/fleet.js';
+import {waitUntil} from '../support/wait-until.js';
+
+const healthy: Partial<EngineFaults> = {
+	down: false, cutAfter: -1, stallAfter: -1, duplicate: false, crossed: false,
+};
+const tokens = 20;
+
+describe('whole answers under failing upstreams', () => {
+	let fleet: Fleet;
+
+	beforeAll(async () => {
+		fleet = await startFleet({engines: 3});
+	});
+
+	beforeEach(async () => {
+		await Promise.all(fleet.engines.map(async engine => control(engine, healthy)));
+	});
+
+	afterAll(async () => {
+		await fleet.stop();
+	});
+
+	const faults: ReadonlyArray<readonly [string, Partial<EngineFaults>]> = [
+		['cuts its streams', {cutAfter: 7}],
+		['stalls its streams', {stallAfter: 7}],
+		['sends every token twice', {duplicate: true}],
+		['sends the stream of another attempt', {crossed: true}],
+		['is gone', {down: true}],
+	];
+
+	it.each(faults)('come whole when one engine %s', async (_name, fault) => {
+		await control(fleet.engines[0]!, fault);
+		const prompts = Array.from({length: 12}, (_, index) => `${JSON.stringify(fault)} prompt ${index}`);
+		const answers = await Promise.all(prompts.map(async (prompt, index) =>
+			complete(fleet.hosts[index % fleet.hosts.length]!.callers, index % 2 === 0 ? fleetKeys.acme : fleetKeys.brook, {prompt, max_tokens: tokens})));
+		for (const [index, answer] of answers.entries()) {
+			const isRight = answer.isWhole ? answer.text === expectedText(prompts[index]!, tokens) : answer.error !== undefined;
+			expect(isRight, JSON.stringify(answer)).toBe(true);
+			expect(expectedText(prompts[index]!, tokens).startsWith(answer.text)).toBe(true);
+		}
+
+		// The retry budget begins with one retry a host; most answers have to come whole all the same.
+		expect(answers.filter(answer => answer.isWhole).length).toBeGreaterThanOrEqual(4);
+	});
+
+	it('end in an explicit error, without [DONE], when every engine cuts its streams', async () => {
+		await Promise.all(fleet.engines.map(async engine => control(engine, {cutAfter: 5})));
+		const answer = await complete(fleet.hosts[0]!.callers, fleetKeys.acme, {prompt: 'doomed', max_tokens: tokens});
+		expect(answer).toMatchObject({status: 200, isWhole: false, error: {kind: expect.any(String), ran: 'yes'}});
+		expect(answer.text).toBe(expectedText('doomed', 5));
+	});
+
+	it('come whole when the host that owns the engine is killed in mid-stream', async () => {
+		const [receiving] = fleet.hosts;
+		const owners = fleet.hosts.slice(1);
+		const prompts = Array.from({length: 6}, (_, index) => `long stream ${index}`);
+		const answers = prompts.map(async prompt => complete(receiving!.callers, fleetKeys.acme, {prompt, max_tokens: 150}));
+		await sleep(300);
+		for (const owner of owners) {
+			owner.process.child.kill('SIGKILL');
+		}
+
+		for (const [index, answer] of (await Promise.all(answers)).entries()) {
+			expect(answer).toMatchObject({isWhole: true, text: expectedText(prompts[index]!, 150)});
+		}
+
+		for (const owner of owners) {
+			fleet.startHost(owner);
+		}
+
+		await fleet.ready();
+	});
+
+	it('stop at the engine when the caller goes away', async () => {
+		const gone = new AbortController();
+		const answer = await request(`http://${fleet.hosts[0]!.callers}/v1/completions`, {
+			method: 'POST',
+			headers: {authorization: `Bearer ${fleetKeys.acme}`},
+			body: JSON.stringify({
+				model: 'small', prompt: 'leaving caller', max_tokens: 4000, stream: true,
+			}),
+			signal: gone.signal,
+		});
+		answer.body.once('data', () => {
+			gone.abort();
+		});
+		answer.body.on('error', () => undefined);
+		await waitUntil('the engines to be idle', async () => {
+			const counts = await Promise.all(fleet.engines.map(async engine => readCounts(engine)));
+			const states = await Promise.all(fleet.hosts.map(async host => readStatus(host)));
+			return gone.signal.aborted && counts.every(count => count.busy === 0) && states.every(state => state.underWay === 0);
+		});
+	});
+});
+
+describe('whole answers of plain services', () => {
+	it.each([
+		['cut off in the middle', {truncate: true}],
+		['never given', {loseAnswers: true}],
+		['later than the deadline', {runMs: 3000}],
+	])('become an explicit error when the answer is %s', async (_name, fault) => {
+		const fleet = await startFleet({
+			domains: ['west-1'], hostsPerDomain: 1, engines: 1, services: {deadlineMs: 1500},
+		});
+		await control(fleet.service, fault);
+		const answer = await request(`http://${fleet.hosts[0]!.callers}/services/booking/slots`, {headers: {authorization: `Bearer ${fleetKeys.acme}`}});
+		const body = await answer.body.json();
+		expect(answer.statusCode).toBe(502);
+		expect(body).toMatchObject({error: {kind: 'upstream-failed', ran: 'unknown'}});
+		await fleet.stop();
+	});
+});
