--- a/src/callers/create-model-runner.ts
+++ b/src/callers/create-model-runner.ts
@@ -77,10 +77,13 @@
 export function createModelRunner(options: ModelRunnerOptions): ModelRunner {
 	const {domain, asker, context, poison, engineAt, statusOf, linkOf, waits, budgetOf, offer, decisions, metrics, random} = options;
 
-	const listUsable = (request: ModelRequest, failed: ReadonlySet<string>): readonly Upstream[] => request.service.upstreams.filter(upstream => {
-		const status = statusOf(upstream);
-		return !upstream.leaving && !failed.has(upstream.name) && !(status?.leaving) && status?.isUp !== false;
-	});
+	/** Engines that take new work; those that fail are left out while there are others. */
+	const listUsable = (request: ModelRequest, failed: ReadonlySet<string>): readonly Upstream[] => {
+		const open = request.service.upstreams.filter(upstream =>
+			!upstream.leaving && !failed.has(upstream.name) && !statusOf(upstream)?.leaving);
+		const up = open.filter(upstream => statusOf(upstream)?.isUp !== false);
+		return up.length > 0 ? up : open;
+	};
 
 	const toView = (upstream: Upstream, pieces: readonly Piece[], found: ReadonlyArray<PieceRecord | undefined>): EngineView => {
 		const miss = pieces.findIndex((_, index) => !found[index]?.engines.includes(upstream.name));
@@ -282,7 +285,7 @@
 		const upstream = request.service.upstreams.find(candidate => candidate.name === engine)!;
 		const crashed = !request.signal.aborted && await isCrash(engineAt(upstream.url), error);
 		if (crashed) {
-			poison.suspect(requestDigest);
+			await poison.suspect(requestDigest);
 		}
 
 		decisions.note({requestId: request.requestId, what: 'broken', reason: `engine ${engine}: ${error.message}${crashed ? ' (crash)' : ''}`});
@@ -323,6 +326,7 @@
 			const run = await enterAlone(request, progress, requestDigest);
 			let crashed = false;
 			let hasRun = false;
+			let hasFailed = false;
 			let grant: Grant | undefined;
 			const sent = progress.offset;
 			try {
@@ -346,10 +350,11 @@
 					throw error;
 				}
 
+				hasFailed = true;
 				crashed = await onBroken(request, progress, error, grant!.engine, requestDigest);
 				checkRetry(request, progress, budget, error);
 			} finally {
-				grant?.release(progress.offset - sent);
+				grant?.release(progress.offset - sent, hasFailed && !request.signal.aborted);
 				if (run !== undefined && hasRun) {
 					await poison.end(requestDigest, run, crashed);
 				}
--- a/src/grants/create-grant-asker-task.ts
+++ b/src/grants/create-grant-asker-task.ts
@@ -79,9 +79,11 @@
 			id: ask.id,
 			engine,
 			cachedPieces: answer.cachedPieces,
-			release(tokens) {
+			release(tokens, hasFailed) {
 				if (running.delete(ask.id)) {
-					tellOwner(candidate, 'grant.release', {engine, id: ask.id, tokens});
+					tellOwner(candidate, 'grant.release', {
+						engine, id: ask.id, tokens, hasFailed,
+					});
 				}
 			},
 		};
@@ -184,7 +186,7 @@
 		for (const ask of asks) {
 			void ask.then(other => {
 				if (other.index !== winner) {
-					other.grant.release(0);
+					other.grant.release(0, false);
 				}
 			}, () => undefined);
 		}
--- a/src/grants/create-grant-owner-task.ts
+++ b/src/grants/create-grant-owner-task.ts
@@ -21,6 +21,8 @@
 const reportTimeoutMs = 800;
 const adoptionMs = 500;
 const failedPollsToDown = 2;
+const failedRunsToDown = 3;
+const failingMs = 5000;
 
 const refusalKinds: Readonly<Record<RefuseReason, ErrorKind>> = {
 	'queue-full': 'overloaded',
@@ -50,6 +52,10 @@
 	readonly cached: Set<string>;
 	cacheSeq: number;
 	failedPolls: number;
+	/** Failed runs since the last one that ended whole. */
+	failedRuns: number;
+	/** Until when the engine is to be avoided for its failed runs. */
+	failingUntil: number;
 	reportedLeaving: boolean;
 };
 
@@ -97,7 +103,7 @@
 		const section = `engines/${domain}`;
 		const known = membership.gossip.get(section, owned.upstream.name)?.value as EngineStatus | undefined;
 		if (JSON.stringify(known) !== JSON.stringify(status)) {
-			membership.put(section, owned.upstream.name, status);
+			void membership.put(section, owned.upstream.name, status);
 		}
 	};
 
@@ -126,6 +132,15 @@
 		owned.cacheSeq = seq;
 	};
 
+	const countRun = (owned: OwnedEngine, hasFailed: boolean): void => {
+		owned.failedRuns = hasFailed ? owned.failedRuns + 1 : 0;
+		if (owned.failedRuns >= failedRunsToDown) {
+			owned.failingUntil = Date.now() + failingMs;
+			const known = membership.gossip.get(`engines/${domain}`, owned.upstream.name)?.value as EngineStatus | undefined;
+			tell(owned, {loaded: known?.loaded ?? [], leaving: owned.queue.state().leaving, isUp: false});
+		}
+	};
+
 	const poll = async (owned: OwnedEngine): Promise<void> => {
 		const engine = engineAt(owned.upstream.url);
 		try {
@@ -133,7 +148,7 @@
 			owned.failedPolls = 0;
 			owned.reportedLeaving = report.leaving;
 			applyLeaving(owned);
-			tell(owned, {loaded: report.loaded, leaving: owned.queue.state().leaving, isUp: true});
+			tell(owned, {loaded: report.loaded, leaving: owned.queue.state().leaving, isUp: Date.now() >= owned.failingUntil});
 			await readCache(owned, engine);
 		} catch {
 			owned.failedPolls++;
@@ -159,6 +174,8 @@
 			cached: new Set(),
 			cacheSeq: 0,
 			failedPolls: 0,
+			failedRuns: 0,
+			failingUntil: 0,
 			reportedLeaving: false,
 		};
 		engines.set(upstream.name, owned);
@@ -239,7 +256,8 @@
 			'grant.withdraw': async ({engine, id}) => withOwned(engine, owned => {
 				act(owned, owned.queue.withdraw(id, Date.now()));
 			}),
-			'grant.release': async ({engine, id, tokens}) => withOwned(engine, owned => {
+			'grant.release': async ({engine, id, tokens, hasFailed}) => withOwned(engine, owned => {
+				countRun(owned, hasFailed);
 				act(owned, owned.queue.release(id, tokens, Date.now()));
 			}),
 			async 'grant.renew'({host, grants}) {
--- a/src/grants/engine-status.ts
+++ b/src/grants/engine-status.ts
@@ -3,6 +3,6 @@
 	/** Loaded model versions, `model@version`. */
 	readonly loaded: readonly string[];
 	readonly leaving: boolean;
-	/** Whether it answered the owner's last reports. */
+	/** Whether it answers its owner and does not fail one run after the other. */
 	readonly isUp: boolean;
 };
--- a/src/grants/grant.ts
+++ b/src/grants/grant.ts
@@ -4,6 +4,6 @@
 	readonly engine: string;
 	/** Leading pieces that the engine caches, as its owner knows; `undefined` without an owner. */
 	readonly cachedPieces: number | undefined;
-	/** Gives the slot back with the tokens that the run took. */
-	readonly release: (tokens: number) => void;
+	/** Gives the slot back with the tokens that the run took, and says whether the engine failed it. */
+	readonly release: (tokens: number, hasFailed: boolean) => void;
 };
--- a/src/membership/create-membership-task.ts
+++ b/src/membership/create-membership-task.ts
@@ -117,13 +117,12 @@
 		}
 	};
 
-	const push = (section: string, entries: readonly GossipEntry[]): void => {
+	const push = async (section: string, entries: readonly GossipEntry[], scope: 'domain' | 'region' = 'domain'): Promise<void> => {
 		const near = membership.members(Date.now()).filter(member =>
-			member.domain === self.domain && member.name !== self.name && member.state !== 'dead' && member.state !== 'left');
-		for (const member of near) {
-			// Lost pushes are made up for by the next comparison of digests.
-			call(member.peers, 'gossip.sync', {sections: {[section]: entries}, want: []}).catch(() => undefined);
-		}
+			member[scope] === self[scope] && member.name !== self.name && member.state !== 'dead' && member.state !== 'left');
+		// Lost pushes are made up for by the next comparison of digests.
+		await Promise.allSettled(near.map(async member =>
+			call(member.peers, 'gossip.sync', {sections: {[section]: entries}, want: []}, {timeoutMs: probeTimeoutMs})));
 	};
 
 	const seed = async (): Promise<void> => {
@@ -161,18 +160,18 @@
 		onEntries(listener) {
 			entryListeners.push(listener);
 		},
-		put(section, id, value, expiresAt) {
+		async put(section, id, value, {expiresAt, scope} = {}) {
 			const version = Math.max(Date.now(), (gossip.get(section, id)?.version ?? 0) + 1);
 			const entry = {
 				id, version, value, ...(expiresAt === undefined ? {} : {expiresAt}),
 			};
 			take(section, [entry]);
-			push(section, [entry]);
+			await push(section, [entry], scope);
 		},
 		leave() {
 			act(membership.leave(Date.now()));
 			const section = `hosts/${self.domain}`;
-			push(section, [gossip.get(section, self.name)!]);
+			void push(section, [gossip.get(section, self.name)!]);
 		},
 		handlers: {
 			async 'gossip.probe'({digest}) {
@@ -201,7 +200,7 @@
 			clearInterval(ticking);
 			clearInterval(seeding);
 			membership.left(Date.now());
-			push(`hosts/${self.domain}`, [gossip.get(`hosts/${self.domain}`, self.name)!]);
+			void push(`hosts/${self.domain}`, [gossip.get(`hosts/${self.domain}`, self.name)!]);
 		},
 	};
 }
--- a/src/membership/membership-task.ts
+++ b/src/membership/membership-task.ts
@@ -15,8 +15,11 @@
 	readonly onFrozen: (listener: () => void) => void;
 	/** Calls `listener` with every newly taken entry of a section. */
 	readonly onEntries: (listener: (section: string, entries: readonly GossipEntry[]) => void) => void;
-	/** Puts an entry with a version above the known one and tells the hosts of the domain at once. */
-	readonly put: (section: string, id: string, value: unknown, expiresAt?: number) => void;
+	/**
+	Puts an entry with a version above the known one and tells the hosts of the domain at once, or those of the region.
+	Ends when they have answered or their time is up.
+	*/
+	readonly put: (section: string, id: string, value: unknown, options?: {readonly expiresAt?: number; readonly scope?: 'domain' | 'region'}) => Promise<void>;
 	readonly leave: () => void;
 	readonly handlers: Pick<PeerHandlers, 'gossip.probe' | 'gossip.sync' | 'gossip.probeThrough'>;
 	readonly stop: Stop;
--- a/src/peers/create-peer-caller.ts
+++ b/src/peers/create-peer-caller.ts
@@ -51,23 +51,34 @@
 
 		const timeout = AbortSignal.timeout(timeoutMs);
 		const until = signal ? AbortSignal.any([timeout, signal]) : timeout;
-		const client: JSONRPCClient = new JSONRPCClient(async payload => {
+		// The library turns a failed transfer into an error answer; the failure is kept to tell the two apart.
+		let failure: unknown;
+		const send = async (payload: unknown): Promise<JSONRPCResponse> => {
 			const text = JSON.stringify(payload);
 			onCall(method, text.length);
 			const {body} = await request(`${scheme}://${address}/rpc`, {
 				method: 'POST', body: text, headers: {'content-type': 'application/json'}, signal: until, dispatcher: agent,
 			});
-			client.receive(await body.json() as JSONRPCResponse);
+			return await body.json() as JSONRPCResponse;
+		};
+
+		const client: JSONRPCClient = new JSONRPCClient(async payload => {
+			try {
+				client.receive(await send(payload));
+			} catch (error) {
+				failure = error;
+				throw error;
+			}
 		}, () => randomUUID());
 		try {
 			return await client.request(method, params);
 		} catch (error) {
-			if (error instanceof JSONRPCErrorException) {
+			if (error instanceof JSONRPCErrorException && failure === undefined) {
 				const data = error.data as RefusalData | undefined;
 				throw new Refusal(data?.kind ?? 'internal', error.message, data?.ran ?? 'unknown', data?.retryAfterMs);
 			}
 
-			throw new PeerUnreachableError(address, method, error);
+			throw new PeerUnreachableError(address, method, failure ?? error);
 		}
 	};
 
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -52,7 +52,7 @@
 		readonly result: Readonly<Record<string, never>>;
 	};
 	readonly 'grant.release': {
-		readonly params: {readonly engine: string; readonly id: string; readonly tokens: number};
+		readonly params: {readonly engine: string; readonly id: string; readonly tokens: number; readonly hasFailed: boolean};
 		readonly result: Readonly<Record<string, never>>;
 	};
 	/** Keeps grants from expiring; an owner that does not know them yet takes them over. */
--- a/src/poison/create-poison-task.ts
+++ b/src/poison/create-poison-task.ts
@@ -17,9 +17,9 @@
 export function createPoisonTask(self: string, membership: MembershipTask, owners: Owners, call: PeerCaller): PoisonTask {
 	const register = createPoisonRegister();
 
-	const tell = (digest: string, state: PoisonMark['state']): void => {
-		membership.put(section, digest, {state}, Date.now() + keptMs);
-	};
+	// Told to the whole region at once, so that a caller who sends again through another host finds it known.
+	const tell = async (digest: string, state: PoisonMark['state']): Promise<void> =>
+		membership.put(section, digest, {state}, {expiresAt: Date.now() + keptMs, scope: 'region'});
 
 	membership.onEntries((name, entries) => {
 		if (name !== section) {
@@ -52,9 +52,9 @@
 	const endHere = (digest: string, run: string, crashed: boolean): Readonly<Record<string, never>> => {
 		const verdict = register.end(digest, run, crashed, Date.now());
 		if (verdict === 'condemned') {
-			tell(digest, 'condemned');
+			void tell(digest, 'condemned');
 		} else if (verdict === 'clear' && !crashed) {
-			tell(digest, 'clear');
+			void tell(digest, 'clear');
 		}
 
 		return {};
@@ -68,9 +68,9 @@
 	return {
 		isCondemned: digest => register.isCondemned(digest, Date.now()),
 		isSuspect: digest => register.isSuspect(digest, Date.now()),
-		suspect(digest) {
+		async suspect(digest) {
 			if (!register.isSuspect(digest, Date.now())) {
-				tell(digest, 'suspect');
+				await tell(digest, 'suspect');
 			}
 		},
 		async begin(digest, run) {
--- a/src/poison/poison-task.ts
+++ b/src/poison/poison-task.ts
@@ -5,8 +5,8 @@
 export type PoisonTask = {
 	readonly isCondemned: (digest: string) => boolean;
 	readonly isSuspect: (digest: string) => boolean;
-	/** The request was in flight at a crash. */
-	readonly suspect: (digest: string) => void;
+	/** The request was in flight at a crash; ends when the hosts of the region have been told. */
+	readonly suspect: (digest: string) => Promise<void>;
 	/** Asks the digest's owner whether the suspect may run now, alone. */
 	readonly begin: (digest: string, run: string) => Promise<PoisonVerdict>;
 	readonly end: (digest: string, run: string, crashed: boolean) => Promise<void>;
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -250,7 +250,7 @@
 		}),
 		explain,
 		mark(upstream, leaving) {
-			membership.put('marks', upstream, {leaving});
+			void membership.put('marks', upstream, {leaving});
 			const target = services().flatMap(service => service.upstreams).find(candidate => candidate.name === upstream);
 			const owner = target && owners.inDomain(target.domain, upstream);
 			if (owner && owner.name !== name) {
--- /dev/null
+++ b/test/end-to-end/configuration.test.ts
@@ -0,0 +1,138 @@
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {createHttpPlatform} from '../../src/platform/http-platform.js';
+import {type ConfigHead} from '../../src/publishing/config-head.js';
+import {sleep} from '../../src/util/sleep.js';
+import {complete} from '../support/complete.js';
+import {control, readStatus, setFaults} from '../support/control.js';
+import {
+	fleetKeys, startFleet, type Fleet, type FleetHost,
+} from '../support/fleet.js';
+import {startProcess} from '../support/start-process.js';
+import {waitUntil} from '../support/wait-until.js';
+
+async function waitForRevision(hosts: readonly FleetHost[], revision: number): Promise<void> {
+	await waitUntil(`revision ${revision} everywhere`, async () => {
+		const states = await Promise.all(hosts.map(async host => readStatus(host)));
+		return states.every(state => state.revision >= revision);
+	});
+}
+
+/** Watches that no host's revision ever goes down. */
+function watchRevisions(hosts: readonly FleetHost[]): {readonly stop: () => Promise<readonly string[]>} {
+	const highest = new Map<string, number>();
+	const drops: string[] = [];
+	const stopping = new AbortController();
+	const watching = (async () => {
+		while (!stopping.signal.aborted) {
+			for (const host of hosts) {
+				const state = await readStatus(host).catch(() => undefined);
+				if (state && state.revision < (highest.get(host.name) ?? 0)) {
+					drops.push(`${host.name}: ${state.revision} after ${highest.get(host.name)}`);
+				}
+
+				highest.set(host.name, Math.max(highest.get(host.name) ?? 0, state?.revision ?? 0));
+			}
+
+			await sleep(20);
+		}
+	})();
+	return {
+		async stop() {
+			stopping.abort();
+			await watching;
+			return drops;
+		},
+	};
+}
+
+describe('an accepted configuration comes into force everywhere and never reverts', () => {
+	let fleet: Fleet;
+
+	afterEach(async () => {
+		await fleet.stop();
+	});
+
+	it('while publishers race and the platform loses answers and gives stale reads', async () => {
+		fleet = await startFleet();
+		const watch = watchRevisions(fleet.hosts);
+		await control(fleet.platform, {loseAnswers: 4});
+		const results = await Promise.allSettled(Array.from({length: 6}, async (_, index) => fleet.publish({deadlineMs: 10_000 + index})));
+		const accepted = results.flatMap(result => result.status === 'fulfilled' ? [result.value] : []);
+		expect(accepted.length).toBeGreaterThan(0);
+		await control(fleet.platform, {staleReads: true, loseAnswers: 0});
+		await sleep(1500);
+		await control(fleet.platform, {staleReads: false});
+		await waitForRevision(fleet.hosts, Math.max(...accepted));
+		expect(await watch.stop()).toEqual([]);
+	});
+
+	it('in a host that starts while the platform is down, from its peers', async () => {
+		fleet = await startFleet();
+		const revision = await fleet.publish({deadlineMs: 9000});
+		await waitForRevision(fleet.hosts, revision);
+		await control(fleet.platform, {down: true});
+		const late = fleet.hosts[3]!;
+		late.process.child.kill('SIGKILL');
+		await late.process.exit();
+		fleet.startHost(late);
+		await waitForRevision([late], revision);
+		const answer = await complete(late.callers, fleetKeys.acme, {prompt: 'from peers', max_tokens: 3});
+		expect(answer.isWhole).toBe(true);
+	});
+
+	it('in a domain that is cut off from the platform, through the other domain', async () => {
+		fleet = await startFleet();
+		await Promise.all(fleet.hosts.slice(2).map(async host => setFaults(host, {cutPlatform: true})));
+		const revision = await fleet.publish({deadlineMs: 9000});
+		await waitForRevision(fleet.hosts, revision);
+	});
+
+	it('in a domain that was cut off from all, once it is back; until then it serves what it has', async () => {
+		fleet = await startFleet();
+		const [near, far] = [fleet.hosts.slice(0, 2), fleet.hosts.slice(2)];
+		const watch = watchRevisions(fleet.hosts);
+		await Promise.all(far.map(async host => setFaults(host, {cutPlatform: true, cutPeers: near.map(other => other.peers)})));
+		await Promise.all(near.map(async host => setFaults(host, {cutPeers: far.map(other => other.peers)})));
+		const revision = await fleet.publish({deadlineMs: 9000});
+		await waitForRevision(near, revision);
+		expect((await readStatus(far[0]!)).revision).toBeLessThan(revision);
+		const answer = await complete(far[0]!.callers, fleetKeys.acme, {prompt: 'cut off', max_tokens: 3});
+		expect(answer.isWhole).toBe(true);
+		await Promise.all(fleet.hosts.map(async host => setFaults(host, {cutPlatform: false, cutPeers: []})));
+		await waitForRevision(far, revision);
+		expect(await watch.stop()).toEqual([]);
+	});
+
+	it('when publishers are killed at any step: theirs is in force whole or not at all, and the next one wins', async () => {
+		fleet = await startFleet({hostsPerDomain: 1});
+		const folder = mkdtempSync(path.join(tmpdir(), 'hemlockpier-killed-'));
+		const text = (weight: number): string => JSON.stringify({
+			service: 'extra', kind: 'plain', weight, workspaces: [{name: 'w', keys: ['a'.repeat(64)]}],
+			upstreams: [{name: 'extra-1', domain: 'west-1', url: 'http://127.0.0.1:1'}],
+			routes: [{path: '/', method: 'GET', repeatable: true}],
+		});
+		await control(fleet.platform, {slowMs: 120});
+		for (const [index, delayMs] of [450, 600, 750, 900, 1050].entries()) {
+			writeFileSync(path.join(folder, 'extra.hemlockpier.jsonc'), text(index + 1));
+			const publisher = startProcess(['publish', folder, '--platform', fleet.platform.url]);
+			await sleep(delayMs);
+			publisher.child.kill('SIGKILL');
+		}
+
+		await control(fleet.platform, {slowMs: 0});
+		const platform = createHttpPlatform(fleet.platform.url);
+		const head = JSON.parse((await platform.read('config/head'))!.value) as ConfigHead;
+		for (const hash of Object.values(head.services)) {
+			expect(await platform.read(`config/service/${hash}`)).toBeDefined();
+		}
+
+		const revision = await fleet.publish({deadlineMs: 8000});
+		expect(revision).toBe(head.revision + 1);
+		await waitForRevision(fleet.hosts, revision);
+	});
+});
--- /dev/null
+++ b/test/end-to-end/shutdown.test.ts
@@ -0,0 +1,105 @@
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import {request} from 'undici';
+import {sleep} from '../../src/util/sleep.js';
+import {book} from '../support/book.js';
+import {complete, expectedText} from '../support/complete.js';
+import {readCounts} from '../support/control.js';
+import {
+	fleetKeys, startFleet, type Fleet, type FleetHost,
+} from '../support/fleet.js';
+
+const balancerLagMs = 1500;
+const drainMs = 2500;
+const callers = 8;
+
+/** A balancer that learns with a lag which hosts are ready. */
+function createBalancer(hosts: readonly FleetHost[]) {
+	const readyAt = new Map<string, boolean>(hosts.map(host => [host.name, true]));
+	const polling = setInterval(() => {
+		for (const host of hosts) {
+			request(`http://${host.operators}/readyz`).then(async answer => {
+				await answer.body.dump();
+				return answer.statusCode === 200;
+			}, () => false).then(async isReady => {
+				await sleep(balancerLagMs);
+				readyAt.set(host.name, isReady);
+			}, () => undefined);
+		}
+	}, 200);
+	let turn = 0;
+	return {
+		pick(): FleetHost {
+			const ready = hosts.filter(host => readyAt.get(host.name));
+			turn++;
+			return ready[turn % ready.length]!;
+		},
+		stop() {
+			clearInterval(polling);
+		},
+	};
+}
+
+describe('planned stops', () => {
+	let fleet: Fleet;
+
+	beforeAll(async () => {
+		fleet = await startFleet({engines: 3, drainMs});
+	});
+
+	afterAll(async () => {
+		await fleet.stop();
+	});
+
+	it('of every host in turn, under load and behind a lagging balancer, cut off no request', async () => {
+		const balancer = createBalancer(fleet.hosts);
+		const failures: string[] = [];
+		let isOver = false;
+		let count = 0;
+		const stream = async (): Promise<void> => {
+			while (!isOver) {
+				const prompt = `roll ${count++}`;
+				const {callers: address, name} = balancer.pick();
+				try {
+					const answer = await complete(address, fleetKeys.acme, {prompt, max_tokens: 30});
+					if (!answer.isWhole || answer.text !== expectedText(prompt, 30)) {
+						failures.push(`${name}: ${JSON.stringify(answer.error)}`);
+					}
+				} catch (error) {
+					failures.push(`${name}: ${String(error)}`);
+				}
+			}
+		};
+
+		const commit = async (caller: number): Promise<void> => {
+			for (let index = 0; !isOver; index++) {
+				const {callers: address, name} = balancer.pick();
+				try {
+					const answer = await book(address, fleetKeys.brook, `roll-${caller}-${index}`);
+					if (answer.status !== 200) {
+						failures.push(`${name}: ${JSON.stringify(answer.body)}`);
+					}
+				} catch (error) {
+					failures.push(`${name}: ${String(error)}`);
+				}
+			}
+		};
+
+		const load = [...Array.from({length: callers}, async () => stream()), commit(1), commit(2)];
+		for (const host of fleet.hosts) {
+			host.process.child.kill('SIGTERM');
+			expect(await host.process.exit()).toBe(0);
+			fleet.startHost(host);
+			await fleet.ready([host]);
+			await sleep(balancerLagMs + 500);
+		}
+
+		isOver = true;
+		await Promise.all(load);
+		balancer.stop();
+		expect(failures).toEqual([]);
+		const {runs} = await readCounts(fleet.service);
+		expect(Object.values(runs as Readonly<Record<string, number>>).every(runCount => runCount === 1)).toBe(true);
+	}, 120_000);
+});
--- /dev/null
+++ b/test/peers/mutual-tls.test.ts
@@ -0,0 +1,57 @@
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {describe, expect, it} from 'vitest';
+import {request} from 'undici';
+import {createPeerCaller} from '../../src/peers/create-peer-caller.js';
+import {createPeerServer} from '../../src/peers/create-peer-server.js';
+import {type PeerHandlers} from '../../src/peers/peer-handlers.js';
+import {readTlsKeys} from '../../src/settings/read-tls-keys.js';
+import {type TlsKeys} from '../../src/settings/tls-keys.js';
+import {createAuthority, type Authority} from '../support/create-keys.js';
+
+const handlers = {
+	'config.head': async () => ({revision: 7, services: {}}),
+} as unknown as PeerHandlers;
+
+const folder = mkdtempSync(path.join(tmpdir(), 'hemlockpier-tls-'));
+const makeKeys = (authority: Authority, name: string): TlsKeys => readTlsKeys(authority.write(folder, name))!;
+
+async function callWith(keys: TlsKeys | undefined, port: number): Promise<number | string> {
+	const caller = createPeerCaller(keys, () => false, () => undefined);
+	try {
+		const {revision} = await caller.call(`127.0.0.1:${port}`, 'config.head', {});
+		return revision;
+	} catch (error) {
+		return (error as Error).name;
+	} finally {
+		await caller.stop();
+	}
+}
+
+describe('mutual TLS between hosts', () => {
+	const authority = createAuthority('one');
+	const other = createAuthority('other');
+
+	it('gives a peer without a valid key nothing', async () => {
+		const server = await createPeerServer('127.0.0.1:0', makeKeys(authority, 'a'), handlers, () => false);
+		expect(await callWith(makeKeys(authority, 'b'), server.port)).toBe(7);
+		expect(await callWith(makeKeys(other, 'c'), server.port)).toBe('PeerUnreachableError');
+		expect(await callWith(undefined, server.port)).toBe('PeerUnreachableError');
+		await expect(request(`http://127.0.0.1:${server.port}/rpc`, {method: 'POST', body: '{}'})).rejects.toThrow();
+		await server.stop();
+	});
+
+	it('takes new keys without a restart', async () => {
+		const server = await createPeerServer('127.0.0.1:0', makeKeys(authority, 'd'), handlers, () => false);
+		const caller = createPeerCaller(makeKeys(authority, 'e'), () => false, () => undefined);
+		const address = `127.0.0.1:${server.port}`;
+		expect(await caller.call(address, 'config.head', {})).toMatchObject({revision: 7});
+		server.setKeys(makeKeys(other, 'f'));
+		caller.setKeys(makeKeys(other, 'g'));
+		expect(await caller.call(address, 'config.head', {})).toMatchObject({revision: 7});
+		expect(await callWith(makeKeys(authority, 'h'), server.port)).toBe('PeerUnreachableError');
+		await caller.stop();
+		await server.stop();
+	});
+});
--- /dev/null
+++ b/test/support/test-ports.ts
@@ -0,0 +1,38 @@
+import {createServer} from 'node:net';
+import process from 'node:process';
+import {listen} from '../../src/http/listen.js';
+
+const firstPort = 10_000;
+const portsPerWorker = 2000;
+
+const worker = Number(process.env.VITEST_POOL_ID ?? '1') % 8;
+let next = (process.pid * 37) % portsPerWorker;
+
+async function isFree(port: number): Promise<boolean> {
+	const server = createServer();
+	try {
+		await listen(server as never, {host: '127.0.0.1', port});
+		return true;
+	} catch {
+		return false;
+	} finally {
+		server.close();
+	}
+}
+
+/**
+Finds `count` free ports. Each test worker has a range of its own, below the range of outgoing connections, so that no
+other worker or connection takes a port between its choice and its use.
+*/
+export async function testPorts(count: number): Promise<readonly number[]> {
+	const ports: number[] = [];
+	while (ports.length < count) {
+		const port = firstPort + (worker * portsPerWorker) + (next % portsPerWorker);
+		next++;
+		if (await isFree(port)) {
+			ports.push(port);
+		}
+	}
+
+	return ports;
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -31,7 +31,7 @@
 			'@typescript-eslint/no-unsafe-return': 'off',
 		},
 	},
-	{files: ['test/**/*.ts'], rules: {'max-nested-callbacks': 'off', '@typescript-eslint/no-loop-func': 'off'}},
+	{files: ['test/**/*.ts'], rules: {'max-nested-callbacks': 'off', '@typescript-eslint/no-loop-func': 'off', 'unicorn/no-await-expression-member': 'off'}},
 ];
 
 export default xoConfig;
