--- a/src/callers/create-model-runner.ts
+++ b/src/callers/create-model-runner.ts
@@ -77,12 +77,13 @@
 export function createModelRunner(options: ModelRunnerOptions): ModelRunner {
 	const {domain, asker, context, poison, engineAt, statusOf, linkOf, waits, budgetOf, offer, decisions, metrics, random} = options;
 
-	/** Engines that take new work; those that fail are left out while there are others. */
-	const listUsable = (request: ModelRequest, failed: ReadonlySet<string>): readonly Upstream[] => {
-		const open = request.service.upstreams.filter(upstream =>
-			!upstream.leaving && !failed.has(upstream.name) && !statusOf(upstream)?.leaving);
-		const up = open.filter(upstream => statusOf(upstream)?.isUp !== false);
-		return up.length > 0 ? up : open;
+	const listUsable = (request: ModelRequest, failed: ReadonlySet<string>): readonly Upstream[] => request.service.upstreams.filter(upstream =>
+		!upstream.leaving && !failed.has(upstream.name) && !statusOf(upstream)?.leaving);
+
+	/** Puts engines that fail behind all others. */
+	const failingLast = (routes: readonly Route[], usable: readonly Upstream[]): readonly Route[] => {
+		const failing = new Set(usable.filter(upstream => statusOf(upstream)?.isUp === false).map(upstream => upstream.name));
+		return [...routes.filter(route => !failing.has(route.engine)), ...routes.filter(route => failing.has(route.engine))];
 	};
 
 	const toView = (upstream: Upstream, pieces: readonly Piece[], found: ReadonlyArray<PieceRecord | undefined>): EngineView => {
@@ -127,7 +128,7 @@
 			fetchMs: fetchMs(request),
 		}, views, random);
 		return {
-			version, pieces, labels, found, routes,
+			version, pieces, labels, found, routes: failingLast(routes, usable),
 		};
 	};
 
--- a/src/grants/create-grant-owner-task.ts
+++ b/src/grants/create-grant-owner-task.ts
@@ -21,8 +21,8 @@
 const reportTimeoutMs = 800;
 const adoptionMs = 500;
 const failedPollsToDown = 2;
-const failedRunsToDown = 3;
 const failingMs = 5000;
+const longestFailingMs = 60_000;
 
 const refusalKinds: Readonly<Record<RefuseReason, ErrorKind>> = {
 	'queue-full': 'overloaded',
@@ -134,8 +134,8 @@
 
 	const countRun = (owned: OwnedEngine, hasFailed: boolean): void => {
 		owned.failedRuns = hasFailed ? owned.failedRuns + 1 : 0;
-		if (owned.failedRuns >= failedRunsToDown) {
-			owned.failingUntil = Date.now() + failingMs;
+		if (hasFailed) {
+			owned.failingUntil = Date.now() + Math.min(longestFailingMs, failingMs * (2 ** (owned.failedRuns - 1)));
 			const known = membership.gossip.get(`engines/${domain}`, owned.upstream.name)?.value as EngineStatus | undefined;
 			tell(owned, {loaded: known?.loaded ?? [], leaving: owned.queue.state().leaving, isUp: false});
 		}
--- a/test/end-to-end/whole-answers.test.ts
+++ b/test/end-to-end/whole-answers.test.ts
@@ -14,7 +14,6 @@
 };
 const tokens = 20;
 const learnMs = 1500;
-
 describe('whole answers under failing upstreams', () => {
 	let fleet: Fleet;
 
@@ -40,7 +39,7 @@
 
 	it.each(faults)('come whole when one engine %s', async (_name, fault) => {
 		await control(fleet.engines[0]!, fault);
-		const prompts = Array.from({length: 12}, (_, index) => `${JSON.stringify(fault)} prompt ${index}`);
+		const prompts = Array.from({length: 24}, (_, index) => `${JSON.stringify(fault)} prompt ${index}`);
 		const answers = await Promise.all(prompts.map(async (prompt, index) =>
 			complete(fleet.hosts[index % fleet.hosts.length]!.callers, index % 2 === 0 ? fleetKeys.acme : fleetKeys.brook, {prompt, max_tokens: tokens})));
 		for (const [index, answer] of answers.entries()) {
