--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -24,6 +24,8 @@
 		format: 'cjs',
 		mainFields: ['module', 'main'],
 		logLevel: 'error',
+		// Plots are drawn as SVG; the canvas build would need a native module.
+		alias: {'vega-canvas': './node_modules/vega-canvas/build/vega-canvas.browser.js'},
 		// Roarr makes silent loggers unless this variable is set when it is first loaded.
 		banner: {js: 'process.env.ROARR_LOG ??= "true"; const importMetaUrl = require("node:url").pathToFileURL(__filename).href;'},
 		define: {'import.meta.url': 'importMetaUrl'},
--- a/src/callers/create-model-runner.ts
+++ b/src/callers/create-model-runner.ts
@@ -100,7 +100,7 @@
 
 	const fetchMs = (request: ModelRequest) => (store: string, bytes: number): number => {
 		const settings = request.service.stores.find(candidate => candidate.name === store);
-		return settings ? linkOf(settings).expectMs(bytes) : Number.POSITIVE_INFINITY;
+		return settings ? linkOf(settings).expectMs(bytes, Date.now()) : Number.POSITIVE_INFINITY;
 	};
 
 	const plan = async (request: ModelRequest, progress: Progress): Promise<Plan> => {
@@ -139,9 +139,9 @@
 		try {
 			const grant = await asker.acquire({
 				requestId,
-				candidates: routes.map(({engine}) => {
+				candidates: routes.map(({engine, recomputedTokens}) => {
 					const upstream = service.upstreams.find(candidate => candidate.name === engine)!;
-					return {engine, domain: upstream.domain, url: upstream.url};
+					return {engine, domain: upstream.domain, url: upstream.url, prefillTokens: recomputedTokens};
 				}),
 				item: {
 					service: service.service, serviceWeight: service.weight, workspace: workspace.name, workspaceWeight: workspace.weight,
@@ -181,9 +181,9 @@
 			let isImported = false;
 			try {
 				isImported = await engine.importPiece(piece, store.url);
-				link.end(piece.bytes, Date.now() - began);
+				link.end(piece.bytes, Date.now() - began, Date.now());
 			} catch {
-				link.fail(piece.bytes);
+				link.fail(piece.bytes, Date.now());
 			}
 
 			if (!isImported) {
--- a/src/context/create-context-task.ts
+++ b/src/context/create-context-task.ts
@@ -22,13 +22,14 @@
 	/** Stores in reach, with the services that use them. */
 	readonly stores: () => readonly StoreSettings[];
 	readonly storeAt: (url: string) => Store;
+	readonly random: () => number;
 };
 
 /** Starts the task that keeps the directory slices of this host and asks the owners of the others. */
 export function createContextTask(options: ContextTaskOptions): ContextTask & {readonly onOwnersChange: () => void} {
-	const {self, owners, call, stores, storeAt} = options;
+	const {self, owners, call, stores, storeAt, random} = options;
 	const tagOf = (label: string): number => sliceOf(label, sliceCount);
-	const directory = createDirectory(tagOf);
+	const directory = createDirectory(tagOf, random);
 	const listedTo = new Map<string, {readonly seq: number; readonly tags: string}>();
 
 	const ownerOf = (tag: number) => owners.inRegion(`context/${tag}`);
@@ -65,7 +66,10 @@
 		}
 	};
 
-	const listing = setInterval(listStores, listMs);
+	const listing = setInterval(() => {
+		directory.sweep(Date.now());
+		listStores();
+	}, listMs);
 
 	/** Groups indexes of `labels` by the address of their owner; own ones under the empty string. */
 	const groupByOwner = (labels: readonly string[]): ReadonlyMap<string, readonly number[]> => {
--- a/src/context/create-directory.ts
+++ b/src/context/create-directory.ts
@@ -1,10 +1,12 @@
 import {pieceValue} from '../decide/context/piece-value.js';
 import {type StoredPiece} from '../decide/routing/stored-piece.js';
+import {createSampleSet} from '../util/create-sample-set.js';
+import {type SampleSet} from '../util/sample-set.js';
 import {type Directory} from './directory.js';
 
 const keptEngines = 3;
 const forgetUnstoredMs = 3_600_000;
-const sampleSize = 512;
+const sampleSize = 64;
 
 /** A piece with its use. */
 type Entry = {
@@ -19,13 +21,55 @@
 	readonly lastAt: number;
 };
 
-/** Creates an empty directory. */
-export function createDirectory(tagOf: (label: string) => number): Directory {
+/**
+Creates an empty directory. Pieces to free are found by sampling, so that the cost of freeing does not grow with the
+number of pieces.
+*/
+export function createDirectory(tagOf: (label: string) => number, random: () => number): Directory {
 	const entries = new Map<string, Entry>();
+	const stores = new Map<string, SampleSet<string>>();
+	const bytes = new Map<string, number>();
+
+	const keysOf = (store: string): SampleSet<string> => {
+		const keys = stores.get(store) ?? createSampleSet<string>();
+		stores.set(store, keys);
+		return keys;
+	};
+
+	const countBytes = ({workspace, stored}: Entry, sign: 1 | -1): void => {
+		if (stored) {
+			const account = `${stored.store}\n${workspace}`;
+			bytes.set(account, (bytes.get(account) ?? 0) + (sign * stored.bytes));
+		}
+	};
+
+	const remove = (key: string): void => {
+		const known = entries.get(key);
+		if (known) {
+			countBytes(known, -1);
+			entries.delete(key);
+		}
+
+		if (known?.stored) {
+			keysOf(known.stored.store).delete(key);
+		}
+	};
 
 	const put = (entry: Entry): void => {
-		// Deleting first keeps the map in order of use, oldest first.
-		entries.delete(entry.key);
+		const known = entries.get(entry.key);
+		if (known) {
+			countBytes(known, -1);
+		}
+
+		if (known?.stored && known.stored.store !== entry.stored?.store) {
+			keysOf(known.stored.store).delete(entry.key);
+		}
+
+		if (entry.stored) {
+			keysOf(entry.stored.store).add(entry.key);
+		}
+
+		countBytes(entry, 1);
 		entries.set(entry.key, entry);
 	};
 
@@ -37,18 +81,6 @@
 		depth: entry.depth,
 	});
 
-	const dropOldUnstored = (now: number): void => {
-		for (const entry of entries.values()) {
-			if (now - entry.lastAt < forgetUnstoredMs) {
-				return;
-			}
-
-			if (!entry.stored) {
-				entries.delete(entry.key);
-			}
-		}
-	};
-
 	return {
 		lookup(key, now) {
 			const entry = entries.get(key);
@@ -56,8 +88,8 @@
 				return undefined;
 			}
 
-			put({...entry, uses: entry.uses + 1, lastAt: now});
-			return {key, engines: entry.engines, ...(entry.stored ? {stored: entry.stored} : {})};
+			entries.set(key, {...entry, uses: entry.uses + 1, lastAt: now});
+			return {key, engines: entry.engines, uses: entry.uses, ...(entry.stored ? {stored: entry.stored} : {})};
 		},
 		add({key, label, workspace, tokens, depth, engine, stored, lost}, now) {
 			const known = entries.get(key);
@@ -73,19 +105,22 @@
 				uses: known?.uses ?? 1,
 				lastAt: now,
 			});
-			dropOldUnstored(now);
 		},
 		list(store, listed, now) {
-			for (const {key, tag, block, generation, checksum, bytes, state} of listed) {
+			for (const {key, tag, block, generation, checksum, bytes: size, state} of listed) {
 				const known = entries.get(key);
 				const isSame = known?.stored?.store === store && known.stored.block === block;
 				if (state === 'sealed') {
 					put({
-						key, tag, workspace: known?.workspace ?? '', tokens: known?.tokens ?? 1000, depth: known?.depth ?? 0,
-						engines: known?.engines ?? [], uses: known?.uses ?? 1, lastAt: known?.lastAt ?? now,
-						stored: {
-							key, store, block, generation, checksum, bytes,
-						},
+						key,
+						tag,
+						workspace: known?.workspace ?? '',
+						tokens: known?.tokens ?? 1000,
+						depth: known?.depth ?? 0,
+						engines: known?.engines ?? [],
+						uses: known?.uses ?? 1,
+						lastAt: known?.lastAt ?? now,
+						stored: {key, store, block, generation, checksum, bytes: size},
 					});
 				} else if (known && isSame) {
 					put({...known, stored: undefined});
@@ -95,48 +130,38 @@
 		dropStore(store) {
 			for (const entry of entries.values()) {
 				if (entry.stored?.store === store) {
-					entries.set(entry.key, {...entry, stored: undefined});
+					put({...entry, stored: undefined});
 				}
 			}
 		},
 		keepSlices(isOwn) {
 			for (const entry of entries.values()) {
 				if (!isOwn(entry.tag)) {
-					entries.delete(entry.key);
+					remove(entry.key);
 				}
 			}
 		},
-		takeLeast(store, value, count, now) {
-			const sample: Entry[] = [];
+		sweep(now) {
 			for (const entry of entries.values()) {
-				if (entry.stored?.store === store) {
-					sample.push(entry);
-				}
-
-				if (sample.length === sampleSize) {
-					break;
+				if (!entry.stored && now - entry.lastAt >= forgetUnstoredMs) {
+					remove(entry.key);
 				}
 			}
-
+		},
+		takeLeast(store, value, count, now) {
+			const sample = [...new Set(keysOf(store).draw(sampleSize, random))].map(key => entries.get(key)!);
 			const least = sample
 				.map(entry => ({entry, value: valueOf(entry, now)}))
 				.filter(scored => scored.value < value)
 				.toSorted((a, b) => a.value - b.value)
 				.slice(0, count);
 			for (const {entry} of least) {
-				entries.set(entry.key, {...entry, stored: undefined});
+				put({...entry, stored: undefined});
 			}
 
 			return least.map(({entry}) => entry.stored!);
 		},
-		workspaceBytes(workspace) {
-			let bytes = 0;
-			for (const entry of entries.values()) {
-				bytes += entry.workspace === workspace ? entry.stored?.bytes ?? 0 : 0;
-			}
-
-			return bytes;
-		},
+		workspaceBytes: (store, workspace) => bytes.get(`${store}\n${workspace}`) ?? 0,
 		size: () => entries.size,
 	};
 }
--- a/src/context/create-offload-task.ts
+++ b/src/context/create-offload-task.ts
@@ -1,5 +1,6 @@
 import PQueue from 'p-queue';
 import {pieceValue} from '../decide/context/piece-value.js';
+import {shouldOffload} from '../decide/context/should-offload.js';
 import {type Piece} from '../decide/context/piece.js';
 import {type LinkEstimate} from '../decide/routing/link-estimate.js';
 import {log} from '../observe/log.js';
@@ -10,7 +11,6 @@
 
 const transfersAtOnce = 2;
 const queueLimit = 500;
-const linkBacklogMs = 2000;
 
 /** A piece that an engine has cached and a store should keep. */
 type Offload = {
@@ -20,6 +20,8 @@
 	readonly piece: Piece;
 	readonly depth: number;
 	readonly bytes: number;
+	/** How often the piece has been run. */
+	readonly uses: number;
 	readonly engine: Engine;
 	readonly engineName: string;
 	readonly store: StoreSettings;
@@ -72,7 +74,7 @@
 		link.begin(bytes);
 		try {
 			const checksum = await engine.exportPiece(piece.key, store.url, place.block, place.generation);
-			link.end(bytes, Date.now() - began);
+			link.end(bytes, Date.now() - began, Date.now());
 			if (checksum === undefined || !await client.seal(place.block, place.generation, checksum)) {
 				await client.free(place.block, place.generation);
 				return;
@@ -86,7 +88,7 @@
 				service, label, key: piece.key, workspace, tokens: piece.tokens, depth, engine: offload.engineName, stored,
 			}]);
 		} catch (error) {
-			link.fail(bytes);
+			link.fail(bytes, Date.now());
 			await client.free(place.block, place.generation);
 			throw error;
 		}
@@ -94,7 +96,7 @@
 
 	return {
 		offer(offload) {
-			if (queue.size >= queueLimit || linkOf(offload.store).expectMs(offload.bytes) > linkBacklogMs) {
+			if (queue.size >= queueLimit || !shouldOffload(offload.uses, linkOf(offload.store).expectMs(0, Date.now()))) {
 				return;
 			}
 
--- a/src/context/directory.ts
+++ b/src/context/directory.ts
@@ -13,9 +13,11 @@
 	readonly dropStore: (store: string) => void;
 	/** Forgets what is not in the given slices any more. */
 	readonly keepSlices: (isOwn: (tag: number) => boolean) => void;
-	/** Takes out the least valuable pieces of a store, below `value`, at most `count`. */
+	/** Forgets what no store holds and nobody has asked for lately. */
+	readonly sweep: (now: number) => void;
+	/** Takes out the least valuable of a sample of a store's pieces, below `value`, at most `count`. */
 	readonly takeLeast: (store: string, value: number, count: number, now: number) => readonly StoredPiece[];
-	/** Bytes that a workspace has stored, as far as known. */
-	readonly workspaceBytes: (workspace: string) => number;
+	/** Bytes that a workspace has stored in a store, as far as known. */
+	readonly workspaceBytes: (store: string, workspace: string) => number;
 	readonly size: () => number;
 };
--- a/src/context/piece-record.ts
+++ b/src/context/piece-record.ts
@@ -5,5 +5,7 @@
 	readonly key: string;
 	/** Engines that ran the piece, newest first. */
 	readonly engines: readonly string[];
+	/** How often it was looked up. */
+	readonly uses: number;
 	readonly stored?: StoredPiece;
 };
--- a/src/decide/grants/ask.ts
+++ b/src/decide/grants/ask.ts
@@ -5,6 +5,8 @@
 	readonly engine: string;
 	/** Receiving host. */
 	readonly host: string;
+	/** Prompt tokens that the engine will have to compute, as the receiving host expects. */
+	readonly prefillTokens: number;
 	/** Time left to the request's deadline, in milliseconds. */
 	readonly leftMs: number;
 	/** Keys of the prompt's pieces, for the count of those that the engine still caches. */
--- a/src/decide/grants/create-engine-queue.ts
+++ b/src/decide/grants/create-engine-queue.ts
@@ -9,11 +9,14 @@
 const assumedRunMs = 500;
 const smoothing = 0.1;
 const refuseSpread = 0.5;
+/** How long before the engine's prefill is free the next request is granted. */
+const leadMs = 30;
 
 /** Size and start of an engine's queue. */
 type EngineQueueOptions = {
 	readonly slots: number;
 	readonly queueLimit: number;
+	readonly prefillTokensPerS: number;
 	/** No grant before this time, so that receiving hosts can first report the grants of an earlier owner. */
 	readonly openAt: number;
 	readonly random: () => number;
@@ -23,11 +26,16 @@
 type Held = RunningGrant & {
 	readonly expiresAt: number;
 	readonly since: number;
+	/** Prefill time that was counted for it. */
+	readonly prefillMs: number;
 };
 
-/** Creates the queue that an engine's owner keeps for it. */
+/**
+Creates the queue that an engine's owner keeps for it. A request is granted when a slot is free and the engine's prefill
+is about to be, so that requests wait here, where they are shared out fairly and can still go to another engine.
+*/
 export function createEngineQueue(options: EngineQueueOptions): EngineQueue {
-	const {queueLimit, openAt, random} = options;
+	const {queueLimit, prefillTokensPerS, openAt, random} = options;
 	const queue = createFairQueue<Ask>();
 	const resumed: Ask[] = [];
 	const alone: Ask[] = [];
@@ -36,16 +44,25 @@
 	let {slots} = options;
 	let leaving = false;
 	let runMs = assumedRunMs;
+	let prefillFreeAt = 0;
+
+	/** Prefill time of what waits. */
+	let waitingPrefillMs = 0;
 
 	const waiting = (): readonly Ask[] => [...resumed, ...alone, ...queue.items()];
 
 	const waitMs = (now: number): number => {
-		const before = queue.size() + resumed.length + alone.length + Math.max(0, running.size + 1 - slots);
-		return Math.max(openAt - now, before * runMs / Math.max(1, slots), 0);
+		const before = deadlines.size + Math.max(0, running.size + 1 - slots);
+		return Math.max(openAt - now, before * runMs / Math.max(1, slots), prefillFreeAt + waitingPrefillMs - now, 0);
 	};
 
+	const prefillMsOf = (ask: Ask): number => ask.prefillTokens / prefillTokensPerS * 1000;
+
 	const refuse = (ask: Ask, reason: RefuseReason, now: number): GrantAction => {
-		deadlines.delete(ask.id);
+		if (deadlines.delete(ask.id)) {
+			waitingPrefillMs -= prefillMsOf(ask);
+		}
+
 		// The spread keeps refused callers from coming back all at once.
 		const retryAfterMs = Math.ceil(Math.max(runMs, waitMs(now)) * (1 + (refuseSpread * random())));
 		return {
@@ -55,15 +72,19 @@
 
 	const hold = (ask: Ask, now: number): GrantAction => {
 		deadlines.delete(ask.id);
+		const prefillMs = prefillMsOf(ask);
+		const {engine, host, alone} = ask;
+		waitingPrefillMs -= prefillMs;
+		prefillFreeAt = Math.max(prefillFreeAt, now) + prefillMs;
 		running.set(ask.id, {
-			engine: ask.engine, host: ask.host, alone: ask.alone, item: ask, expiresAt: now + leaseMs, since: now,
+			engine, host, alone, item: ask, expiresAt: now + leaseMs, since: now, prefillMs,
 		});
 		return {kind: 'grant', ask};
 	};
 
-	const next = (): Ask | undefined => {
+	const next = (now: number): Ask | undefined => {
 		const isAlone = [...running.values()].some(held => held.alone);
-		if (isAlone || running.size >= slots) {
+		if (isAlone || running.size >= slots || prefillFreeAt - now > leadMs) {
 			return undefined;
 		}
 
@@ -81,7 +102,7 @@
 			return actions;
 		}
 
-		for (let ask = next(); ask; ask = next()) {
+		for (let ask = next(now); ask; ask = next(now)) {
 			actions.push(hold(ask, now));
 		}
 
@@ -116,7 +137,7 @@
 				return [refuse(ask, 'leaving', now)];
 			}
 
-			if (waiting().length >= queueLimit) {
+			if (deadlines.size >= queueLimit) {
 				return [refuse(ask, 'queue-full', now)];
 			}
 
@@ -125,6 +146,7 @@
 			}
 
 			deadlines.set(ask.id, now + ask.leftMs);
+			waitingPrefillMs += prefillMsOf(ask);
 			if (ask.alone) {
 				alone.push(ask);
 			} else if (ask.resumed) {
@@ -144,6 +166,7 @@
 			const held = running.get(id);
 			if (held) {
 				running.delete(id);
+				prefillFreeAt -= held.prefillMs;
 				queue.settle(held.item, 0);
 			}
 
@@ -163,7 +186,7 @@
 			for (const grant of grants) {
 				const known = running.get(grant.item.id);
 				running.set(grant.item.id, {
-					...grant, host, since: known?.since ?? now, expiresAt: now + leaseMs,
+					...grant, host, since: known?.since ?? now, prefillMs: known?.prefillMs ?? 0, expiresAt: now + leaseMs,
 				});
 			}
 
@@ -189,6 +212,7 @@
 			const gone = refuseWhere(ask => !isUp(ask.host), 'withdrawn', now);
 			return [...gone, ...grantNext(now)];
 		},
+		nextAt: now => deadlines.size === 0 || leaving ? undefined : Math.max(now, openAt, prefillFreeAt - leadMs),
 		setSlots(count, now) {
 			slots = count;
 			return grantNext(now);
@@ -198,6 +222,6 @@
 			return leaving ? refuseWhere(() => true, 'leaving', now) : grantNext(now);
 		},
 		close: now => refuseWhere(() => true, 'not-owner', now),
-		state: () => ({running: running.size, waiting: waiting().length, leaving}),
+		state: () => ({running: running.size, waiting: deadlines.size, leaving}),
 	};
 }
--- a/src/decide/grants/engine-queue.ts
+++ b/src/decide/grants/engine-queue.ts
@@ -13,6 +13,8 @@
 	readonly tick: (now: number) => readonly GrantAction[];
 	/** Drops what hosts that are gone held and asked for. */
 	readonly dropHosts: (isUp: (host: string) => boolean, now: number) => readonly GrantAction[];
+	/** Time from which a waiting request can be granted without another event; `undefined` when none waits. */
+	readonly nextAt: (now: number) => number | undefined;
 	readonly setSlots: (slots: number, now: number) => readonly GrantAction[];
 	readonly setLeaving: (leaving: boolean, now: number) => readonly GrantAction[];
 	/** Refuses everything that waits; this host is not the owner any more. */
--- a/src/decide/routing/link-estimate.ts
+++ b/src/decide/routing/link-estimate.ts
@@ -1,9 +1,9 @@
-/** Learns the speed of a store's link. */
+/** Learns how a store's link does. Times are in milliseconds. */
 export type LinkEstimate = {
-	/** Expected time for so many bytes behind the transfers under way, in milliseconds. */
-	readonly expectMs: (bytes: number) => number;
+	/** Expected time for so many bytes behind the transfers under way. */
+	readonly expectMs: (bytes: number, now: number) => number;
 	readonly begin: (bytes: number) => void;
-	readonly end: (bytes: number, tookMs: number) => void;
+	readonly end: (bytes: number, tookMs: number, now: number) => void;
 	/** A transfer failed; its bytes are no longer under way. */
-	readonly fail: (bytes: number) => void;
+	readonly fail: (bytes: number, now: number) => void;
 };
--- a/src/grants/create-grant-asker-task.ts
+++ b/src/grants/create-grant-asker-task.ts
@@ -69,7 +69,7 @@
 	};
 
 	const hold = (candidate: Candidate, ask: Ask, answer: AskAnswer): Grant => {
-		const {leftMs, keys, engine, host, alone, resumed, ...item} = ask;
+		const {leftMs, keys, prefillTokens, engine, host, alone, resumed, ...item} = ask;
 		running.set(ask.id, {
 			grant: {
 				engine, host, alone, item,
@@ -127,7 +127,7 @@
 
 			const leftMs = wish.deadlineAt - Date.now();
 			const ask: Ask = {
-				...wish.item, id: randomUUID(), engine, host: self, leftMs, keys: wish.keys, alone: wish.alone, resumed: wish.resumed,
+				...wish.item, id: randomUUID(), engine, host: self, leftMs, keys: wish.keys, prefillTokens: candidate.prefillTokens, alone: wish.alone, resumed: wish.resumed,
 			};
 			const abort = new AbortController();
 			waiting.set(ask.id, {
--- a/src/grants/create-grant-owner-task.ts
+++ b/src/grants/create-grant-owner-task.ts
@@ -52,6 +52,8 @@
 	readonly cached: Set<string>;
 	cacheSeq: number;
 	failedPolls: number;
+	/** Wakes the queue when it can grant without another event. */
+	timer: NodeJS.Timeout | undefined;
 	/** Failed runs since the last one that ended whole. */
 	failedRuns: number;
 	/** Until when the engine is to be avoided for its failed runs. */
@@ -86,6 +88,19 @@
 				waiting?.reject(new Refusal(refusalKinds[action.reason], `engine ${action.ask.engine}: ${action.reason}`, 'no', action.retryAfterMs));
 			}
 		}
+
+		wakeLater(owned);
+	};
+
+	const wakeLater = (owned: OwnedEngine): void => {
+		clearTimeout(owned.timer);
+		const now = Date.now();
+		const nextAt = owned.queue.nextAt(now);
+		if (nextAt !== undefined && nextAt > now) {
+			owned.timer = setTimeout(() => {
+				act(owned, owned.queue.tick(Date.now()));
+			}, nextAt - now);
+		}
 	};
 
 	const isMarked = (name: string): boolean => (membership.gossip.get('marks', name)?.value as {readonly leaving: boolean} | undefined)?.leaving ?? false;
@@ -168,12 +183,13 @@
 		const owned: OwnedEngine = {
 			upstream,
 			queue: createEngineQueue({
-				slots: upstream.slots, queueLimit, openAt: Date.now() + adoptionMs, random,
+				slots: upstream.slots, queueLimit, prefillTokensPerS: upstream.prefillTokensPerS, openAt: Date.now() + adoptionMs, random,
 			}),
 			hold: createLeaveHold(),
 			cached: new Set(),
 			cacheSeq: 0,
 			failedPolls: 0,
+			timer: undefined,
 			failedRuns: 0,
 			failingUntil: 0,
 			reportedLeaving: false,
--- a/src/grants/grant-wish.ts
+++ b/src/grants/grant-wish.ts
@@ -4,7 +4,7 @@
 export type GrantWish = {
 	readonly requestId: string;
 	/** Engines with their domains, best first. */
-	readonly candidates: ReadonlyArray<{readonly engine: string; readonly domain: string; readonly url: string}>;
+	readonly candidates: ReadonlyArray<{readonly engine: string; readonly domain: string; readonly url: string; readonly prefillTokens: number}>;
 	readonly item: Omit<FairItem, 'id'>;
 	readonly keys: readonly string[];
 	readonly alone: boolean;
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,9 +6,11 @@
 import {drainCommand} from './commands/drain.js';
 import {explainCommand} from './commands/explain.js';
 import {publishCommand} from './commands/publish.js';
+import {replayCommand} from './commands/replay.js';
 import {serveCommand} from './commands/serve.js';
 import {standInCommand} from './commands/stand-in.js';
 import {statusCommand} from './commands/status.js';
+import {traceCommand} from './commands/trace.js';
 import {SettingsError} from './errors/settings-error.js';
 import {UsageError} from './errors/usage-error.js';
 
@@ -31,6 +33,8 @@
 	.command(drainCommand)
 	.command(demoCommand)
 	.command(standInCommand)
+	.command(traceCommand)
+	.command(replayCommand)
 	.demandCommand(1, 'name a command; see --help')
 	.strict()
 	.option('json', {
--- /dev/null
+++ b/src/replay/create-link-model.ts
@@ -0,0 +1,31 @@
+import {type createClock} from './create-clock.js';
+
+/** A link that carries one transfer after the other. */
+type LinkModel = {
+	/** Sends bytes; gives the time of their arrival. */
+	readonly send: (bytes: number, slowdown: number) => number;
+	readonly setFactor: (factor: number) => void;
+	readonly busyMs: () => number;
+	/** How far the link is behind, in milliseconds. */
+	readonly backlogMs: () => number;
+};
+
+/** Creates the model of a store's link. */
+export function createLinkModel(clock: ReturnType<typeof createClock>, bytesPerS: number): LinkModel {
+	let freeAt = 0;
+	let factor = 1;
+	let busyMs = 0;
+	return {
+		send(bytes, slowdown) {
+			const tookMs = bytes / bytesPerS / factor * 1000 * slowdown;
+			freeAt = Math.max(freeAt, clock.now()) + tookMs;
+			busyMs += tookMs;
+			return freeAt;
+		},
+		setFactor(now) {
+			factor = now;
+		},
+		busyMs: () => busyMs,
+		backlogMs: () => Math.max(0, freeAt - clock.now()),
+	};
+}
--- /dev/null
+++ b/src/replay/create-tally.ts
@@ -0,0 +1,99 @@
+import {type Deployment} from './deployment.js';
+import {quantile} from './quantile.js';
+import {type RunResult, type ServedShare} from './run-result.js';
+import {type TraceRequest} from './trace-request.js';
+
+/** Sums of one service or workspace. */
+type Sums = {
+	requests: number;
+	refused: number;
+	tokens: number;
+	readonly firstTokenMs: number[];
+};
+
+/** Counts what becomes of the requests of a run. */
+type Tally = {
+	readonly asked: (request: TraceRequest) => void;
+	readonly refused: (request: TraceRequest) => void;
+	readonly began: (request: TraceRequest, firstTokenMs: number, recomputedTokens: number, promptTokens: number) => void;
+	readonly fetched: (request: TraceRequest, bytes: number) => void;
+	readonly stored: (request: TraceRequest, bytes: number) => void;
+	readonly result: (policy: string, durationMs: number, linkUse: number, engineUse: number) => RunResult;
+};
+
+const bytesPerUnit = 1e9;
+const tokensPerUnit = 1000;
+
+/** Creates the count of one run. */
+export function createTally(deployment: Deployment): Tally {
+	const services = new Map<string, Sums>();
+	const workspaces = new Map<string, Sums>();
+	const all: Sums = {requests: 0, refused: 0, tokens: 0, firstTokenMs: []};
+	const total = {recomputed: 0, prompt: 0, in: 0, out: 0, cost: 0};
+	const costs = new Map(deployment.services.map(service => [service.name, service.cost]));
+
+	const sumsOf = (request: TraceRequest): readonly Sums[] => [
+		[services, request.service] as const,
+		[workspaces, `${request.service}/${request.workspace}`] as const,
+	].map(([map, key]) => {
+		const sums = map.get(key) ?? {requests: 0, refused: 0, tokens: 0, firstTokenMs: []};
+		map.set(key, sums);
+		return sums;
+	}).concat(all);
+
+	const toShares = (map: ReadonlyMap<string, Sums>): Readonly<Record<string, ServedShare>> => Object.fromEntries([...map].map(([key, sums]) => [key, {
+		requests: sums.requests,
+		refused: sums.refused,
+		share: sums.tokens / Math.max(1, all.tokens),
+		p95: quantile(sums.firstTokenMs.toSorted((a, b) => a - b), 0.95),
+	}]));
+
+	return {
+		asked(request) {
+			for (const sums of sumsOf(request)) {
+				sums.requests++;
+			}
+		},
+		refused(request) {
+			for (const sums of sumsOf(request)) {
+				sums.refused++;
+			}
+		},
+		began(request, firstTokenMs, recomputedTokens, promptTokens) {
+			total.recomputed += recomputedTokens;
+			total.prompt += promptTokens;
+			total.cost += costs.get(request.service)!.recomputed * recomputedTokens / tokensPerUnit;
+			for (const sums of sumsOf(request)) {
+				sums.firstTokenMs.push(firstTokenMs);
+				sums.tokens += promptTokens + request.outputTokens;
+			}
+		},
+		fetched(request, bytes) {
+			total.in += bytes;
+			total.cost += costs.get(request.service)!.link * bytes / bytesPerUnit;
+		},
+		stored(request, bytes) {
+			total.out += bytes;
+			total.cost += costs.get(request.service)!.link * bytes / bytesPerUnit;
+		},
+		result(policy, durationMs, linkUse, engineUse) {
+			const ascending = all.firstTokenMs.toSorted((a, b) => a - b);
+			return {
+				policy,
+				requests: all.requests,
+				served: ascending.length,
+				refused: all.refused,
+				firstToken: {p50: quantile(ascending, 0.5), p95: quantile(ascending, 0.95), p99: quantile(ascending, 0.99)},
+				recomputedShare: total.recomputed / Math.max(1, total.prompt),
+				linkBytesIn: total.in,
+				linkBytesOut: total.out,
+				linkUse,
+				engineUse,
+				keptCost: total.cost / Math.max(1, ascending.length),
+				goodput: all.tokens / durationMs * 1000,
+				services: toShares(services),
+				workspaces: toShares(workspaces),
+			};
+		},
+	};
+}
--- /dev/null
+++ b/src/replay/make-trace.ts
@@ -0,0 +1,149 @@
+import {createRandom} from '../util/create-random.js';
+import {type Deployment} from './deployment.js';
+import {type Scenario} from './scenario.js';
+import {type TraceEvent} from './trace-event.js';
+import {type TraceRequest} from './trace-request.js';
+
+const shortGapMs = 240_000;
+const longGapMs = 2_400_000;
+const shortShare = 0.5;
+const longShare = 0.35;
+const quickShare = 0.35;
+const medianPieces = 10;
+const mostPieces = 60;
+const floodFactor = 10;
+
+/** What a made trace is like. */
+type TraceOptions = {
+	/** Prefill work without any kept context, as a share of what the engines can do. */
+	readonly load: number;
+	readonly seed: number;
+	readonly durationMs: number;
+	readonly scenario: Scenario;
+};
+
+type Random = () => number;
+type ServiceSettings = Deployment['services'][number];
+
+function normal(random: Random): number {
+	return Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+}
+
+/** Draws the time until a context returns; `undefined` when it does not within days. */
+function drawGap(random: Random): number | undefined {
+	const kind = random();
+	if (kind < shortShare) {
+		return shortGapMs * Math.exp(normal(random));
+	}
+
+	return kind < shortShare + longShare ? longGapMs * Math.exp(0.8 * normal(random)) : undefined;
+}
+
+/** Draws a workspace, the first ones more often. */
+function drawWorkspace(random: Random, service: ServiceSettings): string {
+	const ranks = service.workspaces.map((_, index) => 1 / (index + 1));
+	let left = random() * ranks.reduce((sum, rank) => sum + rank, 0);
+	return service.workspaces.find((_, index) => (left -= ranks[index]!) <= 0)?.name ?? service.workspaces[0]!.name;
+}
+
+/** Makes the requests of one context over its life. */
+function makeContext(random: Random, service: ServiceSettings, context: string, durationMs: number): readonly TraceRequest[] {
+	const workspace = drawWorkspace(random, service);
+	const isQuick = random() < quickShare;
+	let pieces = isQuick ? Math.floor(random() * 3) : Math.min(mostPieces, Math.ceil(medianPieces * Math.exp(0.7 * normal(random))));
+	const requests: TraceRequest[] = [];
+	let at = ((random() * 2) - 1) * durationMs;
+	while (at < durationMs) {
+		if (at >= 0) {
+			requests.push({
+				kind: 'request', at: Math.round(at), service: service.name, workspace, context, pieces,
+				tailTokens: 20 + Math.floor(random() * 400),
+				outputTokens: isQuick ? 8 + Math.floor(random() * 24) : 50 + Math.floor(random() * 250),
+			});
+		}
+
+		const gap = drawGap(random);
+		if (gap === undefined) {
+			break;
+		}
+
+		at += gap;
+		// A returning prompt holds what was said before.
+		pieces = Math.min(mostPieces, pieces + (random() < 0.5 ? 1 : 0));
+	}
+
+	return requests;
+}
+
+function workOf(service: ServiceSettings, request: TraceRequest): number {
+	return ((request.pieces * service.pieceTokens) + request.tailTokens) / service.prefillTokensPerS * 1000;
+}
+
+/** Makes what a flooding workspace sends: short prompts at many times its usual rate, in the middle third. */
+function makeFlood(random: Random, service: ServiceSettings, requests: readonly TraceRequest[], durationMs: number): readonly TraceRequest[] {
+	const {name} = service.workspaces[0]!;
+	const usual = requests.filter(request => request.workspace === name);
+	const count = Math.floor(usual.length / 3 * (floodFactor - 1));
+	return Array.from({length: count}, (_, index): TraceRequest => ({
+		...usual[Math.floor(random() * usual.length)]!,
+		at: Math.round((durationMs / 3) + (random() * durationMs / 3)),
+		context: `flood-${index % 50}`,
+	}));
+}
+
+function makeFaults(service: ServiceSettings, scenario: Scenario, durationMs: number): readonly TraceEvent[] {
+	const from = Math.round(durationMs / 3);
+	const to = Math.round(durationMs * 2 / 3);
+	const {name} = service;
+	switch (scenario) {
+		case 'steady':
+		case 'flood':
+		case 'overload': {
+			return [];
+		}
+
+		case 'slow-link': {
+			return [{kind: 'link', at: from, service: name, factor: 0.1}, {kind: 'link', at: to, service: name, factor: 1}];
+		}
+
+		case 'full-store': {
+			return [{kind: 'store', at: from, service: name, pieces: Math.floor((service.memoryPieces + service.diskPieces) / 10)}];
+		}
+
+		case 'swap': {
+			return [{kind: 'version', at: from, service: name, version: 'v2'}];
+		}
+
+		case 'engine-death': {
+			return [{kind: 'engine', at: from, service: name, engine: 0, isUp: false}, {kind: 'engine', at: to, service: name, engine: 0, isUp: true}];
+		}
+	}
+}
+
+/** Makes a trace of a deployment; the same seed gives the same trace. */
+export function makeTrace(deployment: Deployment, {load, seed, durationMs, scenario}: TraceOptions): readonly TraceEvent[] {
+	const random = createRandom(seed);
+	const events: TraceEvent[] = [];
+	for (const service of deployment.services) {
+		const requests: TraceRequest[] = [];
+		let work = 0;
+		for (let index = 0; work < load * service.engines * durationMs; index++) {
+			const made = makeContext(random, service, `${service.name}-${index}`, durationMs);
+			requests.push(...made);
+			work += made.reduce((sum, request) => sum + workOf(service, request), 0);
+		}
+
+		if (scenario === 'flood') {
+			requests.push(...makeFlood(random, service, requests, durationMs));
+		}
+
+		// In an overload, twice as much comes in the middle third, and half as much after it.
+		const kept = scenario === 'overload'
+			? requests.filter(request => (request.at >= durationMs / 3 && request.at < durationMs * 2 / 3) || random() < 0.25)
+			: requests;
+		events.push(...kept, ...makeFaults(service, scenario, durationMs));
+	}
+
+	const timeOf = (event: TraceEvent): number => event.kind === 'deployment' ? -1 : event.at;
+	return [deployment, ...events.toSorted((a, b) => timeOf(a) - timeOf(b))];
+}
--- /dev/null
+++ b/src/replay/run-policy.ts
@@ -0,0 +1,433 @@
+import {shouldOffload} from '../decide/context/should-offload.js';
+import {createEngineQueue} from '../decide/grants/create-engine-queue.js';
+import {type Ask} from '../decide/grants/ask.js';
+import {type EngineQueue} from '../decide/grants/engine-queue.js';
+import {type GrantAction} from '../decide/grants/grant-action.js';
+import {createLinkEstimate} from '../decide/routing/create-link-estimate.js';
+import {createWaitMemory} from '../decide/routing/create-wait-memory.js';
+import {type EngineView} from '../decide/routing/engine-view.js';
+import {type LinkEstimate} from '../decide/routing/link-estimate.js';
+import {rankEngines} from '../decide/routing/rank-engines.js';
+import {type RouteRequest} from '../decide/routing/route-request.js';
+import {type Route} from '../decide/routing/route.js';
+import {type StoredPiece} from '../decide/routing/stored-piece.js';
+import {type WaitMemory} from '../decide/routing/wait-memory.js';
+import {createRandom} from '../util/create-random.js';
+import {createClock} from './create-clock.js';
+import {createEngineModel} from './create-engine-model.js';
+import {createLinkModel} from './create-link-model.js';
+import {createStoreModel} from './create-store-model.js';
+import {createTally} from './create-tally.js';
+import {type Deployment} from './deployment.js';
+import {type Policy} from './policy.js';
+import {type RunResult} from './run-result.js';
+import {type TraceEvent} from './trace-event.js';
+import {type TraceRequest} from './trace-request.js';
+
+const tickMs = 100;
+const writesLimit = 2000;
+const writePatienceMs = 60_000;
+
+type ServiceSettings = Deployment['services'][number];
+
+/** An engine with its owner's queue. */
+type ModelledEngine = {
+	readonly name: string;
+	readonly engine: ReturnType<typeof createEngineModel>;
+	readonly queue: EngineQueue;
+};
+
+/** A service with its engines, store and link. */
+type ModelledService = {
+	readonly settings: ServiceSettings;
+	readonly engines: readonly ModelledEngine[];
+	readonly store: ReturnType<typeof createStoreModel>;
+	readonly link: ReturnType<typeof createLinkModel>;
+	version: string;
+	/** Pieces that wait to be written to the store, oldest first. */
+	readonly writes: Array<{readonly request: TraceRequest; readonly target: ModelledEngine; readonly key: string; readonly depth: number; readonly until: number}>;
+	isWriting: boolean;
+};
+
+/** A receiving host with what it has learned. */
+type ModelledHost = {
+	readonly name: string;
+	readonly waits: WaitMemory;
+	readonly links: ReadonlyMap<string, LinkEstimate>;
+};
+
+/** A request under way. */
+type Job = {
+	readonly request: TraceRequest;
+	readonly service: ModelledService;
+	readonly host: ModelledHost;
+	readonly keys: readonly string[];
+	readonly promptTokens: number;
+	routes: readonly Route[];
+	/** Owners that were asked and have not answered. */
+	readonly open: Map<string, ModelledEngine>;
+	nextRoute: number;
+	isGranted: boolean;
+	hasBegun: boolean;
+};
+
+/** Replays a trace under one policy, in virtual time, through the decision modules that `serve` wires. */
+export function runPolicy(events: readonly TraceEvent[], policy: Policy, seed: number): RunResult {
+	const [deployment, ...rest] = events as readonly [Deployment, ...TraceEvent[]];
+	const clock = createClock();
+	const random = createRandom(seed);
+	const tally = createTally(deployment);
+	const jobs = new Map<string, Job>();
+	const wakes = new Map<string, number>();
+	let nextAsk = 0;
+	let lastAt = 0;
+
+	const services = new Map(deployment.services.map((settings): readonly [string, ModelledService] => [settings.name, {
+		settings,
+		engines: Array.from({length: settings.engines}, (_, index) => ({
+			name: `${settings.name}-${index}`,
+			engine: createEngineModel(clock, settings),
+			queue: createEngineQueue({slots: settings.slots, prefillTokensPerS: settings.prefillTokensPerS, queueLimit: settings.queueLimit, openAt: 0, random}),
+		})),
+		store: createStoreModel(clock, settings, random),
+		link: createLinkModel(clock, settings.linkBytesPerS),
+		version: 'v1',
+		writes: [],
+		isWriting: false,
+	}]));
+	const hosts = Array.from({length: deployment.hosts}, (_, index): ModelledHost => ({
+		name: `host-${index}`,
+		waits: createWaitMemory(),
+		links: new Map(deployment.services.map(settings => [settings.name, createLinkEstimate(settings.linkBytesPerS)])),
+	}));
+
+	const toView = (job: Job, {name, engine}: ModelledEngine): EngineView => ({
+		name,
+		domain: '',
+		cachedPieces: engine.cache.prefix(job.keys),
+		waitMs: job.host.waits.expectMs(name, clock.now()),
+		prefillTokensPerS: job.service.settings.prefillTokensPerS,
+		distanceMs: 2 * deployment.delayMs,
+	});
+
+	const toRouteRequest = (job: Job): RouteRequest => {
+		const {settings, store} = job.service;
+		const stored = job.keys.map((key): StoredPiece | undefined => store.directory.lookup(key, clock.now())?.stored);
+		const pieceTokens = [...job.keys.map(() => settings.pieceTokens), job.request.tailTokens];
+		const withTail = [...stored, undefined];
+		const link = job.host.links.get(settings.name)!;
+		const fetchMs = {scored: (_: string, bytes: number) => link.expectMs(bytes, clock.now()), always: () => -1e9, never: () => Number.POSITIVE_INFINITY};
+		return {pieceTokens, stored: policy.fetching === 'never' ? withTail.map(() => undefined) : withTail, cost: settings.cost, fetchMs: fetchMs[policy.fetching]};
+	};
+
+	/** Ranks engines in the way of the policy; the plan of what is fetched is the score's in every case. */
+	const rank = (job: Job): readonly Route[] => {
+		const up = job.service.engines.filter(({engine}) => engine.isUp());
+		const routes = rankEngines(toRouteRequest(job), up.map(engine => toView(job, engine)), random);
+		const reported = (route: Route): number => up.find(({name}) => name === route.engine)!.engine.reported();
+		const shuffled = routes.map(route => ({route, order: random()})).toSorted((a, b) => a.order - b.order).map(({route}) => route);
+		switch (policy.ranking) {
+			case 'score': {
+				return routes;
+			}
+
+			case 'random': {
+				return shuffled;
+			}
+
+			case 'least-reported': {
+				return shuffled.toSorted((a, b) => reported(a) - reported(b));
+			}
+
+			case 'two-choices': {
+				return [...shuffled.slice(0, 2).toSorted((a, b) => reported(a) - reported(b)), ...shuffled.slice(2)];
+			}
+
+			case 'prefix': {
+				return shuffled.toSorted((a, b) => (a.recomputedTokens + a.fetch.length) - (b.recomputedTokens + b.fetch.length));
+			}
+		}
+	};
+
+	const refuse = (job: Job): void => {
+		tally.refused(job.request);
+	};
+
+	const askNext = (job: Job): void => {
+		const routes = job.routes.slice(job.nextRoute, job.nextRoute + policy.fanout);
+		job.nextRoute += policy.fanout;
+		const leftMs = job.request.at + job.service.settings.deadlineMs - clock.now();
+		if (routes.length === 0 || leftMs <= 0) {
+			refuse(job);
+			return;
+		}
+
+		for (const route of routes) {
+			const target = job.service.engines.find(({name}) => name === route.engine)!;
+			const id = String(nextAsk++);
+			job.open.set(id, target);
+			jobs.set(id, job);
+			const ask: Ask = {
+				id, engine: target.name, host: job.host.name, leftMs, prefillTokens: route.recomputedTokens, keys: [], alone: false, resumed: job.hasBegun,
+				service: job.service.settings.name, serviceWeight: 1,
+				workspace: policy.isFair ? job.request.workspace : 'all',
+				workspaceWeight: policy.isFair ? job.service.settings.workspaces.find(({name}) => name === job.request.workspace)!.weight : 1,
+				cost: route.recomputedTokens + job.request.outputTokens,
+			};
+			clock.at(clock.now() + deployment.delayMs, () => {
+				act(target, target.queue.ask(ask, clock.now()));
+			});
+		}
+	};
+
+	const withdrawOthers = (job: Job, winner: string): void => {
+		for (const [id, target] of job.open) {
+			if (id !== winner) {
+				clock.at(clock.now() + deployment.delayMs, () => {
+					act(target, target.queue.withdraw(id, clock.now()));
+				});
+			}
+		}
+
+		job.open.clear();
+	};
+
+	/** Writes what waits to the store, one piece after the other, whenever the link allows. */
+	const pump = (service: ModelledService): void => {
+		const {settings, store: kept, link, writes} = service;
+		const next = writes.at(0);
+		if (!next || service.isWriting) {
+			return;
+		}
+
+		const uses = kept.directory.lookup(next.key, clock.now())?.uses ?? 1;
+		service.isWriting = true;
+		const goOn = (at: number): void => {
+			clock.at(at, () => {
+				service.isWriting = false;
+				pump(service);
+			});
+		};
+
+		if (!shouldOffload(uses, link.backlogMs()) && clock.now() < next.until) {
+			goOn(clock.now() + link.backlogMs());
+			return;
+		}
+
+		writes.shift();
+		if (clock.now() >= next.until || !next.target.engine.cache.has(next.key) || !kept.reserve(settings.pieceTokens, next.depth)) {
+			goOn(clock.now());
+			return;
+		}
+
+		const {request, key, depth} = next;
+		const arrival = link.send(settings.pieceBytes, 1);
+		tally.stored(request, settings.pieceBytes);
+		clock.at(arrival, () => {
+			const stored = {key, store: 'store', block: 0, generation: 0, checksum: '', bytes: settings.pieceBytes};
+			kept.directory.add({service: settings.name, label: key, key, workspace: request.workspace, tokens: settings.pieceTokens, depth, stored}, clock.now());
+		});
+		goOn(arrival);
+	};
+
+	const store = ({request, service, keys}: Job, target: ModelledEngine): void => {
+		const {settings, store: kept, writes} = service;
+		for (const [depth, key] of keys.entries()) {
+			const known = kept.directory.lookup(key, clock.now());
+			kept.directory.add({service: settings.name, label: key, key, workspace: request.workspace, tokens: settings.pieceTokens, depth, engine: target.name}, clock.now());
+			if (!known?.stored && writes.length < writesLimit) {
+				writes.push({request, target, key, depth, until: clock.now() + writePatienceMs});
+			}
+		}
+
+		pump(service);
+	};
+
+	const run = (job: Job, target: ModelledEngine, id: string): void => {
+		const {settings} = job.service;
+		const release = (tokens: number): void => {
+			clock.at(clock.now() + deployment.delayMs, () => {
+				act(target, target.queue.release(id, tokens, clock.now()));
+			});
+		};
+
+		target.engine.run({
+			keys: job.keys,
+			pieceTokens: settings.pieceTokens,
+			tailTokens: job.request.tailTokens,
+			outputTokens: job.request.outputTokens,
+			onFirstToken(recomputed) {
+				if (!job.hasBegun) {
+					tally.began(job.request, clock.now() - job.request.at, recomputed, job.promptTokens);
+				}
+
+				job.hasBegun = true;
+			},
+			onEnd() {
+				release(job.request.outputTokens);
+				store(job, target);
+			},
+			onBroken() {
+				release(0);
+				begin(job);
+			},
+		});
+	};
+
+	const fetchAndRun = (job: Job, target: ModelledEngine, id: string): void => {
+		const {settings, link, store: kept} = job.service;
+		const cached = target.engine.cache.prefix(job.keys);
+		const route = job.routes.find(({engine}) => engine === target.name)!;
+		const fetch = route.fetch.filter(piece => job.keys.indexOf(piece.key) >= cached);
+		if (fetch.length === 0) {
+			run(job, target, id);
+			return;
+		}
+
+		const bytes = fetch.length * settings.pieceBytes;
+		const estimate = job.host.links.get(settings.name)!;
+		const began = clock.now();
+		estimate.begin(bytes);
+		clock.at(link.send(bytes, kept.slowdown()), () => {
+			estimate.end(bytes, clock.now() - began, clock.now());
+			tally.fetched(job.request, bytes);
+			for (const piece of fetch) {
+				target.engine.cache.use(piece.key);
+			}
+
+			run(job, target, id);
+		});
+	};
+
+	const onGrant = (job: Job, target: ModelledEngine, id: string): void => {
+		job.host.waits.learn(target.name, target.queue.waitMs(clock.now()), clock.now());
+		if (job.isGranted || !job.open.has(id)) {
+			act(target, target.queue.release(id, 0, clock.now()));
+			return;
+		}
+
+		job.isGranted = true;
+		withdrawOthers(job, id);
+		fetchAndRun(job, target, id);
+	};
+
+	const onRefusal = (job: Job, id: string, retryAfterMs: number): void => {
+		const target = job.open.get(id);
+		if (!target) {
+			return;
+		}
+
+		job.open.delete(id);
+		job.host.waits.learn(target.name, retryAfterMs, clock.now());
+		if (job.open.size === 0 && !job.isGranted) {
+			askNext(job);
+		}
+	};
+
+	/** Wakes a queue when it can grant without another event. */
+	const wakeLater = (target: ModelledEngine): void => {
+		const nextAt = target.queue.nextAt(clock.now());
+		if (nextAt !== undefined && nextAt > clock.now() && (wakes.get(target.name) ?? 0) < nextAt) {
+			wakes.set(target.name, nextAt);
+			clock.at(nextAt, () => {
+				act(target, target.queue.tick(clock.now()));
+			});
+		}
+	};
+
+	const act = (target: ModelledEngine, actions: readonly GrantAction[]): void => {
+		for (const action of actions) {
+			const job = jobs.get(action.ask.id);
+			jobs.delete(action.ask.id);
+			if (!job) {
+				continue;
+			}
+
+			clock.at(clock.now() + deployment.delayMs, () => {
+				if (action.kind === 'grant') {
+					onGrant(job, target, action.ask.id);
+				} else {
+					onRefusal(job, action.ask.id, action.retryAfterMs);
+				}
+			});
+		}
+
+		wakeLater(target);
+	};
+
+	const begin = (job: Job): void => {
+		job.isGranted = false;
+		job.nextRoute = 0;
+		job.routes = rank(job);
+		askNext(job);
+	};
+
+	const receive = (request: TraceRequest): void => {
+		const service = services.get(request.service)!;
+		const keys = Array.from({length: request.pieces}, (_, index) => `${service.version}/${request.context}/${index}`);
+		tally.asked(request);
+		begin({
+			request, service, keys, routes: [], open: new Map(), nextRoute: 0, isGranted: false, hasBegun: false,
+			host: hosts[Math.floor(random() * hosts.length)]!,
+			promptTokens: (request.pieces * service.settings.pieceTokens) + request.tailTokens,
+		});
+	};
+
+	const apply = (event: TraceEvent): void => {
+		switch (event.kind) {
+			case 'deployment': {
+				break;
+			}
+
+			case 'request': {
+				receive(event);
+				break;
+			}
+
+			case 'engine': {
+				services.get(event.service)!.engines[event.engine]!.engine.setUp(event.isUp);
+				break;
+			}
+
+			case 'link': {
+				services.get(event.service)!.link.setFactor(event.factor);
+				break;
+			}
+
+			case 'store': {
+				services.get(event.service)!.store.setRoom(event.pieces);
+				break;
+			}
+
+			case 'version': {
+				services.get(event.service)!.version = event.version;
+				break;
+			}
+		}
+	};
+
+	for (const event of rest) {
+		const at = event.kind === 'deployment' ? 0 : event.at;
+		lastAt = Math.max(lastAt, at);
+		clock.at(at, () => {
+			apply(event);
+		});
+	}
+
+	for (let at = tickMs; at <= lastAt + tickMs; at += tickMs) {
+		clock.at(at, () => {
+			for (const service of services.values()) {
+				for (const target of service.engines) {
+					act(target, target.queue.tick(clock.now()));
+				}
+			}
+		});
+	}
+
+	clock.run();
+	const all = [...services.values()];
+	const linkBusy = all.reduce((total, service) => total + service.link.busyMs(), 0);
+	const engines = all.flatMap(service => service.engines);
+	const engineBusy = engines.reduce((total, {engine}) => total + engine.busyMs(), 0);
+	return tally.result(policy.name, Math.max(1, lastAt), linkBusy / all.length / Math.max(1, lastAt), engineBusy / engines.length / Math.max(1, lastAt));
+}
--- /dev/null
+++ b/src/replay/run-result.ts
@@ -0,0 +1,31 @@
+/** What a policy did with a trace. Times are in milliseconds. */
+export type RunResult = {
+	readonly policy: string;
+	readonly requests: number;
+	readonly served: number;
+	readonly refused: number;
+	readonly firstToken: {readonly p50: number; readonly p95: number; readonly p99: number};
+	/** Share of prompt tokens that were recomputed. */
+	readonly recomputedShare: number;
+	readonly linkBytesIn: number;
+	readonly linkBytesOut: number;
+	/** Share of time that store links were busy. */
+	readonly linkUse: number;
+	/** Share of time that engines were prefilling. */
+	readonly engineUse: number;
+	/** Recomputed work and link use of a served request, by the services' own weights. */
+	readonly keptCost: number;
+	/** Tokens served a second. */
+	readonly goodput: number;
+	readonly services: Readonly<Record<string, ServedShare>>;
+	readonly workspaces: Readonly<Record<string, ServedShare>>;
+};
+
+/** What one service or workspace got. */
+export type ServedShare = {
+	readonly requests: number;
+	readonly refused: number;
+	/** Share of all served tokens. */
+	readonly share: number;
+	readonly p95: number;
+};
--- /dev/null
+++ b/src/replay/scenarios.ts
@@ -0,0 +1,2 @@
+/** Scenarios of made traces. */
+export const scenarios = ['steady', 'flood', 'slow-link', 'full-store', 'swap', 'engine-death', 'overload'] as const;
--- a/src/stand-ins/create-engine-stand-in.ts
+++ b/src/stand-ins/create-engine-stand-in.ts
@@ -48,7 +48,7 @@
 export async function createEngineStandIn(address = '127.0.0.1:0', options: EngineOptions = {}): Promise<StandIn> {
 	const {slots = 8, prefillTokensPerMs = 20, stepMs = 10, cachePieces = 400, loadMs = 1300} = options;
 	let faults: EngineFaults = {
-		down: false, crashMark: '\u0000', restartMs: 1000, cutAfter: -1, stallAfter: -1, duplicate: false, crossed: false,
+		down: false, crashMark: '\u0000', restartMs: 1000, cutAfter: -1, endAfter: -1, stallAfter: -1, duplicate: false, crossed: false,
 		leaving: false, loadLagMs: 500, dropEvents: 0, checksOrders: true, ...options.faults,
 	};
 	const cache = new Map<string, true>();
@@ -162,11 +162,16 @@
 					return;
 				}
 
+				if (index === faults.endAfter) {
+					res.end();
+					return;
+				}
+
 				while (index === faults.stallAfter && !run.cancelled) {
 					await sleep(stallStepMs);
 				}
 
-				const text = answerToken(call.model, call.version, call.prompt, index);
+				const text = answerToken(call.model, call.version, faults.crossed ? 'another prompt' : call.prompt, index);
 				const event = `data: ${JSON.stringify({
 					id, index, version: call.version, choices: [{text}],
 				})}\n\n`;
--- a/src/stand-ins/engine-faults.ts
+++ b/src/stand-ins/engine-faults.ts
@@ -8,11 +8,13 @@
 	readonly restartMs: number;
 	/** Cuts streams after this many tokens; -1 never. */
 	readonly cutAfter: number;
+	/** Ends streams without an error and without their last event after this many tokens; -1 never. */
+	readonly endAfter: number;
 	/** Stops sending, with the connection open, after this many tokens; -1 never. */
 	readonly stallAfter: number;
 	/** Sends each token twice. */
 	readonly duplicate: boolean;
-	/** Puts another attempt's identity into the stream. */
+	/** Sends the answer to another attempt. */
 	readonly crossed: boolean;
 	/** Says in its load report that it is leaving. */
 	readonly leaving: boolean;
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -104,8 +104,7 @@
 	});
 	const stores = () => services().flatMap(service => service.kind === 'model' ? service.stores : []);
 	const context = createContextTask({
-		self: name, owners, call, stores, storeAt,
-	});
+		self: name, owners, call, stores, storeAt, random});
 	const offload = createOffloadTask({
 		context, storeAt, linkOf,
 		onBytes(service, bytes) {
@@ -149,7 +148,7 @@
 				if (store && piece.isWhole && !found[depth]?.stored) {
 					offload.offer({
 						service: service.service, workspace: workspace.name, label: labels[depth]!, piece, depth,
-						bytes: service.pieceBytes, engine: engineAt(upstream.url), engineName: upstream.name, store,
+						bytes: service.pieceBytes, uses: 1 + (found[depth]?.uses ?? 0), engine: engineAt(upstream.url), engineName: upstream.name, store,
 					});
 				}
 			}
--- a/test/commitments/slice-journal.test.ts
+++ b/test/commitments/slice-journal.test.ts
@@ -6,7 +6,7 @@
 import {type LedgerHead} from '../../src/decide/commitments/ledger-head.js';
 import {type SliceJournal} from '../../src/commitments/slice-journal.js';
 import {createFakePlatform, type PlatformFaults} from '../support/create-fake-platform.js';
-import {createRandom} from '../support/create-random.js';
+import {createRandom} from '../../src/util/create-random.js';
 
 const hour = 3_600_000;
 const noFaults: PlatformFaults = {
--- a/test/decide/engine-queue.test.ts
+++ b/test/decide/engine-queue.test.ts
@@ -5,12 +5,12 @@
 import {type GrantAction} from '../../src/decide/grants/grant-action.js';
 
 const makeAsk = (id: string, over: Partial<Ask> = {}): Ask => ({
-	id, engine: 'e', host: 'h1', leftMs: 10_000, keys: [], alone: false, resumed: false,
+	id, engine: 'e', host: 'h1', leftMs: 10_000, keys: [], alone: false, resumed: false, prefillTokens: 0,
 	service: 's', serviceWeight: 1, workspace: 'w', workspaceWeight: 1, cost: 100, ...over,
 });
 
 const makeQueue = (slots = 2, queueLimit = 100, openAt = 0) => createEngineQueue({
-	slots, queueLimit, openAt, random: () => 0,
+	slots, queueLimit, openAt, prefillTokensPerS: 10_000, random: () => 0,
 });
 
 const show = (actions: readonly GrantAction[]): readonly string[] => actions.map(action =>
--- a/test/decide/membership.test.ts
+++ b/test/decide/membership.test.ts
@@ -7,7 +7,7 @@
 import {type Member} from '../../src/decide/membership/member.js';
 import {type MembershipAction} from '../../src/decide/membership/membership-action.js';
 import {type Membership} from '../../src/decide/membership/membership.js';
-import {createRandom} from '../support/create-random.js';
+import {createRandom} from '../../src/util/create-random.js';
 
 const makeSelf = (name: string, domain: string): Member => ({
 	name, domain, region: 'r', peers: `${name}:1`, operators: `${name}:2`, incarnation: 1, state: 'alive',
--- a/test/end-to-end/upstreams.test.ts
+++ b/test/end-to-end/upstreams.test.ts
@@ -116,6 +116,32 @@
 	});
 });
 
+describe('a stream that breaks after a swap', () => {
+	let fleet: Fleet;
+
+	afterEach(async () => {
+		await fleet.stop();
+	});
+
+	it('is not continued by another version', async () => {
+		fleet = await startFleet({engines: 2, engineOptions: {loadMs: 100}});
+		const running = [0, 1, 2, 3].map(async index =>
+			complete(fleet.hosts[index]!.callers, fleetKeys.acme, {prompt: `broken by a swap ${index}`, max_tokens: 800}));
+		await sleep(300);
+		await fleet.publish({version: 'v2'});
+		await waitUntil('the old version to be unloaded everywhere', async () => {
+			const reports = await Promise.all(fleet.engines.map(async engine => callJson(`${engine.url}/load`, {timeoutMs: 2000})));
+			return reports.every(({body}) => JSON.stringify(body.loaded) === '["small@v2"]');
+		});
+		await sleep(1500);
+		await Promise.all(fleet.engines.map(async engine => control(engine, {cutAfter: 790})));
+		for (const [index, answer] of (await Promise.all(running)).entries()) {
+			expect(answer).toMatchObject({isWhole: false, error: {ran: 'yes'}});
+			expect(expectedText(`broken by a swap ${index}`, 800).startsWith(answer.text)).toBe(true);
+		}
+	});
+});
+
 describe('workspaces', () => {
 	let fleet: Fleet;
 
--- a/test/end-to-end/whole-answers.test.ts
+++ b/test/end-to-end/whole-answers.test.ts
@@ -10,7 +10,7 @@
 import {waitUntil} from '../support/wait-until.js';
 
 const healthy: Partial<EngineFaults> = {
-	down: false, cutAfter: -1, stallAfter: -1, duplicate: false, crossed: false,
+	down: false, cutAfter: -1, endAfter: -1, stallAfter: -1, duplicate: false, crossed: false,
 };
 const tokens = 20;
 const learnMs = 1500;
@@ -31,6 +31,7 @@
 
 	const faults: ReadonlyArray<readonly [string, Partial<EngineFaults>]> = [
 		['cuts its streams', {cutAfter: 7}],
+		['ends its streams early', {endAfter: 7}],
 		['stalls its streams', {stallAfter: 7}],
 		['sends every token twice', {duplicate: true}],
 		['sends the stream of another attempt', {crossed: true}],
--- a/test/publishing/publish.test.ts
+++ b/test/publishing/publish.test.ts
@@ -6,7 +6,7 @@
 import {parseServiceText} from '../../src/settings/parse-service-text.js';
 import {digest} from '../../src/util/digest.js';
 import {createFakePlatform, type PlatformFaults} from '../support/create-fake-platform.js';
-import {createRandom} from '../support/create-random.js';
+import {createRandom} from '../../src/util/create-random.js';
 
 function makeFile(service: string, weight: number) {
 	const text = JSON.stringify({
