--- a/bench/bench-ledger.ts
+++ b/bench/bench-ledger.ts
@@ -70,6 +70,6 @@
 	}
 
 	printSlope('platform writes a commitment, by batch', 'writes', batches.map(([batch, writes]) => [batch, writes] as const));
-	printSlope('platform bytes a commitment, by batch', 'bytes', batches.map(([batch, , , bytes]) => [batch, bytes] as const));
+	printSlope('platform bytes a commitment, by batch', 'bytes', batches.map(point => [point[0], point[3]] as const));
 	measureHeap(() => undefined);
 }
--- a/src/stand-ins/create-engine-stand-in.ts
+++ b/src/stand-ins/create-engine-stand-in.ts
@@ -43,7 +43,8 @@
 
 /**
 Creates a stand-in for a model engine: streaming completions with continuous batching, a limited prefix cache, resume
-and cancel, KV export and import, cache events with gaps, a lagging load report and orders with fencing numbers.
+and cancel, KV export and import, cache events with gaps, a lagging load report and orders with fencing numbers. `POST /control` takes {@link EngineFaults} and `{cutNow: true}`, which
+cuts all running streams once.
 */
 export async function createEngineStandIn(address = '127.0.0.1:0', options: EngineOptions = {}): Promise<StandIn> {
 	const {slots = 8, prefillTokensPerMs = 20, stepMs = 10, cachePieces = 400, loadMs = 1300} = options;
@@ -243,7 +244,12 @@
 
 	return serveStandIn(address, async ({path, query, body, res}) => {
 		if (path === '/control') {
-			faults = {...faults, ...body as Partial<EngineFaults>};
+			const {cutNow, ...changed} = body as Partial<EngineFaults> & {readonly cutNow?: boolean};
+			faults = {...faults, ...changed};
+			for (const {res: cut} of cutNow ? running.values() : []) {
+				cut.destroy();
+			}
+
 			return [200, {}];
 		}
 
--- a/test/end-to-end/upstreams.test.ts
+++ b/test/end-to-end/upstreams.test.ts
@@ -134,7 +134,7 @@
 			return reports.every(({body}) => JSON.stringify(body.loaded) === '["small@v2"]');
 		});
 		await sleep(1500);
-		await Promise.all(fleet.engines.map(async engine => control(engine, {cutAfter: 790})));
+		await Promise.all(fleet.engines.map(async engine => control(engine, {cutNow: true})));
 		for (const [index, answer] of (await Promise.all(running)).entries()) {
 			expect(answer).toMatchObject({isWhole: false, error: {ran: 'yes'}});
 			expect(expectedText(`broken by a swap ${index}`, 800).startsWith(answer.text)).toBe(true);
