--- a/src/callers/create-model-runner.ts
+++ b/src/callers/create-model-runner.ts
@@ -2,6 +2,7 @@
 import {type ContextTask} from '../context/context-task.js';
 import {type PieceRecord} from '../context/piece-record.js';
 import {type Piece} from '../decide/context/piece.js';
+import {fetchPatience} from '../decide/context/fetch-patience.js';
 import {splitPieces} from '../decide/context/split-pieces.js';
 import {type RetryBudget} from '../decide/retries/retry-budget.js';
 import {type EngineView} from '../decide/routing/engine-view.js';
@@ -179,13 +180,16 @@
 
 			const link = linkOf(store);
 			const began = Date.now();
+			const patienceMs = fetchPatience(link.expectMs(piece.bytes, began));
 			link.begin(piece.bytes);
 			let isImported = false;
 			try {
-				isImported = await engine.importPiece(piece, store.url);
+				isImported = await engine.importPiece(piece, store.url, patienceMs);
 				link.end(piece.bytes, Date.now() - began, Date.now());
 			} catch {
+				// Too slow or broken: the rest is recomputed, and the piece may still be there another time.
 				link.fail(piece.bytes, Date.now());
+				break;
 			}
 
 			if (!isImported) {
--- /dev/null
+++ b/src/decide/context/fetch-patience.ts
@@ -0,0 +1,12 @@
+const factor = 4;
+const leastMs = 200;
+
+/**
+Gives how long a fetch may take before it is given up and the rest recomputed, in milliseconds. A link that slows while a
+fetch is under way would otherwise hold the request.
+
+@param expectedMs - Time that the fetch was expected to take.
+*/
+export function fetchPatience(expectedMs: number): number {
+	return Math.max(leastMs, factor * expectedMs);
+}
--- a/src/orders/create-orders-task.ts
+++ b/src/orders/create-orders-task.ts
@@ -1,3 +1,4 @@
+import {type EngineStatus} from '../grants/engine-status.js';
 import {createLease} from '../decide/orders/create-lease.js';
 import {planOrders} from '../decide/orders/plan-orders.js';
 import {type PlannedOrder} from '../decide/orders/planned-order.js';
@@ -8,14 +9,12 @@
 import {type Snapshot} from '../publishing/snapshot.js';
 import {type ModelService} from '../settings/model-service.js';
 import {type Engine} from '../upstreams/engine.js';
-import {type EngineReport} from '../upstreams/engine-report.js';
 import {type Stop} from '../util/stop.js';
 import {type DomainStatus} from './domain-status.js';
 
 const renewMs = 3000;
 const reconcileMs = 1000;
 const statusMs = 5000;
-const reportTimeoutMs = 500;
 
 /** The lease object's value. */
 type LeaseValue = {
@@ -101,21 +100,19 @@
 		}
 	};
 
-	const readReport = async (url: string): Promise<EngineReport | undefined> => {
-		try {
-			return await engineAt(url).report(reportTimeoutMs);
-		} catch {
-			return undefined;
-		}
-	};
+	/** State of an engine as its owner last told; owners poll engines, so the lease holder need not. */
+	const statusOf = (engine: string): EngineStatus | undefined =>
+		membership.gossip.get(`engines/${domain}`, engine)?.value as EngineStatus | undefined;
 
-	const reconcileService = async (service: ModelService): Promise<void> => {
+	const reconcileService = (service: ModelService): void => {
 		const upstreams = service.upstreams.filter(upstream => upstream.domain === domain);
-		const reports = await Promise.all(upstreams.map(async ({url}) => readReport(url)));
 		const wanted = service.models.map(model => `${model.name}@${model.version}`);
-		const states = upstreams.map(({name}, index) => ({
-			engine: name, loaded: reports[index]?.loaded ?? [], isUp: reports[index] !== undefined, busy: busy.has(name),
-		}));
+		const states = upstreams.map(({name}) => {
+			const status = statusOf(name);
+			return {
+				engine: name, loaded: status?.loaded ?? [], isUp: status?.isUp ?? false, busy: busy.has(name),
+			};
+		});
 		for (const order of planOrders(wanted, states, service.concurrentLoads)) {
 			const {url} = upstreams.find(upstream => upstream.name === order.engine)!;
 			void give(order.engine, engineAt(url), order);
@@ -129,7 +126,7 @@
 
 		for (const service of snapshot()?.services ?? []) {
 			if (service.kind === 'model') {
-				void reconcileService(service);
+				reconcileService(service);
 			}
 		}
 	};
--- a/src/replay/run-policy.ts
+++ b/src/replay/run-policy.ts
@@ -1,3 +1,4 @@
+import {fetchPatience} from '../decide/context/fetch-patience.js';
 import {shouldOffload} from '../decide/context/should-offload.js';
 import {createEngineQueue} from '../decide/grants/create-engine-queue.js';
 import {type Ask} from '../decide/grants/ask.js';
@@ -286,29 +287,43 @@
 		});
 	};
 
+	/** Fetches one piece after the other, as a host does, until one takes too long. */
 	const fetchAndRun = (job: Job, target: ModelledEngine, id: string): void => {
 		const {settings, link, store: kept} = job.service;
 		const cached = target.engine.cache.prefix(job.keys);
 		const route = job.routes.find(({engine}) => engine === target.name)!;
-		const fetch = route.fetch.filter(piece => job.keys.indexOf(piece.key) >= cached);
-		if (fetch.length === 0) {
-			run(job, target, id);
-			return;
-		}
-
-		const bytes = fetch.length * settings.pieceBytes;
+		const pieces = route.fetch.filter(piece => job.keys.indexOf(piece.key) >= cached);
 		const estimate = job.host.links.get(settings.name)!;
-		const began = clock.now();
-		estimate.begin(bytes);
-		clock.at(link.send(bytes, kept.slowdown()), () => {
-			estimate.end(bytes, clock.now() - began, clock.now());
+		const bytes = settings.pieceBytes;
+
+		const fetchNext = (index: number): void => {
+			const piece = pieces[index];
+			if (!piece) {
+				run(job, target, id);
+				return;
+			}
+
+			const began = clock.now();
+			const patienceMs = policy.fetching === 'always' ? Number.POSITIVE_INFINITY : fetchPatience(estimate.expectMs(bytes, began));
+			const arrival = link.send(bytes, kept.slowdown());
+			estimate.begin(bytes);
 			tally.fetched(job.request, bytes);
-			for (const piece of fetch) {
-				target.engine.cache.use(piece.key);
+			if (arrival - began > patienceMs) {
+				clock.at(began + patienceMs, () => {
+					estimate.fail(bytes, clock.now());
+					run(job, target, id);
+				});
+				return;
 			}
 
-			run(job, target, id);
-		});
+			clock.at(arrival, () => {
+				estimate.end(bytes, clock.now() - began, clock.now());
+				target.engine.cache.use(piece.key);
+				fetchNext(index + 1);
+			});
+		};
+
+		fetchNext(0);
 	};
 
 	const onGrant = (job: Job, target: ModelledEngine, id: string): void => {
--- a/src/upstreams/create-http-engine.ts
+++ b/src/upstreams/create-http-engine.ts
@@ -141,11 +141,11 @@
 			const {body} = await callJson(`${url}/cache/list`, {timeoutMs: callTimeoutMs});
 			return body as {readonly seq: number; readonly keys: readonly string[]};
 		},
-		async importPiece({key, block, generation, checksum}, storeUrl) {
+		async importPiece({key, block, generation, checksum}, storeUrl, timeoutMs = transferTimeoutMs) {
 			const {status, body} = await callJson(`${url}/kv/import`, {
 				body: {
 					key, store: storeUrl, block, generation,
-				}, timeoutMs: transferTimeoutMs,
+				}, timeoutMs,
 			});
 			if (status !== 200 || body.generation !== generation || body.checksum !== checksum) {
 				return false;
--- a/src/upstreams/engine.ts
+++ b/src/upstreams/engine.ts
@@ -15,8 +15,11 @@
 	readonly report: (timeoutMs: number) => Promise<EngineReport>;
 	readonly cacheEvents: (after: number) => Promise<CacheEvents>;
 	readonly cacheList: () => Promise<{readonly seq: number; readonly keys: readonly string[]}>;
-	/** Imports a stored piece; `false` when block, generation or checksum are not as sealed. */
-	readonly importPiece: (piece: StoredPiece, storeUrl: string) => Promise<boolean>;
+	/**
+	Imports a stored piece; `false` when block, generation or checksum are not as sealed.
+	@throws {Error} When it takes longer than `timeoutMs`.
+	*/
+	readonly importPiece: (piece: StoredPiece, storeUrl: string, timeoutMs?: number) => Promise<boolean>;
 	/** Writes a cached piece into a reserved block; gives its checksum, or `undefined` when it is not cached. */
 	readonly exportPiece: (key: string, storeUrl: string, block: number, generation: number) => Promise<string | undefined>;
 	readonly order: (order: EngineOrder) => Promise<'done' | 'refused'>;
--- a/test/decide/link-estimate.test.ts
+++ b/test/decide/link-estimate.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {createLinkEstimate} from '../../src/decide/routing/create-link-estimate.js';
+import {fetchPatience} from '../../src/decide/context/fetch-patience.js';
 import {shouldOffload} from '../../src/decide/context/should-offload.js';
 
 const bytes = 64e6;
@@ -42,6 +43,12 @@
 	});
 });
 
+describe('the patience with a fetch', () => {
+	it.each([[0, 200], [40, 200], [500, 2000]])('for an expected %i ms is %i ms', (expectedMs, patienceMs) => {
+		expect(fetchPatience(expectedMs)).toBe(patienceMs);
+	});
+});
+
 describe('the writing of pieces to a store', () => {
 	it.each([
 		['a piece that returned, while little is before it', 2, 90, true],
