--- a/scripts/replay-all.js
+++ b/scripts/replay-all.js
@@ -10,7 +10,7 @@
 
 const program = 'dist/hemlockpier.cjs';
 const minutes = 60;
-const atOnce = 5;
+const atOnce = 7;
 const run = promisify(execFile);
 const queue = new PQueue({concurrency: atOnce});
 
