Split the model runner: planning and importing stand alone; one export a file

Also: a suspect whose caller has gone no longer waits in a tight loop (sleep ends at once when the caller's signal has fired); found by reading. 19 of 19 end-to-end tests of the path and of upstreams pass, as before.

--- a/bench/bench-table-one.ts
+++ b/bench/bench-table-one.ts
@@ -13,7 +13,8 @@
 			d, load, seed: 100 + index, arrivals,
 		}));
 		const reduction = 100 * (1 - (two! / one!));
-		process.stdout.write(`load ${load}: E(N) d=1 ${one!.toFixed(2)}, d=2 ${two!.toFixed(2)}, reduction ${reduction.toFixed(2)}% (published ${percent}%, off by ${(reduction - percent).toFixed(2)})\n`);
+		const means = `E(N) d=1 ${one!.toFixed(2)}, d=2 ${two!.toFixed(2)}`;
+		process.stdout.write(`load ${load}: ${means}, reduction ${reduction.toFixed(2)}% (published ${percent}%, off by ${(reduction - percent).toFixed(2)})\n`);
 	}
 
 	const bimodal = (random: () => number): number => random() < 0.9 ? 0.4 : 6.4;
--- a/src/callers/create-model-runner.ts
+++ b/src/callers/create-model-runner.ts
@@ -1,32 +1,22 @@
 import {randomUUID} from 'node:crypto';
-import {type ContextTask} from '../context/context-task.js';
-import {type PieceRecord} from '../context/piece-record.js';
-import {type Piece} from '../decide/context/piece.js';
-import {fetchPatience} from '../decide/context/fetch-patience.js';
-import {splitPieces} from '../decide/context/split-pieces.js';
 import {type RetryBudget} from '../decide/retries/retry-budget.js';
-import {type EngineView} from '../decide/routing/engine-view.js';
-import {type LinkEstimate} from '../decide/routing/link-estimate.js';
-import {rankEngines} from '../decide/routing/rank-engines.js';
-import {type Route} from '../decide/routing/route.js';
-import {type WaitMemory} from '../decide/routing/wait-memory.js';
-import {chooseVersion} from '../decide/routing/choose-version.js';
 import {BrokenStreamError} from '../errors/broken-stream-error.js';
-import {type Ran} from '../errors/ran.js';
 import {Refusal} from '../errors/refusal.js';
-import {type EngineStatus} from '../grants/engine-status.js';
 import {type GrantAskerTask} from '../grants/grant-asker-task.js';
 import {type Grant} from '../grants/grant.js';
 import {type DecisionLog} from '../observe/decision-log.js';
 import {type Metrics} from '../observe/metrics.js';
 import {type PoisonTask} from '../poison/poison-task.js';
-import {type StoreSettings} from '../settings/store-settings.js';
 import {type Upstream} from '../settings/upstream.js';
 import {type Engine} from '../upstreams/engine.js';
 import {digest} from '../util/digest.js';
 import {sleep} from '../util/sleep.js';
+import {type createPieceImporter} from './create-piece-importer.js';
+import {type createPlanner} from './create-planner.js';
 import {type ModelRequest} from './model-request.js';
 import {type ModelRunner} from './model-runner.js';
+import {type Plan} from './plan.js';
+import {type Progress} from './progress.js';
 import {type Usage} from './usage.js';
 
 const stallMs = 5000;
@@ -35,103 +25,24 @@
 const comeBackMs = 2000;
 const condemnedComeBackMs = 600_000;
 const resumedPriority = 10;
-const otherDomainMs = 3;
-const ownDomainMs = 1;
 
 /** What the model runner needs. */
 type ModelRunnerOptions = {
-	readonly domain: string;
+	readonly plan: ReturnType<typeof createPlanner>;
+	readonly importPieces: ReturnType<typeof createPieceImporter>;
 	readonly asker: GrantAskerTask;
-	readonly context: ContextTask;
 	readonly poison: PoisonTask;
 	readonly engineAt: (url: string) => Engine;
-	readonly statusOf: (upstream: Upstream) => EngineStatus | undefined;
-	readonly linkOf: (store: StoreSettings) => LinkEstimate;
-	readonly waits: WaitMemory;
 	readonly budgetOf: (service: string, share: number) => RetryBudget;
-	readonly offer: (request: ModelRequest, engine: Upstream, pieces: readonly Piece[], found: ReadonlyArray<PieceRecord | undefined>, labels: readonly string[]) => void;
+	/** Offers what the engine has cached now to the directory and to the store. */
+	readonly offer: (request: ModelRequest, engine: Upstream, plan: Plan) => void;
 	readonly decisions: DecisionLog;
 	readonly metrics: Metrics;
-	readonly random: () => number;
-};
-
-/** Where and how a request is to run, and what is known of its pieces. */
-type Plan = {
-	readonly version: string;
-	readonly pieces: readonly Piece[];
-	readonly labels: readonly string[];
-	readonly found: ReadonlyArray<PieceRecord | undefined>;
-	readonly routes: readonly Route[];
-};
-
-/** Progress of a request over its attempts. */
-type Progress = {
-	/** Next token wanted. */
-	offset: number;
-	ran: Ran;
-	/** Version of the first attempt; a resumed stream stays on it. */
-	version: string | undefined;
-	readonly failed: Set<string>;
 };
 
 /** Creates the function that runs completions. */
 export function createModelRunner(options: ModelRunnerOptions): ModelRunner {
-	const {domain, asker, context, poison, engineAt, statusOf, linkOf, waits, budgetOf, offer, decisions, metrics, random} = options;
-
-	const listUsable = (request: ModelRequest, failed: ReadonlySet<string>): readonly Upstream[] => request.service.upstreams.filter(upstream =>
-		!upstream.leaving && !failed.has(upstream.name) && !statusOf(upstream)?.leaving);
-
-	/** Puts engines that fail behind all others. */
-	const failingLast = (routes: readonly Route[], usable: readonly Upstream[]): readonly Route[] => {
-		const failing = new Set(usable.filter(upstream => statusOf(upstream)?.isUp === false).map(upstream => upstream.name));
-		return [...routes.filter(route => !failing.has(route.engine)), ...routes.filter(route => failing.has(route.engine))];
-	};
-
-	const toView = (upstream: Upstream, pieces: readonly Piece[], found: ReadonlyArray<PieceRecord | undefined>): EngineView => {
-		const miss = pieces.findIndex((_, index) => !found[index]?.engines.includes(upstream.name));
-		return {
-			name: upstream.name,
-			domain: upstream.domain,
-			cachedPieces: miss === -1 ? pieces.length : miss,
-			waitMs: waits.expectMs(upstream.name, Date.now()),
-			prefillTokensPerS: upstream.prefillTokensPerS,
-			distanceMs: upstream.domain === domain ? ownDomainMs : otherDomainMs,
-		};
-	};
-
-	const fetchMs = (request: ModelRequest) => (store: string, bytes: number): number => {
-		const settings = request.service.stores.find(candidate => candidate.name === store);
-		return settings ? linkOf(settings).expectMs(bytes, Date.now()) : Number.POSITIVE_INFINITY;
-	};
-
-	const plan = async (request: ModelRequest, progress: Progress): Promise<Plan> => {
-		const {service, model, workspace, prompt, hint} = request;
-		const usable = listUsable(request, progress.failed);
-		const loaded = usable.map(upstream => statusOf(upstream)?.loaded ?? [`${model.name}@${model.version}`]);
-		const version = chooseVersion(model, loaded, progress.offset > 0 ? progress.version : undefined);
-		if (version === undefined) {
-			throw new Refusal('no-upstream', `no engine of service "${service.service}" can run model "${model.name}"`, progress.ran, comeBackMs);
-		}
-
-		const scope = {
-			workspace: workspace.name, service: service.service, model: model.name, adapter: model.adapter ?? '', version,
-		};
-		const pieces = splitPieces(scope, prompt, service.pieceCharacters);
-		const labels = pieces.map(piece => hint === undefined ? piece.key : digest(`${workspace.name}\n${hint}`));
-		const found = await context.lookup(service.service, pieces.map(piece => piece.key), labels);
-		const views = usable
-			.filter((_, index) => loaded[index]!.includes(`${model.name}@${version}`))
-			.map(upstream => toView(upstream, pieces, found));
-		const routes = rankEngines({
-			pieceTokens: pieces.map(piece => piece.tokens),
-			stored: found.map(record => record?.stored),
-			cost: service.cost,
-			fetchMs: fetchMs(request),
-		}, views, random);
-		return {
-			version, pieces, labels, found, routes: failingLast(routes, usable),
-		};
-	};
+	const {plan, importPieces, asker, poison, engineAt, budgetOf, offer, decisions, metrics} = options;
 
 	const acquire = async (request: ModelRequest, progress: Progress, {routes, pieces}: Plan, isAlone: boolean): Promise<Grant> => {
 		const {service, workspace, maxTokens, requestId} = request;
@@ -168,45 +79,6 @@
 		}
 	};
 
-	/** Imports the stored pieces of the route; stops at the first that is not as sealed. */
-	const importPieces = async (request: ModelRequest, engine: Engine, route: Route, cachedPieces: number, {pieces, labels}: Plan): Promise<number> => {
-		let bytes = 0;
-		for (const piece of route.fetch) {
-			const index = pieces.findIndex(candidate => candidate.key === piece.key);
-			const store = request.service.stores.find(candidate => candidate.name === piece.store);
-			if (index < cachedPieces || !store) {
-				continue;
-			}
-
-			const link = linkOf(store);
-			const began = Date.now();
-			const patienceMs = fetchPatience(link.expectMs(piece.bytes, began));
-			link.begin(piece.bytes);
-			let isImported = false;
-			try {
-				isImported = await engine.importPiece(piece, store.url, patienceMs);
-				link.end(piece.bytes, Date.now() - began, Date.now());
-			} catch {
-				// Too slow or broken: the rest is recomputed, and the piece may still be there another time.
-				link.fail(piece.bytes, Date.now());
-				break;
-			}
-
-			if (!isImported) {
-				context.add([{
-					service: request.service.service, label: labels[index]!, key: piece.key, workspace: request.workspace.name,
-					tokens: pieces[index]!.tokens, depth: index, lost: true,
-				}]);
-				break;
-			}
-
-			bytes += piece.bytes;
-		}
-
-		metrics.linkBytes.inc({service: request.service.service, direction: 'in'}, bytes);
-		return bytes;
-	};
-
 	/** Waits until a suspect may run alone. Returns the identity of its run, or `undefined` for an ordinary request. */
 	const enterAlone = async (request: ModelRequest, progress: Progress, requestDigest: string): Promise<string | undefined> => {
 		const run = randomUUID();
@@ -220,6 +92,10 @@
 				throw new Refusal('condemned', 'this request crashed the upstreams that ran it', progress.ran, condemnedComeBackMs);
 			}
 
+			if (request.signal.aborted) {
+				throw new Refusal('slow-caller', 'the caller has gone', progress.ran);
+			}
+
 			if (verdict === 'wait' && Date.now() >= request.deadlineAt) {
 				throw new Refusal('deadline', 'the request waits for another run of itself', progress.ran, comeBackMs);
 			}
@@ -267,7 +143,7 @@
 			if (event.kind === 'end') {
 				metrics.promptTokens.inc({service: service.service, work: 'cached'}, event.cachedTokens);
 				metrics.promptTokens.inc({service: service.service, work: 'recomputed'}, event.promptTokens - event.cachedTokens);
-				offer(request, upstream, current.pieces, current.found, current.labels);
+				offer(request, upstream, current);
 				return event;
 			}
 
--- /dev/null
+++ b/src/callers/create-piece-importer.ts
@@ -0,0 +1,52 @@
+import {type ContextTask} from '../context/context-task.js';
+import {fetchPatience} from '../decide/context/fetch-patience.js';
+import {type LinkEstimate} from '../decide/routing/link-estimate.js';
+import {type Route} from '../decide/routing/route.js';
+import {type Metrics} from '../observe/metrics.js';
+import {type StoreSettings} from '../settings/store-settings.js';
+import {type Engine} from '../upstreams/engine.js';
+import {type ModelRequest} from './model-request.js';
+import {type Plan} from './plan.js';
+
+/** Imports the stored pieces of a route into its engine; stops at the first that is slow or not as sealed. */
+type PieceImporter = (request: ModelRequest, engine: Engine, route: Route, cachedPieces: number, plan: Plan) => Promise<void>;
+
+/** Creates the function that imports pieces. */
+export function createPieceImporter(context: ContextTask, linkOf: (store: StoreSettings) => LinkEstimate, metrics: Metrics): PieceImporter {
+	return async (request, engine, route, cachedPieces, {pieces, labels}) => {
+		let bytes = 0;
+		for (const piece of route.fetch) {
+			const index = pieces.findIndex(candidate => candidate.key === piece.key);
+			const store = request.service.stores.find(candidate => candidate.name === piece.store);
+			if (index < cachedPieces || !store) {
+				continue;
+			}
+
+			const link = linkOf(store);
+			const began = Date.now();
+			const patienceMs = fetchPatience(link.expectMs(piece.bytes, began));
+			link.begin(piece.bytes);
+			let isImported = false;
+			try {
+				isImported = await engine.importPiece(piece, store.url, patienceMs);
+				link.end(piece.bytes, Date.now() - began, Date.now());
+			} catch {
+				// Too slow or broken: the rest is recomputed, and the piece may still be there another time.
+				link.fail(piece.bytes, Date.now());
+				break;
+			}
+
+			if (!isImported) {
+				context.add([{
+					service: request.service.service, label: labels[index]!, key: piece.key, workspace: request.workspace.name,
+					tokens: pieces[index]!.tokens, depth: index, lost: true,
+				}]);
+				break;
+			}
+
+			bytes += piece.bytes;
+		}
+
+		metrics.linkBytes.inc({service: request.service.service, direction: 'in'}, bytes);
+	};
+}
--- /dev/null
+++ b/src/callers/create-planner.ts
@@ -0,0 +1,93 @@
+import {type ContextTask} from '../context/context-task.js';
+import {type PieceRecord} from '../context/piece-record.js';
+import {type Piece} from '../decide/context/piece.js';
+import {splitPieces} from '../decide/context/split-pieces.js';
+import {chooseVersion} from '../decide/routing/choose-version.js';
+import {type EngineView} from '../decide/routing/engine-view.js';
+import {type LinkEstimate} from '../decide/routing/link-estimate.js';
+import {rankEngines} from '../decide/routing/rank-engines.js';
+import {type Route} from '../decide/routing/route.js';
+import {type WaitMemory} from '../decide/routing/wait-memory.js';
+import {Refusal} from '../errors/refusal.js';
+import {type EngineStatus} from '../grants/engine-status.js';
+import {type StoreSettings} from '../settings/store-settings.js';
+import {type Upstream} from '../settings/upstream.js';
+import {digest} from '../util/digest.js';
+import {type ModelRequest} from './model-request.js';
+import {type Plan} from './plan.js';
+import {type Progress} from './progress.js';
+
+const comeBackMs = 2000;
+const otherDomainMs = 3;
+const ownDomainMs = 1;
+
+/** What the planner needs. */
+type PlannerOptions = {
+	readonly domain: string;
+	readonly context: ContextTask;
+	readonly statusOf: (upstream: Upstream) => EngineStatus | undefined;
+	readonly linkOf: (store: StoreSettings) => LinkEstimate;
+	readonly waits: WaitMemory;
+	readonly random: () => number;
+};
+
+/**
+Creates the function that plans where a request runs: it chooses the weight version, looks the pieces up and ranks the
+engines.
+*/
+export function createPlanner({domain, context, statusOf, linkOf, waits, random}: PlannerOptions): (request: ModelRequest, progress: Progress) => Promise<Plan> {
+	const listUsable = (request: ModelRequest, failed: ReadonlySet<string>): readonly Upstream[] => request.service.upstreams.filter(upstream =>
+		!upstream.leaving && !failed.has(upstream.name) && !statusOf(upstream)?.leaving);
+
+	/** Puts engines that fail behind all others. */
+	const failingLast = (routes: readonly Route[], usable: readonly Upstream[]): readonly Route[] => {
+		const failing = new Set(usable.filter(upstream => statusOf(upstream)?.isUp === false).map(upstream => upstream.name));
+		return [...routes.filter(route => !failing.has(route.engine)), ...routes.filter(route => failing.has(route.engine))];
+	};
+
+	const toView = (upstream: Upstream, pieces: readonly Piece[], found: ReadonlyArray<PieceRecord | undefined>): EngineView => {
+		const miss = pieces.findIndex((_, index) => !found[index]?.engines.includes(upstream.name));
+		return {
+			name: upstream.name,
+			domain: upstream.domain,
+			cachedPieces: miss === -1 ? pieces.length : miss,
+			waitMs: waits.expectMs(upstream.name, Date.now()),
+			prefillTokensPerS: upstream.prefillTokensPerS,
+			distanceMs: upstream.domain === domain ? ownDomainMs : otherDomainMs,
+		};
+	};
+
+	const fetchMs = (request: ModelRequest) => (store: string, bytes: number): number => {
+		const settings = request.service.stores.find(candidate => candidate.name === store);
+		return settings ? linkOf(settings).expectMs(bytes, Date.now()) : Number.POSITIVE_INFINITY;
+	};
+
+	return async (request, progress) => {
+		const {service, model, workspace, prompt, hint} = request;
+		const usable = listUsable(request, progress.failed);
+		const loaded = usable.map(upstream => statusOf(upstream)?.loaded ?? [`${model.name}@${model.version}`]);
+		const version = chooseVersion(model, loaded, progress.offset > 0 ? progress.version : undefined);
+		if (version === undefined) {
+			throw new Refusal('no-upstream', `no engine of service "${service.service}" can run model "${model.name}"`, progress.ran, comeBackMs);
+		}
+
+		const scope = {
+			workspace: workspace.name, service: service.service, model: model.name, adapter: model.adapter ?? '', version,
+		};
+		const pieces = splitPieces(scope, prompt, service.pieceCharacters);
+		const labels = pieces.map(piece => hint === undefined ? piece.key : digest(`${workspace.name}\n${hint}`));
+		const found = await context.lookup(service.service, pieces.map(piece => piece.key), labels);
+		const views = usable
+			.filter((_, index) => loaded[index]!.includes(`${model.name}@${version}`))
+			.map(upstream => toView(upstream, pieces, found));
+		const routes = rankEngines({
+			pieceTokens: pieces.map(piece => piece.tokens),
+			stored: found.map(record => record?.stored),
+			cost: service.cost,
+			fetchMs: fetchMs(request),
+		}, views, random);
+		return {
+			version, pieces, labels, found, routes: failingLast(routes, usable),
+		};
+	};
+}
--- a/src/commands/replay.ts
+++ b/src/commands/replay.ts
@@ -43,8 +43,10 @@
 const header = 'policy               p50    p95    p99recomputed GB in  GB out    link engines    cost  tokens/s  servedrefused';
 
 function shareLines(result: RunResult): readonly string[] {
-	return [...Object.entries(result.services), ...Object.entries(result.workspaces)].map(([name, share]) =>
-		`  ${name.padEnd(28)} ${String(share.requests).padStart(7)} requests, ${String(share.refused).padStart(6)} refused, ${percent(share.share).padStart(6)} of tokens, p95 ${share.p95.toFixed(0)} ms`);
+	return [...Object.entries(result.services), ...Object.entries(result.workspaces)].map(([name, share]) => {
+		const counts = `${String(share.requests).padStart(7)} requests, ${String(share.refused).padStart(6)} refused`;
+		return `  ${name.padEnd(28)} ${counts}, ${percent(share.share).padStart(6)} of tokens, p95 ${share.p95.toFixed(0)} ms`;
+	});
 }
 
 async function writeReport(folder: string, trace: string, results: readonly RunResult[]): Promise<void> {
--- a/src/peers/peer-caller.ts
+++ b/src/peers/peer-caller.ts
@@ -1,12 +1,7 @@
+import {type PeerCallOptions} from './peer-call-options.js';
 import {type PeerMethod} from './peer-method.js';
 import {type PeerMethods} from './peer-methods.js';
 
-/** How a call to a peer is sent. */
-export type PeerCallOptions = {
-	readonly timeoutMs?: number;
-	readonly signal?: AbortSignal;
-};
-
 /**
 Calls a method of the peer at `address` (`IP:PORT`).
 @throws {Refusal} The peer's own refusal.
--- a/src/replay/create-tally.ts
+++ b/src/replay/create-tally.ts
@@ -1,6 +1,7 @@
 import {type Deployment} from './deployment.js';
 import {quantile} from './quantile.js';
-import {type RunResult, type ServedShare} from './run-result.js';
+import {type RunResult} from './run-result.js';
+import {type ServedShare} from './served-share.js';
 import {type TraceRequest} from './trace-request.js';
 
 /** Sums of one service or workspace. */
--- a/src/replay/run-result.ts
+++ b/src/replay/run-result.ts
@@ -1,3 +1,5 @@
+import {type ServedShare} from './served-share.js';
+
 /** What a policy did with a trace. Times are in milliseconds. */
 export type RunResult = {
 	readonly policy: string;
@@ -22,12 +24,3 @@
 	readonly services: Readonly<Record<string, ServedShare>>;
 	readonly workspaces: Readonly<Record<string, ServedShare>>;
 };
-
-/** What one service or workspace got. */
-export type ServedShare = {
-	readonly requests: number;
-	readonly refused: number;
-	/** Share of all served tokens. */
-	readonly share: number;
-	readonly p95: number;
-};
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -2,6 +2,8 @@
 import {createCommitmentRunner} from './callers/create-commitment-runner.js';
 import {createCompletionHandler} from './callers/create-completion-handler.js';
 import {createModelRunner} from './callers/create-model-runner.js';
+import {createPieceImporter} from './callers/create-piece-importer.js';
+import {createPlanner} from './callers/create-planner.js';
 import {createPlainHandler} from './callers/create-plain-handler.js';
 import {createReadRunner} from './callers/create-read-runner.js';
 import {createLedgerTask} from './commitments/create-ledger-task.js';
@@ -142,8 +144,12 @@
 		? undefined
 		: createTraceRecorder(settings.trace, region, snapshot, () => owners.up().length);
 	const runModel = createModelRunner({
-		domain, asker, context, poison, engineAt, statusOf, linkOf, waits, budgetOf, decisions, metrics, random,
-		offer(request, upstream, pieces, found, labels) {
+		plan: createPlanner({
+			domain, context, statusOf, linkOf, waits, random,
+		}),
+		importPieces: createPieceImporter(context, linkOf, metrics),
+		asker, poison, engineAt, budgetOf, decisions, metrics,
+		offer(request, upstream, {pieces, found, labels}) {
 			const {service, workspace} = request;
 			const wholePieces = pieces.filter(piece => piece.isWhole);
 			recorder?.record({
--- a/test/end-to-end/bad-input.test.ts
+++ b/test/end-to-end/bad-input.test.ts
@@ -9,6 +9,7 @@
 import {fleetKeys, startFleet, type Fleet} from '../support/fleet.js';
 
 const waitMs = 3000;
+const peerMethods = ['grant.ask', 'grant.renew', 'commit.claim', 'gossip.sync', 'config.push', 'context.add', 'context.lookup', 'poison.end', 'nix'] as const;
 
 async function sendRaw(address: string, text: string | Uint8Array, cut = false): Promise<string> {
 	return new Promise(resolve => {
@@ -96,7 +97,7 @@
 	it('lives on after whatever bytes arrive at any of its addresses', async () => {
 		const {callers, peers, operators} = fleet.hosts[0]!;
 		const rpc = fc.record({
-			jsonrpc: fc.constant('2.0'), id: fc.nat(), method: fc.constantFrom('grant.ask', 'grant.renew', 'commit.claim', 'gossip.sync', 'config.push', 'context.add', 'context.lookup', 'poison.end', 'nix'), params: fc.jsonValue(),
+			jsonrpc: fc.constant('2.0'), id: fc.nat(), method: fc.constantFrom(...peerMethods), params: fc.jsonValue(),
 		});
 		const targets = [[callers, '/v1/completions'], [callers, '/services/booking/bookings'], [peers, '/rpc'], [operators, '/mark']] as const;
 		const body = fc.oneof(fc.json(), fc.string(), rpc.map(value => JSON.stringify(value)));
