--- a/xo.config.js
+++ b/xo.config.js
@@ -1,4 +1,4 @@
-/** Lint settings. Rules that clash with the project's agreed style are off; docs/STYLE.md gives each reason. */
+/** Lint settings. Rules that clash with the project's agreed style are off; docs/DEVELOPERS.md gives each reason. */
 const xoConfig = [
 	{ignores: ['dist/**', 'reports/**', 'traces/**']},
 	{
