Give back the leave of a suspect that did not run

Cause, found by reading: a suspect that got leave to run alone and then found no engine kept it for 60 s, and one whose caller went away in mid-run was cleared as if it had completed, so the next copy could crash an engine in company. A run now ends as completed, crashed or not run; only completed clears. The test of the register failed first (no way to give leave back).

--- a/src/callers/create-model-runner.ts
+++ b/src/callers/create-model-runner.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {type RunEnd} from '../decide/poison/run-end.js';
 import {type RetryBudget} from '../decide/retries/retry-budget.js';
 import {BrokenStreamError} from '../errors/broken-stream-error.js';
 import {Refusal} from '../errors/refusal.js';
@@ -207,8 +208,7 @@
 			}
 
 			const run = await enterAlone(request, progress, requestDigest);
-			let crashed = false;
-			let hasRun = false;
+			let end: RunEnd = 'not-run';
 			let hasFailed = false;
 			let grant: Grant | undefined;
 			const sent = progress.offset;
@@ -224,8 +224,8 @@
 					reason: run === undefined ? `least score first, version ${current.version}` : 'suspect runs alone',
 				});
 				grant = await acquire(request, progress, current, run !== undefined);
-				hasRun = true;
 				const usage = await stream(request, progress, current, grant, onToken);
+				end = 'completed';
 				decisions.note({requestId, what: 'done', reason: `${usage.completionTokens} tokens, ${usage.cachedTokens} of ${usage.promptTokens} prompt tokens cached`});
 				return usage;
 			} catch (error) {
@@ -234,12 +234,14 @@
 				}
 
 				hasFailed = true;
-				crashed = await onBroken(request, progress, error, grant!.engine, requestDigest);
+				const crashed = await onBroken(request, progress, error, grant!.engine, requestDigest);
+				end = crashed ? 'crashed' : 'not-run';
 				checkRetry(request, progress, budget, error);
 			} finally {
 				grant?.release(progress.offset - sent, hasFailed && !request.signal.aborted);
-				if (run !== undefined && hasRun) {
-					await poison.end(requestDigest, run, crashed);
+				if (run !== undefined) {
+					// A run that broke without a crash says nothing of the suspect.
+					await poison.end(requestDigest, run, end);
 				}
 			}
 		}
--- a/src/decide/poison/create-poison-register.ts
+++ b/src/decide/poison/create-poison-register.ts
@@ -77,6 +77,12 @@
 			});
 			return condemned ? 'condemned' : 'run-alone';
 		},
+		giveBack(digest, run) {
+			const record = records.get(digest);
+			if (record?.run === run) {
+				records.set(digest, {...record, run: undefined, runUntil: 0});
+			}
+		},
 		condemn(digest, now) {
 			records.set(digest, {
 				until: now + condemnedMs, condemned: true, crashesAlone: crashesAloneToCondemn, run: undefined, runUntil: 0,
--- a/src/decide/poison/poison-register.ts
+++ b/src/decide/poison/poison-register.ts
@@ -8,6 +8,8 @@
 	readonly begin: (digest: string, run: string, now: number) => PoisonVerdict;
 	/** A run of a suspect ended; a second crash alone condemns it, a completed run clears it. */
 	readonly end: (digest: string, run: string, crashed: boolean, now: number) => PoisonVerdict;
+	/** A run that had leave did not take place. */
+	readonly giveBack: (digest: string, run: string) => void;
 	/** Another host condemned the digest. */
 	readonly condemn: (digest: string, now: number) => void;
 	/** Another host saw a run of the digest complete. */
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -8,6 +8,7 @@
 import {type PieceRecord} from '../context/piece-record.js';
 import {type GossipEntry} from '../decide/membership/gossip-entry.js';
 import {type PoisonVerdict} from '../decide/poison/poison-verdict.js';
+import {type RunEnd} from '../decide/poison/run-end.js';
 import {type Decision} from '../observe/decision.js';
 
 /** Entries of gossip sections. */
@@ -83,7 +84,7 @@
 		readonly result: {readonly verdict: PoisonVerdict};
 	};
 	readonly 'poison.end': {
-		readonly params: {readonly digest: string; readonly run: string; readonly crashed: boolean};
+		readonly params: {readonly digest: string; readonly run: string; readonly end: RunEnd};
 		readonly result: Readonly<Record<string, never>>;
 	};
 	readonly explain: {
--- a/src/poison/create-poison-task.ts
+++ b/src/poison/create-poison-task.ts
@@ -1,4 +1,5 @@
 import {createPoisonRegister} from '../decide/poison/create-poison-register.js';
+import {type RunEnd} from '../decide/poison/run-end.js';
 import {type MembershipTask} from '../membership/membership-task.js';
 import {type Owners} from '../membership/owners.js';
 import {type PeerCaller} from '../peers/peer-caller.js';
@@ -49,7 +50,13 @@
 	const beginHere = (digest: string, run: string): PeerMethods['poison.begin']['result'] =>
 		({verdict: register.begin(digest, run, Date.now())});
 
-	const endHere = (digest: string, run: string, crashed: boolean): Readonly<Record<string, never>> => {
+	const endHere = (digest: string, run: string, end: RunEnd): Readonly<Record<string, never>> => {
+		if (end === 'not-run') {
+			register.giveBack(digest, run);
+			return {};
+		}
+
+		const crashed = end === 'crashed';
 		const verdict = register.end(digest, run, crashed, Date.now());
 		if (verdict === 'condemned') {
 			void tell(digest, 'condemned');
@@ -83,21 +90,21 @@
 				return beginHere(digest, run).verdict;
 			}
 		},
-		async end(digest, run, crashed) {
+		async end(digest, run, end) {
 			const address = ownerAddress(digest);
 			try {
-				await (address === undefined ? endHere(digest, run, crashed) : call(address, 'poison.end', {digest, run, crashed}));
+				await (address === undefined ? endHere(digest, run, end) : call(address, 'poison.end', {digest, run, end}));
 			} catch {
-				endHere(digest, run, crashed);
+				endHere(digest, run, end);
 			}
 
-			if (crashed) {
+			if (end === 'crashed') {
 				register.condemn(digest, Date.now());
 			}
 		},
 		handlers: {
 			'poison.begin': async ({digest, run}) => beginHere(digest, run),
-			'poison.end': async ({digest, run, crashed}) => endHere(digest, run, crashed),
+			'poison.end': async ({digest, run, end}) => endHere(digest, run, end),
 		},
 	};
 }
--- a/test/decide/decisions.test.ts
+++ b/test/decide/decisions.test.ts
@@ -129,6 +129,16 @@
 		expect(register.isCondemned('d', 601_000)).toBe(false);
 	});
 
+	it('may run at once after another run gave its leave back without running', () => {
+		const register = createPoisonRegister();
+		register.suspect('d', 0);
+		expect(register.begin('d', 'one', 1)).toBe('run-alone');
+		register.giveBack('d', 'one');
+		expect(register.begin('d', 'two', 2)).toBe('run-alone');
+		register.giveBack('d', 'one');
+		expect(register.begin('d', 'three', 3)).toBe('wait');
+	});
+
 	it('are cleared by a completed run', () => {
 		const register = createPoisonRegister();
 		register.suspect('d', 0);
