--- a/src/decide/grants/refuse-reason.ts
+++ b/src/decide/grants/refuse-reason.ts
@@ -1,2 +1,2 @@
 /** Why an engine's owner does not grant. */
-export type RefuseReason = 'queue-full' | 'deadline' | 'leaving' | 'withdrawn' | 'closed' | 'not-owner';
+export type RefuseReason = 'queue-full' | 'deadline' | 'leaving' | 'withdrawn' | 'not-owner';
--- a/src/grants/create-grant-owner-task.ts
+++ b/src/grants/create-grant-owner-task.ts
@@ -7,6 +7,7 @@
 import {type LeaveHold} from '../decide/upstreams/leave-hold.js';
 import {type ErrorKind} from '../errors/error-kind.js';
 import {Refusal} from '../errors/refusal.js';
+import {isMarked} from '../membership/is-marked.js';
 import {type MembershipTask} from '../membership/membership-task.js';
 import {type Owners} from '../membership/owners.js';
 import {log} from '../observe/log.js';
@@ -14,6 +15,7 @@
 import {type Upstream} from '../settings/upstream.js';
 import {type Engine} from '../upstreams/engine.js';
 import {type EngineStatus} from './engine-status.js';
+import {readEngineStatus} from './read-engine-status.js';
 import {type GrantOwnerTask} from './grant-owner-task.js';
 
 const tickMs = 100;
@@ -29,7 +31,6 @@
 	deadline: 'deadline',
 	leaving: 'no-upstream',
 	withdrawn: 'deadline',
-	closed: 'not-ready',
 	'not-owner': 'not-ready',
 };
 
@@ -103,11 +104,9 @@
 		}
 	};
 
-	const isMarked = (name: string): boolean => (membership.gossip.get('marks', name)?.value as {readonly leaving: boolean} | undefined)?.leaving ?? false;
-
 	const applyLeaving = (owned: OwnedEngine): void => {
 		const now = Date.now();
-		const leaving = owned.hold.observe(owned.reportedLeaving || owned.upstream.leaving || isMarked(owned.upstream.name), now);
+		const leaving = owned.hold.observe(owned.reportedLeaving || owned.upstream.leaving || isMarked(membership.gossip, owned.upstream.name), now);
 		if (leaving !== owned.queue.state().leaving) {
 			log.info({engine: owned.upstream.name, leaving}, 'engine leaving mark');
 			act(owned, owned.queue.setLeaving(leaving, now));
@@ -116,7 +115,7 @@
 
 	const tell = (owned: OwnedEngine, status: EngineStatus): void => {
 		const section = `engines/${domain}`;
-		const known = membership.gossip.get(section, owned.upstream.name)?.value as EngineStatus | undefined;
+		const known = readEngineStatus(membership.gossip, domain, owned.upstream.name);
 		if (JSON.stringify(known) !== JSON.stringify(status)) {
 			void membership.put(section, owned.upstream.name, status);
 		}
@@ -151,7 +150,7 @@
 		owned.failedRuns = hasFailed ? owned.failedRuns + 1 : 0;
 		if (hasFailed) {
 			owned.failingUntil = Date.now() + Math.min(longestFailingMs, failingMs * (2 ** (owned.failedRuns - 1)));
-			const known = membership.gossip.get(`engines/${domain}`, owned.upstream.name)?.value as EngineStatus | undefined;
+			const known = readEngineStatus(membership.gossip, domain, owned.upstream.name);
 			tell(owned, {loaded: known?.loaded ?? [], leaving: owned.queue.state().leaving, isUp: false});
 		}
 	};
@@ -168,7 +167,7 @@
 		} catch {
 			owned.failedPolls++;
 			if (owned.failedPolls === failedPollsToDown) {
-				const known = membership.gossip.get(`engines/${domain}`, owned.upstream.name)?.value as EngineStatus | undefined;
+				const known = readEngineStatus(membership.gossip, domain, owned.upstream.name);
 				tell(owned, {loaded: known?.loaded ?? [], leaving: owned.queue.state().leaving, isUp: false});
 			}
 		}
--- a/src/orders/create-orders-task.ts
+++ b/src/orders/create-orders-task.ts
@@ -1,3 +1,4 @@
+import {readEngineStatus} from '../grants/read-engine-status.js';
 import {type EngineStatus} from '../grants/engine-status.js';
 import {createLease} from '../decide/orders/create-lease.js';
 import {planOrders} from '../decide/orders/plan-orders.js';
@@ -102,7 +103,7 @@
 
 	/** State of an engine as its owner last told; owners poll engines, so the lease holder need not. */
 	const statusOf = (engine: string): EngineStatus | undefined =>
-		membership.gossip.get(`engines/${domain}`, engine)?.value as EngineStatus | undefined;
+		readEngineStatus(membership.gossip, domain, engine);
 
 	const reconcileService = (service: ModelService): void => {
 		const upstreams = service.upstreams.filter(upstream => upstream.domain === domain);
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -16,8 +16,10 @@
 import {createGrantAskerTask} from './grants/create-grant-asker-task.js';
 import {createGrantOwnerTask} from './grants/create-grant-owner-task.js';
 import {type EngineStatus} from './grants/engine-status.js';
+import {readEngineStatus} from './grants/read-engine-status.js';
 import {type Host} from './host.js';
 import {createMembershipTask} from './membership/create-membership-task.js';
+import {isMarked} from './membership/is-marked.js';
 import {createOwners} from './membership/create-owners.js';
 import {createDecisionLog} from './observe/create-decision-log.js';
 import {createMetrics} from './observe/create-metrics.js';
@@ -127,15 +129,14 @@
 		self: name, domain, platform, owners, membership, snapshot, engineAt, clock: () => performance.now(),
 	});
 
-	const isMarked = (upstream: string): boolean => (membership.gossip.get('marks', upstream)?.value as {readonly leaving: boolean} | undefined)?.leaving ?? false;
 	const statusOf = (upstream: Upstream): EngineStatus | undefined => {
-		const status = membership.gossip.get(`engines/${upstream.domain}`, upstream.name)?.value as EngineStatus | undefined;
-		return status && isMarked(upstream.name) ? {...status, leaving: true} : status;
+		const status = readEngineStatus(membership.gossip, upstream.domain, upstream.name);
+		return status && isMarked(membership.gossip, upstream.name) ? {...status, leaving: true} : status;
 	};
 
 	/** Upstreams of a plain service that take new work, those of the own domain first. */
 	const pick = (upstreams: readonly Upstream[]): readonly Upstream[] => upstreams
-		.filter(upstream => !upstream.leaving && !isMarked(upstream.name))
+		.filter(upstream => !upstream.leaving && !isMarked(membership.gossip, upstream.name))
 		.map(upstream => ({upstream, rank: (upstream.domain === domain ? 0 : 1) + random()}))
 		.toSorted((a, b) => a.rank - b.rank)
 		.map(entry => entry.upstream);
