Run on the users' platform: the whole path, thin

A gateway command serves callers in front of upstreams that register themselves in the platform's store: readiness, configuration and upstream watches, routes, keys to workspaces, forwarding of all three kinds with exact bytes, retries in a shared budget, drain on SIGTERM. platform/ holds names, codecs and calls. The program loads each command's code only when it runs, so that a host starts fast.

--- /dev/null
+++ b/src/commands/gateway.ts
@@ -0,0 +1,54 @@
+import process from 'node:process';
+import {type CommandModule} from 'yargs';
+import {adapter} from '../../platform/adapter.js';
+import {UsageError} from '../errors/usage-error.js';
+import {createBoundedWriter} from '../observe/create-bounded-writer.js';
+import {log} from '../observe/log.js';
+import {startLog} from '../observe/start-log.js';
+import {gatewaySettingsSchema} from '../settings/gateway-settings-schema.js';
+import {type GatewaySettings} from '../settings/gateway-settings.js';
+import {readSettingsFile} from '../settings/read-settings-file.js';
+import {startGateway} from '../wire-gateway.js';
+
+/** Arguments of `gateway`. */
+type GatewayArguments = {
+	readonly settings: string | undefined;
+	readonly 'settings-from': string | undefined;
+};
+
+const exitFlushMs = 60;
+
+/** Runs one host in front of registered upstreams until SIGTERM or SIGINT. */
+export const gatewayCommand: CommandModule<unknown, GatewayArguments> = {
+	command: 'gateway',
+	describe: 'run a host in front of the upstreams registered at a platform',
+	builder: {
+		settings: {type: 'string', describe: 'the host\'s settings file'},
+		'settings-from': {type: 'string', describe: 'environment variable that holds the path of the settings file'},
+	} as never,
+	async handler({settings, 'settings-from': variable}) {
+		const file = settings ?? (variable === undefined ? undefined : process.env[variable]);
+		if (file === undefined) {
+			throw new UsageError('name the settings file with --settings or --settings-from');
+		}
+
+		startLog(createBoundedWriter(process.stdout.fd));
+		const gateway = await startGateway(readSettingsFile<GatewaySettings>(file, gatewaySettingsSchema), adapter);
+		const leave = async (): Promise<void> => {
+			await gateway.drain();
+			setTimeout(() => {
+				process.exit(0);
+			}, exitFlushMs);
+		};
+
+		process.on('SIGTERM', () => {
+			void leave();
+		});
+		process.on('SIGINT', () => {
+			void leave();
+		});
+		process.on('SIGHUP', () => {
+			log.info({file}, 'settings changed; they are read at the next start');
+		});
+	},
+};
--- /dev/null
+++ b/src/decide/forwarding/judge-answer.ts
@@ -0,0 +1,18 @@
+import {type AnswerHead} from '../../forwarding/answer-head.js';
+import {type AnswerUse} from './answer-use.js';
+
+const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Judges an upstream's answer to the request with `requestId`. Fault pattern: answers that come late, crossed or spoilt. */
+export function judgeAnswer(head: AnswerHead, requestId: string | undefined): AnswerUse {
+	if (head.isNotRun) {
+		return head.requestId === undefined || head.requestId === requestId ? 'not-run' : 'unusable';
+	}
+
+	// A promise that the request was not run can't be passed on where the upstream has not said so.
+	if (head.requestId !== requestId || head.isEncoded || !head.isSigned || promises.has(head.status)) {
+		return 'unusable';
+	}
+
+	return head.status >= 500 ? 'failed' : 'deliver';
+}
--- /dev/null
+++ b/src/decide/forwarding/upstream-view.ts
@@ -0,0 +1,18 @@
+import {type Upstream} from '../../forwarding/upstream.js';
+
+/** What a host knows of an upstream when it chooses one. */
+export type UpstreamView = {
+	readonly upstream: Upstream;
+	/** Requests of all hosts in flight, as far as known. */
+	readonly inFlight: number;
+	/** Prompt tokens of requests in flight that have not begun to be answered. */
+	readonly waitingTokens: number;
+	/** Whether requests wait there for unusually long and none is answered. */
+	readonly isSilent: boolean;
+	/** Whether the upstream failed or refused lately and is passed over for a while. */
+	readonly isAvoided: boolean;
+	/** Share of recent requests that failed, from 0 to 1. */
+	readonly failureShare: number;
+	/** Requests of this host that the connections still have room for. */
+	readonly freeConnections: number;
+};
--- a/src/errors/answers.ts
+++ b/src/errors/answers.ts
@@ -11,6 +11,7 @@
 	'unknown-route': {status: 404, comeBack: false},
 	'method-not-allowed': {status: 405, comeBack: false},
 	'too-large': {status: 413, comeBack: false},
+	'header-too-large': {status: 431, comeBack: false},
 	'slow-caller': {status: 408, comeBack: false},
 	'key-required': {status: 400, comeBack: false},
 	'key-reused': {status: 422, comeBack: false},
@@ -21,6 +22,7 @@
 	condemned: {status: 422, comeBack: true},
 	'platform-unavailable': {status: 503, comeBack: true},
 	'upstream-failed': {status: 502, comeBack: true},
+	'timed-out': {status: 504, comeBack: false},
 	'not-ready': {status: 503, comeBack: true},
 	internal: {status: 500, comeBack: false},
 };
--- a/src/errors/error-kinds.ts
+++ b/src/errors/error-kinds.ts
@@ -8,6 +8,7 @@
 	'unknown-route',
 	'method-not-allowed',
 	'too-large',
+	'header-too-large',
 	'slow-caller',
 	'key-required',
 	'key-reused',
@@ -18,6 +19,7 @@
 	'condemned',
 	'platform-unavailable',
 	'upstream-failed',
+	'timed-out',
 	'not-ready',
 	'internal',
 ] as const;
--- /dev/null
+++ b/src/forwarding/caller-call.ts
@@ -0,0 +1,16 @@
+import {type CallerAnswer} from './caller-answer.js';
+import {type CallerRequest} from './caller-request.js';
+import {type Route} from './route.js';
+import {type Workspace} from './workspace.js';
+
+/** A caller's request that has passed the checks, with its answer. Times are in milliseconds of the steady clock. */
+export type CallerCall = {
+	readonly request: CallerRequest;
+	readonly route: Route;
+	readonly workspace: Workspace | undefined;
+	readonly body: Buffer | undefined;
+	readonly receivedAt: number;
+	/** Aborted when the caller has gone. */
+	readonly signal: AbortSignal;
+	readonly answer: CallerAnswer;
+};
--- /dev/null
+++ b/src/forwarding/create-caller-port.ts
@@ -0,0 +1,163 @@
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {admitCaller} from '../decide/forwarding/admit-caller.js';
+import {Refusal} from '../errors/refusal.js';
+import {listen} from '../http/listen.js';
+import {parseAddress} from '../http/parse-address.js';
+import {log} from '../observe/log.js';
+import {sleep} from '../util/sleep.js';
+import {type CallerCall} from './caller-call.js';
+import {type CallerRequest} from './caller-request.js';
+import {createCallerAnswer} from './create-caller-answer.js';
+import {type GatewayState} from './gateway-state.js';
+import {readCallerBody} from './read-caller-body.js';
+
+const notReadyComeBackMs = 500;
+/** Head bytes that the parser takes; the configuration's own limit is checked after it. */
+const parserHeaderBytes = 64 * 1024;
+const headerOverhead = 4;
+const connectionCheckMs = 500;
+const idleCheckMs = 50;
+/** Idle connections are kept a little past the promised time, so that a request on its way still finds them open. */
+const idleSlackMs = 500;
+
+/** What the port towards callers needs. */
+type CallerPortOptions = {
+	readonly address: string;
+	readonly state: () => GatewayState | undefined;
+	readonly decode: (req: IncomingMessage) => CallerRequest;
+	/** Header, name and value, with which answers name their request. */
+	readonly nameRequest: (request: CallerRequest) => readonly string[];
+	readonly forward: (call: CallerCall) => Promise<void>;
+	readonly now: () => number;
+	readonly onRefusal: (refusal: Refusal) => void;
+};
+
+/** The running port towards callers. */
+type CallerPort = {
+	readonly port: number;
+	/** Tells callers to use new connections from now on. */
+	readonly drain: () => void;
+	/** Waits until no request is under way. */
+	readonly idle: () => Promise<void>;
+	readonly underWay: () => number;
+	/** Closes connections that have no request under way. */
+	readonly closeIdle: () => void;
+	readonly stop: () => void;
+};
+
+const parserAnswers: Readonly<Record<string, number>> = {HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408};
+
+function countHeaderBytes(req: IncomingMessage): number {
+	return req.rawHeaders.reduce((sum, text) => sum + text.length, 0) + (headerOverhead * req.rawHeaders.length / 2);
+}
+
+/** Serves callers: checks each request, reads its body and has it forwarded. */
+export async function createCallerPort(options: CallerPortOptions): Promise<CallerPort> {
+	const {address, state, decode, nameRequest, forward, now, onRefusal} = options;
+	let isDraining = false;
+	let underWay = 0;
+	const busy = new Set<Socket>();
+	const open = new Set<Socket>();
+
+	const enter = async (req: IncomingMessage, res: ServerResponse, request: CallerRequest, receivedAt: number): Promise<void> => {
+		const current = state();
+		if (!current) {
+			throw new Refusal('not-ready', 'this host has no configuration yet', 'no', notReadyComeBackMs);
+		}
+
+		const {limits} = current.configuration;
+		server.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs;
+		server.headersTimeout = limits.headerTimeoutMs;
+		if (countHeaderBytes(req) > limits.headerBytes) {
+			throw new Refusal('header-too-large', `the head is over ${limits.headerBytes} bytes`, 'no');
+		}
+
+		const {route, workspace} = admitCaller(request, current);
+		const gone = new AbortController();
+		res.once('close', () => {
+			if (!res.writableFinished) {
+				gone.abort();
+			}
+		});
+		const body = await readCallerBody(req, limits.bodyBytes, limits.idleTimeoutMs);
+		await forward({
+			request, route, workspace, body, receivedAt, signal: gone.signal,
+			answer: createCallerAnswer(res, nameRequest(request), () => isDraining),
+		});
+	};
+
+	const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+		const receivedAt = now();
+		const {socket} = req;
+		underWay++;
+		busy.add(socket);
+		let request: CallerRequest | undefined;
+		try {
+			request = decode(req);
+			await enter(req, res, request, receivedAt);
+		} catch (error) {
+			const refusal = error instanceof Refusal ? error : new Refusal('internal', 'internal error', 'unknown');
+			if (refusal !== error) {
+				log.error({requestId: request?.id ?? '', error: String((error as Error).stack)}, 'request failed inside');
+			}
+
+			log.info({
+				requestId: request?.id ?? '', kind: refusal.kind, ran: refusal.ran, detail: refusal.message, configuration: state()?.configuration.version ?? 0,
+			}, 'refused');
+			onRefusal(refusal);
+			// The rest of a body that was not read must not be taken for a request.
+			createCallerAnswer(res, request ? nameRequest(request) : [], () => isDraining || !req.complete).refuse(refusal);
+		} finally {
+			underWay--;
+			busy.delete(socket);
+		}
+	};
+
+	const server = createServer({
+		maxHeaderSize: parserHeaderBytes,
+		connectionsCheckingInterval: connectionCheckMs,
+		requestTimeout: 0,
+		insecureHTTPParser: false,
+		requireHostHeader: true,
+	}, (req, res) => {
+		void handle(req, res);
+	});
+	server.on('connection', socket => {
+		open.add(socket);
+		socket.once('close', () => open.delete(socket));
+	});
+	server.on('clientError', (error: Error & {code?: string}, socket) => {
+		const status = parserAnswers[error.code ?? ''] ?? 400;
+		log.info({error: error.code ?? error.message, status}, 'malformed request');
+		if (!socket.writable || error.code === 'ECONNRESET' || busy.has(socket as Socket)) {
+			socket.destroy();
+			return;
+		}
+
+		socket.end(`HTTP/1.1 ${status} Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+	});
+	const port = await listen(server, parseAddress(address));
+
+	return {
+		port,
+		drain() {
+			isDraining = true;
+		},
+		async idle() {
+			while (underWay > 0) {
+				await sleep(idleCheckMs);
+			}
+		},
+		underWay: () => underWay,
+		closeIdle() {
+			server.closeIdleConnections();
+		},
+		stop() {
+			server.close();
+			for (const socket of open) {
+				socket.destroy();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/forwarding/create-event-splitter.ts
@@ -0,0 +1,36 @@
+import {type EventSplitter} from './event-splitter.js';
+
+const empty = Buffer.alloc(0);
+const separator = Buffer.from('\n\n');
+const idLine = /^id: ?(.*)$/gmv;
+
+/** Creates the splitter of a stream of events (`text/event-stream`) into whole events. */
+export function createEventSplitter(): EventSplitter {
+	let rest: Buffer = empty;
+	let lastId: string | undefined;
+	return {
+		push(chunk) {
+			const all = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+			const at = all.lastIndexOf(separator);
+			if (at === -1) {
+				rest = all;
+				return empty;
+			}
+
+			const whole = all.subarray(0, at + separator.length);
+			rest = all.subarray(at + separator.length);
+			const id = [...whole.toString('latin1').matchAll(idLine)].at(-1)?.[1];
+			lastId = id?.trim() ?? lastId;
+			return whole;
+		},
+		flush() {
+			const last = rest;
+			rest = empty;
+			return last;
+		},
+		reset() {
+			rest = empty;
+		},
+		lastId: () => lastId,
+	};
+}
--- /dev/null
+++ b/src/forwarding/create-gateway-metrics.ts
@@ -0,0 +1,30 @@
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+const secondsBuckets = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15];
+
+/** Creates the measures of a gateway host. */
+export function createGatewayMetrics() {
+	const registry = new Registry();
+	const registers = [registry];
+	return {
+		registry,
+		ended: new Counter({
+			name: 'hemlockpier_requests_total', help: 'Requests by route kind and result', labelNames: ['kind', 'result'], registers,
+		}),
+		took: new Histogram({
+			name: 'hemlockpier_request_seconds', help: 'Time to the end of the answer by route kind', labelNames: ['kind'], buckets: secondsBuckets, registers,
+		}),
+		refusals: new Counter({
+			name: 'hemlockpier_refusals_total', help: 'Requests refused before they were placed, by error kind', labelNames: ['kind'], registers,
+		}),
+		storeCalls: new Counter({
+			name: 'hemlockpier_platform_calls_total', help: 'Calls of the platform by method', labelNames: ['method'], registers,
+		}),
+		connections: new Counter({
+			name: 'hemlockpier_upstream_connections_total', help: 'Connections opened to upstreams', labelNames: ['service'], registers,
+		}),
+		underWay: new Gauge({name: 'hemlockpier_requests_under_way', help: 'Requests under way', registers}),
+	};
+}
--- /dev/null
+++ b/src/forwarding/create-kind-watch.ts
@@ -0,0 +1,108 @@
+import {log} from '../observe/log.js';
+import {sleep} from '../util/sleep.js';
+import {type KindState, type KindWatch} from './kind-watch.js';
+import {type ObjectStore} from './object-store.js';
+import {type StoredObject} from './stored-object.js';
+
+const retryMs = 250;
+const retrySpreadMs = 150;
+
+/** What a watch needs. */
+type KindWatchOptions = {
+	readonly kind: string;
+	readonly store: ObjectStore;
+	readonly now: () => number;
+	readonly random: () => number;
+	/** Longest wait of one call, in milliseconds; also how long a silent connection goes unnoticed. */
+	readonly waitMs: number;
+	readonly onChange: (objects: readonly StoredObject[]) => void;
+};
+
+/** Follows a kind: lists its objects, then waits for changes; lists again when the store has dropped the history. */
+export function createKindWatch({kind, store, now, random, waitMs, onChange}: KindWatchOptions): KindWatch {
+	let current: KindState | undefined;
+	let contactAt: number | undefined;
+	let isLost = false;
+	let hasStopped = false;
+
+	const set = (state: KindState): void => {
+		current = state;
+		onChange(state.objects);
+	};
+
+	const noteContact = (): void => {
+		contactAt = now();
+		if (isLost) {
+			isLost = false;
+			log.info({kind, revision: current?.revision ?? 0}, 'store answers again');
+		}
+	};
+
+	const list = async (): Promise<void> => {
+		const {objects, revision} = await store.list(kind);
+		noteContact();
+		if (!current || revision >= current.revision) {
+			set({objects, revision});
+		}
+	};
+
+	const follow = async (from: KindState): Promise<void> => {
+		const answer = await store.watch(kind, from.revision, waitMs);
+		noteContact();
+		if (!answer) {
+			log.info({kind, revision: from.revision}, 'store dropped its history, listing again');
+			await list();
+			return;
+		}
+
+		// A peer's newer state may have been taken while the call waited.
+		if (current && answer.revision > current.revision) {
+			const byName = new Map(current.objects.map(object => [object.name, object]));
+			for (const {object, isRemoved} of answer.changes) {
+				if (isRemoved) {
+					byName.delete(object.name);
+				} else {
+					byName.set(object.name, object);
+				}
+			}
+
+			const next = {objects: [...byName.values()], revision: answer.revision};
+			if (answer.changes.length > 0) {
+				set(next);
+			} else {
+				current = next;
+			}
+		}
+	};
+
+	const run = async (): Promise<void> => {
+		while (!hasStopped) {
+			try {
+				await (current && contactAt !== undefined ? follow(current) : list());
+			} catch (error) {
+				if (!isLost && !hasStopped) {
+					isLost = true;
+					log.warn({kind, revision: current?.revision ?? 0, error: String(error)}, 'store does not answer');
+				}
+
+				await sleep(retryMs + (random() * retrySpreadMs));
+			}
+		}
+	};
+
+	void run();
+	return {
+		kind,
+		state: () => current,
+		adopt(state) {
+			if (!current || state.revision > current.revision) {
+				log.info({kind, revision: state.revision, before: current?.revision ?? 0}, 'took newer state from a peer');
+				set(state);
+			}
+		},
+		contactAt: () => contactAt,
+		stop() {
+			hasStopped = true;
+		},
+	};
+}
--- /dev/null
+++ b/src/forwarding/read-caller-body.ts
@@ -0,0 +1,54 @@
+import {type IncomingMessage} from 'node:http';
+import {Refusal} from '../errors/refusal.js';
+
+/**
+Reads a caller's body to its end.
+
+@returns `undefined` where the request has none.
+@throws {Refusal} When it is longer than `limitBytes`, pauses for longer than `pauseMs`, or is cut off.
+*/
+export async function readCallerBody(req: IncomingMessage, limitBytes: number, pauseMs: number): Promise<Buffer | undefined> {
+	const length = Number(req.headers['content-length'] ?? 0);
+	if (length > limitBytes) {
+		throw new Refusal('too-large', `the body is over ${limitBytes} bytes`, 'no');
+	}
+
+	if (length === 0 && req.headers['transfer-encoding'] === undefined) {
+		req.resume();
+		return undefined;
+	}
+
+	return new Promise((resolve, reject) => {
+		const chunks: Buffer[] = [];
+		let size = 0;
+		const timer = setTimeout(() => {
+			fail(new Refusal('slow-caller', 'the body did not arrive in time', 'no'));
+		}, pauseMs);
+		const fail = (refusal: Refusal): void => {
+			clearTimeout(timer);
+			req.removeAllListeners('data');
+			reject(refusal);
+		};
+
+		req.on('data', (chunk: Buffer) => {
+			timer.refresh();
+			size += chunk.length;
+			if (size > limitBytes) {
+				fail(new Refusal('too-large', `the body is over ${limitBytes} bytes`, 'no'));
+				return;
+			}
+
+			chunks.push(chunk);
+		});
+		req.once('end', () => {
+			clearTimeout(timer);
+			resolve(Buffer.concat(chunks, size));
+		});
+		req.once('error', () => {
+			fail(new Refusal('slow-caller', 'the caller cut its body off', 'no'));
+		});
+		req.once('close', () => {
+			clearTimeout(timer);
+		});
+	});
+}
--- /dev/null
+++ b/src/forwarding/send-once.ts
@@ -0,0 +1,109 @@
+import {judgeAnswer} from '../decide/forwarding/judge-answer.js';
+import {type AnswerHead} from './answer-head.js';
+import {type CallerAnswer} from './caller-answer.js';
+import {type SendOutcome} from './send-outcome.js';
+import {type AnswerListener, type RunningSend} from './upstream-link.js';
+
+const keptFailureBytes = 1024 * 1024;
+
+/** One send of a request to an upstream. */
+type SendOnceOptions = {
+	readonly requestId: string;
+	readonly answer: CallerAnswer;
+	readonly send: (listener: AnswerListener) => RunningSend;
+	/** Ends the send from outside: the caller has gone, or time is up. */
+	readonly signal: AbortSignal;
+	/** Passes delivered bytes on; gives the bytes to deliver now. */
+	readonly filter: (chunk: Buffer) => Buffer;
+	/** Gives the bytes held back when a whole answer has ended. */
+	readonly flush: () => Buffer;
+	/** Called with the head of an answer that is delivered. */
+	readonly onDelivery: (head: AnswerHead) => void;
+};
+
+/** Sends a request once and delivers the answer to the caller if it is one to deliver. */
+export async function sendOnce({requestId, answer, send, signal, filter, flush, onDelivery}: SendOnceOptions): Promise<SendOutcome> {
+	return new Promise(resolve => {
+		let judged: {readonly use: ReturnType<typeof judgeAnswer>; readonly head: AnswerHead} | undefined;
+		const kept: Buffer[] = [];
+		let keptBytes = 0;
+		const onAbort = (): void => {
+			running.abort(signal.reason instanceof Error ? signal.reason : new Error('given up'));
+		};
+
+		const finish = (outcome: SendOutcome): void => {
+			signal.removeEventListener('abort', onAbort);
+			resolve(outcome);
+		};
+
+		const deliver = (chunk: Buffer): boolean => {
+			const ready = filter(chunk);
+			if (ready.length === 0 || answer.write(ready)) {
+				return true;
+			}
+
+			answer.onDrain(() => {
+				running.resume();
+			});
+			return false;
+		};
+
+		const running: RunningSend = send({
+			onHead(head) {
+				const use = judgeAnswer(head, requestId);
+				judged = {use, head};
+				if (use === 'unusable') {
+					running.abort(new Error(`answer with status ${head.status} can not be used`));
+				} else if (use === 'deliver') {
+					if (!answer.hasBegun()) {
+						answer.begin(head.status, head.headers);
+					}
+
+					onDelivery(head);
+				}
+			},
+			onData(chunk) {
+				if (judged?.use === 'deliver') {
+					return deliver(chunk);
+				}
+
+				keptBytes += chunk.length;
+				if (keptBytes <= keptFailureBytes) {
+					kept.push(chunk);
+				}
+
+				return true;
+			},
+			onEnd() {
+				if (judged?.use === 'deliver') {
+					const rest = flush();
+					if (rest.length > 0) {
+						answer.write(rest);
+					}
+
+					answer.end();
+					finish({kind: 'answered'});
+				} else if (judged?.use === 'not-run') {
+					finish({kind: 'not-run', reason: `upstream answered ${judged.head.status}`, head: judged.head});
+				} else if (judged?.use === 'failed' && keptBytes <= keptFailureBytes) {
+					finish({kind: 'failed-answer', head: judged.head, body: Buffer.concat(kept)});
+				} else {
+					finish({kind: 'broken', reason: 'the answer is not usable'});
+				}
+			},
+			onFail(error, wasSent) {
+				if (judged?.use === 'not-run') {
+					finish({kind: 'not-run', reason: `upstream answered ${judged.head.status}`, head: judged.head});
+				} else if (wasSent) {
+					finish({kind: 'broken', reason: String(error.message)});
+				} else {
+					finish({kind: 'not-run', reason: String(error.message), head: undefined});
+				}
+			},
+		});
+		signal.addEventListener('abort', onAbort, {once: true});
+		if (signal.aborted) {
+			onAbort();
+		}
+	});
+}
--- /dev/null
+++ b/src/forwarding/service.ts
@@ -0,0 +1,30 @@
+/** A service of the operator's configuration: a group of upstreams, or one store of kept context. */
+export type Service = {
+	readonly name: string;
+	/** Connections that an upstream accepts from all hosts together. */
+	readonly maxConnections: number;
+	/** Set where the upstreams are model engines. */
+	readonly engine?: {
+		readonly slots: number;
+		readonly memoryTokens: number;
+		readonly tokenBytes: number;
+		readonly linkMbps: number;
+		/** Event polls that one engine serves at once. */
+		readonly maxPolls: number;
+		readonly models: readonly string[];
+	};
+	/** Set where the service is a store of kept context. */
+	readonly store?: {
+		/** `IP:PORT`. */
+		readonly address: string;
+		readonly domain: string;
+		readonly capacityTokens: number;
+		readonly linkMbps: number;
+		/** Wait before each transfer, in milliseconds. */
+		readonly firstMs: number;
+		/** Event polls that the store serves at once. */
+		readonly maxPolls: number;
+		/** Whether the store evicts nothing by itself. */
+		readonly isManaged: boolean;
+	};
+};
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,45 +1,56 @@
 import process from 'node:process';
-import yargs from 'yargs';
+import yargs, {type CommandModule} from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import {checkCommand} from './commands/check.js';
-import {demoCommand} from './commands/demo.js';
-import {drainCommand} from './commands/drain.js';
-import {explainCommand} from './commands/explain.js';
-import {publishCommand} from './commands/publish.js';
-import {replayCommand} from './commands/replay.js';
-import {serveCommand} from './commands/serve.js';
-import {standInCommand} from './commands/stand-in.js';
-import {statusCommand} from './commands/status.js';
-import {traceCommand} from './commands/trace.js';
 import {SettingsError} from './errors/settings-error.js';
 import {UsageError} from './errors/usage-error.js';
 
 const exitFailed = 1;
 const exitUsage = 2;
 
+async function pick<M extends object>(loading: Promise<M>, name: keyof M): Promise<CommandModule<unknown, never>> {
+	const module = await loading;
+	return module[name] as CommandModule<unknown, never>;
+}
+
+/** Loads each command's module only when it is needed, since a host's start is part of its recovery. */
+const loaders: Readonly<Record<string, () => Promise<CommandModule<unknown, never>>>> = {
+	serve: async () => pick(import('./commands/serve.js'), 'serveCommand'),
+	gateway: async () => pick(import('./commands/gateway.js'), 'gatewayCommand'),
+	check: async () => pick(import('./commands/check.js'), 'checkCommand'),
+	publish: async () => pick(import('./commands/publish.js'), 'publishCommand'),
+	status: async () => pick(import('./commands/status.js'), 'statusCommand'),
+	explain: async () => pick(import('./commands/explain.js'), 'explainCommand'),
+	drain: async () => pick(import('./commands/drain.js'), 'drainCommand'),
+	demo: async () => pick(import('./commands/demo.js'), 'demoCommand'),
+	'stand-in': async () => pick(import('./commands/stand-in.js'), 'standInCommand'),
+	trace: async () => pick(import('./commands/trace.js'), 'traceCommand'),
+	replay: async () => pick(import('./commands/replay.js'), 'replayCommand'),
+};
+
 function fail(message: string, error: Error | undefined): never {
 	const isUsage = !error || error instanceof SettingsError || error instanceof UsageError;
 	process.stderr.write(`${error?.message ?? message}\n`);
 	process.exit(isUsage ? exitUsage : exitFailed);
 }
 
-void yargs(hideBin(process.argv))
-	.scriptName('hemlockpier')
-	.command(serveCommand)
-	.command(checkCommand)
-	.command(publishCommand)
-	.command(statusCommand)
-	.command(explainCommand)
-	.command(drainCommand)
-	.command(demoCommand)
-	.command(standInCommand)
-	.command(traceCommand)
-	.command(replayCommand)
-	.demandCommand(1, 'name a command; see --help')
-	.strict()
-	.option('json', {
-		type: 'boolean', default: false, describe: 'machine-readable output', global: true,
-	})
-	.fail((message, error) => fail(message, error))
-	.version('0.1.0')
-	.parseAsync();
+async function run(): Promise<void> {
+	const [name = ''] = hideBin(process.argv);
+	const wanted = loaders[name] ? [loaders[name]] : Object.values(loaders);
+	const commands = await Promise.all(wanted.map(async load => load()));
+	const parser = yargs(hideBin(process.argv))
+		.scriptName('hemlockpier')
+		.demandCommand(1, 'name a command; see --help')
+		.strict()
+		.option('json', {
+			type: 'boolean', default: false, describe: 'machine-readable output', global: true,
+		})
+		.fail((message, error) => fail(message, error))
+		.version('0.1.0');
+	for (const command of commands) {
+		parser.command(command);
+	}
+
+	await parser.parseAsync();
+}
+
+void run();
--- /dev/null
+++ b/src/settings/gateway-settings-schema.ts
@@ -0,0 +1,39 @@
+import {z} from 'zod';
+import {addressSchema} from './address-schema.js';
+
+/** A figure that the platform may leave out. */
+const bound = (value: number) => z.number().nullish().transform(given => given ?? value);
+
+/** Schema of a gateway host's settings file. Times are in milliseconds where a name does not say otherwise. */
+export const gatewaySettingsSchema = z.strictObject({
+	name: z.string().min(1),
+	domain: z.string().min(1),
+	region: z.string().min(1),
+	/** Address for callers. */
+	callers: addressSchema,
+	/** Address at which the balancer asks whether this host takes new connections. */
+	readiness: addressSchema,
+	/** Address for other hosts. */
+	peers: addressSchema,
+	/** Peers' addresses to ask where the store can't be reached; they may be stale. */
+	seeds: z.array(addressSchema).default([]),
+	metricsPort: z.int().min(0).max(65_535),
+	memoryMb: z.number().min(32),
+	/** Address of the platform's store. */
+	objectStore: addressSchema,
+	/** How often an upstream renews its registration. */
+	heartbeatMs: z.number().min(1).default(1200),
+	/** Region of each failure domain. */
+	regions: z.record(z.string(), z.string()).default({}),
+	/** Figures that the deployment holds the system to. */
+	bounds: z.strictObject({
+		retryRatio: bound(0.2),
+		retryWindowS: bound(10),
+		/** Retries in a window beyond the ratio, for all hosts together. */
+		retrySlack: bound(20),
+		/** Time from the signal to stop until the process is killed. */
+		graceS: bound(8),
+		/** Time after which a lease that was not renewed may be taken over. */
+		leaseMs: bound(3000),
+	}).prefault({}),
+}).readonly();
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 /** Lint settings. Rules that clash with the project's agreed style are off; docs/DEVELOPERS.md gives each reason. */
 const xoConfig = [
-	{ignores: ['dist/**', 'reports/**', 'traces/**']},
+	{ignores: ['dist/**', 'target/**', 'reports/**', 'traces/**']},
 	{
 		rules: {
 			'unicorn/prevent-abbreviations': 'off',
