--- a/src/decide/forwarding/rank-upstreams.ts
+++ b/src/decide/forwarding/rank-upstreams.ts
@@ -14,12 +14,19 @@
 const avoidedMs = 1e6;
 const silentMs = 1e5;
 const fullMs = 1e7;
+/** Above this share of its memory an engine preempts runs, which then read their prompts again. */
+const fullShare = 0.85;
+const shortMs = 400;
 
 /** What is placed. */
 type Placement = {
 	readonly domain: string;
-	/** Tokens that an upstream has to read, by its id. */
-	readonly missingTokens: (id: string) => number;
+	/** Time until an upstream has the whole prompt, its queue apart, in milliseconds. */
+	readonly readMs: (id: string) => number;
+	/** Memory that the request takes, in tokens. */
+	readonly heldTokens: number;
+	/** Memory of an upstream, in tokens; `undefined` where that is no limit. */
+	readonly memoryTokens: number | undefined;
 	readonly costs: PlacementCosts;
 	readonly random: () => number;
 };
@@ -29,11 +36,14 @@
 which no connection is free come last, and serve only where no other is left. Load pattern: bursts that several hosts place
 at once on reports that lag, so ties are broken at random.
 */
-export function rankUpstreams(views: readonly UpstreamView[], {domain, missingTokens, costs, random}: Placement): readonly UpstreamView[] {
+export function rankUpstreams(views: readonly UpstreamView[], {domain, readMs, heldTokens, memoryTokens, costs, random}: Placement): readonly UpstreamView[] {
 	const score = (view: UpstreamView): number => {
 		const {upstream, inFlight, waitingTokens, isSilent, isAvoided, failureShare, freeConnections} = view;
 		const load = inFlight / Math.max(1, upstream.slots);
-		return ((waitingTokens + missingTokens(upstream.id)) / costs.tokensPerMs)
+		const isShort = memoryTokens !== undefined && view.heldTokens + heldTokens > memoryTokens * fullShare;
+		return (waitingTokens / costs.tokensPerMs)
+			+ readMs(upstream.id)
+			+ (isShort ? shortMs : 0)
 			+ (inFlight * costs.requestMs)
 			+ (load >= 1 ? load * costs.requestMs * upstream.slots : 0)
 			+ (upstream.domain === domain ? 0 : costs.otherDomainMs)
--- a/src/decide/forwarding/upstream-view.ts
+++ b/src/decide/forwarding/upstream-view.ts
@@ -7,6 +7,8 @@
 	readonly inFlight: number;
 	/** Prompt tokens of requests in flight that have not begun to be answered. */
 	readonly waitingTokens: number;
+	/** Memory that requests in flight take, in tokens. */
+	readonly heldTokens: number;
 	/** Whether requests wait there for unusually long and none is answered. */
 	readonly isSilent: boolean;
 	/** Whether the upstream failed or refused lately and is passed over for a while. */
--- /dev/null
+++ b/src/decide/kept/create-store-directory.ts
@@ -0,0 +1,95 @@
+import {type PartNews} from '../../forwarding/engine-control.js';
+import {type StoreDirectory} from './store-directory.js';
+
+/** A fetch may end this long after the answer that showed the part to be whole. */
+const validMs = 3000;
+/** A fetch begins only if it has at least this long. */
+const leastFetchMs = 800;
+
+/** A part that a store holds. */
+type HeldPart = {
+	readonly scope: string;
+	readonly part: string;
+	readonly tokens: number;
+};
+
+function toKey(scope: string, part: string): string {
+	return `${scope}\n${part}`;
+}
+
+/**
+Creates the directory of a store that evicts nothing by itself and checks nothing. A part listed as whole stays so until it
+is freed or the store restarts, so every fetch ends within `validMs` of the answer that listed it, by the store's own clock.
+In turn nobody saves into a store until `validMs` after its restart was seen: by then no fetch goes on that began on the
+word of the store's last life.
+*/
+export function createStoreDirectory(): StoreDirectory {
+	const parts = new Map<string, HeldPart>();
+	let epoch: number | undefined;
+	let next: number | undefined;
+	let epochSeenAt = 0;
+	let clockMs: number | undefined;
+	let answeredAt = 0;
+	let tokens = 0;
+
+	const clear = (): void => {
+		parts.clear();
+		tokens = 0;
+		next = undefined;
+		clockMs = undefined;
+	};
+
+	const remove = (key: string): void => {
+		tokens -= parts.get(key)?.tokens ?? 0;
+		parts.delete(key);
+	};
+
+	const startEpoch = (news: PartNews, now: number): void => {
+		clear();
+		epoch = news.epoch;
+		epochSeenAt = now;
+	};
+
+	return {
+		take(news, sentAt, now) {
+			const isListing = next === undefined;
+			if (news.epoch !== epoch) {
+				startEpoch(news, now);
+				if (!isListing) {
+					// The events belong to a life of which the beginning is not known.
+					return;
+				}
+			}
+
+			if (news.hasGap && !isListing) {
+				clear();
+				return;
+			}
+
+			for (const event of news.events) {
+				const key = toKey(event.scope, event.part);
+				remove(key);
+				if (event.isAdded) {
+					parts.set(key, {scope: event.scope, part: event.part, tokens: event.tokens});
+					tokens += event.tokens;
+				}
+			}
+
+			next = news.next;
+			clockMs = news.clockMs;
+			answeredAt = sentAt;
+		},
+		lose: clear,
+		next: () => next,
+		has: (scope, part) => parts.has(toKey(scope, part)),
+		fetchUntil(now) {
+			const ageMs = now - answeredAt;
+			return clockMs === undefined || ageMs > validMs - leastFetchMs ? undefined : Math.floor(clockMs + validMs);
+		},
+		canSave: now => next !== undefined && now - epochSeenAt >= validMs,
+		tokens: () => tokens,
+		clockMs: () => clockMs,
+		epoch: () => epoch,
+		held: () => [...parts.values()],
+	};
+}
--- /dev/null
+++ b/src/decide/kept/plan-kept-context.ts
@@ -0,0 +1,112 @@
+/** A store of kept context, as a host knows it when it plans a request. */
+export type StoreView = {
+	readonly name: string;
+	readonly address: string;
+	readonly has: (part: string) => boolean;
+	/** Store's clock until which a fetch may run; `undefined` when nothing may be fetched. */
+	readonly fetchUntil: number | undefined;
+	/** Whether a part of so many tokens may be saved. */
+	readonly canSave: (tokens: number) => boolean;
+	/** Time to move so many tokens, in milliseconds. */
+	readonly moveMs: (tokens: number) => number;
+};
+
+/** Where one part of a prompt comes from and goes to. */
+type PartPlan = {
+	readonly fetchFrom: string | undefined;
+	readonly saveTo: string | undefined;
+	/** Time until the part is in the engine's memory, in milliseconds. */
+	readonly readMs: number;
+};
+
+/** What is planned for a prompt at one engine. */
+export type KeptPlan = {
+	readonly parts: readonly PartPlan[];
+	/** Limit of the fetches on the stores' clock. */
+	readonly fetchUntil: number | undefined;
+	/** Tokens that the engine reads by itself. */
+	readonly missingTokens: number;
+	/** Names of the parts to be saved, with their store. */
+	readonly saves: ReadonlyArray<{readonly store: string; readonly part: string; readonly tokens: number}>;
+};
+
+/** What a plan is made from. */
+type KeptFacts = {
+	readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
+	/** Whether the engine is believed to hold a part. */
+	readonly engineHas: (part: string) => boolean;
+	/** Another engine that is believed to hold a part. */
+	readonly otherEngine: (part: string) => string | undefined;
+	readonly stores: readonly StoreView[];
+	/** Whether a save of the part is under way. */
+	readonly isBeingSaved: (part: string) => boolean;
+	readonly tokensPerMs: number;
+	/** Time to move so many tokens between two engines, in milliseconds. */
+	readonly engineMoveMs: (tokens: number) => number;
+};
+
+/** A fetch is worth while below this multiple of the time to read the part anew, since reading also holds up others. */
+const fetchWorth = 6;
+
+/**
+Plans where each part of a prompt comes from: the engine's own memory, a store that holds it whole, another engine that read
+it lately, or reading it anew; and which shared parts are saved, and where. The last part belongs to one session and is
+neither fetched nor saved. Load pattern: callers that return after their context has left the engines' memory, with far more
+shared context than that memory holds.
+*/
+export function planKeptContext(facts: KeptFacts): KeptPlan {
+	const {parts, engineHas, otherEngine, stores, isBeingSaved, tokensPerMs, engineMoveMs} = facts;
+	const saves: Array<{readonly store: string; readonly part: string; readonly tokens: number}> = [];
+	let missingTokens = 0;
+	let fetchUntil: number | undefined;
+
+	const holdersOf = (part: string): readonly StoreView[] => stores.filter(store => store.fetchUntil !== undefined && store.has(part));
+
+	const chooseSave = (id: string, tokens: number): string | undefined => {
+		if (isBeingSaved(id) || stores.some(store => store.has(id))) {
+			return undefined;
+		}
+
+		const store = stores.find(candidate => candidate.canSave(tokens));
+		if (store) {
+			saves.push({store: store.name, part: id, tokens});
+		}
+
+		return store?.address;
+	};
+
+	const planPart = (id: string, tokens: number): PartPlan => {
+		const saveTo = chooseSave(id, tokens);
+		const readMs = tokens / tokensPerMs;
+		const [holder] = holdersOf(id).toSorted((a, b) => a.moveMs(tokens) - b.moveMs(tokens));
+		if (holder && holder.moveMs(tokens) < readMs * fetchWorth) {
+			// An engine that holds the part fetches nothing; the address is there for the case that it does not.
+			fetchUntil = Math.min(fetchUntil ?? Number.POSITIVE_INFINITY, holder.fetchUntil!);
+			return {fetchFrom: holder.address, saveTo, readMs: engineHas(id) ? 0 : holder.moveMs(tokens)};
+		}
+
+		if (engineHas(id)) {
+			return {fetchFrom: undefined, saveTo, readMs: 0};
+		}
+
+		const other = otherEngine(id);
+		if (other !== undefined) {
+			return {fetchFrom: other, saveTo, readMs: engineMoveMs(tokens)};
+		}
+
+		missingTokens += tokens;
+		return {fetchFrom: undefined, saveTo, readMs};
+	};
+
+	const planned = parts.map(({id, tokens}, index): PartPlan => {
+		if (index < parts.length - 1) {
+			return planPart(id, tokens);
+		}
+
+		missingTokens += tokens;
+		return {fetchFrom: undefined, saveTo: undefined, readMs: tokens / tokensPerMs};
+	});
+	return {
+		parts: planned, fetchUntil, missingTokens, saves,
+	};
+}
--- /dev/null
+++ b/src/decide/kept/store-directory.ts
@@ -0,0 +1,24 @@
+import {type PartNews} from '../../forwarding/engine-control.js';
+
+/** What one host knows of a store of kept context. Times are in milliseconds of a clock that counts suspensions. */
+export type StoreDirectory = {
+	/** Takes the answer to a poll or a listing that was sent at `sentAt`. */
+	readonly take: (news: PartNews, sentAt: number, now: number) => void;
+	/** Notes that the store gave no answer. */
+	readonly lose: () => void;
+	/** Where the next poll goes on from; `undefined` when the store has to be listed. */
+	readonly next: () => number | undefined;
+	/** Whether the store holds the whole part. */
+	readonly has: (scope: string, part: string) => boolean;
+	/** Store's clock until which a fetch that begins now may run; `undefined` when nothing may be fetched now. */
+	readonly fetchUntil: (now: number) => number | undefined;
+	/** Whether parts may be saved now. */
+	readonly canSave: (now: number) => boolean;
+	/** Tokens held, as far as known. */
+	readonly tokens: () => number;
+	/** Store's clock at its last answer. */
+	readonly clockMs: () => number | undefined;
+	readonly epoch: () => number | undefined;
+	/** Parts held, by scope. */
+	readonly held: () => ReadonlyArray<{readonly scope: string; readonly part: string; readonly tokens: number}>;
+};
--- a/src/decide/orders/create-lease.ts
+++ b/src/decide/orders/create-lease.ts
@@ -1,13 +1,20 @@
 import {type Lease} from './lease.js';
 
-const leaseMs = 9000;
-const marginMs = 4000;
+/** Times of a lease, in milliseconds. */
+type LeaseTimes = {
+	/** A challenger waits until it has seen no renewal for this long. */
+	readonly leaseMs: number;
+	/** The holder stops acting this long before its lease ends. */
+	readonly marginMs: number;
+};
+
+const domainLease: LeaseTimes = {leaseMs: 9000, marginMs: 4000};
 
 /**
 Creates the view of a lease. A challenger waits until it has seen no renewal for the whole lease time; the holder stops
 acting well before that, counted from the start of its last successful renewal, so no two clocks are compared.
 */
-export function createLease(now: number): Lease {
+export function createLease(now: number, {leaseMs, marginMs}: LeaseTimes = domainLease): Lease {
 	let seenVersion = 0;
 	let seenFencing = 0;
 	let changedAt = now;
--- /dev/null
+++ b/src/decide/orders/plan-rollout.ts
@@ -0,0 +1,31 @@
+/** An engine as the holder of the roll-out's lease knows it. */
+export type RolloutEngine = {
+	readonly id: string;
+	readonly version: number;
+	/** Requests in flight of all hosts, as far as known. */
+	readonly inFlight: number;
+	/** Whether an order is under way there. */
+	readonly isBusy: boolean;
+};
+
+/** Share of a service's engines that load weights at once. */
+const loadingShare = 0.23;
+
+/** Engines of a service of `count` that load at once; the weight store slows down where there are more. */
+export function countLoadsAtOnce(count: number): number {
+	return Math.max(1, Math.ceil(count * loadingShare));
+}
+
+/**
+Lists the engines to order next to version `target`: the emptiest first, so that runs under way hold up the roll-out least,
+and as many as load well at once. Load pattern: new weights named under full load, and again before the last roll-out ended.
+*/
+export function planRollout(engines: readonly RolloutEngine[], target: number): readonly string[] {
+	const loading = engines.filter(engine => engine.isBusy).length;
+	const free = Math.max(0, countLoadsAtOnce(engines.length) - loading);
+	return engines
+		.filter(engine => !engine.isBusy && engine.version < target)
+		.toSorted((a, b) => a.inFlight - b.inFlight || (a.id < b.id ? -1 : 1))
+		.slice(0, free)
+		.map(engine => engine.id);
+}
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -118,7 +118,7 @@
 					target: request.target,
 					headers: encode(request, {...placed.options, deadlineMs: leftMs, resumeAfter: splitter?.lastId() ?? request.resumeAfter}),
 					body,
-				}, placed.missingTokens, listener),
+				}, {waitingTokens: placed.missingTokens, heldTokens: placed.heldTokens}, listener),
 				onDelivery(head: AnswerHead) {
 					clearTimeout(secondTimer);
 					log.info({
--- /dev/null
+++ b/src/forwarding/create-host-links.ts
@@ -0,0 +1,152 @@
+import {createSocket} from 'node:dgram';
+import {parseAddress} from '../http/parse-address.js';
+import {log} from '../observe/log.js';
+import {sleep} from '../util/sleep.js';
+import {type HostLinks, type KnownHost, type MakeReport} from './host-links.js';
+import {type HostReport} from './host-report.js';
+import {type KeptNews} from './kept-news.js';
+import {type ObjectStore} from './object-store.js';
+
+const reportMs = 100;
+/** A host whose reports stay out for this long counts as unreachable. */
+const silentMs = 1200;
+/** How often the hosts registered in the store are read again. */
+const listMs = 15_000;
+const retryMs = 1000;
+/** Hosts that have been silent for this long are forgotten. */
+const forgetMs = 60_000;
+
+/** What hosts send each other as datagrams. */
+type Datagram = {
+	readonly report?: HostReport;
+	readonly kept?: KeptNews;
+};
+
+/** What the links need. */
+type HostLinksOptions = {
+	readonly self: Pick<HostReport, 'host' | 'domain' | 'peers' | 'reports'>;
+	readonly store: ObjectStore;
+	/** Kind of the objects under which hosts register. */
+	readonly kind: string;
+	readonly now: () => number;
+	readonly makeReport: MakeReport;
+	readonly onReport: (report: HostReport) => void;
+	readonly onKeptNews: (news: KeptNews) => void;
+};
+
+/** Registers this host in the store, finds the others there, and exchanges load reports with them. */
+export function createHostLinks({self, store, kind, now, makeReport, onReport, onKeptNews}: HostLinksOptions): HostLinks {
+	const known = new Map<string, KnownHost>();
+	const socket = createSocket('udp4');
+	let hasStopped = false;
+
+	const isAlive = (host: KnownHost): boolean => host.heardAt !== undefined && now() - host.heardAt < silentMs;
+
+	const hear = (report: HostReport): void => {
+		const before = known.get(report.host);
+		if (!before || !isAlive(before)) {
+			log.info({peer: report.host, address: report.peers}, 'peer heard');
+		}
+
+		known.set(report.host, {
+			host: report.host, domain: report.domain, peers: report.peers, reports: report.reports, heardAt: now(),
+		});
+		onReport(report);
+	};
+
+	const register = async (): Promise<void> => {
+		const found = await store.read(kind, self.host);
+		if (found && JSON.stringify(found.value) === JSON.stringify(self)) {
+			return;
+		}
+
+		await (found ? store.replace(kind, self.host, self, found.revision) : store.create(kind, self.host, self));
+	};
+
+	const listHosts = async (): Promise<void> => {
+		const {objects} = await store.list(kind);
+		for (const {value} of objects) {
+			const entry = value as HostReport;
+			if (entry.host !== self.host && !known.has(entry.host)) {
+				known.set(entry.host, {...entry, heardAt: undefined});
+			}
+		}
+	};
+
+	const keepListing = async (): Promise<void> => {
+		let hasRegistered = false;
+		while (!hasStopped) {
+			try {
+				if (!hasRegistered) {
+					await register();
+					hasRegistered = true;
+				}
+
+				await listHosts();
+				await sleep(listMs);
+			} catch (error) {
+				log.warn({error: String(error)}, 'hosts can not be listed');
+				await sleep(retryMs);
+			}
+		}
+	};
+
+	const send = (message: Datagram): void => {
+		const bytes = Buffer.from(JSON.stringify(message));
+		for (const {reports} of known.values()) {
+			const {host, port} = parseAddress(reports);
+			// A datagram that can't be sent is like one that is lost: the next one follows soon.
+			socket.send(bytes, port, host, () => undefined);
+		}
+	};
+
+	const sendReport = (): void => {
+		for (const [name, {heardAt}] of known) {
+			if (heardAt !== undefined && now() - heardAt > forgetMs) {
+				known.delete(name);
+			}
+		}
+
+		send({report: {...self, ...makeReport()}});
+	};
+
+	socket.on('message', bytes => {
+		try {
+			const {report, kept} = JSON.parse(bytes.toString()) as Datagram;
+			if (report) {
+				hear(report);
+			}
+
+			if (kept) {
+				onKeptNews(kept);
+			}
+		} catch (error) {
+			log.warn({error: String(error)}, 'report can not be read');
+		}
+	});
+	socket.on('error', error => {
+		log.warn({error: String(error)}, 'report socket failed');
+	});
+	let timer: NodeJS.Timeout | undefined;
+
+	return {
+		async start() {
+			const {host, port} = parseAddress(self.reports);
+			await new Promise<void>(resolve => {
+				socket.bind(port, host, resolve);
+			});
+			void keepListing();
+			timer = setInterval(sendReport, reportMs);
+		},
+		alive: () => [...known.values()].filter(entry => isAlive(entry)),
+		count: () => known.size + 1,
+		tell(kept) {
+			send({kept});
+		},
+		stop() {
+			hasStopped = true;
+			clearInterval(timer);
+			socket.close();
+		},
+	};
+}
--- a/src/forwarding/create-kind-watch.ts
+++ b/src/forwarding/create-kind-watch.ts
@@ -42,7 +42,7 @@
 		const {objects, revision} = await store.list(kind);
 		noteContact();
 		if (!current || revision >= current.revision) {
-			set({objects, revision});
+			set({objects, revision, changedAt: revision});
 		}
 	};
 
@@ -66,7 +66,8 @@
 				}
 			}
 
-			const next = {objects: [...byName.values()], revision: answer.revision};
+			const changedAt = answer.changes.length > 0 ? answer.revision : current.changedAt;
+			const next = {objects: [...byName.values()], revision: answer.revision, changedAt};
 			if (answer.changes.length > 0) {
 				set(next);
 			} else {
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -1,53 +1,147 @@
 import {rankUpstreams} from '../decide/forwarding/rank-upstreams.js';
+import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
+import {planKeptContext, type KeptPlan, type StoreView} from '../decide/kept/plan-kept-context.js';
+import {rankOwners} from '../decide/membership/rank-owners.js';
 import {type CallerCall} from './caller-call.js';
+import {type KeptStore, type KeptTask} from './create-kept-task.js';
 import {type Placed} from './placed.js';
+import {type Service} from './service.js';
 import {type UpstreamBook} from './upstream-book.js';
+import {type Workspace} from './workspace.js';
 
 const costs = {
 	tokensPerMs: 90, requestMs: 4, otherDomainMs: 3, failureMs: 400,
 };
 const mostUrgent = 0;
 const leastUrgent = 9;
+const bitsPerByte = 8;
+const kilobitsPerMegabit = 1000;
+/** Moves between failure domains take this many times as long. */
+const otherDomainMoves = 2;
+/** Share of the time to read a part that is saved where the part was sent to the same engine before. */
+const homeGain = 0.5;
+/** Parts of which this host remembers the engine that it sent them to last. */
+const rememberedParts = 20_000;
 
 /** What the placer needs. */
 type PlacerOptions = {
 	readonly domain: string;
 	readonly book: UpstreamBook;
+	readonly serviceOf: (name: string) => Service | undefined;
+	readonly kept: Pick<KeptTask, 'stores' | 'isBeingSaved' | 'noteSave'>;
 	readonly now: () => number;
+	/** Clock that counts suspensions, for fetches from stores. */
+	readonly elapsed: () => number;
 	readonly random: () => number;
 };
 
+/** Gives the text under which kept context of a request is found: its weights, and its workspace where that is isolated. */
+function toScope(weightVersion: number, workspace: Workspace | undefined): string {
+	return workspace?.isIsolated ? `v${weightVersion}-${workspace.name}` : `v${weightVersion}`;
+}
+
 /** Creates the function that chooses an upstream for a request and how the request is sent there. */
-export function createPlacer({domain, book, now, random}: PlacerOptions) {
-	return (call: CallerCall, service: string, tried: ReadonlySet<string>): Placed | undefined => {
-		const {request, route, workspace} = call;
-		const at = now();
-		const views = book.views(service, at);
+export function createPlacer(options: PlacerOptions) {
+	const {domain, book, serviceOf, kept, now, elapsed, random} = options;
+	const lastEngine = new Map<string, string>();
+
+	const remember = (key: string, upstreamId: string): void => {
+		lastEngine.delete(key);
+		lastEngine.set(key, upstreamId);
+		if (lastEngine.size > rememberedParts) {
+			const [oldest] = lastEngine.keys();
+			lastEngine.delete(oldest!);
+		}
+	};
+
+	const toStoreView = ({name, store, directory, canSave}: KeptStore, scope: string, engine: NonNullable<Service['engine']>, engineDomain: string): StoreView => {
+		const bitsPerMs = Math.min(store.linkMbps, engine.linkMbps) * kilobitsPerMegabit;
+		const distance = store.domain === engineDomain ? 1 : otherDomainMoves;
+		return {
+			name,
+			address: store.address,
+			has: part => directory.has(scope, part),
+			fetchUntil: directory.fetchUntil(elapsed()),
+			canSave,
+			moveMs: tokens => store.firstMs + (distance * tokens * engine.tokenBytes * bitsPerByte / bitsPerMs),
+		};
+	};
+
+	const planAt = (view: UpstreamView, call: CallerCall, engine: NonNullable<Service['engine']>): KeptPlan => {
+		const prompt = call.request.prompt!;
+		const {upstream} = view;
+		const scope = toScope(upstream.weights.get(prompt.model) ?? 0, call.workspace);
+		const views = kept.stores().map(store => toStoreView(store, scope, engine, upstream.domain));
+		const [, shared] = prompt.parts.toReversed();
+		const order = rankOwners(views.map(view => view.name), shared?.id ?? '');
+		return planKeptContext({
+			parts: prompt.parts,
+			stores: views.toSorted((a, b) => order.indexOf(a.name) - order.indexOf(b.name)),
+			engineHas: part => lastEngine.get(`${scope}\n${part}`) === upstream.id,
+			otherEngine(part) {
+				const other = lastEngine.get(`${scope}\n${part}`);
+				return other === undefined || other === upstream.id ? undefined : book.get(other)?.address;
+			},
+			isBeingSaved: part => kept.isBeingSaved(scope, part),
+			tokensPerMs: costs.tokensPerMs,
+			engineMoveMs: tokens => otherDomainMoves * tokens * engine.tokenBytes * bitsPerByte / (engine.linkMbps * kilobitsPerMegabit),
+		});
+	};
+
+	return (call: CallerCall, serviceName: string, tried: ReadonlySet<string>): Placed | undefined => {
+		const {request: {prompt}, route, workspace} = call;
+		const engine = serviceOf(serviceName)?.engine;
+		const views = book.views(serviceName, now());
 		const fresh = views.filter(view => !tried.has(view.upstream.id));
-		const tokens = request.prompt?.promptTokens ?? 0;
-		const [best] = rankUpstreams(fresh.length > 0 ? fresh : views, {
-			domain, missingTokens: () => tokens, costs, random,
+		const candidates = fresh.length > 0 ? fresh : views;
+		const plans = new Map<string, KeptPlan>(prompt && engine ? candidates.map(view => [view.upstream.id, planAt(view, call, engine)]) : []);
+		const heldTokens = (prompt?.promptTokens ?? 0) + (prompt?.expectedOutputTokens ?? prompt?.outputTokens ?? 0);
+		const [, sharedPart] = prompt?.parts.toReversed() ?? [];
+		const home = sharedPart && rankOwners(candidates.map(view => view.upstream.id), sharedPart.id)[0];
+		const [best] = rankUpstreams(candidates, {
+			domain,
+			readMs(id) {
+				const readMs = plans.get(id)?.parts.reduce((sum, part) => sum + part.readMs, 0) ?? 0;
+				return id === home ? readMs * homeGain : readMs;
+			},
+			heldTokens,
+			memoryTokens: engine?.memoryTokens,
+			costs,
+			random,
 		});
 		if (!best) {
 			return undefined;
 		}
 
-		const priority = workspace?.priority ?? route.priority;
-		const weightVersion = request.prompt && best.upstream.weights.get(request.prompt.model);
+		const {id, weights} = best.upstream;
+		const plan = plans.get(id);
+		const weightVersion = prompt && weights.get(prompt.model);
+		const scope = weightVersion === undefined ? undefined : toScope(weightVersion, workspace);
+		if (prompt && plan && scope !== undefined) {
+			for (const save of plan.saves) {
+				kept.noteSave(save.store, scope, save.part, save.tokens);
+			}
+
+			for (const part of prompt.parts.slice(0, -1)) {
+				remember(`${scope}\n${part.id}`, id);
+			}
+		}
+
 		return {
 			upstream: best.upstream,
-			missingTokens: tokens,
+			missingTokens: plan?.missingTokens ?? 0,
+			heldTokens,
 			inFlight: best.inFlight,
-			reason: 'least expected wait',
+			reason: id === home ? 'least expected wait, home of the shared part' : 'least expected wait',
 			options: {
-				upstreamId: best.upstream.id,
+				upstreamId: id,
 				workspace: workspace?.name,
-				urgency: request.prompt ? Math.min(leastUrgent, Math.max(mostUrgent, priority)) : undefined,
+				urgency: prompt ? Math.min(leastUrgent, Math.max(mostUrgent, workspace?.priority ?? route.priority)) : undefined,
 				weightVersion,
-				scope: weightVersion === undefined ? undefined : `v${weightVersion}${workspace?.isIsolated ? `-${workspace.name}` : ''}`,
-				fetchFrom: [],
-				fetchUntil: undefined,
-				saveTo: [],
+				scope,
+				fetchFrom: plan?.parts.map(part => part.fetchFrom) ?? [],
+				fetchUntil: plan?.fetchUntil,
+				saveTo: plan?.parts.map(part => part.saveTo) ?? [],
 			},
 		};
 	};
--- /dev/null
+++ b/src/forwarding/create-state-sync.ts
@@ -0,0 +1,101 @@
+import {log} from '../observe/log.js';
+import {type PeerCaller} from '../peers/peer-caller.js';
+import {sleep} from '../util/sleep.js';
+import {type KnownHost} from './host-links.js';
+import {type HostReport} from './host-report.js';
+import {type KindState, type KindWatch} from './kind-watch.js';
+
+const pullTimeoutMs = 800;
+/** The own watch gets this long to bring a change before a peer is asked for it. */
+const patienceMs = 60;
+const checkMs = 300;
+
+/** What the state sync needs. */
+type StateSyncOptions = {
+	readonly watches: readonly KindWatch[];
+	readonly call: PeerCaller;
+	readonly alive: () => readonly KnownHost[];
+	/** Addresses to ask while no peer is known. */
+	readonly seeds: readonly string[];
+	readonly now: () => number;
+	readonly random: () => number;
+	/** A watch without an answer of the store for this long is taken for cut off, in milliseconds. */
+	readonly silentMs: number;
+};
+
+/** Keeps the followed kinds up to date through peers where the store does not answer this host. */
+type StateSync = {
+	/** Compares a peer's report with the own state, and asks the peer for what is newer there. */
+	readonly compare: (report: HostReport) => void;
+	readonly answer: (revisions: Readonly<Record<string, number>>) => Readonly<Record<string, KindState>>;
+	readonly changes: () => Readonly<Record<string, number>>;
+	readonly stop: () => void;
+};
+
+/** Starts the exchange of state between hosts. */
+export function createStateSync({watches, call, alive, seeds, now, random, silentMs}: StateSyncOptions): StateSync {
+	const pulling = new Set<string>();
+	let hasStopped = false;
+
+	const pull = async (address: string): Promise<void> => {
+		if (pulling.has(address)) {
+			return;
+		}
+
+		pulling.add(address);
+		try {
+			const revisions = Object.fromEntries(watches.map(watch => [watch.kind, watch.state()?.revision ?? 0]));
+			const {states} = await call(address, 'gateway.state', {revisions}, {timeoutMs: pullTimeoutMs});
+			for (const watch of watches) {
+				const state = states[watch.kind];
+				if (state) {
+					watch.adopt(state);
+				}
+			}
+		} catch (error) {
+			log.warn({peer: address, error: String(error)}, 'peer gave no state');
+		} finally {
+			pulling.delete(address);
+		}
+	};
+
+	const isBehind = (changes: Readonly<Record<string, number>>): boolean =>
+		watches.some(watch => (changes[watch.kind] ?? 0) > (watch.state()?.revision ?? 0));
+
+	const isCutOff = (): boolean => watches.some(watch => {
+		const at = watch.contactAt();
+		return at === undefined || now() - at > silentMs;
+	});
+
+	const keepPulling = async (): Promise<void> => {
+		while (!hasStopped) {
+			await sleep(checkMs);
+			const peers = alive().map(peer => peer.peers);
+			const addresses = peers.length > 0 ? peers : seeds;
+			if (isCutOff() && addresses.length > 0) {
+				await pull(addresses[Math.floor(random() * addresses.length)]!);
+			}
+		}
+	};
+
+	void keepPulling();
+	return {
+		compare(report) {
+			if (isBehind(report.changes) && !pulling.has(report.peers)) {
+				setTimeout(() => {
+					if (isBehind(report.changes)) {
+						void pull(report.peers);
+					}
+				}, patienceMs);
+			}
+		},
+		answer: revisions => Object.fromEntries(watches.flatMap(watch => {
+			const state = watch.state();
+			return state && state.changedAt > (revisions[watch.kind] ?? 0) ? [[watch.kind, state]] : [];
+		})),
+		changes: () => Object.fromEntries(watches.map(watch => [watch.kind, watch.state()?.changedAt ?? 0])),
+		stop() {
+			hasStopped = true;
+		},
+	};
+}
--- /dev/null
+++ b/src/forwarding/create-stored-state.ts
@@ -0,0 +1,83 @@
+import {log} from '../observe/log.js';
+import {type GatewayAdapter} from './gateway-adapter.js';
+import {type GatewayState} from './gateway-state.js';
+import {type NamedWeights} from './named-weights.js';
+import {prepareConfiguration} from './prepare-configuration.js';
+import {type Service} from './service.js';
+import {type StoredObject} from './stored-object.js';
+import {type Upstream} from './upstream.js';
+
+/** Who hears of changes. */
+type StoredStateListener = {
+	readonly onServices: (services: readonly Service[]) => void;
+	readonly onUpstreams: (upstreams: readonly Upstream[]) => void;
+};
+
+/** What the platform's store says, decoded. */
+type StoredState = {
+	readonly takeConfiguration: (objects: readonly StoredObject[]) => void;
+	readonly takeUpstreams: (objects: readonly StoredObject[]) => void;
+	readonly takeWeights: (objects: readonly StoredObject[]) => void;
+	/** The configuration in force; `undefined` before the first one. */
+	readonly state: () => GatewayState | undefined;
+	readonly serviceOf: (name: string) => Service | undefined;
+	/** The newest weights named for each model. */
+	readonly weights: () => readonly NamedWeights[];
+};
+
+/** Decodes what the store says. Versions only go up; what can't be read is logged and ignored. */
+export function createStoredState(
+	{decodeConfiguration, decodeUpstream, decodeWeights}: Pick<GatewayAdapter, 'decodeConfiguration' | 'decodeUpstream' | 'decodeWeights'>,
+	{onServices, onUpstreams}: StoredStateListener,
+): StoredState {
+	let state: GatewayState | undefined;
+	let services: ReadonlyMap<string, Service> = new Map();
+	const weights = new Map<string, NamedWeights>();
+	const ignored = new Set<string>();
+
+	return {
+		takeConfiguration(objects) {
+			for (const {value, revision} of objects) {
+				const configuration = decodeConfiguration(value);
+				if (!configuration) {
+					log.warn({revision}, 'configuration can not be read, the one in force stays');
+				} else if (configuration.version > (state?.configuration.version ?? -1)) {
+					state = prepareConfiguration(configuration);
+					services = new Map(configuration.services.map(service => [service.name, service]));
+					onServices(configuration.services);
+					log.info({
+						version: configuration.version, revision, routes: configuration.routes.length, services: configuration.services.length,
+					}, 'configuration in force');
+				}
+			}
+		},
+		takeUpstreams(objects) {
+			const upstreams: Upstream[] = [];
+			for (const object of objects) {
+				const upstream = decodeUpstream(object);
+				if (upstream) {
+					upstreams.push(upstream);
+				} else if (!ignored.has(object.name)) {
+					ignored.add(object.name);
+					log.warn({entry: object.name, revision: object.revision}, 'entry of the upstream list can not be read, ignored');
+				}
+			}
+
+			onUpstreams(upstreams);
+		},
+		takeWeights(objects) {
+			for (const {value, name: entry, revision} of objects) {
+				const named = decodeWeights(value);
+				if (!named) {
+					log.warn({entry, revision}, 'named weights can not be read, ignored');
+				} else if (named.version > (weights.get(named.model)?.version ?? 0)) {
+					weights.set(named.model, named);
+					log.info({model: named.model, version: named.version, revision}, 'weights named');
+				}
+			}
+		},
+		state: () => state,
+		serviceOf: name => services.get(name),
+		weights: () => [...weights.values()],
+	};
+}
--- a/src/forwarding/create-upstream-book.ts
+++ b/src/forwarding/create-upstream-book.ts
@@ -1,6 +1,7 @@
 import {log} from '../observe/log.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
-import {type UpstreamBook} from './upstream-book.js';
+import {type UpstreamLoad} from './host-report.js';
+import {type SendSize, type UpstreamBook} from './upstream-book.js';
 import {
 	type AnswerListener, type RunningSend, type UpstreamLink, type UpstreamMessage,
 } from './upstream-link.js';
@@ -16,13 +17,6 @@
 /** Reports of other hosts count for this long. */
 const reportMs = 1500;
 
-/** Load of one upstream in a report. */
-type Load = {
-	readonly id: string;
-	readonly inFlight: number;
-	readonly waitingTokens: number;
-};
-
 /** One upstream and what this host has seen of it. */
 type Entry = {
 	upstream: Upstream;
@@ -30,6 +24,7 @@
 	readonly connections: number;
 	inFlight: number;
 	waitingTokens: number;
+	heldTokens: number;
 	/** Start times of requests that wait for an answer's head. */
 	readonly waiting: Set<{readonly since: number}>;
 	lastAnswerAt: number;
@@ -38,6 +33,11 @@
 	isGone: boolean;
 };
 
+/** An upstream's registration lags behind what was found out from it; its weights only ever go up. */
+function mergeWeights(known: ReadonlyMap<string, number>, registered: ReadonlyMap<string, number>): ReadonlyMap<string, number> {
+	return new Map([...registered].map(([model, version]) => [model, Math.max(version, known.get(model) ?? 0)]));
+}
+
 /** What the book needs. */
 type UpstreamBookOptions = {
 	readonly now: () => number;
@@ -51,7 +51,7 @@
 export function createUpstreamBook({now, link, connectionsOf}: UpstreamBookOptions): UpstreamBook {
 	const entries = new Map<string, Entry>();
 	const usualMs = new Map<string, number>();
-	const reports = new Map<string, {readonly at: number; readonly loads: ReadonlyMap<string, Load>}>();
+	const reports = new Map<string, {readonly at: number; readonly loads: ReadonlyMap<string, UpstreamLoad>}>();
 
 	const closeWhenIdle = (entry: Entry): void => {
 		if (entry.isGone && entry.inFlight === 0) {
@@ -76,6 +76,7 @@
 			connections,
 			inFlight: 0,
 			waitingTokens: 0,
+			heldTokens: 0,
 			waiting: new Set(),
 			lastAnswerAt: now(),
 			avoidUntil: 0,
@@ -104,7 +105,7 @@
 			log.info({upstream: upstream.id, service: upstream.service, inFlight: known.inFlight}, 'upstream is leaving');
 		}
 
-		known.upstream = upstream;
+		known.upstream = {...upstream, weights: mergeWeights(known.upstream.weights, upstream.weights)};
 	};
 
 	const isSilent = (entry: Entry, at: number): boolean => {
@@ -117,16 +118,20 @@
 		return at - Math.max(oldest, entry.lastAnswerAt) > limitMs;
 	};
 
-	const sumOthers = (id: string, at: number): Load => {
+	const sumOthers = (id: string, at: number): UpstreamLoad => {
 		let inFlight = 0;
 		let waitingTokens = 0;
+		let heldTokens = 0;
 		for (const report of reports.values()) {
 			const load = at - report.at < reportMs ? report.loads.get(id) : undefined;
 			inFlight += load?.inFlight ?? 0;
 			waitingTokens += load?.waitingTokens ?? 0;
+			heldTokens += load?.heldTokens ?? 0;
 		}
 
-		return {id, inFlight, waitingTokens};
+		return {
+			id, inFlight, waitingTokens, heldTokens,
+		};
 	};
 
 	const toView = (entry: Entry, at: number): UpstreamView => {
@@ -135,6 +140,7 @@
 			upstream: entry.upstream,
 			inFlight: entry.inFlight + others.inFlight,
 			waitingTokens: entry.waitingTokens + others.waitingTokens,
+			heldTokens: entry.heldTokens + others.heldTokens,
 			isSilent: isSilent(entry, at),
 			isAvoided: at < entry.avoidUntil,
 			failureShare: entry.failureShare,
@@ -147,21 +153,23 @@
 		usualMs.set(service, usual + (usualWeight * (tookMs - usual)));
 	};
 
-	const send = (id: string, message: UpstreamMessage, tokens: number, listener: AnswerListener): RunningSend => {
+	const send = (id: string, message: UpstreamMessage, {waitingTokens, heldTokens}: SendSize, listener: AnswerListener): RunningSend => {
 		const entry = entries.get(id)!;
 		const wait = {since: now()};
 		entry.inFlight++;
-		entry.waitingTokens += tokens;
+		entry.waitingTokens += waitingTokens;
+		entry.heldTokens += heldTokens;
 		entry.waiting.add(wait);
 		const answered = (): void => {
 			if (entry.waiting.delete(wait)) {
-				entry.waitingTokens -= tokens;
+				entry.waitingTokens -= waitingTokens;
 			}
 		};
 
 		const ended = (failed: boolean): void => {
 			answered();
 			entry.inFlight--;
+			entry.heldTokens -= heldTokens;
 			entry.failureShare += failureWeight * ((failed ? 1 : 0) - entry.failureShare);
 			closeWhenIdle(entry);
 		};
@@ -210,15 +218,18 @@
 		},
 		noteWeights(id, model, version) {
 			const entry = entries.get(id);
-			if (entry && entry.upstream.weights.get(model) !== version) {
+			if (entry && (entry.upstream.weights.get(model) ?? 0) < version) {
 				entry.upstream = {...entry.upstream, weights: new Map([...entry.upstream.weights, [model, version]])};
 			}
 		},
-		find: id => entries.get(id)?.upstream,
+		inFlight: id => (entries.get(id)?.inFlight ?? 0) + sumOthers(id, now()).inFlight,
+		get: id => entries.get(id)?.upstream,
 		all: () => [...entries.values()].map(entry => entry.upstream),
 		loads: () => [...entries.values()]
 			.filter(entry => entry.inFlight > 0)
-			.map(({upstream, inFlight, waitingTokens}) => ({id: upstream.id, inFlight, waitingTokens})),
+			.map(({upstream, inFlight, waitingTokens, heldTokens}) => ({
+				id: upstream.id, inFlight, waitingTokens, heldTokens,
+			})),
 		noteLoads(host, loads, at) {
 			reports.set(host, {at, loads: new Map(loads.map(load => [load.id, load]))});
 		},
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -1,6 +1,7 @@
 import {type IncomingMessage} from 'node:http';
 import {type CallerRequest} from './caller-request.js';
 import {type Configuration} from './configuration.js';
+import {type EngineControl} from './engine-control.js';
 import {type NamedWeights} from './named-weights.js';
 import {type ObjectStore} from './object-store.js';
 import {type SendOptions} from './send-options.js';
@@ -28,5 +29,6 @@
 	readonly encodeRequest: (request: CallerRequest, options: SendOptions) => string[];
 	/** Header, name and value, with which answers name their request. */
 	readonly nameRequest: (request: CallerRequest) => readonly string[];
+	readonly openControl: () => EngineControl;
 	readonly openLink: (address: string, connections: number, onConnect: () => void) => UpstreamLink;
 };
--- /dev/null
+++ b/src/forwarding/host-report.ts
@@ -0,0 +1,26 @@
+/** Load of one upstream by one host. */
+export type UpstreamLoad = {
+	readonly id: string;
+	readonly inFlight: number;
+	/** Prompt tokens of requests whose answers have not begun. */
+	readonly waitingTokens: number;
+	/** Memory that requests in flight take, in tokens. */
+	readonly heldTokens: number;
+};
+
+/** What a host tells the others several times a second, as a datagram. */
+export type HostReport = {
+	readonly host: string;
+	readonly domain: string;
+	/** Address for calls of other hosts, `IP:PORT`. */
+	readonly peers: string;
+	/** Where reports to this host go, `IP:PORT`. */
+	readonly reports: string;
+	readonly loads: readonly UpstreamLoad[];
+	/** Engines that are taking new weights: id, model and version. */
+	readonly loading: ReadonlyArray<readonly [string, string, number]>;
+	/** Weights that engines were found to have lately: id, model and version. */
+	readonly weights: ReadonlyArray<readonly [string, string, number]>;
+	/** Revision of the last change that the host knows, by kind of stored objects. */
+	readonly changes: Readonly<Record<string, number>>;
+};
--- a/src/forwarding/kind-watch.ts
+++ b/src/forwarding/kind-watch.ts
@@ -4,6 +4,8 @@
 export type KindState = {
 	readonly objects: readonly StoredObject[];
 	readonly revision: number;
+	/** Revision up to which the last change of the objects is known to have been made. */
+	readonly changedAt: number;
 };
 
 /** Follows the objects of one kind in the platform's store. */
--- a/src/forwarding/placed.ts
+++ b/src/forwarding/placed.ts
@@ -7,6 +7,8 @@
 	readonly options: Omit<SendOptions, 'deadlineMs' | 'resumeAfter'>;
 	/** Prompt tokens that the upstream is expected to read. */
 	readonly missingTokens: number;
+	/** Memory that the request takes at the upstream, in tokens. */
+	readonly heldTokens: number;
 	/** Requests known to be in flight there. */
 	readonly inFlight: number;
 	readonly reason: string;
--- a/src/forwarding/upstream-book.ts
+++ b/src/forwarding/upstream-book.ts
@@ -1,7 +1,16 @@
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
+import {type UpstreamLoad} from './host-report.js';
 import {type RunningSend, type AnswerListener, type UpstreamMessage} from './upstream-link.js';
 import {type Upstream} from './upstream.js';
 
+/** What a request asks of an upstream, in tokens. */
+export type SendSize = {
+	/** Prompt tokens that have to be read before the answer begins. */
+	readonly waitingTokens: number;
+	/** Memory taken until the request ends. */
+	readonly heldTokens: number;
+};
+
 /** What is known of the upstreams, and the connections to them. */
 export type UpstreamBook = {
 	/** Takes the list of registered upstreams. */
@@ -9,15 +18,17 @@
 	/** Lists the upstreams of a service that take new work, as seen at `now`. */
 	readonly views: (service: string, now: number) => readonly UpstreamView[];
 	/** Sends a request and counts it as in flight until it ends. */
-	readonly send: (id: string, message: UpstreamMessage, tokens: number, listener: AnswerListener) => RunningSend;
+	readonly send: (id: string, message: UpstreamMessage, size: SendSize, listener: AnswerListener) => RunningSend;
 	/** Notes that an upstream should get no new work for a while. */
 	readonly avoid: (id: string, untilMs: number) => void;
 	/** Notes the weights that an upstream was found to have. */
 	readonly noteWeights: (id: string, model: string, version: number) => void;
-	readonly find: (id: string) => Upstream | undefined;
+	/** Requests of all hosts in flight, as far as known. */
+	readonly inFlight: (id: string) => number;
+	readonly get: (id: string) => Upstream | undefined;
 	readonly all: () => readonly Upstream[];
 	/** Requests in flight and prompt tokens not yet answered, by upstream. */
-	readonly loads: () => ReadonlyArray<{readonly id: string; readonly inFlight: number; readonly waitingTokens: number}>;
+	readonly loads: () => readonly UpstreamLoad[];
 	/** Takes another host's report of its load. */
-	readonly noteLoads: (host: string, loads: ReadonlyArray<{readonly id: string; readonly inFlight: number; readonly waitingTokens: number}>, now: number) => void;
+	readonly noteLoads: (host: string, loads: readonly UpstreamLoad[], now: number) => void;
 };
--- a/src/peers/create-peer-server.ts
+++ b/src/peers/create-peer-server.ts
@@ -38,7 +38,7 @@
 export async function createPeerServer(
 	address: string,
 	keys: TlsKeys | undefined,
-	handlers: PeerHandlers,
+	handlers: Partial<PeerHandlers>,
 	isCut: () => boolean,
 ): Promise<PeerServer> {
 	const rpc = new JSONRPCServer({errorListener: () => undefined});
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -9,6 +9,8 @@
 import {type GossipEntry} from '../decide/membership/gossip-entry.js';
 import {type PoisonVerdict} from '../decide/poison/poison-verdict.js';
 import {type RunEnd} from '../decide/poison/run-end.js';
+import {type PartNews} from '../forwarding/engine-control.js';
+import {type KindState} from '../forwarding/kind-watch.js';
 import {type Decision} from '../observe/decision.js';
 
 /** Entries of gossip sections. */
@@ -87,6 +89,16 @@
 		readonly params: {readonly digest: string; readonly run: string; readonly end: RunEnd};
 		readonly result: Readonly<Record<string, never>>;
 	};
+	/** Gives the state of each kind of stored objects that is newer than the asker's. */
+	readonly 'gateway.state': {
+		readonly params: {readonly revisions: Readonly<Record<string, number>>};
+		readonly result: {readonly states: Readonly<Record<string, KindState>>};
+	};
+	/** Gives all that the answerer knows of a store of kept context, as a listing. */
+	readonly 'gateway.kept': {
+		readonly params: {readonly store: string};
+		readonly result: {readonly news: PartNews | null};
+	};
 	readonly explain: {
 		readonly params: {readonly requestId: string};
 		readonly result: {readonly decisions: readonly Decision[]};
--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -15,6 +15,8 @@
 	readiness: addressSchema,
 	/** Address for other hosts. */
 	peers: addressSchema,
+	/** Address at which other hosts' load reports arrive, as datagrams. */
+	reports: addressSchema,
 	/** Peers' addresses to ask where the store can't be reached; they may be stale. */
 	seeds: z.array(addressSchema).default([]),
 	metricsPort: z.int().min(0).max(65_535),
--- /dev/null
+++ b/src/util/create-elapsed-clock.ts
@@ -0,0 +1,27 @@
+/** A jump of the time of day against the steady clock that is taken for a suspension. */
+const leastJumpMs = 200;
+
+/**
+Creates a clock for leases: the steady clock, which stands still while a machine is suspended, plus every jump forward of the
+time of day. A clock that was merely set forward makes leases end early, which is safe.
+
+@param steady - Steady clock in milliseconds.
+@param timeOfDay - Time of day in milliseconds.
+*/
+export function createElapsedClock(steady: () => number, timeOfDay: () => number): () => number {
+	let offset = timeOfDay() - steady();
+	let added = 0;
+	return () => {
+		const at = steady();
+		const offsetNow = timeOfDay() - at;
+		if (offsetNow - offset > leastJumpMs) {
+			added += offsetNow - offset;
+		}
+
+		if (Math.abs(offsetNow - offset) > leastJumpMs) {
+			offset = offsetNow;
+		}
+
+		return at + added;
+	};
+}
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -1,30 +1,41 @@
+import {randomUUID} from 'node:crypto';
 import {createWindowBudget} from './decide/retries/create-window-budget.js';
 import {createCallerPort} from './forwarding/create-caller-port.js';
 import {createForwarder} from './forwarding/create-forwarder.js';
 import {createGatewayMetrics} from './forwarding/create-gateway-metrics.js';
+import {createHostLinks} from './forwarding/create-host-links.js';
+import {createKeptTask} from './forwarding/create-kept-task.js';
 import {createKindWatch} from './forwarding/create-kind-watch.js';
 import {createPlacer} from './forwarding/create-placer.js';
+import {createRolloutTask} from './forwarding/create-rollout-task.js';
+import {createStateSync} from './forwarding/create-state-sync.js';
 import {createStatusPort} from './forwarding/create-status-port.js';
+import {createStoredState} from './forwarding/create-stored-state.js';
 import {createUpstreamBook} from './forwarding/create-upstream-book.js';
 import {type GatewayAdapter} from './forwarding/gateway-adapter.js';
-import {type GatewayState} from './forwarding/gateway-state.js';
-import {prepareConfiguration} from './forwarding/prepare-configuration.js';
-import {type StoredObject} from './forwarding/stored-object.js';
-import {type Upstream} from './forwarding/upstream.js';
+import {type HostReport} from './forwarding/host-report.js';
 import {parseAddress} from './http/parse-address.js';
 import {log} from './observe/log.js';
+import {createPeerCaller} from './peers/create-peer-caller.js';
+import {createPeerServer} from './peers/create-peer-server.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
+import {createElapsedClock} from './util/create-elapsed-clock.js';
 import {memoize} from './util/memoize.js';
 import {sleep} from './util/sleep.js';
 
 const msPerS = 1000;
 /** Bounds how long a change goes unnoticed where a connection to the store has gone silent. */
 const watchMs = 2000;
+/** Time beyond a watch's wait after which the store is taken for silent. */
+const watchSilenceMs = 900;
+/** An engine that takes new weights is passed over for this long after each report of it. */
+const loadingMs = 400;
 /** The balancer takes a host out after two questions a second apart. */
 const leaveMs = 2500;
 /** Time kept of the grace for closing down. */
 const exitMarginMs = 700;
-const assumedHosts = 8;
+/** Hosts that share budgets and connections, until the store has named them. */
+const assumedHosts = 3;
 const leastConnections = 4;
 
 /** A running gateway host. */
@@ -37,72 +48,99 @@
 /** Wires the parts of one gateway host together and starts it. */
 export async function startGateway(settings: GatewaySettings, adapter: GatewayAdapter): Promise<Gateway> {
 	const {name, domain, bounds} = settings;
+	const {kinds} = adapter;
 	const now = (): number => performance.now();
+	const elapsed = createElapsedClock(now, Date.now);
 	const {random} = Math;
 	const metrics = createGatewayMetrics();
-	const {kinds} = adapter;
-
-	let state: GatewayState | undefined;
 	let isDraining = false;
-	const hosts = (): number => assumedHosts;
 
 	const store = adapter.openStore(settings.objectStore, method => {
 		metrics.storeCalls.inc({method});
 	});
-	const connectionsOf = (service: string): number => {
-		const found = state?.configuration.services.find(candidate => candidate.name === service);
-		return Math.max(leastConnections, Math.floor((found?.maxConnections ?? 0) / hosts()));
-	};
+	const control = adapter.openControl();
+	const peerCaller = createPeerCaller(undefined, () => false, () => undefined);
+
+	const links = createHostLinks({
+		self: {
+			host: name, domain, peers: settings.peers, reports: settings.reports,
+		},
+		store,
+		kind: kinds.hosts,
+		now,
+		makeReport() {
+			const loading = rollout.loading();
+			passOver(loading);
+			return {
+				loads: book.loads(), loading, weights: rollout.news(), changes: sync.changes(),
+			};
+		},
+		onReport(report) {
+			book.noteLoads(report.host, report.loads, now());
+			passOver(report.loading);
+			for (const [id, model, version] of report.weights) {
+				book.noteWeights(id, model, version);
+			}
+
+			sync.compare(report);
+		},
+		onKeptNews(news) {
+			kept.take(news);
+		},
+	});
+	const others = (): readonly string[] => links.alive().map(peer => peer.host);
+	const hosts = (): number => Math.max(assumedHosts, links.count());
 
 	const book = createUpstreamBook({
-		now, connectionsOf,
+		now,
+		connectionsOf: service => Math.max(leastConnections, Math.floor((stored.serviceOf(service)?.maxConnections ?? 0) / hosts())),
 		link: (upstream, connections) => adapter.openLink(upstream.address, connections, () => {
 			metrics.connections.inc({service: upstream.service});
 		}),
 	});
-
-	const takeConfiguration = (objects: readonly StoredObject[]): void => {
-		for (const {value, revision} of objects) {
-			const configuration = adapter.decodeConfiguration(value);
-			if (!configuration) {
-				log.warn({revision}, 'configuration can not be read, the one in force stays');
-			} else if (configuration.version > (state?.configuration.version ?? -1)) {
-				state = prepareConfiguration(configuration);
-				log.info({
-					version: configuration.version, revision, routes: configuration.routes.length, services: configuration.services.length,
-				}, 'configuration in force');
-			}
+	const passOver = (loading: HostReport['loading']): void => {
+		for (const [id] of loading) {
+			book.avoid(id, now() + loadingMs);
 		}
 	};
 
-	const ignored = new Set<string>();
-	const takeUpstreams = (objects: readonly StoredObject[]): void => {
-		const upstreams: Upstream[] = [];
-		for (const object of objects) {
-			const upstream = adapter.decodeUpstream(object);
-			if (upstream) {
-				upstreams.push(upstream);
-			} else if (!ignored.has(object.name)) {
-				ignored.add(object.name);
-				log.warn({entry: object.name, revision: object.revision}, 'entry of the upstream list can not be read, ignored');
-			}
-		}
-
-		book.apply(upstreams);
-	};
-
-	const watchKind = (kind: string, onChange: (objects: readonly StoredObject[]) => void) => createKindWatch({
+	const kept = createKeptTask({
+		self: name, peers: settings.peers, control, call: peerCaller.call, others, tell: links.tell, now: elapsed,
+	});
+	const stored = createStoredState(adapter, {
+		onServices: kept.apply,
+		onUpstreams: book.apply,
+	});
+	const watches = [
+		[kinds.configuration, stored.takeConfiguration] as const,
+		[kinds.upstreams, stored.takeUpstreams] as const,
+		[kinds.weights, stored.takeWeights] as const,
+	].map(([kind, onChange]) => createKindWatch({
 		kind, store, now, random, waitMs: watchMs, onChange,
+	}));
+	const sync = createStateSync({
+		watches,
+		call: peerCaller.call,
+		alive: links.alive,
+		seeds: settings.seeds.filter(seed => seed !== settings.peers),
+		now,
+		random,
+		silentMs: watchMs + watchSilenceMs,
+	});
+	const rollout = createRolloutTask({
+		self: name, run: randomUUID(), store, kind: kinds.leases, control, book, named: stored.weights, others, leaseMs: bounds.leaseMs, now: elapsed,
 	});
-	const watches = [watchKind(kinds.configuration, takeConfiguration), watchKind(kinds.upstreams, takeUpstreams)];
 
 	const budgetOf = memoize((_service: string) => createWindowBudget({
 		ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowS * msPerS, hosts,
 	}));
 	const forward = createForwarder({
-		book, budgetOf, now, random,
+		book,
+		budgetOf,
+		now,
+		random,
 		place: createPlacer({
-			domain, book, now, random,
+			domain, book, serviceOf: stored.serviceOf, kept, now, elapsed, random,
 		}),
 		encode: adapter.encodeRequest,
 		onEnd({route}, result, tookMs) {
@@ -110,9 +148,15 @@
 			metrics.took.observe({kind: route.kind}, tookMs / msPerS);
 		},
 	});
+
+	const peerServer = await createPeerServer(settings.peers, undefined, {
+		'gateway.state': async ({revisions}) => ({states: sync.answer(revisions)}),
+		'gateway.kept': async ({store: asked}) => ({news: kept.list(asked) ?? null}),
+	}, () => false);
+	await links.start();
 	const callers = await createCallerPort({
 		address: settings.callers,
-		state: () => state,
+		state: stored.state,
 		decode: adapter.decodeRequest,
 		nameRequest: adapter.nameRequest,
 		forward,
@@ -121,7 +165,7 @@
 			metrics.refusals.inc({kind: refusal.kind});
 		},
 	});
-	const isReady = (): boolean => !isDraining && state !== undefined && book.all().length > 0;
+	const isReady = (): boolean => !isDraining && stored.state() !== undefined && book.all().length > 0;
 	const readiness = await createStatusPort(settings.readiness, [
 		{path: adapter.readinessPath, answer: () => ({status: isReady() ? 200 : 503, text: ''})},
 	]);
@@ -135,14 +179,11 @@
 	}]);
 
 	const stop = async (): Promise<void> => {
-		for (const watch of watches) {
-			watch.stop();
+		for (const part of [...watches, links, sync, rollout, kept, callers, readiness, metricsPort]) {
+			part.stop();
 		}
 
-		callers.stop();
-		readiness.stop();
-		metricsPort.stop();
-		await store.stop();
+		await Promise.all([peerServer.stop(), peerCaller.stop(), control.stop(), store.stop()]);
 	};
 
 	log.info({
