--- a/src/decide/kept/create-store-directory.ts
+++ b/src/decide/kept/create-store-directory.ts
@@ -1,8 +1,8 @@
 import {type PartNews} from '../../forwarding/engine-control.js';
+import {keptTimes} from './kept-times.js';
 import {type StoreDirectory} from './store-directory.js';
 
-/** A fetch may end this long after the answer that showed the part to be whole. */
-const validMs = 3000;
+const {fetchEndMs: validMs} = keptTimes;
 /** A fetch begins only if it has at least this long. */
 const leastFetchMs = 800;
 
--- /dev/null
+++ b/src/decide/kept/read-scope.ts
@@ -0,0 +1,9 @@
+import {type Scope} from './scope.js';
+
+/** Reads a scope that `writeScope` wrote; `undefined` for any other text. */
+export function readScope(text: string): Scope | undefined {
+	const [model, version, workspace] = text.split('/').map(part => decodeURIComponent(part));
+	return model === undefined || version === undefined || !/^\d+$/v.test(version)
+		? undefined
+		: {model, version: Number(version), workspace};
+}
--- /dev/null
+++ b/src/forwarding/create-free-task.ts
@@ -0,0 +1,111 @@
+import {canFree} from '../decide/kept/can-free.js';
+import {readScope} from '../decide/kept/read-scope.js';
+import {log} from '../observe/log.js';
+import {sleep} from '../util/sleep.js';
+import {type KeptStore} from './create-kept-task.js';
+import {type EngineControl} from './engine-control.js';
+import {type KnownHost} from './host-links.js';
+import {type HostReport} from './host-report.js';
+import {type NamedWeights} from './named-weights.js';
+
+const stepMs = 500;
+const partsAtOnce = 200;
+/** The store's events show what was freed within this time. */
+const againMs = 1500;
+
+/** What the task needs. */
+type FreeTaskOptions = {
+	readonly control: EngineControl;
+	readonly stores: () => readonly KeptStore[];
+	/** Whether this host is the one that polls a store, and so the one that frees from it. */
+	readonly isPoller: (store: string) => boolean;
+	/** All namings seen, oldest first. */
+	readonly namings: () => readonly NamedWeights[];
+	/** Kind of the stored objects that name weights. */
+	readonly weightsKind: string;
+	/** Lists all other hosts that are or were registered. */
+	readonly listHosts: () => Promise<readonly KnownHost[]>;
+	/** Clock in milliseconds that counts suspensions. */
+	readonly now: () => number;
+};
+
+/** Frees context of replaced weights from the managed stores. */
+type FreeTask = {
+	readonly noteReport: (report: HostReport) => void;
+	readonly stop: () => void;
+};
+
+/** Starts the task that frees stored context of replaced weights once no host reads it any more. */
+export function createFreeTask({control, stores, isPoller, namings, weightsKind, listHosts, now}: FreeTaskOptions): FreeTask {
+	/** When each host was first heard to know of a naming, by revision and host. */
+	const acks = new Map<number, Map<string, number>>();
+	const freedAt = new Map<string, number>();
+	let hasStopped = false;
+
+	const listRetired = (store: KeptStore, weights: NamedWeights) => store.directory.held().filter(({scope}) => {
+		const read = readScope(scope);
+		return read?.model === weights.model && read.version < weights.version;
+	});
+
+	const isSafe = async (weights: NamedWeights): Promise<boolean> => {
+		if (!canFree([], weights.knownAt, now())) {
+			return false;
+		}
+
+		const hosts = await listHosts();
+		return canFree(hosts.map(host => ({ackedAt: acks.get(weights.revision)?.get(host.host)})), weights.knownAt, now());
+	};
+
+	const free = async (store: KeptStore, parts: ReturnType<typeof listRetired>): Promise<void> => {
+		const epoch = store.directory.epoch();
+		freedAt.set(store.name, now());
+		for (let at = 0; at < parts.length && epoch !== undefined; at += partsAtOnce) {
+			const some = parts.slice(at, at + partsAtOnce);
+			const isFreed = await control.freeParts(store.store.address, epoch, some);
+			log.info({
+				store: store.name, epoch, parts: some.length, tokens: some.reduce((sum, part) => sum + part.tokens, 0), freed: isFreed,
+			}, 'context of replaced weights freed');
+		}
+	};
+
+	const step = async (): Promise<void> => {
+		for (const weights of namings()) {
+			const work = stores()
+				.filter(store => isPoller(store.name) && now() - (freedAt.get(store.name) ?? Number.NEGATIVE_INFINITY) > againMs)
+				.map(store => ({store, parts: listRetired(store, weights)}))
+				.filter(({parts}) => parts.length > 0);
+			if (work.length > 0 && await isSafe(weights)) {
+				for (const {store, parts} of work) {
+					await free(store, parts);
+				}
+			}
+		}
+	};
+
+	const keepStepping = async (): Promise<void> => {
+		while (!hasStopped) {
+			await sleep(stepMs);
+			try {
+				await step();
+			} catch (error) {
+				log.warn({error: String(error)}, 'context of replaced weights can not be freed now');
+			}
+		}
+	};
+
+	void keepStepping();
+	return {
+		noteReport(report) {
+			for (const {revision} of namings()) {
+				const ofNaming = acks.get(revision) ?? new Map<string, number>();
+				acks.set(revision, ofNaming);
+				if ((report.changes[weightsKind] ?? 0) >= revision && !ofNaming.has(report.host)) {
+					ofNaming.set(report.host, now());
+				}
+			}
+		},
+		stop() {
+			hasStopped = true;
+		},
+	};
+}
--- a/src/forwarding/create-host-links.ts
+++ b/src/forwarding/create-host-links.ts
@@ -139,6 +139,10 @@
 			timer = setInterval(sendReport, reportMs);
 		},
 		alive: () => [...known.values()].filter(entry => isAlive(entry)),
+		async listAll() {
+			await listHosts();
+			return [...known.values()];
+		},
 		count: () => known.size + 1,
 		tell(kept) {
 			send({kept});
--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -52,6 +52,8 @@
 	/** Takes the stores of the configuration in force. */
 	readonly apply: (services: readonly Service[]) => void;
 	readonly stores: () => readonly KeptStore[];
+	/** Whether this host is the one that polls a store. */
+	readonly isPoller: (store: string) => boolean;
 	readonly take: (news: KeptNews) => void;
 	readonly list: (store: string) => PartNews | undefined;
 	/** Notes that a part is being saved. */
@@ -117,8 +119,10 @@
 		}
 	};
 
+	const rankFor = (name: string): number => rankOwners([self, ...others()], name).indexOf(self);
+
 	const shouldPoll = (entry: Followed): boolean => {
-		const rank = rankOwners([self, ...others()], entry.kept.name).indexOf(self);
+		const rank = rankFor(entry.kept.name);
 		return rank === 0 || now() - entry.heardAt > quietMs + (rank * quietRankMs);
 	};
 
@@ -188,6 +192,7 @@
 				}
 			}
 		},
+		isPoller: name => rankFor(name) === 0,
 		stores: () => [...followed.values()].map(entry => entry.kept),
 		take({store, peers: from, since, news}) {
 			const entry = followed.get(store);
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -1,6 +1,9 @@
 import {rankUpstreams} from '../decide/forwarding/rank-upstreams.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
+import {canReadScope} from '../decide/kept/can-read-scope.js';
 import {planKeptContext, type KeptPlan, type StoreView} from '../decide/kept/plan-kept-context.js';
+import {type Scope} from '../decide/kept/scope.js';
+import {writeScope} from '../decide/kept/write-scope.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
 import {type CallerCall} from './caller-call.js';
 import {type KeptStore, type KeptTask} from './create-kept-task.js';
@@ -29,20 +32,24 @@
 	readonly book: UpstreamBook;
 	readonly serviceOf: (name: string) => Service | undefined;
 	readonly kept: Pick<KeptTask, 'stores' | 'isBeingSaved' | 'noteSave'>;
+	/** When this host learned of newer weights of a model than a version. */
+	readonly newerKnownAt: (model: string, version: number) => number | undefined;
+	/** When the newest weights were last confirmed. */
+	readonly weightsConfirmedAt: () => number | undefined;
 	readonly now: () => number;
 	/** Clock that counts suspensions, for fetches from stores. */
 	readonly elapsed: () => number;
 	readonly random: () => number;
 };
 
-/** Gives the text under which kept context of a request is found: its weights, and its workspace where that is isolated. */
-function toScope(weightVersion: number, workspace: Workspace | undefined): string {
-	return workspace?.isIsolated ? `v${weightVersion}-${workspace.name}` : `v${weightVersion}`;
+/** Gives the scope of a request's context: its weights, and its workspace where that is isolated. */
+function toScope(model: string, version: number, workspace: Workspace | undefined): Scope {
+	return {model, version, workspace: workspace?.isIsolated ? workspace.name : undefined};
 }
 
 /** Creates the function that chooses an upstream for a request and how the request is sent there. */
 export function createPlacer(options: PlacerOptions) {
-	const {domain, book, serviceOf, kept, now, elapsed, random} = options;
+	const {domain, book, serviceOf, kept, newerKnownAt: namedAfter, weightsConfirmedAt, now, elapsed, random} = options;
 	const lastEngine = new Map<string, string>();
 
 	const remember = (key: string, upstreamId: string): void => {
@@ -54,15 +61,17 @@
 		}
 	};
 
-	const toStoreView = ({name, store, directory, canSave}: KeptStore, scope: string, engine: NonNullable<Service['engine']>, engineDomain: string): StoreView => {
+	const toStoreView = ({name, store, directory, canSave}: KeptStore, scope: Scope, engine: NonNullable<Service['engine']>, engineDomain: string): StoreView => {
 		const bitsPerMs = Math.min(store.linkMbps, engine.linkMbps) * kilobitsPerMegabit;
+		const text = writeScope(scope);
+		const newerKnownAt = namedAfter(scope.model, scope.version);
 		const distance = store.domain === engineDomain ? 1 : otherDomainMoves;
 		return {
 			name,
 			address: store.address,
-			has: part => directory.has(scope, part),
-			fetchUntil: directory.fetchUntil(elapsed()),
-			canSave,
+			has: part => directory.has(text, part),
+			fetchUntil: canReadScope({newerKnownAt, confirmedAt: weightsConfirmedAt()}, elapsed()) ? directory.fetchUntil(elapsed()) : undefined,
+			canSave: tokens => newerKnownAt === undefined && canSave(tokens),
 			moveMs: tokens => store.firstMs + (distance * tokens * engine.tokenBytes * bitsPerByte / bitsPerMs),
 		};
 	};
@@ -70,19 +79,20 @@
 	const planAt = (view: UpstreamView, call: CallerCall, engine: NonNullable<Service['engine']>): KeptPlan => {
 		const prompt = call.request.prompt!;
 		const {upstream} = view;
-		const scope = toScope(upstream.weights.get(prompt.model) ?? 0, call.workspace);
+		const scope = toScope(prompt.model, upstream.weights.get(prompt.model) ?? 0, call.workspace);
+		const text = writeScope(scope);
 		const views = kept.stores().map(store => toStoreView(store, scope, engine, upstream.domain));
 		const [, shared] = prompt.parts.toReversed();
 		const order = rankOwners(views.map(view => view.name), shared?.id ?? '');
 		return planKeptContext({
 			parts: prompt.parts,
 			stores: views.toSorted((a, b) => order.indexOf(a.name) - order.indexOf(b.name)),
-			engineHas: part => lastEngine.get(`${scope}\n${part}`) === upstream.id,
+			engineHas: part => lastEngine.get(`${text}\n${part}`) === upstream.id,
 			otherEngine(part) {
-				const other = lastEngine.get(`${scope}\n${part}`);
+				const other = lastEngine.get(`${text}\n${part}`);
 				return other === undefined || other === upstream.id ? undefined : book.get(other)?.address;
 			},
-			isBeingSaved: part => kept.isBeingSaved(scope, part),
+			isBeingSaved: part => kept.isBeingSaved(text, part),
 			tokensPerMs: costs.tokensPerMs,
 			engineMoveMs: tokens => otherDomainMoves * tokens * engine.tokenBytes * bitsPerByte / (engine.linkMbps * kilobitsPerMegabit),
 		});
@@ -116,7 +126,7 @@
 		const {id, weights} = best.upstream;
 		const plan = plans.get(id);
 		const weightVersion = prompt && weights.get(prompt.model);
-		const scope = weightVersion === undefined ? undefined : toScope(weightVersion, workspace);
+		const scope = weightVersion === undefined ? undefined : writeScope(toScope(prompt!.model, weightVersion, workspace));
 		if (prompt && plan && scope !== undefined) {
 			for (const save of plan.saves) {
 				kept.noteSave(save.store, scope, save.part, save.tokens);
--- a/src/forwarding/create-state-sync.ts
+++ b/src/forwarding/create-state-sync.ts
@@ -21,6 +21,8 @@
 	readonly random: () => number;
 	/** A watch without an answer of the store for this long is taken for cut off, in milliseconds. */
 	readonly silentMs: number;
+	/** Kind of the stored objects that name weights. */
+	readonly weightsKind: string;
 };
 
 /** Keeps the followed kinds up to date through peers where the store does not answer this host. */
@@ -29,12 +31,16 @@
 	readonly compare: (report: HostReport) => void;
 	readonly answer: (revisions: Readonly<Record<string, number>>) => Readonly<Record<string, KindState>>;
 	readonly changes: () => Readonly<Record<string, number>>;
+	/** When the newest weights were last confirmed by the store, directly or through a peer. */
+	readonly weightsConfirmedAt: () => number | undefined;
 	readonly stop: () => void;
 };
 
 /** Starts the exchange of state between hosts. */
-export function createStateSync({watches, call, alive, seeds, now, random, silentMs}: StateSyncOptions): StateSync {
+export function createStateSync({watches, call, alive, seeds, now, random, silentMs, weightsKind}: StateSyncOptions): StateSync {
 	const pulling = new Set<string>();
+	const weightsWatch = watches.find(watch => watch.kind === weightsKind)!;
+	let peerConfirmedAt = Number.NEGATIVE_INFINITY;
 	let hasStopped = false;
 
 	const pull = async (address: string): Promise<void> => {
@@ -81,6 +87,11 @@
 	void keepPulling();
 	return {
 		compare(report) {
+			const state = weightsWatch.state();
+			if (state && report.weightsAgeMs !== undefined && (report.changes[weightsKind] ?? 0) <= state.revision) {
+				peerConfirmedAt = Math.max(peerConfirmedAt, now() - report.weightsAgeMs);
+			}
+
 			if (isBehind(report.changes) && !pulling.has(report.peers)) {
 				setTimeout(() => {
 					if (isBehind(report.changes)) {
@@ -94,6 +105,10 @@
 			return state && state.changedAt > (revisions[watch.kind] ?? 0) ? [[watch.kind, state]] : [];
 		})),
 		changes: () => Object.fromEntries(watches.map(watch => [watch.kind, watch.state()?.changedAt ?? 0])),
+		weightsConfirmedAt() {
+			const confirmedAt = Math.max(weightsWatch.contactAt() ?? Number.NEGATIVE_INFINITY, peerConfirmedAt);
+			return weightsWatch.state() && Number.isFinite(confirmedAt) ? confirmedAt : undefined;
+		},
 		stop() {
 			hasStopped = true;
 		},
--- a/src/forwarding/create-stored-state.ts
+++ b/src/forwarding/create-stored-state.ts
@@ -23,16 +23,22 @@
 	readonly serviceOf: (name: string) => Service | undefined;
 	/** The newest weights named for each model. */
 	readonly weights: () => readonly NamedWeights[];
+	/** All namings that this host has seen, oldest first. */
+	readonly namings: () => readonly NamedWeights[];
+	/** When this host learned of newer weights than `version`; `undefined` when it knows none. */
+	readonly newerKnownAt: (model: string, version: number) => number | undefined;
 };
 
 /** Decodes what the store says. Versions only go up; what can't be read is logged and ignored. */
 export function createStoredState(
 	{decodeConfiguration, decodeUpstream, decodeWeights}: Pick<GatewayAdapter, 'decodeConfiguration' | 'decodeUpstream' | 'decodeWeights'>,
 	{onServices, onUpstreams}: StoredStateListener,
+	now: () => number,
 ): StoredState {
 	let state: GatewayState | undefined;
 	let services: ReadonlyMap<string, Service> = new Map();
 	const weights = new Map<string, NamedWeights>();
+	const namings: NamedWeights[] = [];
 	const ignored = new Set<string>();
 
 	return {
@@ -71,7 +77,9 @@
 				if (!named) {
 					log.warn({entry, revision}, 'named weights can not be read, ignored');
 				} else if (named.version > (weights.get(named.model)?.version ?? 0)) {
-					weights.set(named.model, named);
+					const naming = {...named, revision, knownAt: now()};
+					weights.set(named.model, naming);
+					namings.push(naming);
 					log.info({model: named.model, version: named.version, revision}, 'weights named');
 				}
 			}
@@ -79,5 +87,7 @@
 		state: () => state,
 		serviceOf: name => services.get(name),
 		weights: () => [...weights.values()],
+		namings: () => namings,
+		newerKnownAt: (model, version) => namings.find(naming => naming.model === model && naming.version > version)?.knownAt,
 	};
 }
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -24,7 +24,7 @@
 	readonly readinessPath: string;
 	readonly decodeConfiguration: (value: unknown) => Configuration | undefined;
 	readonly decodeUpstream: (object: StoredObject) => Upstream | undefined;
-	readonly decodeWeights: (value: unknown) => NamedWeights | undefined;
+	readonly decodeWeights: (value: unknown) => Pick<NamedWeights, 'model' | 'version'> | undefined;
 	readonly decodeRequest: (req: IncomingMessage) => CallerRequest;
 	readonly encodeRequest: (request: CallerRequest, options: SendOptions) => string[];
 	/** Header, name and value, with which answers name their request. */
--- a/src/forwarding/host-links.ts
+++ b/src/forwarding/host-links.ts
@@ -17,6 +17,8 @@
 	readonly start: () => Promise<void>;
 	/** Hosts whose reports arrive. */
 	readonly alive: () => readonly KnownHost[];
+	/** Hosts that the store or a report has named, this one not included, after the store was asked again. */
+	readonly listAll: () => Promise<readonly KnownHost[]>;
 	/** Hosts that the store or a report has named, this one included. */
 	readonly count: () => number;
 	/** Sends news of a store of kept context to all hosts. */
@@ -25,4 +27,4 @@
 };
 
 /** Makes the report to send now. */
-export type MakeReport = () => Pick<HostReport, 'loads' | 'loading' | 'weights' | 'changes'>;
+export type MakeReport = () => Pick<HostReport, 'loads' | 'loading' | 'weights' | 'changes' | 'weightsAgeMs'>;
--- a/src/forwarding/host-report.ts
+++ b/src/forwarding/host-report.ts
@@ -23,4 +23,6 @@
 	readonly weights: ReadonlyArray<readonly [string, string, number]>;
 	/** Revision of the last change that the host knows, by kind of stored objects. */
 	readonly changes: Readonly<Record<string, number>>;
+	/** Age of the store's last word on the newest weights, in milliseconds; `undefined` when there was none. */
+	readonly weightsAgeMs: number | undefined;
 };
--- a/src/forwarding/named-weights.ts
+++ b/src/forwarding/named-weights.ts
@@ -2,4 +2,8 @@
 export type NamedWeights = {
 	readonly model: string;
 	readonly version: number;
+	/** Store's revision of the naming. */
+	readonly revision: number;
+	/** When this host learned of it, in milliseconds of a clock that counts suspensions. */
+	readonly knownAt: number;
 };
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -2,6 +2,7 @@
 import {createWindowBudget} from './decide/retries/create-window-budget.js';
 import {createCallerPort} from './forwarding/create-caller-port.js';
 import {createForwarder} from './forwarding/create-forwarder.js';
+import {createFreeTask} from './forwarding/create-free-task.js';
 import {createGatewayMetrics} from './forwarding/create-gateway-metrics.js';
 import {createHostLinks} from './forwarding/create-host-links.js';
 import {createKeptTask} from './forwarding/create-kept-task.js';
@@ -72,7 +73,7 @@
 			const loading = rollout.loading();
 			passOver(loading);
 			return {
-				loads: book.loads(), loading, weights: rollout.news(), changes: sync.changes(),
+				loads: book.loads(), loading, weights: rollout.news(), changes: sync.changes(), weightsAgeMs: ageOf(sync.weightsConfirmedAt()),
 			};
 		},
 		onReport(report) {
@@ -83,6 +84,7 @@
 			}
 
 			sync.compare(report);
+			free.noteReport(report);
 		},
 		onKeptNews(news) {
 			kept.take(news);
@@ -110,27 +112,33 @@
 	const stored = createStoredState(adapter, {
 		onServices: kept.apply,
 		onUpstreams: book.apply,
-	});
+	}, elapsed);
 	const watches = [
 		[kinds.configuration, stored.takeConfiguration] as const,
 		[kinds.upstreams, stored.takeUpstreams] as const,
 		[kinds.weights, stored.takeWeights] as const,
 	].map(([kind, onChange]) => createKindWatch({
-		kind, store, now, random, waitMs: watchMs, onChange,
+		kind, store, now: elapsed, random, waitMs: watchMs, onChange,
 	}));
 	const sync = createStateSync({
 		watches,
 		call: peerCaller.call,
 		alive: links.alive,
 		seeds: settings.seeds.filter(seed => seed !== settings.peers),
-		now,
+		now: elapsed,
 		random,
 		silentMs: watchMs + watchSilenceMs,
+		weightsKind: kinds.weights,
 	});
 	const rollout = createRolloutTask({
 		self: name, run: randomUUID(), store, kind: kinds.leases, control, book, named: stored.weights, others, leaseMs: bounds.leaseMs, now: elapsed,
 	});
 
+	const free = createFreeTask({
+		control, stores: kept.stores, isPoller: kept.isPoller, namings: stored.namings, weightsKind: kinds.weights, listHosts: links.listAll, now: elapsed,
+	});
+	const ageOf = (at: number | undefined): number | undefined => at === undefined ? undefined : Math.max(0, Math.round(elapsed() - at));
+
 	const budgetOf = memoize((_service: string) => createWindowBudget({
 		ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowS * msPerS, hosts,
 	}));
@@ -140,7 +148,7 @@
 		now,
 		random,
 		place: createPlacer({
-			domain, book, serviceOf: stored.serviceOf, kept, now, elapsed, random,
+			domain, book, serviceOf: stored.serviceOf, kept, newerKnownAt: stored.newerKnownAt, weightsConfirmedAt: sync.weightsConfirmedAt, now, elapsed, random,
 		}),
 		encode: adapter.encodeRequest,
 		onEnd({route}, result, tookMs) {
@@ -179,7 +187,7 @@
 	}]);
 
 	const stop = async (): Promise<void> => {
-		for (const part of [...watches, links, sync, rollout, kept, callers, readiness, metricsPort]) {
+		for (const part of [...watches, links, sync, rollout, free, kept, callers, readiness, metricsPort]) {
 			part.stop();
 		}
 
