--- /dev/null
+++ b/src/decide/forwarding/admit-load.ts
@@ -0,0 +1,39 @@
+/** What is known when a request is admitted or refused. Times are in milliseconds. */
+type LoadFacts = {
+	/** Predicted time to the first byte at the best upstream. */
+	readonly firstByteMs: number;
+	/** Time since the caller first asked, as far as known. */
+	readonly waitedMs: number;
+	/** Time to the first byte that the caller aims for. */
+	readonly objectiveMs: number;
+	/** Whether requests already wait at the best upstream. */
+	readonly isQueueing: boolean;
+	/** Uniform number from 0 to 1. */
+	readonly draw: number;
+};
+
+/** What becomes of a request. */
+type Admission = {readonly isAdmitted: true} | {readonly isAdmitted: false; readonly retryAfterMs: number};
+
+/** A prediction above this multiple of the objective is refused; it is not exact enough for less. */
+const lateFactor = 1.25;
+/** A caller that comes back should find the prediction at this share of the objective. */
+const returnShare = 0.6;
+const leastReturnMs = 120;
+/** Callers refused together are spread over this share of their wait. */
+const returnSpread = 0.8;
+
+/**
+Admits a request, or refuses it at once when its first byte would come too late to be of use. Load pattern: more work than
+the engines can read, where each late answer makes the next ones late too; refusing what would be late keeps the others on
+time. A refused caller is asked back when the queue is expected to have gone down, spread so that those refused together do
+not return together.
+*/
+export function admitLoad({firstByteMs, waitedMs, objectiveMs, isQueueing, draw}: LoadFacts): Admission {
+	if (!isQueueing || firstByteMs + waitedMs <= objectiveMs * lateFactor) {
+		return {isAdmitted: true};
+	}
+
+	const drainMs = Math.max(leastReturnMs, firstByteMs - (objectiveMs * returnShare));
+	return {isAdmitted: false, retryAfterMs: drainMs * (1 + (returnSpread * draw))};
+}
--- /dev/null
+++ b/src/decide/forwarding/create-service-pace.ts
@@ -0,0 +1,35 @@
+import {type ServicePace} from './service-pace.js';
+
+const weight = 0.03;
+const firstTokensPerMs = 90;
+const firstBaseMs = 70;
+const firstStayMs = 300;
+const requestMs = 3;
+const otherDomainMs = 3;
+const leastCorrection = 0.4;
+const mostCorrection = 4;
+
+/**
+Creates the pace of a service: first guesses, corrected by the mean ratio of observed to predicted times. Load pattern:
+engines that are slower than they were, as when links between them slow down.
+*/
+export function createServicePace(): ServicePace {
+	let correction = 1;
+	let stayMs = firstStayMs;
+	return {
+		costs: () => ({
+			tokensPerMs: firstTokensPerMs / correction,
+			baseMs: firstBaseMs * correction,
+			requestMs: requestMs * correction,
+			otherDomainMs,
+			stayMs,
+		}),
+		noteFirstByte(predictedMs, observedMs) {
+			const ratio = Math.min(mostCorrection, Math.max(leastCorrection, correction * observedMs / Math.max(1, predictedMs)));
+			correction += weight * (ratio - correction);
+		},
+		noteStay(ms) {
+			stayMs += weight * (ms - stayMs);
+		},
+	};
+}
--- a/src/decide/forwarding/upstream-view.ts
+++ b/src/decide/forwarding/upstream-view.ts
@@ -5,8 +5,10 @@
 	readonly upstream: Upstream;
 	/** Requests of all hosts in flight, as far as known. */
 	readonly inFlight: number;
-	/** Prompt tokens of requests in flight that have not begun to be answered. */
+	/** Prompt tokens that are read before those of the request to be placed. */
 	readonly waitingTokens: number;
+	/** Whether requests wait there for their first byte. */
+	readonly isQueueing: boolean;
 	/** Memory that requests in flight take, in tokens. */
 	readonly heldTokens: number;
 	/** Whether requests wait there for unusually long and none is answered. */
--- /dev/null
+++ b/src/decide/forwarding/weigh-old-weights.ts
@@ -0,0 +1,30 @@
+/** What is known of an engine's weights. Times are in milliseconds. */
+type WeightsFacts = {
+	/** Time since weights newer than the engine's were known; `undefined` when none are. */
+	readonly replacedForMs: number | undefined;
+	/** Time after which no request may begin on replaced weights. */
+	readonly limitMs: number;
+	readonly objectiveMs: number;
+};
+
+/** A request begins at the engine after its wait there, which is at most about this long. */
+const queueMs = 2500;
+/** An answer on replaced weights is taken for worth as much less as one that comes later by this share of its objective. */
+const penaltyShare = 0.25;
+
+/**
+Weighs replaced weights when an engine is chosen: `undefined` when the engine can't be used, else the time that it is put
+back by, in milliseconds. Load pattern: a roll-out of weights under load, where the engines that have the new weights can't
+take all the work.
+*/
+export function weighOldWeights({replacedForMs, limitMs, objectiveMs}: WeightsFacts): number | undefined {
+	if (replacedForMs === undefined) {
+		return 0;
+	}
+
+	if (replacedForMs > limitMs - queueMs) {
+		return undefined;
+	}
+
+	return objectiveMs * penaltyShare;
+}
--- a/src/decide/kept/create-store-directory.ts
+++ b/src/decide/kept/create-store-directory.ts
@@ -80,6 +80,11 @@
 			answeredAt = sentAt;
 		},
 		lose: clear,
+		forget(freed) {
+			for (const {scope, part} of freed) {
+				remove(toKey(scope, part));
+			}
+		},
 		next: () => next,
 		has: (scope, part) => parts.has(toKey(scope, part)),
 		fetchUntil(now) {
--- a/src/decide/kept/plan-kept-context.ts
+++ b/src/decide/kept/plan-kept-context.ts
@@ -26,6 +26,8 @@
 	readonly fetchUntil: number | undefined;
 	/** Tokens that the engine reads by itself. */
 	readonly missingTokens: number;
+	/** Tokens that are fetched from a store or another engine. */
+	readonly fetchedTokens: number;
 	/** Names of the parts to be saved, with their store. */
 	readonly saves: ReadonlyArray<{readonly store: string; readonly part: string; readonly tokens: number}>;
 };
@@ -58,6 +60,7 @@
 	const {parts, engineHas, otherEngine, stores, isBeingSaved, tokensPerMs, engineMoveMs} = facts;
 	const saves: Array<{readonly store: string; readonly part: string; readonly tokens: number}> = [];
 	let missingTokens = 0;
+	let fetchedTokens = 0;
 	let fetchUntil: number | undefined;
 
 	const holdersOf = (part: string): readonly StoreView[] => stores.filter(store => store.fetchUntil !== undefined && store.has(part));
@@ -81,6 +84,7 @@
 		const [holder] = holdersOf(id).toSorted((a, b) => a.moveMs(tokens) - b.moveMs(tokens));
 		if (holder && holder.moveMs(tokens) < readMs * fetchWorth) {
 			// An engine that holds the part fetches nothing; the address is there for the case that it does not.
+			fetchedTokens += tokens;
 			fetchUntil = Math.min(fetchUntil ?? Number.POSITIVE_INFINITY, holder.fetchUntil!);
 			return {fetchFrom: holder.address, saveTo, readMs: engineHas(id) ? 0 : holder.moveMs(tokens)};
 		}
@@ -91,6 +95,7 @@
 
 		const other = otherEngine(id);
 		if (other !== undefined) {
+			fetchedTokens += tokens;
 			return {fetchFrom: other, saveTo, readMs: engineMoveMs(tokens)};
 		}
 
@@ -107,6 +112,6 @@
 		return {fetchFrom: undefined, saveTo: undefined, readMs: tokens / tokensPerMs};
 	});
 	return {
-		parts: planned, fetchUntil, missingTokens, saves,
+		parts: planned, fetchUntil, missingTokens, fetchedTokens, saves,
 	};
 }
--- a/src/decide/kept/store-directory.ts
+++ b/src/decide/kept/store-directory.ts
@@ -6,6 +6,8 @@
 	readonly take: (news: PartNews, sentAt: number, now: number) => void;
 	/** Notes that the store gave no answer. */
 	readonly lose: () => void;
+	/** Drops parts that were freed; the store's events of it may be lost. */
+	readonly forget: (parts: ReadonlyArray<{readonly scope: string; readonly part: string}>) => void;
 	/** Where the next poll goes on from; `undefined` when the store has to be listed. */
 	readonly next: () => number | undefined;
 	/** Whether the store holds the whole part. */
--- a/src/decide/orders/plan-rollout.ts
+++ b/src/decide/orders/plan-rollout.ts
@@ -17,15 +17,15 @@
 }
 
 /**
-Lists the engines to order next to version `target`: the emptiest first, so that runs under way hold up the roll-out least,
-and as many as load well at once. Load pattern: new weights named under full load, and again before the last roll-out ended.
+Lists the engines to order next to version `target`: those with the oldest weights first, of these the emptiest, so that runs
+under way hold up the roll-out least, and as many as load well at once. Load pattern: new weights named under full load, and again before the last roll-out ended.
 */
 export function planRollout(engines: readonly RolloutEngine[], target: number): readonly string[] {
 	const loading = engines.filter(engine => engine.isBusy).length;
 	const free = Math.max(0, countLoadsAtOnce(engines.length) - loading);
 	return engines
 		.filter(engine => !engine.isBusy && engine.version < target)
-		.toSorted((a, b) => a.inFlight - b.inFlight || (a.id < b.id ? -1 : 1))
+		.toSorted((a, b) => a.version - b.version || a.inFlight - b.inFlight || (a.id < b.id ? -1 : 1))
 		.slice(0, free)
 		.map(engine => engine.id);
 }
--- a/src/decide/retries/create-window-budget.ts
+++ b/src/decide/retries/create-window-budget.ts
@@ -42,7 +42,8 @@
 		},
 		spend(now) {
 			const count = current(now);
-			const firsts = counts.reduce((sum, {firsts}) => sum + firsts, 0);
+			// First attempts of the oldest slice may lie before the window; retries in it are counted all the same.
+			const firsts = counts.reduce((sum, {slice, firsts}) => slice > count.slice - slices ? sum + firsts : sum, 0);
 			const repeats = counts.reduce((sum, {repeats}) => sum + repeats, 0);
 			if (repeats + 1 > (firsts * ratio) + (slack / Math.max(1, hosts()))) {
 				return false;
--- /dev/null
+++ b/src/forwarding/create-context-planner.ts
@@ -0,0 +1,108 @@
+import {canReadScope} from '../decide/kept/can-read-scope.js';
+import {planKeptContext, type KeptPlan, type StoreView} from '../decide/kept/plan-kept-context.js';
+import {type Scope} from '../decide/kept/scope.js';
+import {writeScope} from '../decide/kept/write-scope.js';
+import {rankOwners} from '../decide/membership/rank-owners.js';
+import {type KeptStore, type KeptTask} from './create-kept-task.js';
+import {type Prompt} from './prompt.js';
+import {type Service} from './service.js';
+import {type UpstreamBook} from './upstream-book.js';
+import {type Upstream} from './upstream.js';
+import {type Workspace} from './workspace.js';
+
+const bitsPerByte = 8;
+const kilobitsPerMegabit = 1000;
+/** Moves between failure domains take this many times as long. */
+const otherDomainMoves = 2;
+/** Parts of which this host remembers the engine that it sent them to last. */
+const rememberedParts = 20_000;
+
+/** What the planner needs. */
+type ContextPlannerOptions = {
+	readonly book: UpstreamBook;
+	readonly kept: Pick<KeptTask, 'stores' | 'isBeingSaved' | 'noteSave'>;
+	/** When this host learned of newer weights of a model than a version. */
+	readonly newerKnownAt: (model: string, version: number) => number | undefined;
+	/** When the newest weights were last confirmed. */
+	readonly weightsConfirmedAt: () => number | undefined;
+	/** Clock in milliseconds that counts suspensions. */
+	readonly now: () => number;
+};
+
+/** A prompt at one engine: its scope there, and where its parts come from and go to. */
+export type ContextPlan = KeptPlan & {
+	readonly scope: string;
+	/** Notes that the request is sent as planned. */
+	readonly noteSent: () => void;
+};
+
+/** Gives the scope of a request's context: its weights, and its workspace where that is isolated. */
+function toScope(model: string, version: number, workspace: Workspace | undefined): Scope {
+	return {model, version, workspace: workspace?.isIsolated ? workspace.name : undefined};
+}
+
+/** Plans a prompt at an engine. */
+export type ContextPlanner = (prompt: Prompt, upstream: Upstream, engine: NonNullable<Service['engine']>, workspace: Workspace | undefined, tokensPerMs: number) => ContextPlan;
+
+/** Creates the planner of kept context. */
+export function createContextPlanner({book, kept, newerKnownAt, weightsConfirmedAt, now}: ContextPlannerOptions): ContextPlanner {
+	const lastEngine = new Map<string, string>();
+
+	const remember = (key: string, upstreamId: string): void => {
+		lastEngine.delete(key);
+		lastEngine.set(key, upstreamId);
+		if (lastEngine.size > rememberedParts) {
+			const [oldest] = lastEngine.keys();
+			lastEngine.delete(oldest!);
+		}
+	};
+
+	const toStoreView = ({name, store, directory, canSave}: KeptStore, scope: Scope, engine: NonNullable<Service['engine']>, engineDomain: string): StoreView => {
+		const text = writeScope(scope);
+		const newerAt = newerKnownAt(scope.model, scope.version);
+		const canRead = canReadScope({newerKnownAt: newerAt, confirmedAt: weightsConfirmedAt()}, now());
+		const bitsPerMs = Math.min(store.linkMbps, engine.linkMbps) * kilobitsPerMegabit;
+		const distance = store.domain === engineDomain ? 1 : otherDomainMoves;
+		return {
+			name,
+			address: store.address,
+			has: part => directory.has(text, part),
+			fetchUntil: canRead ? directory.fetchUntil(now()) : undefined,
+			canSave: tokens => newerAt === undefined && canSave(tokens),
+			moveMs: tokens => store.firstMs + (distance * tokens * engine.tokenBytes * bitsPerByte / bitsPerMs),
+		};
+	};
+
+	return (prompt, upstream, engine, workspace, tokensPerMs) => {
+		const scope = toScope(prompt.model, upstream.weights.get(prompt.model) ?? 0, workspace);
+		const text = writeScope(scope);
+		const views = kept.stores().map(store => toStoreView(store, scope, engine, upstream.domain));
+		const [, shared] = prompt.parts.toReversed();
+		const order = rankOwners(views.map(view => view.name), shared?.id ?? '');
+		const plan = planKeptContext({
+			parts: prompt.parts,
+			stores: views.toSorted((a, b) => order.indexOf(a.name) - order.indexOf(b.name)),
+			engineHas: part => lastEngine.get(`${text}\n${part}`) === upstream.id,
+			otherEngine(part) {
+				const other = lastEngine.get(`${text}\n${part}`);
+				return other === undefined || other === upstream.id ? undefined : book.get(other)?.address;
+			},
+			isBeingSaved: part => kept.isBeingSaved(text, part),
+			tokensPerMs,
+			engineMoveMs: tokens => otherDomainMoves * tokens * engine.tokenBytes * bitsPerByte / (engine.linkMbps * kilobitsPerMegabit),
+		});
+		return {
+			...plan,
+			scope: text,
+			noteSent() {
+				for (const save of plan.saves) {
+					kept.noteSave(save.store, text, save.part, save.tokens);
+				}
+
+				for (const part of prompt.parts.slice(0, -1)) {
+					remember(`${text}\n${part.id}`, upstream.id);
+				}
+			},
+		};
+	};
+}
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -1,16 +1,16 @@
+import {admitLoad} from '../decide/forwarding/admit-load.js';
 import {chooseTarget} from '../decide/forwarding/choose-target.js';
 import {closeCall, type CloseReason} from '../decide/forwarding/close-call.js';
-import {decideNextStep} from '../decide/forwarding/next-step.js';
+import {decideNextStep, type NextStep} from '../decide/forwarding/next-step.js';
+import {type ServicePace} from '../decide/forwarding/service-pace.js';
 import {type WindowBudget} from '../decide/retries/window-budget.js';
-import {type Ran} from '../errors/ran.js';
 import {log} from '../observe/log.js';
-import {type AnswerHead} from './answer-head.js';
 import {type CallerCall} from './caller-call.js';
 import {type CallerRequest} from './caller-request.js';
 import {createEventSplitter} from './create-event-splitter.js';
-import {type EventSplitter} from './event-splitter.js';
+import {createSender} from './create-sender.js';
+import {type ForwardingTrack} from './forwarding-track.js';
 import {type Placed} from './placed.js';
-import {sendOnce} from './send-once.js';
 import {type SendOptions} from './send-options.js';
 import {type SendOutcome} from './send-outcome.js';
 import {type UpstreamBook} from './upstream-book.js';
@@ -24,13 +24,12 @@
 /** An upstream that could not be reached gets no new requests for this long. */
 const unreachedMs = 1500;
 const brokenMs = 300;
-/** Share of the time left after which an idempotent request without an answer is sent elsewhere. */
-const secondTryShare = 0.45;
 
 /** What the forwarder needs. */
 type ForwarderOptions = {
 	readonly book: UpstreamBook;
 	readonly budgetOf: (service: string) => WindowBudget;
+	readonly paceOf: (service: string) => ServicePace;
 	/** Chooses an upstream of a service and how the request is sent there. */
 	readonly place: (call: CallerCall, service: string, tried: ReadonlySet<string>) => Placed | undefined;
 	readonly encode: (request: CallerRequest, options: SendOptions) => string[];
@@ -39,36 +38,79 @@
 	readonly onEnd: (call: CallerCall, result: string, tookMs: number) => void;
 };
 
-/** What one request has been through. */
-type Track = {
-	readonly service: string;
-	readonly tried: Set<string>;
-	sends: number;
-	runs: number;
-	ran: Ran;
-	lastReason: string;
-	/** Set where a broken stream may go on elsewhere. */
-	readonly splitter: EventSplitter | undefined;
-};
+/** A place to send to, or the reason why there is none. */
+type Found = {readonly placed: Placed} | {readonly reason: CloseReason; readonly retryAfterMs?: number};
+
+function startTrack({request, route, receivedAt}: CallerCall, service: string): ForwardingTrack {
+	return {
+		service,
+		tried: new Set(),
+		endsAt: receivedAt + Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs),
+		splitter: route.kind === 'stream' && route.isResumable ? createEventSplitter() : undefined,
+		sends: 0,
+		runs: 0,
+		ran: 'no',
+		lastReason: 'no upstream takes requests of this route',
+	};
+}
+
+function noteRun(track: ForwardingTrack, outcome: SendOutcome): void {
+	track.sends++;
+	switch (outcome.kind) {
+		case 'broken': {
+			track.runs++;
+			track.ran = 'unknown';
+			track.lastReason = outcome.reason;
+
+			break;
+		}
+
+		case 'failed-answer': {
+			track.runs++;
+			track.ran = 'yes';
+			track.lastReason = `upstream answered ${outcome.head.status}`;
+
+			break;
+		}
+
+		case 'not-run': {
+			track.lastReason = outcome.reason;
+
+			break;
+		}
+	// No default
+	}
+}
 
 /** Creates the function that forwards a caller's request and sees to its final answer. */
 export function createForwarder(options: ForwarderOptions): (call: CallerCall) => Promise<void> {
-	const {book, budgetOf, place, encode, now, random, onEnd} = options;
+	const {book, budgetOf, paceOf, place, encode, now, random, onEnd} = options;
+	const send = createSender({
+		book, paceOf, encode, now,
+	});
 
-	const close = (call: CallerCall, track: Track, reason: CloseReason): void => {
+	const close = (call: CallerCall, track: ForwardingTrack, reason: CloseReason, retryAfterMs = comeBackMs + (random() * comeBackSpreadMs)): void => {
 		const refusal = closeCall({
-			reason, ran: track.ran, detail: track.lastReason, retryAfterMs: comeBackMs + (random() * comeBackSpreadMs),
+			reason, ran: track.ran, detail: track.lastReason, retryAfterMs,
 		});
 		const tookMs = now() - call.receivedAt;
 		log.info({
-			requestId: call.request.id!, route: call.route.name, service: track.service, kind: refusal.kind, ran: refusal.ran,
-			sends: track.sends, detail: track.lastReason, tookMs: Math.round(tookMs), begun: call.answer.hasBegun(),
+			requestId: call.request.id!, route: call.route.name, service: track.service, kind: refusal.kind, ran: refusal.ran, sends: track.sends,
+			detail: track.lastReason, retryAfterMs: Math.round(retryAfterMs), tookMs: Math.round(tookMs), begun: call.answer.hasBegun(),
 		}, 'refused');
 		call.answer.refuse(refusal);
 		onEnd(call, refusal.kind, tookMs);
 	};
 
-	const noteOutcome = (outcome: SendOutcome, upstreamId: string, model: string | undefined): void => {
+	const finish = (call: CallerCall, track: ForwardingTrack, result: string): void => {
+		const tookMs = now() - call.receivedAt;
+		log.info({
+			requestId: call.request.id!, route: call.route.name, service: track.service, result, sends: track.sends, tookMs: Math.round(tookMs),
+		}, 'ended');
+		onEnd(call, result, tookMs);
+	};
+
+	const noteUpstream = (outcome: SendOutcome, upstreamId: string, model: string | undefined): void => {
 		if (outcome.kind === 'not-run') {
 			const {head} = outcome;
 			if (head?.status === 421 && head.weightVersion !== undefined && model !== undefined) {
@@ -82,151 +124,112 @@
 		}
 	};
 
-	const attempt = async (call: CallerCall, track: Track, placed: Placed, endsAt: number): Promise<SendOutcome> => {
-		const {request, route, body, answer} = call;
-		const leftMs = endsAt - now();
-		const stop = new AbortController();
-		const giveUp = (): void => {
-			stop.abort(new Error('the caller has gone'));
-		};
-
-		// A request that may not be repeated is finished for a caller that has gone, so that its outcome stands.
-		const followsCaller = route.kind !== 'once';
-		if (followsCaller) {
-			call.signal.addEventListener('abort', giveUp, {once: true});
+	const find = (call: CallerCall, track: ForwardingTrack): Found => {
+		const {route, receivedAt} = call;
+		if (track.endsAt - now() < leastLeftMs) {
+			return {reason: 'time-over'};
+		}
+
+		const placed = place(call, track.service, track.tried);
+		if (!placed) {
+			return {reason: 'no-upstream'};
 		}
 
-		const endTimer = setTimeout(() => {
-			stop.abort(new Error('time is over'));
-		}, leftMs);
-		const canTryAgain = route.kind === 'idempotent' && track.runs + 1 < route.maxAttempts;
-		const secondTimer = canTryAgain
-			? setTimeout(() => {
-				stop.abort(new Error('no answer in the time for one attempt'));
-			}, leftMs * secondTryShare)
-			: undefined;
-		const {splitter} = track;
-		try {
-			return await sendOnce({
-				requestId: request.id!,
-				answer,
-				signal: stop.signal,
-				filter: chunk => splitter ? splitter.push(chunk) : chunk,
-				flush: () => splitter?.flush() ?? Buffer.alloc(0),
-				send: listener => book.send(placed.upstream.id, {
-					method: request.method,
-					target: request.target,
-					headers: encode(request, {...placed.options, deadlineMs: leftMs, resumeAfter: splitter?.lastId() ?? request.resumeAfter}),
-					body,
-				}, {waitingTokens: placed.missingTokens, heldTokens: placed.heldTokens}, listener),
-				onDelivery(head: AnswerHead) {
-					clearTimeout(secondTimer);
-					log.info({
-						requestId: request.id!, upstream: placed.upstream.id, status: head.status, afterMs: Math.round(now() - call.receivedAt),
-					}, 'answer begins');
-				},
-			});
-		} finally {
-			clearTimeout(endTimer);
-			clearTimeout(secondTimer);
-			call.signal.removeEventListener('abort', giveUp);
+		const {firstByteMs, isQueueing} = placed;
+		const admission = admitLoad({
+			firstByteMs, isQueueing, waitedMs: now() - receivedAt, objectiveMs: route.objectiveMs, draw: random(),
+		});
+		if (track.runs === 0 && !admission.isAdmitted) {
+			track.lastReason = `first byte expected in ${Math.round(firstByteMs)} ms, too late for the objective of ${route.objectiveMs} ms`;
+			return {reason: 'overloaded', retryAfterMs: admission.retryAfterMs};
+		}
+
+		if (track.sends > 0 && !budgetOf(track.service).spend(now())) {
+			track.lastReason = `${track.lastReason}; the retry budget is spent`;
+			return {reason: 'upstream-failed'};
 		}
+
+		return {placed};
 	};
 
-	const finish = (call: CallerCall, track: Track, result: string): void => {
-		const tookMs = now() - call.receivedAt;
+	const decideNext = ({route, answer}: CallerCall, track: ForwardingTrack, outcome: SendOutcome): NextStep => decideNextStep(outcome, {
+		kind: route.kind,
+		isResumable: route.isResumable,
+		maxAttempts: route.maxAttempts,
+		runs: track.runs,
+		sends: track.sends,
+		hasBegun: answer.hasBegun(),
+		canResume: !answer.hasBegun() || track.splitter?.lastId() !== undefined,
+	});
+
+	const deliverFailure = ({answer}: CallerCall, {head, body}: Extract<SendOutcome, {kind: 'failed-answer'}>): void => {
+		answer.begin(head.status, head.headers);
+		answer.write(body);
+		answer.end();
+	};
+
+	/** @returns Whether the request has had its final answer. */
+	const sendAndSettle = async (call: CallerCall, track: ForwardingTrack, placed: Placed): Promise<boolean> => {
+		const {request, route} = call;
 		log.info({
-			requestId: call.request.id!, route: call.route.name, service: track.service, result, sends: track.sends, tookMs: Math.round(tookMs),
-		}, 'ended');
-		onEnd(call, result, tookMs);
+			requestId: request.id!, route: route.name, service: track.service, upstream: placed.upstream.id, sends: track.sends, inFlight: placed.inFlight,
+			missingTokens: placed.missingTokens, fetchedTokens: placed.fetchedTokens, isHome: placed.isHome, firstByteMs: Math.round(placed.firstByteMs),
+			leftMs: Math.round(track.endsAt - now()),
+		}, 'placed');
+		const outcome = await send(call, track, placed);
+		noteRun(track, outcome);
+		if (outcome.kind === 'answered') {
+			finish(call, track, 'answered');
+			return true;
+		}
+
+		noteUpstream(outcome, placed.upstream.id, request.prompt?.model);
+		track.tried.add(placed.upstream.id);
+		log.info({
+			requestId: request.id!, upstream: placed.upstream.id, outcome: outcome.kind, detail: track.lastReason, runs: track.runs,
+		}, 'send failed');
+		const next = decideNext(call, track, outcome);
+		if (next === 'send-again') {
+			track.splitter?.reset();
+			return false;
+		}
+
+		if (next === 'deliver-failure' && outcome.kind === 'failed-answer') {
+			deliverFailure(call, outcome);
+			finish(call, track, `upstream-${outcome.head.status}`);
+			return true;
+		}
+
+		close(call, track, track.endsAt - now() < leastLeftMs ? 'time-over' : 'upstream-failed');
+		return true;
 	};
 
 	return async call => {
-		const {request, route, answer, signal} = call;
+		const {route, answer, signal} = call;
 		const service = chooseTarget(route.targets, random());
-		const track: Track = {
-			service: service ?? '', tried: new Set(), sends: 0, runs: 0, ran: 'no', lastReason: 'no service takes requests of this route',
-			splitter: route.kind === 'stream' && route.isResumable ? createEventSplitter() : undefined,
-		};
-		const endsAt = call.receivedAt + Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+		const track = startTrack(call, service ?? '');
 		if (service === undefined) {
 			close(call, track, 'no-upstream');
 			return;
 		}
 
-		const budget = budgetOf(service);
-		budget.earn(now());
+		budgetOf(service).earn(now());
 		for (;;) {
-			if (signal.aborted && (route.kind !== 'once' || track.sends === 0)) {
+			if (signal.aborted) {
 				answer.break();
 				finish(call, track, 'caller-gone');
 				return;
 			}
 
-			if (endsAt - now() < leastLeftMs) {
-				close(call, track, 'time-over');
+			const found = find(call, track);
+			if ('reason' in found) {
+				close(call, track, found.reason, found.retryAfterMs);
 				return;
 			}
 
-			const placed = place(call, service, track.tried);
-			if (!placed) {
-				close(call, track, 'no-upstream');
+			if (await sendAndSettle(call, track, found.placed)) {
 				return;
 			}
-
-			if (track.sends > 0 && !budget.spend(now())) {
-				track.lastReason = `${track.lastReason}; the retry budget is spent`;
-				close(call, track, 'upstream-failed');
-				return;
-			}
-
-			log.info({
-				requestId: request.id!, route: route.name, service, upstream: placed.upstream.id, sends: track.sends,
-				inFlight: placed.inFlight, missingTokens: placed.missingTokens, reason: placed.reason, leftMs: Math.round(endsAt - now()),
-			}, 'placed');
-			const outcome = await attempt(call, track, placed, endsAt);
-			track.sends++;
-			if (outcome.kind === 'answered') {
-				finish(call, track, 'answered');
-				return;
-			}
-
-			noteOutcome(outcome, placed.upstream.id, request.prompt?.model);
-			track.tried.add(placed.upstream.id);
-			if (outcome.kind === 'broken') {
-				track.runs++;
-				track.ran = 'unknown';
-			} else if (outcome.kind === 'failed-answer') {
-				track.runs++;
-				track.ran = 'yes';
-			}
-
-			track.lastReason = outcome.kind === 'failed-answer' ? `upstream answered ${outcome.head.status}` : outcome.reason;
-			log.info({
-				requestId: request.id!, upstream: placed.upstream.id, outcome: outcome.kind, detail: track.lastReason, runs: track.runs,
-			}, 'send failed');
-			if (signal.aborted && route.kind !== 'once') {
-				continue;
-			}
-
-			const next = decideNextStep(outcome, {
-				kind: route.kind, isResumable: route.isResumable, maxAttempts: route.maxAttempts, runs: track.runs, sends: track.sends,
-				hasBegun: answer.hasBegun(), canResume: !answer.hasBegun() || track.splitter?.lastId() !== undefined,
-			});
-			if (next === 'deliver-failure' && outcome.kind === 'failed-answer' && outcome.head.isSigned) {
-				answer.begin(outcome.head.status, outcome.head.headers);
-				answer.write(outcome.body);
-				answer.end();
-				finish(call, track, `upstream-${outcome.head.status}`);
-				return;
-			}
-
-			if (next !== 'send-again') {
-				close(call, track, endsAt - now() < leastLeftMs ? 'time-over' : 'upstream-failed');
-				return;
-			}
-
-			track.splitter?.reset();
 		}
 	};
 }
--- a/src/forwarding/create-free-task.ts
+++ b/src/forwarding/create-free-task.ts
@@ -62,6 +62,10 @@
 		for (let at = 0; at < parts.length && epoch !== undefined; at += partsAtOnce) {
 			const some = parts.slice(at, at + partsAtOnce);
 			const isFreed = await control.freeParts(store.store.address, epoch, some);
+			if (isFreed) {
+				store.directory.forget(some);
+			}
+
 			log.info({
 				store: store.name, epoch, parts: some.length, tokens: some.reduce((sum, part) => sum + part.tokens, 0), freed: isFreed,
 			}, 'context of replaced weights freed');
--- /dev/null
+++ b/src/forwarding/create-lease-store.ts
@@ -0,0 +1,10 @@
+import {type LeaseStore} from './lease-store.js';
+import {type ObjectStore} from './object-store.js';
+
+/** Creates the lease object's access through the platform's store. */
+export function createLeaseStore(store: ObjectStore, kind: string, name: string): LeaseStore {
+	return {
+		read: async () => store.read(kind, name),
+		write: async (value, revision) => revision === 0 ? store.create(kind, name, value) : store.replace(kind, name, value, revision),
+	};
+}
--- /dev/null
+++ b/src/forwarding/create-relayed-lease-store.ts
@@ -0,0 +1,69 @@
+import {isDeepStrictEqual} from 'node:util';
+import {log} from '../observe/log.js';
+import {type PeerCaller} from '../peers/peer-caller.js';
+import {sleep} from '../util/sleep.js';
+import {type KnownHost} from './host-links.js';
+import {type LeaseStore} from './lease-store.js';
+import {type StoredObject} from './stored-object.js';
+
+/** The store answers in milliseconds; a peer is asked when it has not within this time. */
+const patienceMs = 200;
+const peerTimeoutMs = 600;
+
+/** What the access needs. */
+type RelayedLeaseStoreOptions = {
+	readonly own: LeaseStore;
+	readonly call: PeerCaller;
+	readonly alive: () => readonly KnownHost[];
+	readonly random: () => number;
+};
+
+/**
+Creates access to the lease object that goes through a peer where the store does not answer this host, so that a holder that
+is cut off from the store alone keeps its lease. A write may then reach the store twice; the conditional update lets only one
+of them pass, and finding the own value there counts as success.
+*/
+export function createRelayedLeaseStore({own, call, alive, random}: RelayedLeaseStoreOptions): LeaseStore {
+	const pickPeer = (): string | undefined => {
+		const peers = alive();
+		return peers[Math.floor(random() * peers.length)]?.peers;
+	};
+
+	const hedge = async <T>(direct: () => Promise<T>, relayed: (address: string) => Promise<T>): Promise<T> => {
+		const first = direct();
+		const isLate = Symbol('late');
+		const quick = await Promise.race([first.catch(() => isLate), sleep(patienceMs).then(() => isLate)]);
+		const address = pickPeer();
+		if (quick !== isLate || address === undefined) {
+			return first;
+		}
+
+		try {
+			return await Promise.any([first, relayed(address)]);
+		} catch (error) {
+			throw error instanceof AggregateError ? error.errors[0] : error;
+		}
+	};
+
+	const read: LeaseStore['read'] = async () => hedge(own.read, async address => {
+		const {object} = await call(address, 'gateway.lease', {}, {timeoutMs: peerTimeoutMs});
+		return object ?? undefined;
+	});
+
+	return {
+		read,
+		async write(value, revision) {
+			const written = await hedge<StoredObject | undefined>(async () => own.write(value, revision), async address => {
+				log.info({peer: address, revision}, 'lease goes through a peer');
+				const {object} = await call(address, 'gateway.lease', {write: {value, revision}}, {timeoutMs: peerTimeoutMs});
+				return object ?? undefined;
+			});
+			if (written) {
+				return written;
+			}
+
+			const found = await read();
+			return found && isDeepStrictEqual(found.value, value) ? found : undefined;
+		},
+	};
+}
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -4,8 +4,8 @@
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
 import {type EngineControl, type EngineReport} from './engine-control.js';
+import {type LeaseStore} from './lease-store.js';
 import {type NamedWeights} from './named-weights.js';
-import {type ObjectStore} from './object-store.js';
 import {type UpstreamBook} from './upstream-book.js';
 
 const stepMs = 120;
@@ -25,6 +25,7 @@
 const rankDelayMs = 600;
 const longestRankDelayMs = 1800;
 const observeMs = 600;
+/** Ranks the hosts that may take the lease. */
 const leaseName = 'rollout';
 
 /** The lease object's value. */
@@ -36,10 +37,13 @@
 	readonly token: number;
 	/** Whether the holder has given its last order a whole lease ago. */
 	readonly isReleased: boolean;
+	/** Counts the holder's writes: an unchanged value would not change the object's revision. */
+	readonly renewals?: number;
 };
 
 /** An engine with an order under way. */
 type Ordered = {
+	readonly model: string;
 	readonly version: number;
 	readonly since: number;
 	nextAt: number;
@@ -51,9 +55,7 @@
 	readonly self: string;
 	/** Tells this run of the host from others. */
 	readonly run: string;
-	readonly store: ObjectStore;
-	/** Kind of the lease object. */
-	readonly kind: string;
+	readonly store: LeaseStore;
 	readonly control: EngineControl;
 	readonly book: UpstreamBook;
 	readonly named: () => readonly NamedWeights[];
@@ -78,7 +80,7 @@
 in the platform's store that is taken only while there is something to order.
 */
 export function createRolloutTask(options: RolloutOptions): RolloutTask {
-	const {self, run, store, kind, control, book, named, others, leaseMs, now} = options;
+	const {self, run, store, control, book, named, others, leaseMs, now} = options;
 	const actingMs = leaseMs * actingShare;
 	// The last order of a silent holder is at most `actingMs` after its last renewal.
 	const takeMs = leaseMs + actingMs + transitMs;
@@ -92,6 +94,7 @@
 	let observedAt = Number.NEGATIVE_INFINITY;
 	let seen: LeaseValue | undefined;
 	let wasHolder = false;
+	let renewals = 0;
 	/** Token that an engine refused because it had seen a higher one. */
 	let fencedToken = 0;
 
@@ -116,9 +119,8 @@
 
 	const write = async (value: LeaseValue): Promise<void> => {
 		const startedAt = now();
-		const object = lease.version() === 0
-			? await store.create(kind, leaseName, value)
-			: await store.replace(kind, leaseName, value, lease.version());
+		renewals++;
+		const object = await store.write({...value, renewals}, lease.version());
 		if (!object) {
 			log.info({holder: seen?.holder ?? ''}, 'lease was written by another host');
 			lease.lose();
@@ -136,7 +138,7 @@
 	};
 
 	const observe = async (): Promise<void> => {
-		const object = await store.read(kind, leaseName);
+		const object = await store.read();
 		observedAt = now();
 		seen = object?.value as LeaseValue | undefined;
 		lease.observe(object?.revision ?? 0, seen?.token ?? 0, observedAt);
@@ -231,7 +233,7 @@
 		for (const {target, engines} of behind()) {
 			for (const id of planRollout(engines, target.version)) {
 				ordered.set(id, {
-					version: target.version, since: now(), nextAt: 0, isAccepted: false,
+					model: target.model, version: target.version, since: now(), nextAt: 0, isAccepted: false,
 				});
 			}
 
@@ -299,10 +301,7 @@
 
 	void keepStepping();
 	return {
-		loading: () => [...ordered].flatMap(([id, {version, isAccepted}]) => {
-			const model = named().find(target => target.version === version)?.model;
-			return isAccepted && model !== undefined ? [[id, model, version] as const] : [];
-		}),
+		loading: () => [...ordered].flatMap(([id, {model, version, isAccepted}]) => isAccepted ? [[id, model, version] as const] : []),
 		news: () => [...news].filter(([, entry]) => now() - entry.at < newsMs).map(([id, {model, version}]) => [id, model, version] as const),
 		stop() {
 			hasStopped = true;
--- a/src/forwarding/create-stored-state.ts
+++ b/src/forwarding/create-stored-state.ts
@@ -25,7 +25,7 @@
 	readonly weights: () => readonly NamedWeights[];
 	/** All namings that this host has seen, oldest first. */
 	readonly namings: () => readonly NamedWeights[];
-	/** When this host learned of newer weights than `version`; `undefined` when it knows none. */
+	/** When newer weights than `version` were first known, as far back as may be; `undefined` when none are. */
 	readonly newerKnownAt: (model: string, version: number) => number | undefined;
 };
 
@@ -39,6 +39,7 @@
 	let services: ReadonlyMap<string, Service> = new Map();
 	const weights = new Map<string, NamedWeights>();
 	const namings: NamedWeights[] = [];
+	let hasWeights = false;
 	const ignored = new Set<string>();
 
 	return {
@@ -72,12 +73,16 @@
 			onUpstreams(upstreams);
 		},
 		takeWeights(objects) {
+			const hadWeights = hasWeights;
+			hasWeights = true;
 			for (const {value, name: entry, revision} of objects) {
 				const named = decodeWeights(value);
 				if (!named) {
 					log.warn({entry, revision}, 'named weights can not be read, ignored');
 				} else if (named.version > (weights.get(named.model)?.version ?? 0)) {
-					const naming = {...named, revision, knownAt: now()};
+					const naming = {
+						...named, revision, knownAt: now(), isOld: !hadWeights,
+					};
 					weights.set(named.model, naming);
 					namings.push(naming);
 					log.info({model: named.model, version: named.version, revision}, 'weights named');
@@ -88,6 +93,9 @@
 		serviceOf: name => services.get(name),
 		weights: () => [...weights.values()],
 		namings: () => namings,
-		newerKnownAt: (model, version) => namings.find(naming => naming.model === model && naming.version > version)?.knownAt,
+		newerKnownAt(model, version) {
+			const newer = namings.find(naming => naming.model === model && naming.version > version);
+			return newer?.isOld ? Number.NEGATIVE_INFINITY : newer?.knownAt;
+		},
 	};
 }
--- a/src/forwarding/create-upstream-book.ts
+++ b/src/forwarding/create-upstream-book.ts
@@ -14,6 +14,8 @@
 const silentFactor = 4;
 const usualWeight = 0.05;
 const firstUsualMs = 150;
+/** Share of less urgent tokens that are read first all the same, since a piece under way is not broken off. */
+const laterShare = 0.25;
 /** Reports of other hosts count for this long. */
 const reportMs = 1500;
 
@@ -23,7 +25,8 @@
 	readonly link: UpstreamLink;
 	readonly connections: number;
 	inFlight: number;
-	waitingTokens: number;
+	/** Prompt tokens whose reading has not ended, by urgency. */
+	readonly waitingTokens: Map<number, number>;
 	heldTokens: number;
 	/** Start times of requests that wait for an answer's head. */
 	readonly waiting: Set<{readonly since: number}>;
@@ -33,6 +36,19 @@
 	isGone: boolean;
 };
 
+function sum(numbers: readonly number[]): number {
+	return numbers.reduce((total, number) => total + number, 0);
+}
+
+function addTo(tokens: Map<number, number>, urgency: number, added: number): void {
+	const total = (tokens.get(urgency) ?? 0) + added;
+	if (total > 0) {
+		tokens.set(urgency, total);
+	} else {
+		tokens.delete(urgency);
+	}
+}
+
 /** An upstream's registration lags behind what was found out from it; its weights only ever go up. */
 function mergeWeights(known: ReadonlyMap<string, number>, registered: ReadonlyMap<string, number>): ReadonlyMap<string, number> {
 	return new Map([...registered].map(([model, version]) => [model, Math.max(version, known.get(model) ?? 0)]));
@@ -75,7 +91,7 @@
 			link: link(upstream, connections),
 			connections,
 			inFlight: 0,
-			waitingTokens: 0,
+			waitingTokens: new Map(),
 			heldTokens: 0,
 			waiting: new Set(),
 			lastAnswerAt: now(),
@@ -118,29 +134,24 @@
 		return at - Math.max(oldest, entry.lastAnswerAt) > limitMs;
 	};
 
-	const sumOthers = (id: string, at: number): UpstreamLoad => {
-		let inFlight = 0;
-		let waitingTokens = 0;
-		let heldTokens = 0;
-		for (const report of reports.values()) {
-			const load = at - report.at < reportMs ? report.loads.get(id) : undefined;
-			inFlight += load?.inFlight ?? 0;
-			waitingTokens += load?.waitingTokens ?? 0;
-			heldTokens += load?.heldTokens ?? 0;
-		}
+	const listOthers = (id: string, at: number): readonly UpstreamLoad[] => [...reports.values()].flatMap(report => {
+		const load = at - report.at < reportMs ? report.loads.get(id) : undefined;
+		return load ? [load] : [];
+	});
 
-		return {
-			id, inFlight, waitingTokens, heldTokens,
-		};
-	};
+	const toLoad = ({upstream, inFlight, waitingTokens, heldTokens}: Entry): UpstreamLoad => ({
+		id: upstream.id, inFlight, heldTokens, waitingTokens: [...waitingTokens],
+	});
 
-	const toView = (entry: Entry, at: number): UpstreamView => {
-		const others = sumOthers(entry.upstream.id, at);
+	const toView = (entry: Entry, at: number, urgency: number): UpstreamView => {
+		const loads = [toLoad(entry), ...listOthers(entry.upstream.id, at)];
+		const waiting = loads.flatMap(load => load.waitingTokens);
 		return {
 			upstream: entry.upstream,
-			inFlight: entry.inFlight + others.inFlight,
-			waitingTokens: entry.waitingTokens + others.waitingTokens,
-			heldTokens: entry.heldTokens + others.heldTokens,
+			inFlight: sum(loads.map(load => load.inFlight)),
+			waitingTokens: sum(waiting.map(([of, tokens]) => of <= urgency ? tokens : tokens * laterShare)),
+			isQueueing: sum(waiting.map(([, tokens]) => tokens)) > 0,
+			heldTokens: sum(loads.map(load => load.heldTokens)),
 			isSilent: isSilent(entry, at),
 			isAvoided: at < entry.avoidUntil,
 			failureShare: entry.failureShare,
@@ -153,16 +164,16 @@
 		usualMs.set(service, usual + (usualWeight * (tookMs - usual)));
 	};
 
-	const send = (id: string, message: UpstreamMessage, {waitingTokens, heldTokens}: SendSize, listener: AnswerListener): RunningSend => {
+	const send = (id: string, message: UpstreamMessage, {waitingTokens, heldTokens, urgency}: SendSize, listener: AnswerListener): RunningSend => {
 		const entry = entries.get(id)!;
 		const wait = {since: now()};
 		entry.inFlight++;
-		entry.waitingTokens += waitingTokens;
+		addTo(entry.waitingTokens, urgency, waitingTokens);
 		entry.heldTokens += heldTokens;
 		entry.waiting.add(wait);
 		const answered = (): void => {
 			if (entry.waiting.delete(wait)) {
-				entry.waitingTokens -= waitingTokens;
+				addTo(entry.waitingTokens, urgency, -waitingTokens);
 			}
 		};
 
@@ -206,9 +217,9 @@
 				update(upstream);
 			}
 		},
-		views: (service, at) => [...entries.values()]
+		views: (service, at, urgency) => [...entries.values()]
 			.filter(entry => entry.upstream.service === service && !entry.upstream.isLeaving)
-			.map(entry => toView(entry, at)),
+			.map(entry => toView(entry, at, urgency)),
 		send,
 		avoid(id, untilMs) {
 			const entry = entries.get(id);
@@ -222,14 +233,12 @@
 				entry.upstream = {...entry.upstream, weights: new Map([...entry.upstream.weights, [model, version]])};
 			}
 		},
-		inFlight: id => (entries.get(id)?.inFlight ?? 0) + sumOthers(id, now()).inFlight,
+		inFlight: id => (entries.get(id)?.inFlight ?? 0) + sum(listOthers(id, now()).map(load => load.inFlight)),
 		get: id => entries.get(id)?.upstream,
 		all: () => [...entries.values()].map(entry => entry.upstream),
 		loads: () => [...entries.values()]
 			.filter(entry => entry.inFlight > 0)
-			.map(({upstream, inFlight, waitingTokens, heldTokens}) => ({
-				id: upstream.id, inFlight, waitingTokens, heldTokens,
-			})),
+			.map(entry => toLoad(entry)),
 		noteLoads(host, loads, at) {
 			reports.set(host, {at, loads: new Map(loads.map(load => [load.id, load]))});
 		},
--- /dev/null
+++ b/src/forwarding/forwarding-track.ts
@@ -0,0 +1,18 @@
+import {type Ran} from '../errors/ran.js';
+import {type EventSplitter} from './event-splitter.js';
+
+/** What one request has been through at the forwarder. */
+export type ForwardingTrack = {
+	readonly service: string;
+	/** Upstreams that it was sent to. */
+	readonly tried: Set<string>;
+	/** When it has to end, in milliseconds of the steady clock. */
+	readonly endsAt: number;
+	/** Set where a broken stream may go on elsewhere. */
+	readonly splitter: EventSplitter | undefined;
+	sends: number;
+	/** Sends after which it may have run. */
+	runs: number;
+	ran: Ran;
+	lastReason: string;
+};
--- a/src/forwarding/named-weights.ts
+++ b/src/forwarding/named-weights.ts
@@ -6,4 +6,6 @@
 	readonly revision: number;
 	/** When this host learned of it, in milliseconds of a clock that counts suspensions. */
 	readonly knownAt: number;
+	/** Whether it was there when this host first read the store, so that others may have known it for long. */
+	readonly isOld: boolean;
 };
--- a/src/forwarding/placed.ts
+++ b/src/forwarding/placed.ts
@@ -7,9 +7,20 @@
 	readonly options: Omit<SendOptions, 'deadlineMs' | 'resumeAfter'>;
 	/** Prompt tokens that the upstream is expected to read. */
 	readonly missingTokens: number;
+	/** Prompt tokens that are fetched from a store or another engine. */
+	readonly fetchedTokens: number;
 	/** Memory that the request takes at the upstream, in tokens. */
 	readonly heldTokens: number;
+	/** Rank at the engine; 0 is read first. */
+	readonly urgency: number;
+	/** Predicted time to the first byte, in milliseconds. */
+	readonly firstByteMs: number;
+	/** Whether requests wait there for their first byte. */
+	readonly isQueueing: boolean;
 	/** Requests known to be in flight there. */
 	readonly inFlight: number;
-	readonly reason: string;
+	/** Whether all hosts prefer this upstream for the request's shared part. */
+	readonly isHome: boolean;
+	/** Notes that the request is sent. */
+	readonly noteSent: () => void;
 };
--- a/src/forwarding/upstream-book.ts
+++ b/src/forwarding/upstream-book.ts
@@ -9,14 +9,16 @@
 	readonly waitingTokens: number;
 	/** Memory taken until the request ends. */
 	readonly heldTokens: number;
+	/** Rank at the engine; 0 is read first. */
+	readonly urgency: number;
 };
 
 /** What is known of the upstreams, and the connections to them. */
 export type UpstreamBook = {
 	/** Takes the list of registered upstreams. */
 	readonly apply: (upstreams: readonly Upstream[]) => void;
-	/** Lists the upstreams of a service that take new work, as seen at `now`. */
-	readonly views: (service: string, now: number) => readonly UpstreamView[];
+	/** Lists the upstreams of a service that take new work, as seen at `now` by a request of a rank. */
+	readonly views: (service: string, now: number, urgency: number) => readonly UpstreamView[];
 	/** Sends a request and counts it as in flight until it ends. */
 	readonly send: (id: string, message: UpstreamMessage, size: SendSize, listener: AnswerListener) => RunningSend;
 	/** Notes that an upstream should get no new work for a while. */
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -11,6 +11,7 @@
 import {type RunEnd} from '../decide/poison/run-end.js';
 import {type PartNews} from '../forwarding/engine-control.js';
 import {type KindState} from '../forwarding/kind-watch.js';
+import {type StoredObject} from '../forwarding/stored-object.js';
 import {type Decision} from '../observe/decision.js';
 
 /** Entries of gossip sections. */
@@ -99,6 +100,11 @@
 		readonly params: {readonly store: string};
 		readonly result: {readonly news: PartNews | null};
 	};
+	/** Reads the lease of the roll-out, or writes it, for a host that the store does not answer; `null` where the write lost. */
+	readonly 'gateway.lease': {
+		readonly params: {readonly write?: {readonly value: unknown; readonly revision: number}};
+		readonly result: {readonly object: StoredObject | null};
+	};
 	readonly explain: {
 		readonly params: {readonly requestId: string};
 		readonly result: {readonly decisions: readonly Decision[]};
--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -37,5 +37,7 @@
 		graceS: bound(8),
 		/** Time after which a lease that was not renewed may be taken over. */
 		leaseMs: bound(3000),
+		/** Time after a naming of weights by which no request begins on older ones. */
+		versionMs: bound(12_000),
 	}).prefault({}),
 }).readonly();
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -1,13 +1,17 @@
 import {randomUUID} from 'node:crypto';
+import {createServicePace} from './decide/forwarding/create-service-pace.js';
 import {createWindowBudget} from './decide/retries/create-window-budget.js';
 import {createCallerPort} from './forwarding/create-caller-port.js';
+import {createContextPlanner} from './forwarding/create-context-planner.js';
 import {createForwarder} from './forwarding/create-forwarder.js';
 import {createFreeTask} from './forwarding/create-free-task.js';
 import {createGatewayMetrics} from './forwarding/create-gateway-metrics.js';
 import {createHostLinks} from './forwarding/create-host-links.js';
 import {createKeptTask} from './forwarding/create-kept-task.js';
 import {createKindWatch} from './forwarding/create-kind-watch.js';
+import {createLeaseStore} from './forwarding/create-lease-store.js';
 import {createPlacer} from './forwarding/create-placer.js';
+import {createRelayedLeaseStore} from './forwarding/create-relayed-lease-store.js';
 import {createRolloutTask} from './forwarding/create-rollout-task.js';
 import {createStateSync} from './forwarding/create-state-sync.js';
 import {createStatusPort} from './forwarding/create-status-port.js';
@@ -130,8 +134,12 @@
 		silentMs: watchMs + watchSilenceMs,
 		weightsKind: kinds.weights,
 	});
+	const ownLease = createLeaseStore(store, kinds.leases, 'rollout');
 	const rollout = createRolloutTask({
-		self: name, run: randomUUID(), store, kind: kinds.leases, control, book, named: stored.weights, others, leaseMs: bounds.leaseMs, now: elapsed,
+		store: createRelayedLeaseStore({
+			own: ownLease, call: peerCaller.call, alive: links.alive, random,
+		}),
+		self: name, run: randomUUID(), control, book, named: stored.weights, others, leaseMs: bounds.leaseMs, now: elapsed,
 	});
 
 	const free = createFreeTask({
@@ -142,14 +150,19 @@
 	const budgetOf = memoize((_service: string) => createWindowBudget({
 		ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowS * msPerS, hosts,
 	}));
+	const paceOf = memoize((_service: string) => createServicePace());
 	const forward = createForwarder({
 		book,
 		budgetOf,
 		now,
 		random,
 		place: createPlacer({
-			domain, book, serviceOf: stored.serviceOf, kept, newerKnownAt: stored.newerKnownAt, weightsConfirmedAt: sync.weightsConfirmedAt, now, elapsed, random,
+			domain, book, serviceOf: stored.serviceOf, paceOf, newerKnownAt: stored.newerKnownAt, versionMs: bounds.versionMs, now, elapsed, random,
+			planContext: createContextPlanner({
+				book, kept, newerKnownAt: stored.newerKnownAt, weightsConfirmedAt: sync.weightsConfirmedAt, now: elapsed,
+			}),
 		}),
+		paceOf,
 		encode: adapter.encodeRequest,
 		onEnd({route}, result, tookMs) {
 			metrics.ended.inc({kind: route.kind, result});
@@ -159,6 +172,7 @@
 
 	const peerServer = await createPeerServer(settings.peers, undefined, {
 		'gateway.state': async ({revisions}) => ({states: sync.answer(revisions)}),
+		'gateway.lease': async ({write}) => ({object: (write ? await ownLease.write(write.value, write.revision) : await ownLease.read()) ?? null}),
 		'gateway.kept': async ({store: asked}) => ({news: kept.list(asked) ?? null}),
 	}, () => false);
 	await links.start();
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -213,7 +213,7 @@
 		return [...decisions.ofRequest(requestId), ...theirs].toSorted((a, b) => a.at - b.at);
 	};
 
-	const handlers: Omit<PeerHandlers, 'gateway.state' | 'gateway.kept'> = {
+	const handlers: Omit<PeerHandlers, 'gateway.state' | 'gateway.kept' | 'gateway.lease'> = {
 		...membership.handlers,
 		...config.handlers,
 		...grantOwner.handlers,
