A reset never ends an answer as whole; tests of answers over the whole path

Cause, found by a test over sockets: the HTTP library takes a reset for the end of an answer whose connection is to close, and Node frames an answer without a length by closing the connection, so a broken answer could look whole.

--- a/src/decide/forwarding/rank-upstreams.ts
+++ b/src/decide/forwarding/rank-upstreams.ts
@@ -3,7 +3,6 @@
 const failureMs = 400;
 const silentMs = 1e5;
 const avoidedMs = 1e6;
-const fullMs = 1e7;
 
 /** An upstream with the predicted time to its first byte, in milliseconds. */
 export type Candidate = {
@@ -14,19 +13,19 @@
 };
 
 /**
-Ranks upstreams by the predicted time to the first byte, least first. Upstreams that failed lately, that are silent or to
-which no connection is free come last, and serve only where no other is left. Load pattern: bursts that several hosts place
+Ranks upstreams by the predicted time to the first byte, least first. Upstreams that failed lately, that are silent
+come last, and serve only where no other is left; those to which no connection is free are left out. Load pattern: bursts that several hosts place
 at once on reports that lag, so ties are broken at random.
 */
 export function rankUpstreams(candidates: readonly Candidate[], random: () => number): readonly Candidate[] {
-	const score = ({view: {isSilent, isAvoided, failureShare, freeConnections}, firstByteMs, weightsMs}: Candidate): number => firstByteMs
+	const score = ({view: {isSilent, isAvoided, failureShare}, firstByteMs, weightsMs}: Candidate): number => firstByteMs
 		+ weightsMs
 		+ (failureShare * failureMs)
 		+ (isSilent ? silentMs : 0)
 		+ (isAvoided ? avoidedMs : 0)
-		+ (freeConnections > 0 ? 0 : fullMs)
 		+ random();
 	return candidates
+		.filter(({view}) => view.freeConnections > 0)
 		.map(candidate => ({candidate, score: score(candidate)}))
 		.toSorted((a, b) => a.score - b.score)
 		.map(({candidate}) => candidate);
--- a/src/decide/retries/create-window-budget.ts
+++ b/src/decide/retries/create-window-budget.ts
@@ -42,9 +42,14 @@
 		},
 		spend(now) {
 			const count = current(now);
-			// First attempts of the oldest slice may lie before the window; retries in it are counted all the same.
-			const firsts = counts.reduce((sum, {slice, firsts}) => slice > count.slice - slices ? sum + firsts : sum, 0);
-			const repeats = counts.reduce((sum, {repeats}) => sum + repeats, 0);
+			let firsts = 0;
+			let repeats = 0;
+			for (const each of counts) {
+				// First attempts of the oldest slice may lie before the window; retries in it are counted all the same.
+				firsts += each.slice > count.slice - slices ? each.firsts : 0;
+				repeats += each.repeats;
+			}
+
 			if (repeats + 1 > (firsts * ratio) + (slack / Math.max(1, hosts()))) {
 				return false;
 			}
--- a/src/forwarding/create-caller-answer.ts
+++ b/src/forwarding/create-caller-answer.ts
@@ -4,6 +4,8 @@
 import {type CallerAnswer} from './caller-answer.js';
 
 const msPerS = 1000;
+/** Statuses whose answers have no body. */
+const bodiless: ReadonlySet<number> = new Set([204, 304]);
 
 /**
 Creates the answer to a caller.
@@ -13,10 +15,23 @@
 */
 export function createCallerAnswer(res: ServerResponse, requestIdHeaders: readonly string[], isLastOnConnection: () => boolean): CallerAnswer {
 	let hasBegun = false;
+	/** The end of a body without a length is marked, so that a broken one can't be taken for whole. */
+	const frame = (status: number, headers: readonly string[]): readonly string[] => {
+		const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
+		const hasBody = res.req.method !== 'HEAD' && !bodiless.has(status);
+		return hasLength || !hasBody || res.req.httpVersion !== '1.1' ? [] : ['Transfer-Encoding', 'chunked'];
+	};
+
 	const begin = (status: number, headers: readonly string[]): void => {
 		hasBegun = true;
 		const closing = isLastOnConnection() ? ['Connection', 'close'] : [];
-		res.writeHead(status, [...headers, ...closing]);
+		res.writeHead(status, [...headers, ...frame(status, headers), ...closing]);
+	};
+
+	/** Resets the connection: a plain close could pass for the end of a body without a length. */
+	const breakOff = (): void => {
+		res.socket?.resetAndDestroy();
+		res.destroy();
 	};
 
 	return {
@@ -29,12 +44,10 @@
 		end() {
 			res.end();
 		},
-		break() {
-			res.destroy();
-		},
+		break: breakOff,
 		refuse(refusal) {
 			if (hasBegun) {
-				res.destroy();
+				breakOff();
 				return;
 			}
 
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -54,31 +54,25 @@
 	};
 }
 
-function noteRun(track: ForwardingTrack, outcome: SendOutcome): void {
-	track.sends++;
-	switch (outcome.kind) {
-		case 'broken': {
-			track.runs++;
-			track.ran = 'unknown';
-			track.lastReason = outcome.reason;
-
-			break;
-		}
-
-		case 'failed-answer': {
-			track.runs++;
-			track.ran = 'yes';
-			track.lastReason = `upstream answered ${outcome.head.status}`;
+function describeOutcome(outcome: SendOutcome): string {
+	if (outcome.kind === 'failed-answer') {
+		return `upstream answered ${outcome.head.status}`;
+	}
 
-			break;
-		}
+	return outcome.kind === 'answered' ? 'answered' : outcome.reason;
+}
 
-		case 'not-run': {
-			track.lastReason = outcome.reason;
+function noteRun(track: ForwardingTrack, outcome: SendOutcome): void {
+	track.sends++;
+	track.lastReason = describeOutcome(outcome);
+	if (outcome.kind === 'failed-answer') {
+		track.ran = 'yes';
+	} else if (outcome.kind === 'broken' && track.ran === 'no') {
+		track.ran = 'unknown';
+	}
 
-			break;
-		}
-	// No default
+	if (outcome.kind === 'failed-answer' || outcome.kind === 'broken') {
+		track.runs++;
 	}
 }
 
--- a/src/forwarding/create-relayed-lease-store.ts
+++ b/src/forwarding/create-relayed-lease-store.ts
@@ -41,7 +41,8 @@
 		try {
 			return await Promise.any([first, relayed(address)]);
 		} catch (error) {
-			throw error instanceof AggregateError ? error.errors[0] : error;
+			const [cause] = error instanceof AggregateError ? error.errors as Error[] : [error as Error];
+			throw cause ?? new Error('no answer');
 		}
 	};
 
--- a/src/forwarding/create-upstream-book.ts
+++ b/src/forwarding/create-upstream-book.ts
@@ -58,7 +58,7 @@
 type UpstreamBookOptions = {
 	readonly now: () => number;
 	/** Opens connections to an upstream. */
-	readonly link: (upstream: Upstream, connections: number) => UpstreamLink;
+	readonly link: (upstream: Upstream) => UpstreamLink;
 	/** Connections that this host may open to an upstream of a service. */
 	readonly connectionsOf: (service: string) => number;
 };
@@ -88,7 +88,7 @@
 		const connections = connectionsOf(upstream.service);
 		entries.set(upstream.id, {
 			upstream,
-			link: link(upstream, connections),
+			link: link(upstream),
 			connections,
 			inFlight: 0,
 			waitingTokens: new Map(),
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -30,5 +30,5 @@
 	/** Header, name and value, with which answers name their request. */
 	readonly nameRequest: (request: CallerRequest) => readonly string[];
 	readonly openControl: () => EngineControl;
-	readonly openLink: (address: string, connections: number, onConnect: () => void) => UpstreamLink;
+	readonly openLink: (address: string, onConnect: () => void) => UpstreamLink;
 };
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -100,7 +100,7 @@
 	const book = createUpstreamBook({
 		now,
 		connectionsOf: service => Math.max(leastConnections, Math.floor((stored.serviceOf(service)?.maxConnections ?? 0) / hosts())),
-		link: (upstream, connections) => adapter.openLink(upstream.address, connections, () => {
+		link: upstream => adapter.openLink(upstream.address, () => {
 			metrics.connections.inc({service: upstream.service});
 		}),
 	});
--- /dev/null
+++ b/test/forwarding/answers.test.ts
@@ -0,0 +1,277 @@
+import {type Socket} from 'node:net';
+import {
+	afterAll, beforeAll, describe, expect, test,
+} from 'vitest';
+import {callRaw} from '../support/call-raw.js';
+import {callerBytes} from '../support/caller-bytes.js';
+import {createGateway, type TestGateway} from '../support/create-gateway.js';
+import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
+import {
+	answerWhole, createUpstreamServer, type Answering, type Arrived, type UpstreamServer,
+} from '../support/create-upstream-server.js';
+import {platformObjects} from '../support/platform-objects.js';
+import {waitUntil} from '../support/wait-until.js';
+
+let store: StoreServer;
+let gateway: TestGateway;
+let upstreams: readonly UpstreamServer[];
+
+beforeAll(async () => {
+	store = await createStoreServer();
+	upstreams = await Promise.all([createUpstreamServer(), createUpstreamServer()]);
+	store.put('config', 'main', platformObjects.configuration(1));
+	for (const [index, upstream] of upstreams.entries()) {
+		store.put('servers', `i-${index}`, platformObjects.upstream(upstream.address));
+	}
+
+	gateway = await createGateway(store.address, {bounds: {retrySlack: 1000}});
+	await waitUntil('the gateway to be ready', async () => (await fetch(`http://${gateway.readiness}/v1/readiness`)).status === 200);
+});
+
+afterAll(async () => {
+	await gateway.stop();
+	store.stop();
+	for (const upstream of upstreams) {
+		upstream.stop();
+	}
+});
+
+function setAnswers(answer: Answering): Arrived[] {
+	const arrived: Arrived[] = [];
+	for (const upstream of upstreams) {
+		upstream.answer = (request, socket) => {
+			arrived.push(request);
+			answer(request, socket);
+		};
+	}
+
+	return arrived;
+}
+
+const signed = ({headers}: Arrived): string => `Request-Id: ${headers.get('request-id')}\r\nResponse-Seal: s\r\n`;
+
+/** How upstreams answer; what a caller of a repeatable and of an unrepeatable request gets, and how often each is sent. */
+const cases: ReadonlyArray<{
+	readonly name: string;
+	readonly answer: Answering;
+	readonly read: readonly [status: number, sends: number];
+	readonly book: readonly [status: number, sends: number];
+}> = [
+	{
+		name: 'a whole answer', answer: answerWhole, read: [200, 1], book: [200, 1],
+	},
+	{
+		name: 'an answer without a signature',
+		answer({headers}, socket) {
+			socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${headers.get('request-id')}\r\nContent-Length: 2\r\n\r\nok`);
+		},
+		read: [502, 2], book: [502, 1],
+	},
+	{
+		name: 'the answer to another request',
+		answer(_, socket) {
+			socket.write('HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok');
+		},
+		read: [502, 2], book: [502, 1],
+	},
+	{
+		name: 'an encoded body',
+		answer(arrived, socket) {
+			answerWhole(arrived, socket, 'zip', '200 OK', 'Content-Encoding: gzip\r\n');
+		},
+		read: [502, 2], book: [502, 1],
+	},
+	{
+		name: 'bytes that are no answer',
+		answer(_, socket) {
+			socket.write('certainly not\r\n\r\n');
+		},
+		read: [502, 2], book: [502, 1],
+	},
+	{
+		name: 'a connection closed without an answer',
+		answer(_, socket) {
+			socket.destroy();
+		},
+		read: [502, 2], book: [502, 1],
+	},
+	{
+		name: 'a failure of the upstream itself',
+		answer(arrived, socket) {
+			answerWhole(arrived, socket, 'broken', '500 Internal Server Error');
+		},
+		read: [500, 2], book: [500, 1],
+	},
+	{
+		name: 'a 503 that does not say that the request was not run',
+		answer(arrived, socket) {
+			answerWhole(arrived, socket, 'busy', '503 Service Unavailable');
+		},
+		read: [502, 2], book: [502, 1],
+	},
+	{
+		name: 'a 503 that says that the request was not run',
+		answer(_, socket) {
+			socket.write('HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+		},
+		read: [503, 5], book: [503, 5],
+	},
+	{
+		name: 'a refusal of the request by the upstream',
+		answer(arrived, socket) {
+			answerWhole(arrived, socket, 'no', '404 Not Found');
+		},
+		read: [404, 1], book: [404, 1],
+	},
+];
+
+describe('the answer to a caller', () => {
+	test.each(cases)('to a repeatable request is true after $name', async ({answer, read: [status, sends]}) => {
+		const arrived = setAnswers(answer);
+		const got = await callRaw(gateway.callers, callerBytes());
+		expect([got.status, arrived.length, got.isWhole]).toEqual([status, sends, true]);
+	});
+
+	test.each(cases)('to an unrepeatable request is true after $name', async ({answer, book: [status, sends]}) => {
+		const arrived = setAnswers(answer);
+		const got = await callRaw(gateway.callers, callerBytes({method: 'POST', target: '/book/x', body: 'one desk'}));
+		expect([got.status, arrived.length, got.isWhole]).toEqual([status, sends, true]);
+	});
+
+	test('bears no signature when it is not the upstream\'s', async () => {
+		setAnswers((arrived, socket) => {
+			answerWhole(arrived, socket, 'busy', '503 Service Unavailable');
+		});
+		const got = await callRaw(gateway.callers, callerBytes({method: 'POST', target: '/book/x', body: 'b'}));
+		expect(got.headers.has('response-seal')).toBe(false);
+		expect(JSON.parse(got.body)).toMatchObject({error: {kind: 'upstream-failed', ran: 'unknown'}});
+	});
+
+	test.each([
+		['a body shorter than its length', (arrived: Arrived, socket: Socket) => {
+			socket.end(`HTTP/1.1 200 OK\r\n${signed(arrived)}Content-Length: 100\r\n\r\nhalf`);
+		}],
+		['chunks that break off', (arrived: Arrived, socket: Socket) => {
+			socket.end(`HTTP/1.1 200 OK\r\n${signed(arrived)}Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n`);
+		}],
+		['chunks that break off with a reset, on a connection that is to close', (arrived: Arrived, socket: Socket) => {
+			socket.write(`HTTP/1.1 200 OK\r\n${signed(arrived)}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n`, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 50);
+			});
+		}],
+		['a body without a length that is reset', (arrived: Arrived, socket: Socket) => {
+			socket.write(`HTTP/1.1 200 OK\r\n${signed(arrived)}\r\nhalf`, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 50);
+			});
+		}],
+	])('does not look whole after %s', async (_, answer) => {
+		setAnswers(answer);
+		const got = await callRaw(gateway.callers, callerBytes());
+		expect([got.status, got.isWhole]).toEqual([200, false]);
+	});
+
+	test('is whole where its body has no length and its connection ends', async () => {
+		setAnswers((arrived, socket) => {
+			socket.end(`HTTP/1.1 200 OK\r\n${signed(arrived)}\r\nall of it`);
+		});
+		const got = await callRaw(gateway.callers, callerBytes());
+		expect([got.status, got.body, got.isWhole]).toEqual([200, 'all of it', true]);
+	});
+
+	test('is never an extra answer that came before on the same connection', async () => {
+		setAnswers((arrived, socket) => {
+			answerWhole(arrived, socket);
+			socket.write('HTTP/1.1 200 OK\r\nRequest-Id: ghost\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\nghost');
+		});
+		for (let count = 0; count < 5; count++) {
+			const got = await callRaw(gateway.callers, callerBytes());
+			expect(got.body).not.toContain('ghost');
+			expect(got.status).toBe(200);
+		}
+	});
+});
+
+describe('a request at an upstream', () => {
+	test('has the caller\'s bytes, and the system\'s own headers only from the system', async () => {
+		const arrived = setAnswers(answerWhole);
+		const forged = 'Tenant: someone\r\nExpect-Instance: i-9\r\nCache-Salt: mine\r\nKv-Fetch: 1.2.3.4:5\r\nRequest-Priority: 0\r\nX-Other: kept\r\n';
+		await callRaw(gateway.callers, callerBytes({
+			method: 'POST', target: '/book/a?b=%20c', id: 'exact', body: 'b\u0000dy', headers: forged,
+		}));
+		const [{method, target, headers, body}] = arrived as [Arrived];
+		expect([method, target, body.toString()]).toEqual(['POST', '/book/a?b=%20c', 'b\u0000dy']);
+		expect([...headers.entries()].filter(([name]) => ['tenant', 'expect-instance', 'cache-salt', 'kv-fetch', 'request-priority', 'x-api-key', 'x-other', 'request-id'].includes(name)).toSorted())
+			.toEqual([['expect-instance', expect.stringMatching(/^i-[01]$/v)], ['request-id', 'exact'], ['tenant', 'acme'], ['x-other', 'kept']]);
+		expect(Number(headers.get('deadline-ms'))).toBeLessThanOrEqual(1200);
+	});
+
+	test('is passed on with a length where it came in chunks', async () => {
+		const arrived = setAnswers(answerWhole);
+		await callRaw(gateway.callers, callerBytes({method: 'POST', target: '/book/x', headers: 'Transfer-Encoding: chunked\r\n'}) + '3\r\none\r\n4\r\n two\r\n0\r\n\r\n');
+		expect(arrived.map(({body, headers}) => [body.toString(), headers.get('content-length'), headers.has('transfer-encoding')])).toEqual([['one two', '7', false]]);
+	});
+
+	test('is cancelled when the caller of a repeatable request has gone, and finished otherwise', async () => {
+		const arrived = setAnswers(() => undefined);
+		await callRaw(gateway.callers, callerBytes({id: 'gone-read', keeps: true}), socket => {
+			setTimeout(() => {
+				socket.destroy();
+			}, 100);
+		});
+		const owner = (id: string): UpstreamServer => upstreams.find(upstream => upstream.arrived.some(request => request.headers.get('request-id') === id))!;
+		await waitUntil('the read to be cancelled', () => owner('gone-read').closed.includes(arrived[0]!.connection));
+		await callRaw(gateway.callers, callerBytes({
+			id: 'gone-book', method: 'POST', target: '/book/x', body: 'b', keeps: true,
+		}), socket => {
+			setTimeout(() => {
+				socket.destroy();
+			}, 100);
+		});
+		const booked = arrived.find(({headers}) => headers.get('request-id') === 'gone-book')!;
+		await new Promise(resolve => {
+			setTimeout(resolve, 300);
+		});
+		expect(owner('gone-book').closed).not.toContain(booked.connection);
+	});
+
+	test('has its final answer when its time is over, with the truth about whether it may have run', async () => {
+		setAnswers(() => undefined);
+		const [read, book] = await Promise.all([
+			callRaw(gateway.callers, callerBytes({deadlineMs: 300})),
+			callRaw(gateway.callers, callerBytes({
+				method: 'POST', target: '/book/x', body: 'b', deadlineMs: 300,
+			})),
+		]);
+		expect([read.status, book.status]).toEqual([504, 504]);
+	});
+});
+
+describe('a request that is not let in', () => {
+	test.each([
+		['an unknown key', callerBytes({key: 'key-9'}), 401],
+		['no route', callerBytes({target: '/nowhere/x'}), 404],
+		['another host', callerBytes({host: 'else.example'}), 404],
+		['no id', callerBytes().replace(/Request-Id: [^\r]*\r\n/v, ''), 400],
+		['a head over the limit', callerBytes({headers: `X-Long: ${'x'.repeat(9000)}\r\n`}), 431],
+		['a body over the limit', callerBytes({method: 'POST', target: '/book/x', body: 'x'.repeat(100_001)}), 413],
+		['two lengths', callerBytes({method: 'POST', target: '/book/x', headers: 'Content-Length: 3\r\nContent-Length: 4\r\n'}), 400],
+		['a length and chunks', callerBytes({method: 'POST', target: '/book/x', headers: 'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n'}), 400],
+		['a space before a colon', callerBytes({headers: 'X-Odd : 1\r\n'}), 400],
+		['bytes that are no request', 'no request at all\r\n\r\n', 400],
+	])('gets a clear status for %s, and reaches no upstream', async (_, bytes, status) => {
+		const arrived = setAnswers(answerWhole);
+		const got = await callRaw(gateway.callers, bytes);
+		expect([got.status, arrived.length]).toEqual([status, 0]);
+	});
+
+	test('can\'t smuggle a second one in its body', async () => {
+		const arrived = setAnswers(answerWhole);
+		const inner = callerBytes({target: '/read/smuggled', id: 'smuggled'});
+		await callRaw(gateway.callers, callerBytes({method: 'POST', target: '/book/x', body: inner}));
+		expect(arrived.map(({target}) => target)).toEqual(['/book/x']);
+	});
+});
--- /dev/null
+++ b/test/support/caller-bytes.ts
@@ -0,0 +1,23 @@
+let calls = 0;
+
+/** What a test's request differs in from a plain read. */
+type CallerBytesOptions = {
+	readonly method?: string;
+	readonly target?: string;
+	readonly host?: string;
+	readonly id?: string;
+	readonly key?: string;
+	readonly deadlineMs?: number;
+	/** Further header lines, each with its line end. */
+	readonly headers?: string;
+	readonly body?: string;
+	/** Whether the connection is kept after the answer. */
+	readonly keeps?: boolean;
+};
+
+/** Gives the bytes of a caller's request. */
+export function callerBytes(options: CallerBytesOptions = {}): string {
+	const {method = 'GET', target = '/read/x', host = 'app.example', id = `request-${calls++}`, key = 'key-1', deadlineMs = 1200, headers = '', body = '', keeps = false} = options;
+	const length = body === '' ? '' : `Content-Length: ${Buffer.byteLength(body)}\r\n`;
+	return `${method} ${target} HTTP/1.1\r\nHost: ${host}\r\nRequest-Id: ${id}\r\nDeadline-Ms: ${deadlineMs}\r\nX-Api-Key: ${key}\r\n${headers}${length}${keeps ? '' : 'Connection: close\r\n'}\r\n${body}`;
+}
--- /dev/null
+++ b/test/support/create-store-server.ts
@@ -0,0 +1,179 @@
+import {createServer, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+
+/** An object of the stand-in, as it is sent. */
+type Held = {
+	readonly metadata: {readonly name: string; readonly revision: number};
+	readonly spec: unknown;
+};
+
+/** One change, kept for watches. */
+type Change = {
+	readonly kind: string;
+	readonly revision: number;
+	readonly object: Held;
+	readonly removed: boolean;
+};
+
+/** How the stand-in misbehaves. */
+type StoreFaults = {
+	/** Answers nothing at all. */
+	isSilent: boolean;
+	/** Answers 503. */
+	isBusy: boolean;
+	/** Does what a write says and gives no answer, once. */
+	losesNextWrite: boolean;
+};
+
+/** A stand-in for the platform's store of objects, with revisions and watches. */
+export type StoreServer = {
+	readonly address: string;
+	readonly faults: StoreFaults;
+	readonly put: (kind: string, name: string, spec: unknown) => number;
+	readonly remove: (kind: string, name: string) => void;
+	readonly get: (kind: string, name: string) => Held | undefined;
+	/** Drops all history, so that watches have to list again. */
+	readonly compact: () => void;
+	/** Calls taken, by method. */
+	readonly calls: Map<string, number>;
+	readonly stop: () => void;
+};
+
+/** Starts the stand-in on a free port. */
+export async function createStoreServer(): Promise<StoreServer> {
+	const kinds = new Map<string, Map<string, Held>>();
+	const calls = new Map<string, number>();
+	const waiting = new Set<() => void>();
+	const faults: StoreFaults = {isSilent: false, isBusy: false, losesNextWrite: false};
+	let changes: Change[] = [];
+	let revision = 1;
+	let oldest = 0;
+
+	const note = (kind: string, object: Held, removed: boolean): void => {
+		changes.push({
+			kind, revision, object, removed,
+		});
+		for (const wake of waiting) {
+			wake();
+		}
+	};
+
+	const put = (kind: string, name: string, spec: unknown): number => {
+		const ofKind = kinds.get(kind) ?? new Map<string, Held>();
+		kinds.set(kind, ofKind);
+		const known = ofKind.get(name);
+		if (known && JSON.stringify(known.spec) === JSON.stringify(spec)) {
+			return known.metadata.revision;
+		}
+
+		revision++;
+		const object = {metadata: {name, revision}, spec};
+		ofKind.set(name, object);
+		note(kind, object, false);
+		return revision;
+	};
+
+	const remove = (kind: string, name: string): void => {
+		const object = kinds.get(kind)?.get(name);
+		if (object) {
+			revision++;
+			kinds.get(kind)!.delete(name);
+			note(kind, object, true);
+		}
+	};
+
+	const send = (res: ServerResponse, status: number, body: unknown): void => {
+		res.writeHead(status, {'content-type': 'application/json'});
+		res.end(JSON.stringify(body));
+	};
+
+	const watch = (res: ServerResponse, kind: string, from: number, waitMs: number): void => {
+		if (from < oldest) {
+			send(res, 410, {});
+			return;
+		}
+
+		const answer = (): void => {
+			waiting.delete(wake);
+			clearTimeout(timer);
+			const events = changes.filter(change => change.kind === kind && change.revision > from);
+			send(res, 200, {events: events.map(({object, removed}) => ({object, removed})), as_of: revision});
+		};
+
+		const wake = (): void => {
+			if (changes.some(change => change.kind === kind && change.revision > from)) {
+				answer();
+			}
+		};
+
+		const timer = setTimeout(answer, waitMs);
+		waiting.add(wake);
+		wake();
+	};
+
+	const write = (method: string, kind: string, name: string, body: {metadata: {name: string; revision?: number}; spec: unknown}): {status: number; body: unknown} => {
+		const known = kinds.get(kind)?.get(name);
+		if (method === 'POST' ? known : body.metadata.revision !== undefined && body.metadata.revision !== known?.metadata.revision) {
+			return {status: known ? 409 : 404, body: known ?? {}};
+		}
+
+		put(kind, name, body.spec);
+		return {status: 200, body: kinds.get(kind)!.get(name)};
+	};
+
+	const server = createServer((req, res) => {
+		const url = new URL(req.url!, 'http://store');
+		const [, , , kind = '', name] = url.pathname.split('/').map(part => decodeURIComponent(part));
+		calls.set(req.method!, (calls.get(req.method!) ?? 0) + 1);
+		let text = '';
+		req.on('data', chunk => {
+			text += String(chunk);
+		});
+		req.on('end', () => {
+			if (faults.isSilent) {
+				return;
+			}
+
+			if (faults.isBusy) {
+				send(res, 503, {});
+			} else if (req.method !== 'GET') {
+				const body = JSON.parse(text) as Parameters<typeof write>[3];
+				const done = write(req.method!, kind, name ?? body.metadata.name, body);
+				if (faults.losesNextWrite) {
+					faults.losesNextWrite = false;
+					res.destroy();
+					return;
+				}
+
+				send(res, done.status, done.body);
+			} else if (name !== undefined) {
+				const object = kinds.get(kind)?.get(name);
+				send(res, object ? 200 : 404, object ?? {});
+			} else if (url.searchParams.has('watch')) {
+				watch(res, kind, Number(url.searchParams.get('watch')), Number(url.searchParams.get('wait_ms')));
+			} else {
+				send(res, 200, {items: [...kinds.get(kind)?.values() ?? []], has_more: false, as_of: revision});
+			}
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+
+	return {
+		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		faults,
+		put,
+		remove,
+		get: (kind, name) => kinds.get(kind)?.get(name),
+		compact() {
+			changes = [];
+			oldest = revision;
+		},
+		calls,
+		stop() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
