Date a naming of weights by the last word of the store before it; tests of decisions and state

Cause, found by a property over readers and the host that frees: a reader that learned of new weights after a long silence read old context for another 6 s, while others had freed it by then. It now counts such a naming as made long ago. A watch whose history was dropped is no word of the store.

--- a/src/forwarding/create-context-planner.ts
+++ b/src/forwarding/create-context-planner.ts
@@ -4,6 +4,7 @@
 import {writeScope} from '../decide/kept/write-scope.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
 import {type KeptStore, type KeptTask} from './create-kept-task.js';
+import {type NamedWeights} from './named-weights.js';
 import {type Prompt} from './prompt.js';
 import {type Service} from './service.js';
 import {type UpstreamBook} from './upstream-book.js';
@@ -21,8 +22,8 @@
 type ContextPlannerOptions = {
 	readonly book: UpstreamBook;
 	readonly kept: Pick<KeptTask, 'stores' | 'isBeingSaved' | 'noteSave'>;
-	/** When this host learned of newer weights of a model than a version. */
-	readonly newerKnownAt: (model: string, version: number) => number | undefined;
+	/** The first naming of newer weights of a model than a version. */
+	readonly newerNaming: (model: string, version: number) => NamedWeights | undefined;
 	/** When the newest weights were last confirmed. */
 	readonly weightsConfirmedAt: () => number | undefined;
 	/** Clock in milliseconds that counts suspensions. */
@@ -45,7 +46,7 @@
 export type ContextPlanner = (prompt: Prompt, upstream: Upstream, engine: NonNullable<Service['engine']>, workspace: Workspace | undefined, tokensPerMs: number) => ContextPlan;
 
 /** Creates the planner of kept context. */
-export function createContextPlanner({book, kept, newerKnownAt, weightsConfirmedAt, now}: ContextPlannerOptions): ContextPlanner {
+export function createContextPlanner({book, kept, newerNaming, weightsConfirmedAt, now}: ContextPlannerOptions): ContextPlanner {
 	const lastEngine = new Map<string, string>();
 
 	const remember = (key: string, upstreamId: string): void => {
@@ -59,7 +60,7 @@
 
 	const toStoreView = ({name, store, directory, canSave}: KeptStore, scope: Scope, engine: NonNullable<Service['engine']>, engineDomain: string): StoreView => {
 		const text = writeScope(scope);
-		const newerAt = newerKnownAt(scope.model, scope.version);
+		const newerAt = newerNaming(scope.model, scope.version)?.datedAt;
 		const canRead = canReadScope({newerKnownAt: newerAt, confirmedAt: weightsConfirmedAt()}, now());
 		const bitsPerMs = Math.min(store.linkMbps, engine.linkMbps) * kilobitsPerMegabit;
 		const distance = store.domain === engineDomain ? 1 : otherDomainMoves;
--- a/src/forwarding/create-kind-watch.ts
+++ b/src/forwarding/create-kind-watch.ts
@@ -15,7 +15,8 @@
 	readonly random: () => number;
 	/** Longest wait of one call, in milliseconds; also how long a silent connection goes unnoticed. */
 	readonly waitMs: number;
-	readonly onChange: (objects: readonly StoredObject[]) => void;
+	/** Takes the objects after a change, and when the store had answered last before it. */
+	readonly onChange: (objects: readonly StoredObject[], confirmedAt: number | undefined) => void;
 };
 
 /** Follows a kind: lists its objects, then waits for changes; lists again when the store has dropped the history. */
@@ -25,36 +26,41 @@
 	let isLost = false;
 	let hasStopped = false;
 
-	const set = (state: KindState): void => {
+	const set = (state: KindState, confirmedAt: number | undefined): void => {
 		current = state;
-		onChange(state.objects);
+		onChange(state.objects, confirmedAt);
 	};
 
-	const noteContact = (): void => {
+	/** @returns When the store had answered before. */
+	const noteContact = (): number | undefined => {
+		const before = contactAt;
 		contactAt = now();
 		if (isLost) {
 			isLost = false;
 			log.info({kind, revision: current?.revision ?? 0}, 'store answers again');
 		}
+
+		return before;
 	};
 
 	const list = async (): Promise<void> => {
 		const {objects, revision} = await store.list(kind);
-		noteContact();
+		const confirmedAt = noteContact();
 		if (!current || revision >= current.revision) {
-			set({objects, revision, changedAt: revision});
+			set({objects, revision, changedAt: revision}, confirmedAt);
 		}
 	};
 
 	const follow = async (from: KindState): Promise<void> => {
 		const answer = await store.watch(kind, from.revision, waitMs);
-		noteContact();
 		if (!answer) {
 			log.info({kind, revision: from.revision}, 'store dropped its history, listing again');
 			await list();
 			return;
 		}
 
+		const confirmedAt = noteContact();
+
 		// A peer's newer state may have been taken while the call waited.
 		if (current && answer.revision > current.revision) {
 			const byName = new Map(current.objects.map(object => [object.name, object]));
@@ -69,7 +75,7 @@
 			const changedAt = answer.changes.length > 0 ? answer.revision : current.changedAt;
 			const next = {objects: [...byName.values()], revision: answer.revision, changedAt};
 			if (answer.changes.length > 0) {
-				set(next);
+				set(next, confirmedAt);
 			} else {
 				current = next;
 			}
@@ -98,7 +104,7 @@
 		adopt(state) {
 			if (!current || state.revision > current.revision) {
 				log.info({kind, revision: state.revision, before: current?.revision ?? 0}, 'took newer state from a peer');
-				set(state);
+				set(state, contactAt);
 			}
 		},
 		contactAt: () => contactAt,
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -6,6 +6,7 @@
 import {rankOwners} from '../decide/membership/rank-owners.js';
 import {type CallerCall} from './caller-call.js';
 import {type ContextPlan, type ContextPlanner} from './create-context-planner.js';
+import {type NamedWeights} from './named-weights.js';
 import {type Placed} from './placed.js';
 import {type Prompt} from './prompt.js';
 import {type Service} from './service.js';
@@ -23,8 +24,8 @@
 	readonly serviceOf: (name: string) => Service | undefined;
 	readonly paceOf: (service: string) => ServicePace;
 	readonly planContext: ContextPlanner;
-	/** When newer weights of a model than a version were first known. */
-	readonly newerKnownAt: (model: string, version: number) => number | undefined;
+	/** The first naming of newer weights of a model than a version. */
+	readonly newerNaming: (model: string, version: number) => NamedWeights | undefined;
 	/** Time after a naming of weights by which no request begins on older ones. */
 	readonly versionMs: number;
 	/** Clock in milliseconds that counts suspensions. */
@@ -39,7 +40,7 @@
 }
 
 /** Creates the function that chooses an upstream for a request and how the request is sent there. */
-export function createPlacer({domain, book, serviceOf, paceOf, planContext, newerKnownAt, versionMs, now, elapsed, random}: PlacerOptions) {
+export function createPlacer({domain, book, serviceOf, paceOf, planContext, newerNaming, versionMs, now, elapsed, random}: PlacerOptions) {
 	const toOptions = (call: CallerCall, view: UpstreamView, urgency: number, plan: ContextPlan | undefined): Placed['options'] => {
 		const {prompt} = call.request;
 		return {
@@ -69,9 +70,9 @@
 
 		const toCandidate = (view: UpstreamView): readonly Candidate[] => {
 			const {id, weights} = view.upstream;
-			const newerAt = prompt && newerKnownAt(prompt.model, weights.get(prompt.model) ?? 0);
+			const newer = prompt && newerNaming(prompt.model, weights.get(prompt.model) ?? 0);
 			const weightsMs = weighOldWeights({
-				replacedForMs: newerAt === undefined ? undefined : elapsed() - newerAt, limitMs: versionMs, objectiveMs: route.objectiveMs,
+				replacedForMs: newer && elapsed() - newer.knownAt, isAgeKnown: newer !== undefined && Number.isFinite(newer.datedAt), limitMs: versionMs, objectiveMs: route.objectiveMs,
 			});
 			if (weightsMs === undefined) {
 				return [];
--- a/src/forwarding/create-stored-state.ts
+++ b/src/forwarding/create-stored-state.ts
@@ -1,3 +1,4 @@
+import {dateNaming} from '../decide/kept/date-naming.js';
 import {log} from '../observe/log.js';
 import {type GatewayAdapter} from './gateway-adapter.js';
 import {type GatewayState} from './gateway-state.js';
@@ -17,7 +18,8 @@
 type StoredState = {
 	readonly takeConfiguration: (objects: readonly StoredObject[]) => void;
 	readonly takeUpstreams: (objects: readonly StoredObject[]) => void;
-	readonly takeWeights: (objects: readonly StoredObject[]) => void;
+	/** @param confirmedAt - When the store had answered last before these came. */
+	readonly takeWeights: (objects: readonly StoredObject[], confirmedAt: number | undefined) => void;
 	/** The configuration in force; `undefined` before the first one. */
 	readonly state: () => GatewayState | undefined;
 	readonly serviceOf: (name: string) => Service | undefined;
@@ -25,8 +27,8 @@
 	readonly weights: () => readonly NamedWeights[];
 	/** All namings that this host has seen, oldest first. */
 	readonly namings: () => readonly NamedWeights[];
-	/** When newer weights than `version` were first known, as far back as may be; `undefined` when none are. */
-	readonly newerKnownAt: (model: string, version: number) => number | undefined;
+	/** The first naming of newer weights than `version`; `undefined` when none is known. */
+	readonly newerNaming: (model: string, version: number) => NamedWeights | undefined;
 };
 
 /** Decodes what the store says. Versions only go up; what can't be read is logged and ignored. */
@@ -39,7 +41,6 @@
 	let services: ReadonlyMap<string, Service> = new Map();
 	const weights = new Map<string, NamedWeights>();
 	const namings: NamedWeights[] = [];
-	let hasWeights = false;
 	const ignored = new Set<string>();
 
 	return {
@@ -72,16 +73,14 @@
 
 			onUpstreams(upstreams);
 		},
-		takeWeights(objects) {
-			const hadWeights = hasWeights;
-			hasWeights = true;
+		takeWeights(objects, confirmedAt) {
 			for (const {value, name: entry, revision} of objects) {
 				const named = decodeWeights(value);
 				if (!named) {
 					log.warn({entry, revision}, 'named weights can not be read, ignored');
 				} else if (named.version > (weights.get(named.model)?.version ?? 0)) {
 					const naming = {
-						...named, revision, knownAt: now(), isOld: !hadWeights,
+						...named, revision, knownAt: now(), datedAt: dateNaming(now(), confirmedAt),
 					};
 					weights.set(named.model, naming);
 					namings.push(naming);
@@ -93,9 +92,6 @@
 		serviceOf: name => services.get(name),
 		weights: () => [...weights.values()],
 		namings: () => namings,
-		newerKnownAt(model, version) {
-			const newer = namings.find(naming => naming.model === model && naming.version > version);
-			return newer?.isOld ? Number.NEGATIVE_INFINITY : newer?.knownAt;
-		},
+		newerNaming: (model, version) => namings.find(naming => naming.model === model && naming.version > version),
 	};
 }
--- a/src/forwarding/named-weights.ts
+++ b/src/forwarding/named-weights.ts
@@ -6,6 +6,6 @@
 	readonly revision: number;
 	/** When this host learned of it, in milliseconds of a clock that counts suspensions. */
 	readonly knownAt: number;
-	/** Whether it was there when this host first read the store, so that others may have known it for long. */
-	readonly isOld: boolean;
+	/** From when this host counts its use of older context; see `dateNaming`. */
+	readonly datedAt: number;
 };
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -157,9 +157,9 @@
 		now,
 		random,
 		place: createPlacer({
-			domain, book, serviceOf: stored.serviceOf, paceOf, newerKnownAt: stored.newerKnownAt, versionMs: bounds.versionMs, now, elapsed, random,
+			domain, book, serviceOf: stored.serviceOf, paceOf, newerNaming: stored.newerNaming, versionMs: bounds.versionMs, now, elapsed, random,
 			planContext: createContextPlanner({
-				book, kept, newerKnownAt: stored.newerKnownAt, weightsConfirmedAt: sync.weightsConfirmedAt, now: elapsed,
+				book, kept, newerNaming: stored.newerNaming, weightsConfirmedAt: sync.weightsConfirmedAt, now: elapsed,
 			}),
 		}),
 		paceOf,
--- /dev/null
+++ b/test/decide/forwarding/truth.test.ts
@@ -0,0 +1,114 @@
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {closeCall} from '../../../src/decide/forwarding/close-call.js';
+import {decideNextStep} from '../../../src/decide/forwarding/next-step.js';
+import {createWindowBudget} from '../../../src/decide/retries/create-window-budget.js';
+import {answers} from '../../../src/errors/answers.js';
+import {type RouteKind} from '../../../src/forwarding/route-kind.js';
+import {type SendOutcome} from '../../../src/forwarding/send-outcome.js';
+
+const head = {
+	status: 500, requestId: 'r', isSigned: true, isNotRun: false, isEncoded: false, upstreamId: undefined, weightVersion: undefined, headers: [],
+};
+const notRun: SendOutcome = {kind: 'not-run', reason: '', head: undefined};
+const broken: SendOutcome = {kind: 'broken', reason: ''};
+const failed: SendOutcome = {kind: 'failed-answer', head, body: Buffer.alloc(0)};
+
+describe('the final answer', () => {
+	test('promises that a request was not run only where that is known', () => {
+		const promises = new Set([408, 421, 429, 503]);
+		const reasons = ['no-upstream', 'overloaded', 'time-over', 'upstream-failed'] as const;
+		for (const reason of reasons) {
+			for (const ran of ['no', 'yes', 'unknown'] as const) {
+				const refusal = closeCall({
+					reason, ran, detail: '', retryAfterMs: 100,
+				});
+				expect([reason, ran, promises.has(answers[refusal.kind].status)]).toEqual([reason, ran, ran === 'no']);
+				expect(refusal.ran).toBe(ran);
+			}
+		}
+	});
+});
+
+describe('the next step', () => {
+	const progress = {
+		kind: 'idempotent' as RouteKind, isResumable: false, maxAttempts: 2, runs: 1, sends: 1, hasBegun: false, canResume: true,
+	};
+
+	test.each([
+		['an idempotent request that broke', broken, {}, 'send-again'],
+		['an idempotent request that broke at its last attempt', broken, {runs: 2}, 'close'],
+		['an idempotent request that failed at its last attempt', failed, {runs: 2}, 'deliver-failure'],
+		['an idempotent answer that broke after it began', broken, {hasBegun: true}, 'close'],
+		['a request that must run once and broke', broken, {kind: 'once'}, 'close'],
+		['a request that must run once and failed', failed, {kind: 'once'}, 'deliver-failure'],
+		['a request that must run once and was not run', notRun, {kind: 'once', runs: 0}, 'send-again'],
+		['a request that was turned away by all', notRun, {runs: 0, sends: 5}, 'close'],
+		['a stream that can\'t be resumed', broken, {kind: 'stream'}, 'close'],
+		['a stream that can be resumed', broken, {kind: 'stream', isResumable: true, hasBegun: true}, 'send-again'],
+		['a stream whose last event is not known', broken, {
+			kind: 'stream', isResumable: true, hasBegun: true, canResume: false,
+		}, 'close'],
+	] as const)('after %s', (_, outcome, changed, step) => {
+		expect(decideNextStep(outcome, {...progress, ...changed})).toBe(step);
+	});
+
+	test('never repeats what may run once and may have run', () => {
+		fc.assert(fc.property(
+			fc.record({
+				isResumable: fc.boolean(), maxAttempts: fc.integer({min: 1, max: 9}), runs: fc.nat(9), sends: fc.nat(9), hasBegun: fc.boolean(), canResume: fc.boolean(),
+			}),
+			fc.constantFrom(broken, failed),
+			(facts, outcome) => decideNextStep(outcome, {...facts, kind: 'once'}) !== 'send-again',
+		), {seed: 2});
+	});
+});
+
+describe('the retry budget of all hosts', () => {
+	const event = fc.record({host: fc.nat(3), gapMs: fc.nat(400), isRetry: fc.boolean()});
+	test('holds in every window, for whatever order of requests and retries', () => {
+		fc.assert(fc.property(fc.array(event, {maxLength: 400}), events => {
+			const [ratio, slack, windowMs, hosts] = [0.2, 8, 10_000, 4];
+			const budgets = Array.from({length: hosts}, () => createWindowBudget({
+				ratio, slack, windowMs, hosts: () => hosts,
+			}));
+			const firsts: number[] = [];
+			const repeats: number[] = [];
+			let now = 0;
+			for (const {host, gapMs, isRetry} of events) {
+				now += gapMs;
+				if (!isRetry) {
+					firsts.push(now);
+					budgets[host]!.earn(now);
+				} else if (budgets[host]!.spend(now)) {
+					repeats.push(now);
+				}
+			}
+
+			// A window of the rule may begin anywhere; it is worst where it begins at a retry.
+			return repeats.every(from => {
+				const within = (times: readonly number[]): number => times.filter(time => time >= from && time < from + windowMs).length;
+				const before = (times: readonly number[]): number => times.filter(time => time >= from - windowMs && time < from).length;
+				const between = firsts.filter(time => time >= from - (windowMs / 2) && time < from + (windowMs / 2)).length;
+				return within(repeats) <= (ratio * Math.max(within(firsts), before(firsts), between)) + slack + hosts;
+			});
+		}), {seed: 3, numRuns: 300});
+	});
+
+	test('never lets retries pass the ratio while requests come steadily', () => {
+		const budget = createWindowBudget({
+			ratio: 0.2, slack: 0, windowMs: 10_000, hosts: () => 1,
+		});
+		const spent: number[] = [];
+		for (let now = 0; now < 60_000; now += 10) {
+			budget.earn(now);
+			if (budget.spend(now)) {
+				spent.push(now);
+			}
+		}
+
+		for (let from = 0; from < 50_000; from += 100) {
+			expect(spent.filter(time => time >= from && time < from + 10_000).length).toBeLessThanOrEqual(0.2 * 1000);
+		}
+	});
+});
--- /dev/null
+++ b/test/decide/kept/free.test.ts
@@ -0,0 +1,114 @@
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {canFree} from '../../../src/decide/kept/can-free.js';
+import {canReadScope} from '../../../src/decide/kept/can-read-scope.js';
+import {createStoreDirectory} from '../../../src/decide/kept/create-store-directory.js';
+import {dateNaming} from '../../../src/decide/kept/date-naming.js';
+import {keptTimes} from '../../../src/decide/kept/kept-times.js';
+import {readScope} from '../../../src/decide/kept/read-scope.js';
+import {writeScope} from '../../../src/decide/kept/write-scope.js';
+
+const {fetchEndMs, readersEndMs, evidenceMs} = keptTimes;
+const event = (part: string, isAdded = true) => ({
+	isAdded, scope: 's', part, tokens: 100,
+});
+const news = (epoch: number, next: number, clockMs: number, events: ReadonlyArray<ReturnType<typeof event>>, hasGap = false) => ({
+	epoch, next, clockMs, events, hasGap,
+});
+
+describe('the directory of a store', () => {
+	test('knows a part until it is freed, the store restarts, or it answers no more', () => {
+		const directory = createStoreDirectory();
+		directory.take(news(1, 5, 1000, [event('a'), event('b')]), 0, 0);
+		directory.take(news(1, 6, 1200, [event('b', false)]), 200, 200);
+		expect([directory.has('s', 'a'), directory.has('s', 'b'), directory.has('t', 'a'), directory.tokens()]).toEqual([true, false, false, 100]);
+		directory.take(news(2, 3, 1400, [event('c')]), 400, 400);
+		expect([directory.has('s', 'a'), directory.has('s', 'c'), directory.next()]).toEqual([false, false, undefined]);
+		directory.take(news(2, 3, 1500, [event('c')]), 500, 500);
+		expect(directory.has('s', 'c')).toBe(true);
+		directory.lose();
+		expect(directory.has('s', 'c')).toBe(false);
+	});
+
+	test('is listed again after a gap in the events', () => {
+		const directory = createStoreDirectory();
+		directory.take(news(1, 5, 1000, [event('a')]), 0, 0);
+		directory.take(news(1, 900, 1200, [event('z')], true), 100, 100);
+		expect([directory.has('s', 'a'), directory.next()]).toEqual([false, undefined]);
+	});
+
+	test('lets a fetch end before anybody saves into the store\'s next life', () => {
+		fc.assert(fc.property(fc.nat(3000), fc.nat(2000), fc.nat(8000), (pollAge, downMs, after) => {
+			// One clock for all: a reader polled last at `lastPoll`, the store fell at `crash` and is back at `back`.
+			const lastPoll = 10_000;
+			const crash = lastPoll + pollAge;
+			const back = crash + downMs;
+			const reader = createStoreDirectory();
+			reader.take(news(1, 5, lastPoll, [event('a')]), lastPoll, lastPoll);
+			const saver = createStoreDirectory();
+			saver.take(news(1, 5, lastPoll, []), lastPoll, lastPoll);
+			saver.take(news(2, 0, back, []), back, back);
+			saver.take(news(2, 0, back, []), back, back);
+			const savesAt = back + after;
+			const until = reader.fetchUntil(crash + after);
+			return !saver.canSave(savesAt) || until === undefined || until <= savesAt;
+		}), {seed: 4});
+	});
+
+	test('allows no fetch on old news', () => {
+		const directory = createStoreDirectory();
+		directory.take(news(1, 5, 1000, [event('a')]), 0, 0);
+		expect([directory.fetchUntil(100), directory.fetchUntil(fetchEndMs)]).toEqual([1000 + fetchEndMs, undefined]);
+	});
+});
+
+describe('freeing context of replaced weights', () => {
+	test('never overtakes a reader, whatever it knows and whenever it was heard', () => {
+		const reader = fc.record({
+			/** When the reader learned of the newer weights; it may never have. */
+			learnsAt: fc.option(fc.integer({min: 0, max: 60_000}), {nil: undefined}),
+			/** How long after that it was first heard to know; it may never be. */
+			heardAfter: fc.option(fc.nat(5000), {nil: undefined}),
+			/** Its last word of the store before the naming, which is at 0. */
+			confirmedAt: fc.integer({min: -30_000, max: 0}),
+		});
+		fc.assert(fc.property(fc.array(reader, {maxLength: 6}), fc.nat(5000), fc.integer({min: 0, max: 90_000}), (readers, knownAt, freesAt) => {
+			const facts = readers.map(({learnsAt, heardAfter}) => ({
+				ackedAt: learnsAt === undefined || heardAfter === undefined || learnsAt + heardAfter > freesAt ? undefined : learnsAt + heardAfter,
+			}));
+			if (!canFree(facts, knownAt, freesAt)) {
+				return true;
+			}
+
+			return readers.every(({learnsAt, confirmedAt}) => {
+				for (let at = Math.max(0, freesAt - fetchEndMs); at <= freesAt; at += 100) {
+					const knows = learnsAt !== undefined && learnsAt <= at;
+					// A reader that has learned has had word of the store then; one that has not, had its last before the naming.
+					if (canReadScope({newerKnownAt: knows ? dateNaming(learnsAt, confirmedAt) : undefined, confirmedAt: knows ? at : confirmedAt}, at)) {
+						return false;
+					}
+				}
+
+				return true;
+			});
+		}), {seed: 5, numRuns: 2000});
+	});
+
+	test.each([
+		['no host but this one', [], 1000, 1000 + readersEndMs + fetchEndMs, false],
+		['no host but this one, later', [], 1000, 1000 + readersEndMs + fetchEndMs + 600, true],
+		['a host not heard', [{ackedAt: undefined}], 0, 30_000, false],
+		['a host not heard for long', [{ackedAt: undefined}], 0, evidenceMs + readersEndMs + fetchEndMs + 11_000, true],
+		['a host heard late', [{ackedAt: 8000}], 0, 12_000, false],
+		['a host heard early', [{ackedAt: 100}], 0, 12_000, true],
+	] as const)('with %s', (_, readers, knownAt, now, isSafe) => {
+		expect(canFree(readers, knownAt, now)).toBe(isSafe);
+	});
+
+	test('tells scopes apart', () => {
+		fc.assert(fc.property(fc.string({minLength: 1}), fc.nat(), fc.option(fc.string({minLength: 1}), {nil: undefined}), (model, version, workspace) => {
+			expect(readScope(writeScope({model, version, workspace}))).toEqual({model, version, workspace});
+		}), {seed: 6});
+		expect([readScope('else'), readScope('a/b')]).toEqual([undefined, undefined]);
+	});
+});
--- /dev/null
+++ b/test/forwarding/state.test.ts
@@ -0,0 +1,168 @@
+import {
+	afterEach, beforeEach, describe, expect, test,
+} from 'vitest';
+import {callRaw} from '../support/call-raw.js';
+import {callerBytes} from '../support/caller-bytes.js';
+import {createGateway, type TestGateway} from '../support/create-gateway.js';
+import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
+import {createUpstreamServer, type UpstreamServer} from '../support/create-upstream-server.js';
+import {platformObjects} from '../support/platform-objects.js';
+import {waitUntil} from '../support/wait-until.js';
+
+let store: StoreServer;
+let upstream: UpstreamServer;
+let gateways: TestGateway[];
+
+beforeEach(async () => {
+	store = await createStoreServer();
+	upstream = await createUpstreamServer();
+	gateways = [];
+	store.put('config', 'main', platformObjects.configuration(5));
+	store.put('servers', 'i-0', platformObjects.upstream(upstream.address));
+});
+
+afterEach(async () => {
+	await Promise.all(gateways.map(async gateway => gateway.stop()));
+	store.stop();
+	upstream.stop();
+});
+
+async function isReady(gateway: TestGateway): Promise<boolean> {
+	const {status} = await fetch(`http://${gateway.readiness}/v1/readiness`);
+	return status === 200;
+}
+
+async function start(address = store.address, changed: Record<string, unknown> = {}): Promise<TestGateway> {
+	const gateway = await createGateway(address, changed);
+	gateways.push(gateway);
+	return gateway;
+}
+
+async function startReady(): Promise<TestGateway> {
+	const gateway = await start();
+	await waitUntil('the gateway to be ready', async () => isReady(gateway));
+	return gateway;
+}
+
+const status = async (gateway: TestGateway, options: Parameters<typeof callerBytes>[0] = {}): Promise<number> => {
+	const answer = await callRaw(gateway.callers, callerBytes(options));
+	return answer.status;
+};
+
+const withoutRead = (version: number) => platformObjects.configuration(version, {routes: [platformObjects.route({path_prefix: '/other/'})]});
+
+describe('the configuration in force', () => {
+	test('follows the store, and never goes back', async () => {
+		const gateway = await startReady();
+		store.put('config', 'main', withoutRead(7));
+		await waitUntil('version 7', async () => await status(gateway) === 404);
+		store.put('config', 'main', platformObjects.configuration(6));
+		store.put('config', 'main', {version: 8, routes: 'none'});
+		expect([await status(gateway), await status(gateway, {target: '/other/x'})]).toEqual([404, 200]);
+	});
+
+	test('no longer knows a key that was taken away', async () => {
+		const gateway = await startReady();
+		expect(await status(gateway, {key: 'key-2'})).toBe(200);
+		store.put('config', 'main', platformObjects.configuration(6, {tenants: [{name: 'acme', api_keys: ['key-1']}]}));
+		await waitUntil('the key to be refused', async () => await status(gateway, {key: 'key-2'}) === 401);
+	});
+
+	test('is followed after the store has dropped its history', async () => {
+		const gateway = await startReady();
+		store.compact();
+		store.put('config', 'main', withoutRead(6));
+		await waitUntil('version 6', async () => await status(gateway) === 404);
+	});
+
+	test('comes from a peer where the store does not answer this host', async () => {
+		const other = await startReady();
+		const dead = await createStoreServer();
+		dead.faults.isSilent = true;
+		const gateway = await start(dead.address, {seeds: [other.peers]});
+		await waitUntil('the state of the peer', async () => isReady(gateway));
+		expect(await status(gateway)).toBe(200);
+		store.put('config', 'main', withoutRead(6));
+		await waitUntil('version 6 through the peer', async () => await status(gateway) === 404);
+		dead.stop();
+	});
+
+	test('is kept while the store is away, and followed when it is back', async () => {
+		const gateway = await startReady();
+		store.faults.isBusy = true;
+		store.put('config', 'main', withoutRead(6));
+		expect([200, 404]).toContain(await status(gateway));
+		store.faults.isBusy = false;
+		await waitUntil('version 6', async () => await status(gateway) === 404);
+	});
+
+	test('is awaited with a truthful refusal', async () => {
+		store.remove('config', 'main');
+		const gateway = await start();
+		const answer = await callRaw(gateway.callers, callerBytes());
+		expect([answer.status, JSON.parse(answer.body).error.ran, await isReady(gateway)]).toEqual([503, 'no', false]);
+	});
+});
+
+describe('the list of upstreams', () => {
+	test.each([
+		['a state that is not known', platformObjects.upstream('127.0.0.1:1', {state: 'odd'})],
+		['no address', {service: 'app', state: 'ready'}],
+		['a name for an address', platformObjects.upstream('localhost:1')],
+		['text', 'gibberish'],
+		['nothing', null],
+	])('leaves out an entry with %s', async (_, entry) => {
+		store.put('servers', 'i-odd', entry);
+		const gateway = await startReady();
+		const statuses = await Promise.all(Array.from({length: 6}, async () => status(gateway)));
+		expect(new Set(statuses)).toEqual(new Set([200]));
+	});
+
+	test('gets no new work to an upstream that is leaving or gone', async () => {
+		const second = await createUpstreamServer();
+		store.put('servers', 'i-1', platformObjects.upstream(second.address));
+		const gateway = await startReady();
+		store.put('servers', 'i-0', platformObjects.upstream(upstream.address, {state: 'draining'}));
+		await waitUntil('the leave to be known', async () => {
+			const before = upstream.arrived.length;
+			await Promise.all(Array.from({length: 8}, async () => status(gateway)));
+			return upstream.arrived.length === before;
+		});
+		store.remove('servers', 'i-1');
+		await waitUntil('no upstream to be left', async () => await status(gateway) === 503);
+		second.stop();
+	});
+
+	test('tells a second start under one id from the first', async () => {
+		const gateway = await startReady();
+		expect(await status(gateway)).toBe(200);
+		const again = await createUpstreamServer();
+		store.put('servers', 'i-0', platformObjects.upstream(again.address, {born: 2}));
+		await waitUntil('the new start to be used', async () => {
+			await status(gateway);
+			return again.arrived.length > 0;
+		});
+		again.stop();
+	});
+});
+
+describe('a planned stop', () => {
+	test('is not ready at once, finishes what is under way and cuts off nothing', async () => {
+		const gateway = await startReady();
+		upstream.answer = (arrived, socket) => {
+			setTimeout(() => {
+				socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${arrived.headers.get('request-id')}\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\nlate`);
+			}, 600);
+		};
+
+		const running = callRaw(gateway.callers, callerBytes({keeps: true}));
+		await waitUntil('the request to arrive', () => upstream.arrived.length > 0);
+		const drained = gateway.drain();
+		expect(await isReady(gateway)).toBe(false);
+		const during = callRaw(gateway.callers, callerBytes({keeps: true}));
+		const answers = await Promise.all([running, during]);
+		expect(answers.map(answer => [answer.status, answer.body, answer.headers.get('connection')])).toEqual([[200, 'late', 'close'], [200, 'late', 'close']]);
+		await drained;
+		gateways = [];
+	});
+});
--- a/test/support/caller-bytes.ts
+++ b/test/support/caller-bytes.ts
@@ -17,7 +17,8 @@
 
 /** Gives the bytes of a caller's request. */
 export function callerBytes(options: CallerBytesOptions = {}): string {
-	const {method = 'GET', target = '/read/x', host = 'app.example', id = `request-${calls++}`, key = 'key-1', deadlineMs = 1200, headers = '', body = '', keeps = false} = options;
+	const {method = 'GET', target = '/read/x', host = 'app.example', id = `request-${calls++}`, key = 'key-1'} = options;
+	const {deadlineMs = 1200, headers = '', body = '', keeps = false} = options;
 	const length = body === '' ? '' : `Content-Length: ${Buffer.byteLength(body)}\r\n`;
 	return `${method} ${target} HTTP/1.1\r\nHost: ${host}\r\nRequest-Id: ${id}\r\nDeadline-Ms: ${deadlineMs}\r\nX-Api-Key: ${key}\r\n${headers}${length}${keeps ? '' : 'Connection: close\r\n'}\r\n${body}`;
 }
--- a/test/support/create-store-server.ts
+++ b/test/support/create-store-server.ts
@@ -123,7 +123,7 @@
 
 	const server = createServer((req, res) => {
 		const url = new URL(req.url!, 'http://store');
-		const [, , , kind = '', name] = url.pathname.split('/').map(part => decodeURIComponent(part));
+		const [kind = '', name] = url.pathname.split('/').slice(3).map(part => decodeURIComponent(part));
 		calls.set(req.method!, (calls.get(req.method!) ?? 0) + 1);
 		let text = '';
 		req.on('data', chunk => {
--- a/test/support/create-upstream-server.ts
+++ b/test/support/create-upstream-server.ts
@@ -1,4 +1,6 @@
-import {createServer, type Socket, type Server, type AddressInfo} from 'node:net';
+import {
+	createServer, type Socket, type Server, type AddressInfo,
+} from 'node:net';
 
 /** A request as it arrived. */
 export type Arrived = {
--- a/test/support/platform-objects.ts
+++ b/test/support/platform-objects.ts
@@ -8,7 +8,9 @@
 		version,
 		routes: [
 			platformObjects.route(),
-			platformObjects.route({name: 'r-once', path_prefix: '/book/', kind: 'non_idempotent', max_attempts: 1}),
+			platformObjects.route({
+				name: 'r-once', path_prefix: '/book/', kind: 'non_idempotent', max_attempts: 1,
+			}),
 			platformObjects.route({name: 'r-long', path_prefix: '/read/long/', service: 'other'}),
 			platformObjects.route({
 				name: 'r-stream', path_prefix: '/ask/', kind: 'streaming', resumable: true, sticky: true, timeout_ms: 5000, goal_ms: 800,
