Refuse the less urgent first; fewer calls to the store

Cause: in the cold seconds after a naming of weights, short urgent requests were refused and long, less urgent ones let in, since each was held to its own objective. A less urgent request is now let in only while its first byte would not be later than the objective of the most urgent route of its service. Watches of all hosts but two wait 10 s; peers' reports tell of changes that a silent connection hides. Old context is read for 9 s after a naming.

--- a/src/decide/forwarding/admit-load.ts
+++ b/src/decide/forwarding/admit-load.ts
@@ -6,6 +6,8 @@
 	readonly waitedMs: number;
 	/** Time to the first byte that the caller aims for. */
 	readonly objectiveMs: number;
+	/** Least such time that callers of more urgent routes of the same service aim for; `undefined` where there are none. */
+	readonly urgentObjectiveMs: number | undefined;
 	/** Whether requests already wait at the best upstream. */
 	readonly isQueueing: boolean;
 	/** Uniform number from 0 to 1. */
@@ -26,14 +28,15 @@
 /**
 Admits a request, or refuses it at once when its first byte would come too late to be of use. Load pattern: more work than
 the engines can read, where each late answer makes the next ones late too; refusing what would be late keeps the others on
-time. A refused caller is asked back when the queue is expected to have gone down, spread so that those refused together do
+time. What is less urgent is refused before it makes the urgent late. A refused caller is asked back when the queue is expected to have gone down, spread so that those refused together do
 not return together.
 */
-export function admitLoad({firstByteMs, waitedMs, objectiveMs, isQueueing, draw}: LoadFacts): Admission {
-	if (!isQueueing || firstByteMs + waitedMs <= objectiveMs * lateFactor) {
+export function admitLoad({firstByteMs, waitedMs, objectiveMs, urgentObjectiveMs, isQueueing, draw}: LoadFacts): Admission {
+	const limitMs = Math.min(objectiveMs * lateFactor, urgentObjectiveMs ?? Number.POSITIVE_INFINITY);
+	if (!isQueueing || firstByteMs + waitedMs <= limitMs) {
 		return {isAdmitted: true};
 	}
 
-	const drainMs = Math.max(leastReturnMs, firstByteMs - (objectiveMs * returnShare));
+	const drainMs = Math.max(leastReturnMs, firstByteMs - (limitMs * returnShare));
 	return {isAdmitted: false, retryAfterMs: drainMs * (1 + (returnSpread * draw))};
 }
--- a/src/decide/kept/kept-times.ts
+++ b/src/decide/kept/kept-times.ts
@@ -1,7 +1,7 @@
 /** Times on which readers of stored context and the host that frees it agree, in milliseconds. */
 export const keptTimes = {
 	/** Readers go on using context of replaced weights for this long after they learn of newer ones, while engines change over. */
-	readersEndMs: 6000,
+	readersEndMs: 9000,
 	/** A reader without word of the newest weights for this long uses no stored context. */
 	evidenceMs: 20_000,
 	/** A fetch ends within this time of the store's answer that showed the part to be whole. */
--- a/src/decide/orders/plan-rollout.ts
+++ b/src/decide/orders/plan-rollout.ts
@@ -9,7 +9,7 @@
 };
 
 /** Share of a service's engines that load weights at once. */
-const loadingShare = 0.23;
+const loadingShare = 0.3;
 
 /** Engines of a service of `count` that load at once; the weight store slows down where there are more. */
 export function countLoadsAtOnce(count: number): number {
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -11,6 +11,7 @@
 import {createSender} from './create-sender.js';
 import {type ForwardingTrack} from './forwarding-track.js';
 import {type Placed} from './placed.js';
+import {type Route} from './route.js';
 import {type SendOptions} from './send-options.js';
 import {type SendOutcome} from './send-outcome.js';
 import {type UpstreamBook} from './upstream-book.js';
@@ -30,6 +31,8 @@
 	readonly book: UpstreamBook;
 	readonly budgetOf: (service: string) => WindowBudget;
 	readonly paceOf: (service: string) => ServicePace;
+	/** Least objective of the routes to a service that are more urgent than a route, in milliseconds. */
+	readonly urgentObjectiveOf: (route: Route, service: string) => number | undefined;
 	/** Chooses an upstream of a service and how the request is sent there. */
 	readonly place: (call: CallerCall, service: string, tried: ReadonlySet<string>) => Placed | undefined;
 	readonly encode: (request: CallerRequest, options: SendOptions) => string[];
@@ -78,7 +81,7 @@
 
 /** Creates the function that forwards a caller's request and sees to its final answer. */
 export function createForwarder(options: ForwarderOptions): (call: CallerCall) => Promise<void> {
-	const {book, budgetOf, paceOf, place, encode, now, random, onEnd} = options;
+	const {book, budgetOf, paceOf, urgentObjectiveOf, place, encode, now, random, onEnd} = options;
 	const send = createSender({
 		book, paceOf, encode, now,
 	});
@@ -131,7 +134,7 @@
 
 		const {firstByteMs, isQueueing} = placed;
 		const admission = admitLoad({
-			firstByteMs, isQueueing, waitedMs: now() - receivedAt, objectiveMs: route.objectiveMs, draw: random(),
+			firstByteMs, isQueueing, waitedMs: now() - receivedAt, objectiveMs: route.objectiveMs, urgentObjectiveMs: urgentObjectiveOf(route, track.service), draw: random(),
 		});
 		if (track.runs === 0 && !admission.isAdmitted) {
 			track.lastReason = `first byte expected in ${Math.round(firstByteMs)} ms, too late for the objective of ${route.objectiveMs} ms`;
--- a/src/forwarding/create-kind-watch.ts
+++ b/src/forwarding/create-kind-watch.ts
@@ -4,8 +4,9 @@
 import {type ObjectStore} from './object-store.js';
 import {type StoredObject} from './stored-object.js';
 
-const retryMs = 250;
-const retrySpreadMs = 150;
+const firstRetryMs = 200;
+const mostRetryMs = 1000;
+const retrySpread = 0.5;
 
 /** What a watch needs. */
 type KindWatchOptions = {
@@ -13,8 +14,8 @@
 	readonly store: ObjectStore;
 	readonly now: () => number;
 	readonly random: () => number;
-	/** Longest wait of one call, in milliseconds; also how long a silent connection goes unnoticed. */
-	readonly waitMs: number;
+	/** Longest wait of the next call, in milliseconds; also how long a silent connection goes unnoticed. */
+	readonly waitMs: () => number;
 	/** Takes the objects after a change, and when the store had answered last before it. */
 	readonly onChange: (objects: readonly StoredObject[], confirmedAt: number | undefined) => void;
 };
@@ -24,6 +25,7 @@
 	let current: KindState | undefined;
 	let contactAt: number | undefined;
 	let isLost = false;
+	let retryMs = firstRetryMs;
 	let hasStopped = false;
 
 	const set = (state: KindState, confirmedAt: number | undefined): void => {
@@ -34,6 +36,7 @@
 	/** @returns When the store had answered before. */
 	const noteContact = (): number | undefined => {
 		const before = contactAt;
+		retryMs = firstRetryMs;
 		contactAt = now();
 		if (isLost) {
 			isLost = false;
@@ -52,7 +55,7 @@
 	};
 
 	const follow = async (from: KindState): Promise<void> => {
-		const answer = await store.watch(kind, from.revision, waitMs);
+		const answer = await store.watch(kind, from.revision, waitMs());
 		if (!answer) {
 			log.info({kind, revision: from.revision}, 'store dropped its history, listing again');
 			await list();
@@ -92,7 +95,8 @@
 					log.warn({kind, revision: current?.revision ?? 0, error: String(error)}, 'store does not answer');
 				}
 
-				await sleep(retryMs + (random() * retrySpreadMs));
+				await sleep(retryMs * (1 + (random() * retrySpread)));
+				retryMs = Math.min(mostRetryMs, retryMs * 2);
 			}
 		}
 	};
--- a/src/forwarding/create-state-sync.ts
+++ b/src/forwarding/create-state-sync.ts
@@ -31,6 +31,8 @@
 	readonly compare: (report: HostReport) => void;
 	readonly answer: (revisions: Readonly<Record<string, number>>) => Readonly<Record<string, KindState>>;
 	readonly changes: () => Readonly<Record<string, number>>;
+	/** When a peer's word last confirmed the newest weights; far back when none has. */
+	readonly peerConfirmedAt: () => number;
 	/** When the newest weights were last confirmed by the store, directly or through a peer. */
 	readonly weightsConfirmedAt: () => number | undefined;
 	readonly stop: () => void;
@@ -105,6 +107,7 @@
 			return state && state.changedAt > (revisions[watch.kind] ?? 0) ? [[watch.kind, state]] : [];
 		})),
 		changes: () => Object.fromEntries(watches.map(watch => [watch.kind, watch.state()?.changedAt ?? 0])),
+		peerConfirmedAt: () => peerConfirmedAt,
 		weightsConfirmedAt() {
 			const confirmedAt = Math.max(weightsWatch.contactAt() ?? Number.NEGATIVE_INFINITY, peerConfirmedAt);
 			return weightsWatch.state() && Number.isFinite(confirmedAt) ? confirmedAt : undefined;
--- a/src/forwarding/create-stored-state.ts
+++ b/src/forwarding/create-stored-state.ts
@@ -4,6 +4,7 @@
 import {type GatewayState} from './gateway-state.js';
 import {type NamedWeights} from './named-weights.js';
 import {prepareConfiguration} from './prepare-configuration.js';
+import {type Route} from './route.js';
 import {type Service} from './service.js';
 import {type StoredObject} from './stored-object.js';
 import {type Upstream} from './upstream.js';
@@ -23,6 +24,8 @@
 	/** The configuration in force; `undefined` before the first one. */
 	readonly state: () => GatewayState | undefined;
 	readonly serviceOf: (name: string) => Service | undefined;
+	/** Least objective of the routes to a service that are more urgent than a route, in milliseconds. */
+	readonly urgentObjectiveOf: (route: Route, service: string) => number | undefined;
 	/** The newest weights named for each model. */
 	readonly weights: () => readonly NamedWeights[];
 	/** All namings that this host has seen, oldest first. */
@@ -90,6 +93,10 @@
 		},
 		state: () => state,
 		serviceOf: name => services.get(name),
+		urgentObjectiveOf(route, service) {
+			const urgent = [...state?.objectives.get(service) ?? []].filter(([priority]) => priority < route.priority).map(([, objectiveMs]) => objectiveMs);
+			return urgent.length > 0 ? Math.min(...urgent) : undefined;
+		},
 		weights: () => [...weights.values()],
 		namings: () => namings,
 		newerNaming: (model, version) => namings.find(naming => naming.model === model && naming.version > version),
--- a/src/forwarding/gateway-state.ts
+++ b/src/forwarding/gateway-state.ts
@@ -6,5 +6,7 @@
 export type GatewayState = {
 	readonly configuration: Configuration;
 	readonly findRoute: RouteFinder;
+	/** Least objective by service and priority, in milliseconds. */
+	readonly objectives: ReadonlyMap<string, ReadonlyMap<number, number>>;
 	readonly workspaceOf: ReadonlyMap<string, Workspace>;
 };
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {createServicePace} from './decide/forwarding/create-service-pace.js';
+import {rankOwners} from './decide/membership/rank-owners.js';
 import {createWindowBudget} from './decide/retries/create-window-budget.js';
 import {createCallerPort} from './forwarding/create-caller-port.js';
 import {createContextPlanner} from './forwarding/create-context-planner.js';
@@ -19,6 +20,7 @@
 import {createUpstreamBook} from './forwarding/create-upstream-book.js';
 import {type GatewayAdapter} from './forwarding/gateway-adapter.js';
 import {type HostReport} from './forwarding/host-report.js';
+import {type StoredObject} from './forwarding/stored-object.js';
 import {parseAddress} from './http/parse-address.js';
 import {log} from './observe/log.js';
 import {createPeerCaller} from './peers/create-peer-caller.js';
@@ -29,8 +31,11 @@
 import {sleep} from './util/sleep.js';
 
 const msPerS = 1000;
-/** Bounds how long a change goes unnoticed where a connection to the store has gone silent. */
-const watchMs = 2000;
+/** A few hosts ask the store again this often, which bounds how long a silent connection hides a change from them. */
+const closeWatchMs = 2000;
+const closeWatchers = 2;
+/** The other hosts ask less often: reports of peers tell them of changes that their own connection does not bring. */
+const watchMs = 10_000;
 /** Time beyond a watch's wait after which the store is taken for silent. */
 const watchSilenceMs = 900;
 /** An engine that takes new weights is passed over for this long after each report of it. */
@@ -117,12 +122,17 @@
 		onServices: kept.apply,
 		onUpstreams: book.apply,
 	}, elapsed);
+	const takeWeights = (objects: readonly StoredObject[], confirmedAt: number | undefined): void => {
+		stored.takeWeights(objects, Math.max(confirmedAt ?? Number.NEGATIVE_INFINITY, sync.peerConfirmedAt()));
+	};
+
 	const watches = [
 		[kinds.configuration, stored.takeConfiguration] as const,
 		[kinds.upstreams, stored.takeUpstreams] as const,
-		[kinds.weights, stored.takeWeights] as const,
+		[kinds.weights, takeWeights] as const,
 	].map(([kind, onChange]) => createKindWatch({
-		kind, store, now: elapsed, random, waitMs: watchMs, onChange,
+		kind, store, now: elapsed, random, onChange,
+		waitMs: () => rankOwners([name, ...others()], kind).indexOf(name) < closeWatchers ? closeWatchMs : watchMs,
 	}));
 	const sync = createStateSync({
 		watches,
@@ -163,6 +173,7 @@
 			}),
 		}),
 		paceOf,
+		urgentObjectiveOf: stored.urgentObjectiveOf,
 		encode: adapter.encodeRequest,
 		onEnd({route}, result, tookMs) {
 			metrics.ended.inc({kind: route.kind, result});
