--- a/src/commands/gateway.ts
+++ b/src/commands/gateway.ts
@@ -41,6 +41,15 @@
 			}, exitFlushMs);
 		};
 
+		const fail = (error: unknown): void => {
+			log.fatal({error: String((error as Error | undefined)?.stack ?? error)}, 'host failed inside, stopping');
+			setTimeout(() => {
+				process.exit(1);
+			}, exitFlushMs);
+		};
+
+		process.on('uncaughtException', fail);
+		process.on('unhandledRejection', fail);
 		process.on('SIGTERM', () => {
 			void leave();
 		});
--- a/test/forwarding/answers.test.ts
+++ b/test/forwarding/answers.test.ts
@@ -161,6 +161,10 @@
 				}, 50);
 			});
 		}],
+		['a body without a length that is reset with its last bytes', (arrived: Arrived, socket: Socket) => {
+			socket.write(`HTTP/1.1 200 OK\r\n${signed(arrived)}\r\nhalf`);
+			socket.resetAndDestroy();
+		}],
 		['a body without a length that is reset', (arrived: Arrived, socket: Socket) => {
 			socket.write(`HTTP/1.1 200 OK\r\n${signed(arrived)}\r\nhalf`, () => {
 				setTimeout(() => {
