--- a/src/decide/forwarding/next-step.ts
+++ b/src/decide/forwarding/next-step.ts
@@ -12,7 +12,7 @@
 	readonly sends: number;
 	/** Whether bytes of an answer have gone to the caller. */
 	readonly hasBegun: boolean;
-	/** Whether a stream can go on at another upstream: nothing was delivered, or the id of the last event is known. */
+	/** Whether a stream can go on at another upstream: no event was delivered, or the id of the last one is known. */
 	readonly canResume: boolean;
 };
 
--- /dev/null
+++ b/src/forwarding/create-crash-watch.ts
@@ -0,0 +1,92 @@
+import {createPoisonRegister} from '../decide/poison/create-poison-register.js';
+import {log} from '../observe/log.js';
+import {digest} from '../util/digest.js';
+import {type CallerCall} from './caller-call.js';
+import {type EngineControl} from './engine-control.js';
+import {type Upstream} from './upstream.js';
+
+/** Other hosts are told of a crash for this long. */
+const newsMs = 3000;
+/** A crashed upstream refuses connections; it is asked this long after the break. */
+const askAfterMs = 20;
+
+/** What hosts tell each other of a crash: the request's digest and the upstream's id. */
+type Crash = readonly [string, string];
+
+/** What the watch needs. */
+type CrashWatchOptions = {
+	readonly control: Pick<EngineControl, 'isUp'>;
+	readonly now: () => number;
+};
+
+/** Finds requests that crash the upstreams that run them. */
+export type CrashWatch = {
+	/** Whether a request has crashed two upstreams and is to be refused. */
+	readonly isCondemned: (call: CallerCall) => boolean;
+	/** Looks into a break without an answer. */
+	readonly noteBreak: (call: CallerCall, upstream: Upstream) => void;
+	/** Notes that a request was answered, which clears it. */
+	readonly noteAnswer: (call: CallerCall) => void;
+	/** Takes crashes that another host tells of. */
+	readonly take: (crashes: readonly Crash[]) => void;
+	/** Crashes to tell other hosts of. */
+	readonly news: () => readonly Crash[];
+};
+
+/** Creates the watch. A crash counts only if the upstream is found down after it, and each upstream counts once for a request. */
+export function createCrashWatch({control, now}: CrashWatchOptions): CrashWatch {
+	const register = createPoisonRegister();
+	/** Crashes seen, with their time; the first makes a suspect and the second condemns. */
+	const seen = new Map<string, {readonly crash: Crash; readonly at: number; readonly isOwn: boolean}>();
+	let suspects = 0;
+
+	const toDigest = ({request, route, workspace, body}: CallerCall): string =>
+		digest([route.name, request.method, request.target, workspace?.name ?? '', body?.toString('latin1') ?? ''].join('\n'));
+
+	const note = (crash: Crash, isOwn: boolean): void => {
+		const key = crash.join('\n');
+		if (seen.has(key)) {
+			return;
+		}
+
+		seen.set(key, {crash, at: now(), isOwn});
+		suspects++;
+		const [request, upstream] = crash;
+		if (register.isSuspect(request, now())) {
+			register.condemn(request, now());
+		} else {
+			register.suspect(request, now());
+		}
+
+		log.warn({
+			digest: request, upstream, condemned: register.isCondemned(request, now()), seenHere: isOwn,
+		}, 'request crashed an upstream');
+	};
+
+	const look = async (request: string, {id, address}: Upstream): Promise<void> => {
+		if (!await control.isUp(address)) {
+			note([request, id], true);
+		}
+	};
+
+	return {
+		isCondemned: call => suspects > 0 && register.isCondemned(toDigest(call), now()),
+		noteBreak(call, upstream) {
+			const request = toDigest(call);
+			setTimeout(() => {
+				void look(request, upstream);
+			}, askAfterMs);
+		},
+		noteAnswer(call) {
+			if (suspects > 0) {
+				register.clear(toDigest(call));
+			}
+		},
+		take(crashes) {
+			for (const crash of crashes) {
+				note(crash, false);
+			}
+		},
+		news: () => [...seen.values()].filter(({at, isOwn}) => isOwn && now() - at < newsMs).map(({crash}) => crash),
+	};
+}
--- a/src/forwarding/create-event-splitter.ts
+++ b/src/forwarding/create-event-splitter.ts
@@ -8,6 +8,7 @@
 export function createEventSplitter(): EventSplitter {
 	let rest: Buffer = empty;
 	let lastId: string | undefined;
+	let hasPassed = false;
 	return {
 		push(chunk) {
 			const all = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
@@ -17,6 +18,7 @@
 				return empty;
 			}
 
+			hasPassed = true;
 			const whole = all.subarray(0, at + separator.length);
 			rest = all.subarray(at + separator.length);
 			const id = [...whole.toString('latin1').matchAll(idLine)].at(-1)?.[1];
@@ -32,5 +34,6 @@
 			rest = empty;
 		},
 		lastId: () => lastId,
+		canResume: () => !hasPassed || lastId !== undefined,
 	};
 }
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -9,6 +9,7 @@
 import {type CallerRequest} from './caller-request.js';
 import {createEventSplitter} from './create-event-splitter.js';
 import {createSender} from './create-sender.js';
+import {type CrashWatch} from './create-crash-watch.js';
 import {type ForwardingTrack} from './forwarding-track.js';
 import {type Placed} from './placed.js';
 import {type Route} from './route.js';
@@ -25,10 +26,13 @@
 /** An upstream that could not be reached gets no new requests for this long. */
 const unreachedMs = 1500;
 const brokenMs = 300;
+/** A request that crashes upstreams is not taken again for longer than callers wait. */
+const condemnedComeBackMs = 60_000;
 
 /** What the forwarder needs. */
 type ForwarderOptions = {
 	readonly book: UpstreamBook;
+	readonly crashes: Pick<CrashWatch, 'isCondemned' | 'noteBreak' | 'noteAnswer'>;
 	readonly budgetOf: (service: string) => WindowBudget;
 	readonly paceOf: (service: string) => ServicePace;
 	/** Least objective of the routes to a service that are more urgent than a route, in milliseconds. */
@@ -81,7 +85,7 @@
 
 /** Creates the function that forwards a caller's request and sees to its final answer. */
 export function createForwarder(options: ForwarderOptions): (call: CallerCall) => Promise<void> {
-	const {book, budgetOf, paceOf, urgentObjectiveOf, place, encode, now, random, onEnd} = options;
+	const {book, crashes, budgetOf, paceOf, urgentObjectiveOf, place, encode, now, random, onEnd} = options;
 	const send = createSender({
 		book, paceOf, encode, now,
 	});
@@ -116,7 +120,7 @@
 			}
 
 			book.avoid(upstreamId, now() + (head ? turnedAwayMs : unreachedMs));
-		} else if (outcome.kind === 'broken') {
+		} else if (outcome.kind === 'broken' && !outcome.isGivenUp) {
 			book.avoid(upstreamId, now() + brokenMs);
 		}
 	};
@@ -127,6 +131,11 @@
 			return {reason: 'time-over'};
 		}
 
+		if (crashes.isCondemned(call)) {
+			track.lastReason = 'this request crashed the upstreams that ran it';
+			return {reason: 'no-upstream', retryAfterMs: condemnedComeBackMs};
+		}
+
 		const placed = place(call, track.service, track.tried);
 		if (!placed) {
 			return {reason: 'no-upstream'};
@@ -156,7 +165,7 @@
 		runs: track.runs,
 		sends: track.sends,
 		hasBegun: answer.hasBegun(),
-		canResume: !answer.hasBegun() || track.splitter?.lastId() !== undefined,
+		canResume: track.splitter?.canResume() ?? false,
 	});
 
 	const deliverFailure = ({answer}: CallerCall, {head, body}: Extract<SendOutcome, {kind: 'failed-answer'}>): void => {
@@ -176,10 +185,15 @@
 		const outcome = await send(call, track, placed);
 		noteRun(track, outcome);
 		if (outcome.kind === 'answered') {
+			crashes.noteAnswer(call);
 			finish(call, track, 'answered');
 			return true;
 		}
 
+		if (outcome.kind === 'broken' && !outcome.isGivenUp && !call.answer.hasBegun()) {
+			crashes.noteBreak(call, placed.upstream);
+		}
+
 		noteUpstream(outcome, placed.upstream.id, request.prompt?.model);
 		track.tried.add(placed.upstream.id);
 		log.info({
--- a/src/forwarding/create-host-links.ts
+++ b/src/forwarding/create-host-links.ts
@@ -92,6 +92,10 @@
 	};
 
 	const send = (message: Datagram): void => {
+		if (hasStopped) {
+			return;
+		}
+
 		const bytes = Buffer.from(JSON.stringify(message));
 		for (const {reports} of known.values()) {
 			const {host, port} = parseAddress(reports);
--- a/src/forwarding/create-upstream-book.ts
+++ b/src/forwarding/create-upstream-book.ts
@@ -9,6 +9,7 @@
 
 /** Weight of the newest outcome in the share of failures. */
 const failureWeight = 0.1;
+const firstFailureStatus = 500;
 /** A request waits unusually long for an answer's head after this time and several usual ones. */
 const silentMs = 900;
 const silentFactor = 4;
@@ -167,6 +168,8 @@
 	const send = (id: string, message: UpstreamMessage, {waitingTokens, heldTokens, urgency}: SendSize, listener: AnswerListener): RunningSend => {
 		const entry = entries.get(id)!;
 		const wait = {since: now()};
+		let hasFailed = false;
+		let isGivenUp = false;
 		entry.inFlight++;
 		addTo(entry.waitingTokens, urgency, waitingTokens);
 		entry.heldTokens += heldTokens;
@@ -185,8 +188,9 @@
 			closeWhenIdle(entry);
 		};
 
-		return entry.link.send(message, {
+		const running = entry.link.send(message, {
 			onHead(head) {
+				hasFailed = head.status >= firstFailureStatus && !head.isNotRun;
 				answered();
 				entry.lastAnswerAt = now();
 				noteUsual(entry.upstream.service, now() - wait.since);
@@ -194,14 +198,21 @@
 			},
 			onData: listener.onData,
 			onEnd() {
-				ended(false);
+				ended(hasFailed);
 				listener.onEnd();
 			},
 			onFail(error, wasSent) {
-				ended(true);
+				ended(!isGivenUp);
 				listener.onFail(error, wasSent);
 			},
 		});
+		return {
+			abort(reason, isFault) {
+				isGivenUp = !isFault;
+				running.abort(reason, isFault);
+			},
+			resume: running.resume,
+		};
 	};
 
 	return {
--- a/src/forwarding/engine-control.ts
+++ b/src/forwarding/engine-control.ts
@@ -58,5 +58,7 @@
 	readonly listParts: (address: string) => Promise<PartNews>;
 	/** Frees parts, unless the store has restarted since `epoch`. */
 	readonly freeParts: (address: string, epoch: number, parts: ReadonlyArray<{readonly scope: string; readonly part: string}>) => Promise<boolean>;
+	/** Whether an address takes connections. Never throws. */
+	readonly isUp: (address: string) => Promise<boolean>;
 	readonly stop: () => Promise<void>;
 };
--- a/src/forwarding/event-splitter.ts
+++ b/src/forwarding/event-splitter.ts
@@ -7,4 +7,6 @@
 	/** Drops a part of an event that will not be completed. */
 	readonly reset: () => void;
 	readonly lastId: () => string | undefined;
+	/** Whether a stream can go on after what was passed: nothing was, or the id of the last event is known. */
+	readonly canResume: () => boolean;
 };
--- a/src/forwarding/host-links.ts
+++ b/src/forwarding/host-links.ts
@@ -27,4 +27,4 @@
 };
 
 /** Makes the report to send now. */
-export type MakeReport = () => Pick<HostReport, 'loads' | 'loading' | 'weights' | 'changes' | 'weightsAgeMs'>;
+export type MakeReport = () => Pick<HostReport, 'loads' | 'loading' | 'weights' | 'changes' | 'weightsAgeMs' | 'crashes'>;
--- a/src/forwarding/host-report.ts
+++ b/src/forwarding/host-report.ts
@@ -21,6 +21,8 @@
 	readonly loading: ReadonlyArray<readonly [string, string, number]>;
 	/** Weights that engines were found to have lately: id, model and version. */
 	readonly weights: ReadonlyArray<readonly [string, string, number]>;
+	/** Requests that have lately crashed an upstream: digest and upstream. */
+	readonly crashes: ReadonlyArray<readonly [string, string]>;
 	/** Revision of the last change that the host knows, by kind of stored objects. */
 	readonly changes: Readonly<Record<string, number>>;
 	/** Age of the store's last word on the newest weights, in milliseconds; `undefined` when there was none. */
--- a/src/forwarding/send-once.ts
+++ b/src/forwarding/send-once.ts
@@ -28,7 +28,7 @@
 		const kept: Buffer[] = [];
 		let keptBytes = 0;
 		const onAbort = (): void => {
-			running.abort(signal.reason instanceof Error ? signal.reason : new Error('given up'));
+			running.abort(signal.reason instanceof Error ? signal.reason : new Error('given up'), false);
 		};
 
 		const finish = (outcome: SendOutcome): void => {
@@ -53,7 +53,7 @@
 				const use = judgeAnswer(head, requestId);
 				judged = {use, head};
 				if (use === 'unusable') {
-					running.abort(new Error(`answer with status ${head.status} can not be used`));
+					running.abort(new Error(`answer with status ${head.status} can not be used`), true);
 				} else if (use === 'deliver') {
 					if (!answer.hasBegun()) {
 						answer.begin(head.status, head.headers);
@@ -88,14 +88,14 @@
 				} else if (judged?.use === 'failed' && keptBytes <= keptFailureBytes) {
 					finish({kind: 'failed-answer', head: judged.head, body: Buffer.concat(kept)});
 				} else {
-					finish({kind: 'broken', reason: 'the answer is not usable'});
+					finish({kind: 'broken', reason: 'the answer is not usable', isGivenUp: false});
 				}
 			},
 			onFail(error, wasSent) {
 				if (judged?.use === 'not-run') {
 					finish({kind: 'not-run', reason: `upstream answered ${judged.head.status}`, head: judged.head});
 				} else if (wasSent) {
-					finish({kind: 'broken', reason: String(error.message)});
+					finish({kind: 'broken', reason: String(error.message), isGivenUp: signal.aborted});
 				} else {
 					finish({kind: 'not-run', reason: String(error.message), head: undefined});
 				}
--- a/src/forwarding/upstream-link.ts
+++ b/src/forwarding/upstream-link.ts
@@ -12,8 +12,11 @@
 
 /** A request on its way. */
 export type RunningSend = {
-	/** Gives the request up and closes its connection, unless it has ended. */
-	readonly abort: (reason: Error) => void;
+	/**
+	Gives the request up and closes its connection, unless it has ended.
+	@param isFault - Whether the upstream is at fault.
+	*/
+	readonly abort: (reason: Error, isFault: boolean) => void;
 	readonly resume: () => void;
 };
 
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -4,6 +4,7 @@
 import {createWindowBudget} from './decide/retries/create-window-budget.js';
 import {createCallerPort} from './forwarding/create-caller-port.js';
 import {createContextPlanner} from './forwarding/create-context-planner.js';
+import {createCrashWatch} from './forwarding/create-crash-watch.js';
 import {createForwarder} from './forwarding/create-forwarder.js';
 import {createFreeTask} from './forwarding/create-free-task.js';
 import {createGatewayMetrics} from './forwarding/create-gateway-metrics.js';
@@ -82,7 +83,7 @@
 			const loading = rollout.loading();
 			passOver(loading);
 			return {
-				loads: book.loads(), loading, weights: rollout.news(), changes: sync.changes(), weightsAgeMs: ageOf(sync.weightsConfirmedAt()),
+				loads: book.loads(), loading, weights: rollout.news(), changes: sync.changes(), weightsAgeMs: ageOf(sync.weightsConfirmedAt()), crashes: crashes.news(),
 			};
 		},
 		onReport(report) {
@@ -92,6 +93,7 @@
 				book.noteWeights(id, model, version);
 			}
 
+			crashes.take(report.crashes);
 			sync.compare(report);
 			free.noteReport(report);
 		},
@@ -115,6 +117,7 @@
 		}
 	};
 
+	const crashes = createCrashWatch({control, now});
 	const kept = createKeptTask({
 		self: name, peers: settings.peers, control, call: peerCaller.call, others, tell: links.tell, now: elapsed,
 	});
@@ -163,6 +166,7 @@
 	const paceOf = memoize((_service: string) => createServicePace());
 	const forward = createForwarder({
 		book,
+		crashes,
 		budgetOf,
 		now,
 		random,
--- a/test/decide/forwarding/truth.test.ts
+++ b/test/decide/forwarding/truth.test.ts
@@ -11,7 +11,7 @@
 	status: 500, requestId: 'r', isSigned: true, isNotRun: false, isEncoded: false, upstreamId: undefined, weightVersion: undefined, headers: [],
 };
 const notRun: SendOutcome = {kind: 'not-run', reason: '', head: undefined};
-const broken: SendOutcome = {kind: 'broken', reason: ''};
+const broken: SendOutcome = {kind: 'broken', reason: '', isGivenUp: false};
 const failed: SendOutcome = {kind: 'failed-answer', head, body: Buffer.alloc(0)};
 
 describe('the final answer', () => {
--- a/test/decide/kept/free.test.ts
+++ b/test/decide/kept/free.test.ts
@@ -99,8 +99,8 @@
 		['no host but this one, later', [], 1000, 1000 + readersEndMs + fetchEndMs + 600, true],
 		['a host not heard', [{ackedAt: undefined}], 0, 30_000, false],
 		['a host not heard for long', [{ackedAt: undefined}], 0, evidenceMs + readersEndMs + fetchEndMs + 11_000, true],
-		['a host heard late', [{ackedAt: 8000}], 0, 12_000, false],
-		['a host heard early', [{ackedAt: 100}], 0, 12_000, true],
+		['a host heard late', [{ackedAt: 8000}], 0, 8000 + readersEndMs + fetchEndMs, false],
+		['a host heard early', [{ackedAt: 100}], 0, readersEndMs + fetchEndMs + 700, true],
 	] as const)('with %s', (_, readers, knownAt, now, isSafe) => {
 		expect(canFree(readers, knownAt, now)).toBe(isSafe);
 	});
--- /dev/null
+++ b/test/decide/rollout.test.ts
@@ -0,0 +1,96 @@
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {createLease} from '../../src/decide/orders/create-lease.js';
+import {countLoadsAtOnce, planRollout} from '../../src/decide/orders/plan-rollout.js';
+import {weighOldWeights} from '../../src/decide/forwarding/weigh-old-weights.js';
+import {createElapsedClock} from '../../src/util/create-elapsed-clock.js';
+
+const engine = fc.record({
+	id: fc.uuid(), version: fc.integer({min: 1, max: 4}), inFlight: fc.nat(50), isBusy: fc.boolean(),
+});
+
+describe('the plan of a roll-out', () => {
+	test('orders as many engines as load well at once, none that is busy or done, the oldest weights and the emptiest first', () => {
+		fc.assert(fc.property(fc.uniqueArray(engine, {selector: ({id}) => id, maxLength: 40}), engines => {
+			const planned = planRollout(engines, 3);
+			const busy = engines.filter(({isBusy}) => isBusy).length;
+			const chosen = planned.map(id => engines.find(candidate => candidate.id === id)!);
+			const rest = engines.filter(({id, isBusy, version}) => !planned.includes(id) && !isBusy && version < 3);
+			expect(planned.length + Math.min(busy, countLoadsAtOnce(engines.length))).toBeLessThanOrEqual(countLoadsAtOnce(engines.length));
+			expect(chosen.every(({isBusy, version}) => !isBusy && version < 3)).toBe(true);
+			const weigh = ({version, inFlight}: {readonly version: number; readonly inFlight: number}): number => (version * 1000) + inFlight;
+			expect(chosen.every(one => rest.every(other => weigh(one) <= weigh(other)))).toBe(true);
+		}), {seed: 7});
+	});
+
+	test.each([[1, 1], [4, 2], [6, 2], [13, 4], [50, 15]])('of %d engines loads %d at once', (count, atOnce) => {
+		expect(countLoadsAtOnce(count)).toBe(atOnce);
+	});
+});
+
+describe('the lease of a roll-out', () => {
+	test('never lets two hosts act within the lease\'s time of each other, however they pause', () => {
+		const [leaseMs, actingMs] = [3000, 1200];
+		const takeMs = leaseMs + actingMs + 300;
+		const step = fc.record({host: fc.nat(2), gapMs: fc.nat(900), writes: fc.boolean()});
+		fc.assert(fc.property(fc.array(step, {maxLength: 200}), steps => {
+			let stored = {version: 0, token: 0};
+			let now = 0;
+			const leases = Array.from({length: 3}, () => createLease(0, {leaseMs: takeMs, marginMs: takeMs - actingMs}));
+			let last: {host: number; at: number; token: number} | undefined;
+			for (const {host, gapMs, writes} of steps) {
+				now += gapMs;
+				const lease = leases[host]!;
+				const held = lease.fencing(now);
+				if (held === undefined) {
+					lease.observe(stored.version, stored.token, now);
+				}
+
+				if (writes && (held !== undefined || lease.canTake(now)) && lease.version() === stored.version) {
+					stored = {version: stored.version + 1, token: held ?? stored.token + 1};
+					lease.renewed(stored.version, stored.token, now);
+				}
+
+				const token = lease.fencing(now);
+				if (token === undefined) {
+					continue;
+				}
+
+				// The host acts now: another one's last act lies a whole lease back, and its token is lower.
+				if (last && last.host !== host && (now - last.at < leaseMs || token <= last.token)) {
+					return false;
+				}
+
+				last = {host, at: now, token};
+			}
+
+			return true;
+		}), {seed: 8, numRuns: 500});
+	});
+
+	test('counts the time of a suspension, which the steady clock leaves out', () => {
+		let steady = 0;
+		let day = 1000;
+		const clock = createElapsedClock(() => steady, () => day);
+		const pass = (steadyMs: number, dayMs: number): number => {
+			steady += steadyMs;
+			day += dayMs;
+			return clock();
+		};
+
+		expect([pass(100, 100), pass(10, 5010), pass(100, 100), pass(100, -3000), pass(100, 100)]).toEqual([100, 5110, 5210, 5310, 5410]);
+	});
+});
+
+describe('an engine with replaced weights', () => {
+	test.each([
+		['none are newer', undefined, true, 0],
+		['newer ones were named just now', 100, true, 100],
+		['newer ones were named long ago', 9600, true, undefined],
+		['it is not known when newer ones were named', 100, false, 400],
+	] as const)('is put back as it should when %s', (_, replacedForMs, isAgeKnown, expected) => {
+		expect(weighOldWeights({
+			replacedForMs, isAgeKnown, limitMs: 12_000, objectiveMs: 400,
+		})).toBe(expected);
+	});
+});
--- /dev/null
+++ b/test/forwarding/rollout.test.ts
@@ -0,0 +1,155 @@
+import {createServer, type Server} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {
+	afterEach, beforeEach, describe, expect, test,
+} from 'vitest';
+import {createGateway, type TestGateway} from '../support/create-gateway.js';
+import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
+import {platformObjects} from '../support/platform-objects.js';
+import {waitUntil} from '../support/wait-until.js';
+
+/** An engine that takes orders. */
+type Engine = {
+	readonly address: string;
+	readonly orders: Array<{readonly version: number; readonly holder: string; readonly fencing_token: number; readonly expect: number}>;
+	version: number;
+	/** Whether orders are carried out without an answer. */
+	isMute: boolean;
+	readonly stop: () => void;
+};
+
+const loadMs = 150;
+
+async function createEngine(): Promise<Engine> {
+	let seen = 0;
+	let isBusy = false;
+	const server: Server = createServer((req, res) => {
+		const answer = (status: number, body: unknown = {}): void => {
+			res.writeHead(status, {'content-type': 'application/json'});
+			res.end(JSON.stringify(body));
+		};
+
+		if (req.url === '/v1/report') {
+			answer(200, {models: [{name: 'm', version: engine.version}], busy: isBusy, seq: engine.orders.length});
+			return;
+		}
+
+		let text = '';
+		req.on('data', chunk => {
+			text += String(chunk);
+		});
+		req.on('end', () => {
+			const order = JSON.parse(text) as Engine['orders'][number];
+			if (order.fencing_token < seen) {
+				answer(412);
+			} else if (isBusy || order.expect !== engine.orders.length) {
+				answer(409);
+			} else {
+				seen = order.fencing_token;
+				isBusy = true;
+				engine.orders.push(order);
+				setTimeout(() => {
+					isBusy = false;
+					engine.version = order.version;
+				}, loadMs);
+				if (!engine.isMute) {
+					answer(202);
+				}
+			}
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const engine: Engine = {
+		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		orders: [],
+		version: 1,
+		isMute: false,
+		stop() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+	return engine;
+}
+
+let store: StoreServer;
+let engines: readonly Engine[];
+let gateways: TestGateway[];
+
+beforeEach(async () => {
+	store = await createStoreServer();
+	engines = await Promise.all(Array.from({length: 5}, async () => createEngine()));
+	gateways = [];
+	store.put('config', 'main', platformObjects.configuration(1));
+	for (const [index, engine] of engines.entries()) {
+		store.put('servers', `e-${index}`, platformObjects.upstream(engine.address, {models: [{name: 'm', version: 1, adapters: []}]}));
+	}
+});
+
+afterEach(async () => {
+	await Promise.all(gateways.map(async gateway => gateway.stop()));
+	store.stop();
+	for (const engine of engines) {
+		engine.stop();
+	}
+});
+
+async function start(count: number, leaseMs = 1000): Promise<void> {
+	gateways = await Promise.all(Array.from({length: count}, async () => createGateway(store.address, {bounds: {leaseMs}})));
+	await waitUntil('the hosts to be ready', async () => {
+		const answers = await Promise.all(gateways.map(async gateway => fetch(`http://${gateway.readiness}/v1/readiness`)));
+		return answers.every(answer => answer.status === 200);
+	});
+}
+
+const allOrders = () => engines.flatMap(engine => engine.orders);
+
+describe('a roll-out of weights', () => {
+	test('is given by one host at a time, once to each engine', async () => {
+		await start(3);
+		store.put('versions', 'm', {model: 'm', version: 2});
+		await waitUntil('all engines to have version 2', () => engines.every(engine => engine.version === 2));
+		expect(engines.map(engine => engine.orders.length)).toEqual([1, 1, 1, 1, 1]);
+		expect(new Set(allOrders().map(order => order.holder)).size).toBe(1);
+	});
+
+	test('goes to the newest version, with the oldest weights first, when another is named midway', async () => {
+		await start(2);
+		store.put('versions', 'm', {model: 'm', version: 2});
+		await waitUntil('the first engine to have version 2', () => engines.some(engine => engine.version === 2));
+		store.put('versions', 'm', {model: 'm', version: 3});
+		await waitUntil('all engines to have version 3', () => engines.every(engine => engine.version === 3));
+		for (const engine of engines) {
+			const versions = engine.orders.map(order => order.version);
+			expect(versions).toEqual(versions.toSorted((a, b) => a - b));
+		}
+	});
+
+	test('goes on where an order is carried out and not answered', async () => {
+		engines[0]!.isMute = true;
+		await start(2);
+		store.put('versions', 'm', {model: 'm', version: 2});
+		await waitUntil('all engines to have version 2', () => engines.every(engine => engine.version === 2));
+		expect(engines.map(engine => engine.orders.length)).toEqual([1, 1, 1, 1, 1]);
+	});
+
+	test('is taken over with a higher token when its holder has gone', async () => {
+		await start(2, 800);
+		store.put('hemlockpier-leases', 'rollout', {
+			holder: 'host-gone', run: 'x', token: 7, isReleased: false, renewals: 1,
+		});
+		store.put('versions', 'm', {model: 'm', version: 2});
+		await waitUntil('all engines to have version 2', () => engines.every(engine => engine.version === 2));
+		expect(new Set(allOrders().map(order => order.fencing_token))).toEqual(new Set([8]));
+	});
+
+	test('survives a lost answer to the write of the lease', async () => {
+		await start(1);
+		store.faults.losesNextWrite = true;
+		store.put('versions', 'm', {model: 'm', version: 2});
+		await waitUntil('all engines to have version 2', () => engines.every(engine => engine.version === 2));
+		expect(new Set(allOrders().map(order => order.fencing_token)).size).toBe(1);
+	});
+});
--- /dev/null
+++ b/test/forwarding/streams.test.ts
@@ -0,0 +1,142 @@
+import {type Socket} from 'node:net';
+import {
+	afterAll, beforeAll, describe, expect, test,
+} from 'vitest';
+import {callRaw, type RawAnswer} from '../support/call-raw.js';
+import {callerBytes} from '../support/caller-bytes.js';
+import {createGateway, type TestGateway} from '../support/create-gateway.js';
+import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
+import {createUpstreamServer, type Arrived, type UpstreamServer} from '../support/create-upstream-server.js';
+import {platformObjects} from '../support/platform-objects.js';
+import {waitUntil} from '../support/wait-until.js';
+
+let store: StoreServer;
+let gateway: TestGateway;
+let upstreams: readonly UpstreamServer[];
+
+beforeAll(async () => {
+	store = await createStoreServer();
+	upstreams = await Promise.all([createUpstreamServer(), createUpstreamServer()]);
+	const {routes} = platformObjects.configuration(1);
+	store.put('config', 'main', platformObjects.configuration(1, {
+		routes: [...routes, platformObjects.route({
+			name: 'r-short', path_prefix: '/check/', kind: 'streaming', sticky: true, max_attempts: 2,
+		})],
+	}));
+	for (const [index, upstream] of upstreams.entries()) {
+		store.put('servers', `i-${index}`, platformObjects.upstream(upstream.address));
+	}
+
+	gateway = await createGateway(store.address, {bounds: {retrySlack: 1000}});
+	await waitUntil('the gateway to be ready', async () => {
+		const {status} = await fetch(`http://${gateway.readiness}/v1/readiness`);
+		return status === 200;
+	});
+});
+
+afterAll(async () => {
+	await gateway.stop();
+	store.stop();
+	for (const upstream of upstreams) {
+		upstream.stop();
+	}
+});
+
+const toEvents = (from: number, to: number): string => Array.from({length: to - from}, (_, index) => `id: ${from + index}\ndata: piece ${from + index}\n\n`).join('');
+const toChunk = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+
+/** Answers with events up to `breakAt` and half of the next event; a resumed request gets the rest. */
+function answerInParts(breakAt: number): {readonly arrived: Arrived[]; readonly first: () => Socket} {
+	const arrived: Arrived[] = [];
+	let first: Socket | undefined;
+	for (const upstream of upstreams) {
+		upstream.answer = (request, socket) => {
+			arrived.push(request);
+			const after = request.headers.get('last-event-id');
+			const from = after === undefined ? 0 : Number(after) + 1;
+			const id = request.headers.get('request-id');
+			socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Seal: run-${arrived.length}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`);
+			if (arrived.length === 1) {
+				first = socket;
+				socket.write(toChunk(`${toEvents(from, breakAt)}id: ${breakAt}\ndata: pie`));
+				return;
+			}
+
+			socket.write(`${toChunk(toEvents(from, 8))}0\r\n\r\n`);
+		};
+	}
+
+	return {arrived, first: () => first!};
+}
+
+/** Sends a request and does something once `text` has come back. */
+async function callAndBreak(bytes: string, text: string, onText: () => void): Promise<RawAnswer> {
+	return callRaw(gateway.callers, bytes, socket => {
+		let got = '';
+		socket.on('data', chunk => {
+			const had = got.includes(text);
+			got += chunk.toString('latin1');
+			if (!had && got.includes(text)) {
+				onText();
+			}
+		});
+	});
+}
+
+const breaks: ReadonlyArray<readonly [string, (socket: Socket) => void]> = [
+	['a close', socket => socket.destroy()],
+	['a reset', socket => socket.resetAndDestroy()],
+	['bytes that are no chunk', socket => socket.write('zzz\r\n')],
+];
+
+describe('a stream that breaks in the middle of an event', () => {
+	test.each(breaks)('by %s goes on at another upstream, without a gap and under its first head', async (_, end) => {
+		const {arrived, first} = answerInParts(3);
+		const got = await callAndBreak(callerBytes({
+			method: 'POST', target: '/ask/x', body: 'prompt', deadlineMs: 4000,
+		}), 'piece 2', () => {
+			end(first());
+		});
+		expect([got.status, got.isWhole, got.body]).toEqual([200, true, toEvents(0, 8)]);
+		expect(got.headers.get('response-seal')).toBe('run-1');
+		expect(arrived.map(request => request.headers.get('last-event-id'))).toEqual([undefined, '2']);
+		expect(arrived[0]!.headers.get('expect-instance')).not.toBe(arrived[1]!.headers.get('expect-instance'));
+	});
+
+	test.each(breaks)('by %s breaks for the caller too where it may not be resumed', async (_, end) => {
+		const {arrived, first} = answerInParts(3);
+		const got = await callAndBreak(callerBytes({
+			method: 'POST', target: '/check/x', body: 'prompt', deadlineMs: 1400,
+		}), 'piece 2', () => {
+			end(first());
+		});
+		expect([got.status, got.isWhole, arrived.length]).toEqual([200, false, 1]);
+		expect(toEvents(0, 8).startsWith(got.body.replace(/id: 3\ndata: pie.*$/sv, ''))).toBe(true);
+	});
+});
+
+describe('a stream that breaks after its head and before its first event', () => {
+	test('begins anew at another upstream', async () => {
+		const {arrived, first} = answerInParts(0);
+		const called = callRaw(gateway.callers, callerBytes({
+			method: 'POST', target: '/ask/x', body: 'prompt', deadlineMs: 4000,
+		}));
+		await waitUntil('the first send', () => arrived.length === 1);
+		first().resetAndDestroy();
+		const got = await called;
+		expect([got.status, got.isWhole, got.body, arrived.length]).toEqual([200, true, toEvents(0, 8), 2]);
+	});
+});
+
+describe('a stream that the caller resumes', () => {
+	test('goes to the upstream from where the caller left off', async () => {
+		const {arrived} = answerInParts(8);
+		arrived.push({
+			method: '', target: '', headers: new Map(), rawHeaders: '', body: Buffer.alloc(0), connection: -1,
+		});
+		const got = await callRaw(gateway.callers, callerBytes({
+			method: 'POST', target: '/ask/x', body: 'prompt', deadlineMs: 4000, headers: 'Last-Event-Id: 4\r\n',
+		}));
+		expect([got.body, got.isWhole]).toEqual([toEvents(5, 8), true]);
+	});
+});
