--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -111,6 +111,11 @@
 		onEnd(call, result, tookMs);
 	};
 
+	const leave = (call: CallerCall, track: ForwardingTrack): void => {
+		call.answer.break();
+		finish(call, track, 'caller-gone');
+	};
+
 	const noteUpstream = (outcome: SendOutcome, upstreamId: string, model: string | undefined): void => {
 		if (outcome.kind === 'not-run') {
 			const {head} = outcome;
@@ -199,6 +204,11 @@
 		log.info({
 			requestId: request.id!, upstream: placed.upstream.id, outcome: outcome.kind, detail: track.lastReason, runs: track.runs,
 		}, 'send failed');
+		if (call.signal.aborted) {
+			leave(call, track);
+			return true;
+		}
+
 		const next = decideNext(call, track, outcome);
 		if (next === 'send-again') {
 			track.splitter?.reset();
@@ -216,7 +226,7 @@
 	};
 
 	return async call => {
-		const {route, answer, signal} = call;
+		const {route, signal} = call;
 		const service = chooseTarget(route.targets, random());
 		const track = startTrack(call, service ?? '');
 		if (service === undefined) {
@@ -227,8 +237,7 @@
 		budgetOf(service).earn(now());
 		for (;;) {
 			if (signal.aborted) {
-				answer.break();
-				finish(call, track, 'caller-gone');
+				leave(call, track);
 				return;
 			}
 
