Reports and news grow with the hosts of a domain, not with the square of all hosts

Cause: every host reported to every other each 0.1 s: 830 datagrams a second and host at 84 hosts. Hosts of other failure domains now get reports in proportion less often (a constant number a second in all), polls of stores become rarer the more hosts hear of them, and the stores' order for a part is worked out once a request.

--- a/src/forwarding/create-context-planner.ts
+++ b/src/forwarding/create-context-planner.ts
@@ -42,8 +42,14 @@
 	return {model, version, workspace: workspace?.isIsolated ? workspace.name : undefined};
 }
 
-/** Plans a prompt at an engine. */
-export type ContextPlanner = (prompt: Prompt, upstream: Upstream, engine: NonNullable<Service['engine']>, workspace: Workspace | undefined, tokensPerMs: number) => ContextPlan;
+/** Prepares the plans of one request: the result plans its prompt at an engine. */
+export type ContextPlanner = (prompt: Prompt, engine: NonNullable<Service['engine']>, workspace: Workspace | undefined, tokensPerMs: number) => (upstream: Upstream) => ContextPlan;
+
+/** Orders stores for a shared part, the same on every host, so that hosts that save a part at once choose the same store. */
+function orderStores(stores: readonly KeptStore[], part: string): readonly KeptStore[] {
+	const names = rankOwners(stores.map(store => store.name), part);
+	return names.map(name => stores.find(store => store.name === name)!);
+}
 
 /** Creates the planner of kept context. */
 export function createContextPlanner({book, kept, newerNaming, weightsConfirmedAt, now}: ContextPlannerOptions): ContextPlanner {
@@ -74,15 +80,13 @@
 		};
 	};
 
-	return (prompt, upstream, engine, workspace, tokensPerMs) => {
+	const planAt = (request: Parameters<ContextPlanner>, stores: readonly KeptStore[], upstream: Upstream): ContextPlan => {
+		const [prompt, engine, workspace, tokensPerMs] = request;
 		const scope = toScope(prompt.model, upstream.weights.get(prompt.model) ?? 0, workspace);
 		const text = writeScope(scope);
-		const views = kept.stores().map(store => toStoreView(store, scope, engine, upstream.domain));
-		const [, shared] = prompt.parts.toReversed();
-		const order = rankOwners(views.map(view => view.name), shared?.id ?? '');
 		const plan = planKeptContext({
 			parts: prompt.parts,
-			stores: views.toSorted((a, b) => order.indexOf(a.name) - order.indexOf(b.name)),
+			stores: stores.map(store => toStoreView(store, scope, engine, upstream.domain)),
 			engineHas: part => lastEngine.get(`${text}\n${part}`) === upstream.id,
 			otherEngine(part) {
 				const other = lastEngine.get(`${text}\n${part}`);
@@ -106,4 +110,10 @@
 			},
 		};
 	};
+
+	return (...request) => {
+		const [prompt] = request;
+		const stores = orderStores(kept.stores(), prompt.parts.at(-2)?.id ?? '');
+		return upstream => planAt(request, stores, upstream);
+	};
 }
--- a/src/forwarding/create-host-links.ts
+++ b/src/forwarding/create-host-links.ts
@@ -7,9 +7,13 @@
 import {type KeptNews} from './kept-news.js';
 import {type ObjectStore} from './object-store.js';
 
+/** Hosts of one failure domain, which share most of their upstreams, report to each other this often. */
 const reportMs = 100;
-/** A host whose reports stay out for this long counts as unreachable. */
+/** Reports to other failure domains are as frequent up to this many hosts, and then rarer in proportion. */
+const frequentHosts = 10;
+/** A host whose reports stay out for several of their intervals, and at least for this long, counts as unreachable. */
 const silentMs = 1200;
+const silentReports = 4;
 /** How often the hosts registered in the store are read again. */
 const listMs = 15_000;
 const retryMs = 1000;
@@ -39,8 +43,9 @@
 	const known = new Map<string, KnownHost>();
 	const socket = createSocket('udp4');
 	let hasStopped = false;
+	let turn = 0;
 
-	const isAlive = (host: KnownHost): boolean => host.heardAt !== undefined && now() - host.heardAt < silentMs;
+	const isAlive = ({heardAt, everyMs}: KnownHost): boolean => heardAt !== undefined && now() - heardAt < Math.max(silentMs, everyMs * silentReports);
 
 	const hear = (report: HostReport): void => {
 		const before = known.get(report.host);
@@ -49,7 +54,7 @@
 		}
 
 		known.set(report.host, {
-			host: report.host, domain: report.domain, peers: report.peers, reports: report.reports, heardAt: now(),
+			host: report.host, domain: report.domain, peers: report.peers, reports: report.reports, heardAt: now(), everyMs: report.everyMs,
 		});
 		onReport(report);
 	};
@@ -68,7 +73,7 @@
 		for (const {value} of objects) {
 			const entry = value as HostReport;
 			if (entry.host !== self.host && !known.has(entry.host)) {
-				known.set(entry.host, {...entry, heardAt: undefined});
+				known.set(entry.host, {...entry, heardAt: undefined, everyMs: reportMs});
 			}
 		}
 	};
@@ -91,13 +96,13 @@
 		}
 	};
 
-	const send = (message: Datagram): void => {
+	const send = (message: Datagram, hosts: Iterable<KnownHost>): void => {
 		if (hasStopped) {
 			return;
 		}
 
 		const bytes = Buffer.from(JSON.stringify(message));
-		for (const {reports} of known.values()) {
+		for (const {reports} of hosts) {
 			const {host, port} = parseAddress(reports);
 			// A datagram that can't be sent is like one that is lost: the next one follows soon.
 			socket.send(bytes, port, host, () => undefined);
@@ -111,7 +116,13 @@
 			}
 		}
 
-		send({report: {...self, ...makeReport()}});
+		const report = {...self, ...makeReport()};
+		const near = [...known.values()].filter(host => host.domain === self.domain);
+		const far = [...known.values()].filter(host => host.domain !== self.domain);
+		const turns = Math.max(1, Math.round(known.size / frequentHosts));
+		turn++;
+		send({report: {...report, everyMs: reportMs}}, near);
+		send({report: {...report, everyMs: reportMs * turns}}, far.filter((_, index) => (index + turn) % turns === 0));
 	};
 
 	socket.on('message', bytes => {
@@ -149,7 +160,7 @@
 		},
 		count: () => known.size + 1,
 		tell(kept) {
-			send({kept});
+			send({kept}, known.values());
 		},
 		stop() {
 			hasStopped = true;
--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -8,8 +8,11 @@
 import {type KeptNews} from './kept-news.js';
 import {type Service} from './service.js';
 
-/** Polls of one store are this far apart, so that each brings several events. */
+/** Polls of one store are this far apart, so that each brings several events; news of them go to every host. */
 const pollMs = 250;
+/** Up to this many hosts; then polls are rarer in proportion, up to a limit set by how long a listing may be used. */
+const frequentHosts = 16;
+const mostPollMs = 1000;
 const waitMs = 250;
 const tickMs = 100;
 /** A host further down the ranking polls a store of which it has heard nothing for this long. */
@@ -130,7 +133,7 @@
 		while (!entry.hasStopped) {
 			if (shouldPoll(entry)) {
 				await poll(entry);
-				await sleep(pollMs);
+				await sleep(Math.min(mostPollMs, pollMs * Math.max(1, (others().length + 1) / frequentHosts)));
 			} else {
 				await sleep(tickMs);
 			}
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -67,6 +67,7 @@
 		const home = sharedPart === undefined ? undefined : rankOwners(views.map(view => view.upstream.id), sharedPart)[0];
 		const heldTokens = (prompt?.promptTokens ?? 0) + (prompt?.expectedOutputTokens ?? prompt?.outputTokens ?? 0);
 		const plans = new Map<string, ContextPlan>();
+		const planAt = prompt && engine && planContext(prompt, engine, workspace, costs.tokensPerMs);
 
 		const toCandidate = (view: UpstreamView): readonly Candidate[] => {
 			const {id, weights} = view.upstream;
@@ -78,7 +79,7 @@
 				return [];
 			}
 
-			const plan = prompt && engine && planContext(prompt, view.upstream, engine, workspace, costs.tokensPerMs);
+			const plan = planAt?.(view.upstream);
 			if (plan) {
 				plans.set(id, plan);
 			}
--- a/src/forwarding/create-upstream-book.ts
+++ b/src/forwarding/create-upstream-book.ts
@@ -17,8 +17,9 @@
 const firstUsualMs = 150;
 /** Share of less urgent tokens that are read first all the same, since a piece under way is not broken off. */
 const laterShare = 0.25;
-/** Reports of other hosts count for this long. */
-const reportMs = 1500;
+/** Reports of other hosts count for several of their intervals, and at least for this long. */
+const reportMs = 1000;
+const countedReports = 3;
 
 /** One upstream and what this host has seen of it. */
 type Entry = {
@@ -68,7 +69,7 @@
 export function createUpstreamBook({now, link, connectionsOf}: UpstreamBookOptions): UpstreamBook {
 	const entries = new Map<string, Entry>();
 	const usualMs = new Map<string, number>();
-	const reports = new Map<string, {readonly at: number; readonly loads: ReadonlyMap<string, UpstreamLoad>}>();
+	const reports = new Map<string, {readonly at: number; readonly validMs: number; readonly loads: ReadonlyMap<string, UpstreamLoad>}>();
 
 	const closeWhenIdle = (entry: Entry): void => {
 		if (entry.isGone && entry.inFlight === 0) {
@@ -136,7 +137,7 @@
 	};
 
 	const listOthers = (id: string, at: number): readonly UpstreamLoad[] => [...reports.values()].flatMap(report => {
-		const load = at - report.at < reportMs ? report.loads.get(id) : undefined;
+		const load = at - report.at < report.validMs ? report.loads.get(id) : undefined;
 		return load ? [load] : [];
 	});
 
@@ -250,8 +251,8 @@
 		loads: () => [...entries.values()]
 			.filter(entry => entry.inFlight > 0)
 			.map(entry => toLoad(entry)),
-		noteLoads(host, loads, at) {
-			reports.set(host, {at, loads: new Map(loads.map(load => [load.id, load]))});
+		noteLoads({host, loads, everyMs}, at) {
+			reports.set(host, {at, validMs: Math.max(reportMs, everyMs * countedReports), loads: new Map(loads.map(load => [load.id, load]))});
 		},
 	};
 }
--- a/src/forwarding/host-links.ts
+++ b/src/forwarding/host-links.ts
@@ -9,6 +9,8 @@
 	readonly reports: string;
 	/** When the last report came, in milliseconds of the steady clock; `undefined` where none has come. */
 	readonly heardAt: number | undefined;
+	/** Time between its reports, in milliseconds. */
+	readonly everyMs: number;
 };
 
 /** The other hosts of the system, and reports to and from them. */
--- a/src/forwarding/host-report.ts
+++ b/src/forwarding/host-report.ts
@@ -16,6 +16,8 @@
 	readonly peers: string;
 	/** Where reports to this host go, `IP:PORT`. */
 	readonly reports: string;
+	/** Time until the next report to the same host, in milliseconds. */
+	readonly everyMs: number;
 	readonly loads: readonly UpstreamLoad[];
 	/** Engines that are taking new weights: id, model and version. */
 	readonly loading: ReadonlyArray<readonly [string, string, number]>;
--- a/src/forwarding/upstream-book.ts
+++ b/src/forwarding/upstream-book.ts
@@ -1,5 +1,5 @@
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
-import {type UpstreamLoad} from './host-report.js';
+import {type HostReport, type UpstreamLoad} from './host-report.js';
 import {type RunningSend, type AnswerListener, type UpstreamMessage} from './upstream-link.js';
 import {type Upstream} from './upstream.js';
 
@@ -32,5 +32,5 @@
 	/** Requests in flight and prompt tokens not yet answered, by upstream. */
 	readonly loads: () => readonly UpstreamLoad[];
 	/** Takes another host's report of its load. */
-	readonly noteLoads: (host: string, loads: readonly UpstreamLoad[], now: number) => void;
+	readonly noteLoads: (report: Pick<HostReport, 'host' | 'loads' | 'everyMs'>, now: number) => void;
 };
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -87,7 +87,7 @@
 			};
 		},
 		onReport(report) {
-			book.noteLoads(report.host, report.loads, now());
+			book.noteLoads(report, now());
 			passOver(report.loading);
 			for (const [id, model, version] of report.weights) {
 				book.noteWeights(id, model, version);
