Refuse at a planned stop what could not end before it; a few hosts a domain follow the store

From 2.5 s on, requests whose time reaches past the stop are refused unrun, with the advice to come back at once; another host takes them.

--- a/src/forwarding/create-caller-port.ts
+++ b/src/forwarding/create-caller-port.ts
@@ -13,6 +13,8 @@
 import {readCallerBody} from './read-caller-body.js';
 
 const notReadyComeBackMs = 500;
+/** Another host takes the request at once. */
+const stoppingComeBackMs = 30;
 /** Head bytes that the parser takes; the configuration's own limit is checked after it. */
 const parserHeaderBytes = 64 * 1024;
 const headerOverhead = 4;
@@ -36,8 +38,12 @@
 /** The running port towards callers. */
 type CallerPort = {
 	readonly port: number;
-	/** Tells callers to use new connections from now on. */
-	readonly drain: () => void;
+	/**
+	Tells callers to use new connections from now on.
+	@param takeUntil - From then on only requests are taken that end before the stop, in milliseconds of the steady clock.
+	@param stopAt - When the process stops.
+	*/
+	readonly drain: (takeUntil: number, stopAt: number) => void;
 	/** Waits until no request is under way. */
 	readonly idle: () => Promise<void>;
 	readonly underWay: () => number;
@@ -55,7 +61,7 @@
 /** Serves callers: checks each request, reads its body and has it forwarded. */
 export async function createCallerPort(options: CallerPortOptions): Promise<CallerPort> {
 	const {address, state, decode, nameRequest, forward, now, onRefusal} = options;
-	let isDraining = false;
+	let draining: {readonly takeUntil: number; readonly stopAt: number} | undefined;
 	let underWay = 0;
 	const busy = new Set<Socket>();
 	const open = new Set<Socket>();
@@ -74,6 +80,11 @@
 		}
 
 		const {route, workspace} = admitCaller(request, current);
+		const endsAt = receivedAt + Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+		if (draining && receivedAt > draining.takeUntil && endsAt > draining.stopAt) {
+			throw new Refusal('not-ready', 'this host stops before the request could end', 'no', stoppingComeBackMs);
+		}
+
 		const gone = new AbortController();
 		res.once('close', () => {
 			if (!res.writableFinished) {
@@ -83,7 +94,7 @@
 		const body = await readCallerBody(req, limits.bodyBytes, limits.idleTimeoutMs);
 		await forward({
 			request, route, workspace, body, receivedAt, signal: gone.signal,
-			answer: createCallerAnswer(res, nameRequest(request), () => isDraining),
+			answer: createCallerAnswer(res, nameRequest(request), () => draining !== undefined),
 		});
 	};
 
@@ -107,7 +118,7 @@
 			}, 'refused');
 			onRefusal(refusal);
 			// The rest of a body that was not read must not be taken for a request.
-			createCallerAnswer(res, request ? nameRequest(request) : [], () => isDraining || !req.complete).refuse(refusal);
+			createCallerAnswer(res, request ? nameRequest(request) : [], () => draining !== undefined || !req.complete).refuse(refusal);
 		} finally {
 			underWay--;
 			busy.delete(socket);
@@ -141,8 +152,8 @@
 
 	return {
 		port,
-		drain() {
-			isDraining = true;
+		drain(takeUntil, stopAt) {
+			draining = {takeUntil, stopAt};
 		},
 		async idle() {
 			while (underWay > 0) {
--- a/src/forwarding/create-host-links.ts
+++ b/src/forwarding/create-host-links.ts
@@ -54,7 +54,7 @@
 		}
 
 		known.set(report.host, {
-			host: report.host, domain: report.domain, peers: report.peers, reports: report.reports, heardAt: now(), everyMs: report.everyMs,
+			host: report.host, domain: report.domain, peers: report.peers, reports: report.reports, heardAt: now(), everyMs: report.everyMs, isStoreLost: report.isStoreLost,
 		});
 		onReport(report);
 	};
@@ -73,7 +73,9 @@
 		for (const {value} of objects) {
 			const entry = value as HostReport;
 			if (entry.host !== self.host && !known.has(entry.host)) {
-				known.set(entry.host, {...entry, heardAt: undefined, everyMs: reportMs});
+				known.set(entry.host, {
+					...entry, heardAt: undefined, everyMs: reportMs, isStoreLost: false,
+				});
 			}
 		}
 	};
--- a/src/forwarding/create-kind-watch.ts
+++ b/src/forwarding/create-kind-watch.ts
@@ -7,6 +7,8 @@
 const firstRetryMs = 200;
 const mostRetryMs = 1000;
 const retrySpread = 0.5;
+const idleMs = 100;
+const lostMs = 5000;
 
 /** What a watch needs. */
 type KindWatchOptions = {
@@ -16,15 +18,18 @@
 	readonly random: () => number;
 	/** Longest wait of the next call, in milliseconds; also how long a silent connection goes unnoticed. */
 	readonly waitMs: () => number;
+	/** Whether this host follows the store itself; otherwise peers tell it of changes. */
+	readonly isWatching: () => boolean;
 	/** Takes the objects after a change, and when the store had answered last before it. */
 	readonly onChange: (objects: readonly StoredObject[], confirmedAt: number | undefined) => void;
 };
 
 /** Follows a kind: lists its objects, then waits for changes; lists again when the store has dropped the history. */
-export function createKindWatch({kind, store, now, random, waitMs, onChange}: KindWatchOptions): KindWatch {
+export function createKindWatch({kind, store, now, random, waitMs, isWatching, onChange}: KindWatchOptions): KindWatch {
 	let current: KindState | undefined;
 	let contactAt: number | undefined;
 	let isLost = false;
+	let failedAt = Number.NEGATIVE_INFINITY;
 	let retryMs = firstRetryMs;
 	let hasStopped = false;
 
@@ -87,9 +92,17 @@
 
 	const run = async (): Promise<void> => {
 		while (!hasStopped) {
+			if (current && !isWatching()) {
+				// What was found of the store is out of date after a while.
+				isLost &&= now() - failedAt < lostMs;
+				await sleep(idleMs);
+				continue;
+			}
+
 			try {
 				await (current && contactAt !== undefined ? follow(current) : list());
 			} catch (error) {
+				failedAt = now();
 				if (!isLost && !hasStopped) {
 					isLost = true;
 					log.warn({kind, revision: current?.revision ?? 0, error: String(error)}, 'store does not answer');
@@ -112,6 +125,7 @@
 			}
 		},
 		contactAt: () => contactAt,
+		isLost: () => isLost,
 		stop() {
 			hasStopped = true;
 		},
--- a/src/forwarding/create-state-sync.ts
+++ b/src/forwarding/create-state-sync.ts
@@ -4,6 +4,7 @@
 import {type KnownHost} from './host-links.js';
 import {type HostReport} from './host-report.js';
 import {type KindState, type KindWatch} from './kind-watch.js';
+import {type StateNews} from './state-news.js';
 
 const pullTimeoutMs = 800;
 /** The own watch gets this long to bring a change before a peer is asked for it. */
@@ -21,15 +22,28 @@
 	readonly random: () => number;
 	/** A watch without an answer of the store for this long is taken for cut off, in milliseconds. */
 	readonly silentMs: number;
+	/** Whether this host follows a kind in the store itself. */
+	readonly isWatching: (kind: string) => boolean;
 	/** Kind of the stored objects that name weights. */
 	readonly weightsKind: string;
 };
 
+function toNews({objects, revision, changedAt}: KindState, since: number): StateNews {
+	return {
+		changed: objects.filter(object => object.revision > since), names: objects.map(object => object.name), revision, changedAt,
+	};
+}
+
+function applyNews(state: KindState | undefined, {changed, names, revision, changedAt}: StateNews): KindState {
+	const byName = new Map([...state?.objects ?? [], ...changed].map(object => [object.name, object]));
+	return {objects: names.flatMap(name => byName.get(name) ?? []), revision, changedAt};
+}
+
 /** Keeps the followed kinds up to date through peers where the store does not answer this host. */
 type StateSync = {
 	/** Compares a peer's report with the own state, and asks the peer for what is newer there. */
 	readonly compare: (report: HostReport) => void;
-	readonly answer: (revisions: Readonly<Record<string, number>>) => Readonly<Record<string, KindState>>;
+	readonly answer: (revisions: Readonly<Record<string, number>>) => Readonly<Record<string, StateNews>>;
 	readonly changes: () => Readonly<Record<string, number>>;
 	/** When a peer's word last confirmed the newest weights; far back when none has. */
 	readonly peerConfirmedAt: () => number;
@@ -39,7 +53,7 @@
 };
 
 /** Starts the exchange of state between hosts. */
-export function createStateSync({watches, call, alive, seeds, now, random, silentMs, weightsKind}: StateSyncOptions): StateSync {
+export function createStateSync({watches, call, alive, seeds, now, random, silentMs, isWatching, weightsKind}: StateSyncOptions): StateSync {
 	const pulling = new Set<string>();
 	const weightsWatch = watches.find(watch => watch.kind === weightsKind)!;
 	let peerConfirmedAt = Number.NEGATIVE_INFINITY;
@@ -55,9 +69,9 @@
 			const revisions = Object.fromEntries(watches.map(watch => [watch.kind, watch.state()?.revision ?? 0]));
 			const {states} = await call(address, 'gateway.state', {revisions}, {timeoutMs: pullTimeoutMs});
 			for (const watch of watches) {
-				const state = states[watch.kind];
-				if (state) {
-					watch.adopt(state);
+				const news = states[watch.kind];
+				if (news) {
+					watch.adopt(applyNews(watch.state(), news));
 				}
 			}
 		} catch (error) {
@@ -70,9 +84,10 @@
 	const isBehind = (changes: Readonly<Record<string, number>>): boolean =>
 		watches.some(watch => (changes[watch.kind] ?? 0) > (watch.state()?.revision ?? 0));
 
+	/** A host that does not follow the store itself is cut off only where it has no state at all. */
 	const isCutOff = (): boolean => watches.some(watch => {
 		const at = watch.contactAt();
-		return at === undefined || now() - at > silentMs;
+		return watch.state() === undefined || (isWatching(watch.kind) && (at === undefined || now() - at > silentMs));
 	});
 
 	const keepPulling = async (): Promise<void> => {
@@ -104,7 +119,8 @@
 		},
 		answer: revisions => Object.fromEntries(watches.flatMap(watch => {
 			const state = watch.state();
-			return state && state.changedAt > (revisions[watch.kind] ?? 0) ? [[watch.kind, state]] : [];
+			const since = revisions[watch.kind] ?? 0;
+			return state && state.changedAt > since ? [[watch.kind, toNews(state, since)]] : [];
 		})),
 		changes: () => Object.fromEntries(watches.map(watch => [watch.kind, watch.state()?.changedAt ?? 0])),
 		peerConfirmedAt: () => peerConfirmedAt,
--- a/src/forwarding/host-links.ts
+++ b/src/forwarding/host-links.ts
@@ -11,6 +11,8 @@
 	readonly heardAt: number | undefined;
 	/** Time between its reports, in milliseconds. */
 	readonly everyMs: number;
+	/** Whether the store does not answer it. */
+	readonly isStoreLost: boolean;
 };
 
 /** The other hosts of the system, and reports to and from them. */
@@ -29,4 +31,4 @@
 };
 
 /** Makes the report to send now. */
-export type MakeReport = () => Pick<HostReport, 'loads' | 'loading' | 'weights' | 'changes' | 'weightsAgeMs' | 'crashes'>;
+export type MakeReport = () => Pick<HostReport, 'loads' | 'loading' | 'weights' | 'changes' | 'weightsAgeMs' | 'crashes' | 'isStoreLost'>;
--- a/src/forwarding/host-report.ts
+++ b/src/forwarding/host-report.ts
@@ -27,6 +27,8 @@
 	readonly crashes: ReadonlyArray<readonly [string, string]>;
 	/** Revision of the last change that the host knows, by kind of stored objects. */
 	readonly changes: Readonly<Record<string, number>>;
+	/** Whether the store does not answer this host. */
+	readonly isStoreLost: boolean;
 	/** Age of the store's last word on the newest weights, in milliseconds; `undefined` when there was none. */
 	readonly weightsAgeMs: number | undefined;
 };
--- a/src/forwarding/kind-watch.ts
+++ b/src/forwarding/kind-watch.ts
@@ -17,5 +17,7 @@
 	readonly adopt: (state: KindState) => void;
 	/** When the store last answered, in milliseconds of the steady clock; `undefined` when it never did. */
 	readonly contactAt: () => number | undefined;
+	/** Whether the store has not answered the last call. */
+	readonly isLost: () => boolean;
 	readonly stop: () => void;
 };
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -10,7 +10,7 @@
 import {type PoisonVerdict} from '../decide/poison/poison-verdict.js';
 import {type RunEnd} from '../decide/poison/run-end.js';
 import {type PartNews} from '../forwarding/engine-control.js';
-import {type KindState} from '../forwarding/kind-watch.js';
+import {type StateNews} from '../forwarding/state-news.js';
 import {type StoredObject} from '../forwarding/stored-object.js';
 import {type Decision} from '../observe/decision.js';
 
@@ -90,10 +90,10 @@
 		readonly params: {readonly digest: string; readonly run: string; readonly end: RunEnd};
 		readonly result: Readonly<Record<string, never>>;
 	};
-	/** Gives the state of each kind of stored objects that is newer than the asker's. */
+	/** Gives what has changed of each kind of stored objects since the asker's revisions. */
 	readonly 'gateway.state': {
 		readonly params: {readonly revisions: Readonly<Record<string, number>>};
-		readonly result: {readonly states: Readonly<Record<string, KindState>>};
+		readonly result: {readonly states: Readonly<Record<string, StateNews>>};
 	};
 	/** Gives all that the answerer knows of a store of kept context, as a listing. */
 	readonly 'gateway.kept': {
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -35,6 +35,7 @@
 /** A few hosts ask the store again this often, which bounds how long a silent connection hides a change from them. */
 const closeWatchMs = 2000;
 const closeWatchers = 2;
+const domainWatchers = 3;
 /** The other hosts ask less often: reports of peers tell them of changes that their own connection does not bring. */
 const watchMs = 10_000;
 /** Time beyond a watch's wait after which the store is taken for silent. */
@@ -44,7 +45,7 @@
 /** The balancer takes a host out after two questions a second apart. */
 const leaveMs = 2500;
 /** Time kept of the grace for closing down. */
-const exitMarginMs = 700;
+const exitMarginMs = 400;
 /** Hosts that share budgets and connections, until the store has named them. */
 const assumedHosts = 3;
 const leastConnections = 4;
@@ -84,6 +85,7 @@
 			passOver(loading);
 			return {
 				loads: book.loads(), loading, weights: rollout.news(), changes: sync.changes(), weightsAgeMs: ageOf(sync.weightsConfirmedAt()), crashes: crashes.news(),
+				isStoreLost: watches.some(watch => watch.isLost()),
 			};
 		},
 		onReport(report) {
@@ -129,6 +131,12 @@
 		stored.takeWeights(objects, Math.max(confirmedAt ?? Number.NEGATIVE_INFINITY, sync.peerConfirmedAt()));
 	};
 
+	/** In a large failure domain a few hosts that the store answers follow it; reports tell the others of changes. */
+	const isWatching = (kind: string): boolean => {
+		const able = links.alive().filter(peer => peer.domain === domain && !peer.isStoreLost).map(peer => peer.host);
+		return rankOwners([name, ...able], kind).indexOf(name) < domainWatchers;
+	};
+
 	const watches = [
 		[kinds.configuration, stored.takeConfiguration] as const,
 		[kinds.upstreams, stored.takeUpstreams] as const,
@@ -136,6 +144,7 @@
 	].map(([kind, onChange]) => createKindWatch({
 		kind, store, now: elapsed, random, onChange,
 		waitMs: () => rankOwners([name, ...others()], kind).indexOf(name) < closeWatchers ? closeWatchMs : watchMs,
+		isWatching: () => isWatching(kind),
 	}));
 	const sync = createStateSync({
 		watches,
@@ -145,6 +154,7 @@
 		now: elapsed,
 		random,
 		silentMs: watchMs + watchSilenceMs,
+		isWatching,
 		weightsKind: kinds.weights,
 	});
 	const ownLease = createLeaseStore(store, kinds.leases, 'rollout');
@@ -233,10 +243,10 @@
 			}
 
 			isDraining = true;
-			callers.drain();
-			log.info({host: name, underWay: callers.underWay()}, 'leaving');
-			const limitMs = (bounds.graceS * msPerS) - exitMarginMs;
 			const startedAt = now();
+			const limitMs = (bounds.graceS * msPerS) - exitMarginMs;
+			callers.drain(startedAt + Math.min(leaveMs, limitMs), startedAt + limitMs);
+			log.info({host: name, underWay: callers.underWay()}, 'leaving');
 			await sleep(Math.min(leaveMs, limitMs));
 			callers.closeIdle();
 			await Promise.race([callers.idle(), sleep(limitMs - (now() - startedAt))]);
--- a/test/forwarding/state.test.ts
+++ b/test/forwarding/state.test.ts
@@ -147,6 +147,29 @@
 });
 
 describe('a planned stop', () => {
+	test('refuses at once, unrun, what could not end before it', async () => {
+		const gateway = await start(store.address, {bounds: {graceS: 3}});
+		await waitUntil('the gateway to be ready', async () => isReady(gateway));
+		upstream.answer = () => undefined;
+		const held = callRaw(gateway.callers, callerBytes({
+			target: '/ask/x', method: 'POST', body: 'b', deadlineMs: 5000,
+		}));
+		await waitUntil('the request to arrive', () => upstream.arrived.length > 0);
+		const drained = gateway.drain();
+		await waitUntil('a refusal', async () => {
+			const answer = await callRaw(gateway.callers, callerBytes({
+				target: '/ask/x', method: 'POST', body: 'b', deadlineMs: 5000,
+			}), socket => {
+				setTimeout(() => {
+					socket.destroy();
+				}, 200);
+			});
+			return answer.status === 503 && answer.headers.get('connection') === 'close' && JSON.parse(answer.body).error.ran === 'no';
+		});
+		await Promise.all([held, drained]);
+		gateways = [];
+	});
+
 	test('is not ready at once, finishes what is under way and cuts off nothing', async () => {
 		const gateway = await startReady();
 		upstream.answer = (arrived, socket) => {
