--- a/bench/bench-peers.ts
+++ b/bench/bench-peers.ts
@@ -9,7 +9,7 @@
 
 /** Measures a call between hosts, both ends together. */
 export async function benchPeers(): Promise<void> {
-	const server = await createPeerServer('127.0.0.1:0', undefined, {'config.text': async ({digest}: {readonly digest: string}) => ({text: digest})} as unknown as PeerHandlers, () => false);
+	const server = await createPeerServer('127.0.0.1:0', undefined, {'config.text': async ({digest}: {readonly digest: string}) => ({text: digest})}, () => false);
 	const caller = createPeerCaller(undefined, () => false, () => undefined);
 	const points: Array<readonly [number, number]> = [];
 	for (const size of [100, 500, 2000, 8000]) {
