--- a/src/forwarding/create-upstream-book.ts
+++ b/src/forwarding/create-upstream-book.ts
@@ -9,6 +9,7 @@
 
 /** Weight of the newest outcome in the share of failures. */
 const failureWeight = 0.1;
+const firstFailureStatus = 500;
 /** A request waits unusually long for an answer's head after this time and several usual ones. */
 const silentMs = 900;
 const silentFactor = 4;
@@ -16,8 +17,9 @@
 const firstUsualMs = 150;
 /** Share of less urgent tokens that are read first all the same, since a piece under way is not broken off. */
 const laterShare = 0.25;
-/** Reports of other hosts count for this long. */
-const reportMs = 1500;
+/** Reports of other hosts count for several of their intervals, and at least for this long. */
+const reportMs = 1000;
+const countedReports = 3;
 
 /** One upstream and what this host has seen of it. */
 type Entry = {
@@ -67,7 +69,7 @@
 export function createUpstreamBook({now, link, connectionsOf}: UpstreamBookOptions): UpstreamBook {
 	const entries = new Map<string, Entry>();
 	const usualMs = new Map<string, number>();
-	const reports = new Map<string, {readonly at: number; readonly loads: ReadonlyMap<string, UpstreamLoad>}>();
+	const reports = new Map<string, {readonly at: number; readonly validMs: number; readonly loads: ReadonlyMap<string, UpstreamLoad>}>();
 
 	const closeWhenIdle = (entry: Entry): void => {
 		if (entry.isGone && entry.inFlight === 0) {
@@ -135,7 +137,7 @@
 	};
 
 	const listOthers = (id: string, at: number): readonly UpstreamLoad[] => [...reports.values()].flatMap(report => {
-		const load = at - report.at < reportMs ? report.loads.get(id) : undefined;
+		const load = at - report.at < report.validMs ? report.loads.get(id) : undefined;
 		return load ? [load] : [];
 	});
 
@@ -167,6 +169,8 @@
 	const send = (id: string, message: UpstreamMessage, {waitingTokens, heldTokens, urgency}: SendSize, listener: AnswerListener): RunningSend => {
 		const entry = entries.get(id)!;
 		const wait = {since: now()};
+		let hasFailed = false;
+		let isGivenUp = false;
 		entry.inFlight++;
 		addTo(entry.waitingTokens, urgency, waitingTokens);
 		entry.heldTokens += heldTokens;
@@ -185,8 +189,9 @@
 			closeWhenIdle(entry);
 		};
 
-		return entry.link.send(message, {
+		const running = entry.link.send(message, {
 			onHead(head) {
+				hasFailed = head.status >= firstFailureStatus && !head.isNotRun;
 				answered();
 				entry.lastAnswerAt = now();
 				noteUsual(entry.upstream.service, now() - wait.since);
@@ -194,14 +199,21 @@
 			},
 			onData: listener.onData,
 			onEnd() {
-				ended(false);
+				ended(hasFailed);
 				listener.onEnd();
 			},
 			onFail(error, wasSent) {
-				ended(true);
+				ended(!isGivenUp);
 				listener.onFail(error, wasSent);
 			},
 		});
+		return {
+			abort(reason, isFault) {
+				isGivenUp = !isFault;
+				running.abort(reason, isFault);
+			},
+			resume: running.resume,
+		};
 	};
 
 	return {
@@ -239,8 +251,8 @@
 		loads: () => [...entries.values()]
 			.filter(entry => entry.inFlight > 0)
 			.map(entry => toLoad(entry)),
-		noteLoads(host, loads, at) {
-			reports.set(host, {at, loads: new Map(loads.map(load => [load.id, load]))});
+		noteLoads({host, loads, everyMs}, at) {
+			reports.set(host, {at, validMs: Math.max(reportMs, everyMs * countedReports), loads: new Map(loads.map(load => [load.id, load]))});
 		},
 	};
 }
--- a/src/forwarding/host-links.ts
+++ b/src/forwarding/host-links.ts
@@ -9,6 +9,10 @@
 	readonly reports: string;
 	/** When the last report came, in milliseconds of the steady clock; `undefined` where none has come. */
 	readonly heardAt: number | undefined;
+	/** Time between its reports, in milliseconds. */
+	readonly everyMs: number;
+	/** Whether the store does not answer it. */
+	readonly isStoreLost: boolean;
 };
 
 /** The other hosts of the system, and reports to and from them. */
@@ -27,4 +31,4 @@
 };
 
 /** Makes the report to send now. */
-export type MakeReport = () => Pick<HostReport, 'loads' | 'loading' | 'weights' | 'changes' | 'weightsAgeMs'>;
+export type MakeReport = () => Pick<HostReport, 'loads' | 'loading' | 'weights' | 'changes' | 'weightsAgeMs' | 'crashes' | 'isStoreLost'>;
