--- a/src/decide/forwarding/close-call.ts
+++ b/src/decide/forwarding/close-call.ts
@@ -1,8 +1,6 @@
 import {Refusal} from '../../errors/refusal.js';
 import {type Ran} from '../../errors/ran.js';
-
-/** Why a request ends without an upstream's answer. */
-export type CloseReason = 'no-upstream' | 'overloaded' | 'time-over' | 'upstream-failed';
+import {type CloseReason} from './close-reason.js';
 
 /** What a refusal is made from. */
 type CloseFacts = {
--- a/src/decide/forwarding/find-route.ts
+++ b/src/decide/forwarding/find-route.ts
@@ -1,7 +1,5 @@
 import {type Route} from '../../forwarding/route.js';
-
-/** Finds the route of a host and a path; `undefined` where there is none. */
-export type RouteFinder = (host: string, path: string) => Route | undefined;
+import {type RouteFinder} from './route-finder.js';
 
 function toHostName(host: string): string {
 	return host.toLowerCase().replace(/:\d+$/v, '');
--- a/src/decide/forwarding/predict-first-byte.ts
+++ b/src/decide/forwarding/predict-first-byte.ts
@@ -1,27 +1,6 @@
 import {type UpstreamView} from './upstream-view.js';
-
-/** What a prediction weighs. Times are in milliseconds. */
-export type PlacementCosts = {
-	/** Prompt tokens that an engine reads in a millisecond. */
-	readonly tokensPerMs: number;
-	/** Time to the first byte at an idle upstream, without reading. */
-	readonly baseMs: number;
-	/** Time that each request in flight adds. */
-	readonly requestMs: number;
-	readonly otherDomainMs: number;
-	/** Time that a request stays at an engine, for the wait for memory. */
-	readonly stayMs: number;
-};
-
-/** What is sent. */
-export type PlacementSize = {
-	/** Time until the upstream has the whole prompt, its queue apart, in milliseconds. */
-	readonly readMs: number;
-	/** Memory that the request takes, in tokens. */
-	readonly heldTokens: number;
-	/** Memory of an upstream, in tokens; `undefined` where that is no limit. */
-	readonly memoryTokens: number | undefined;
-};
+import {type PlacementCosts} from './placement-costs.js';
+import {type PlacementSize} from './placement-size.js';
 
 /** Above this share of its memory an engine preempts runs, which then read their prompts again. */
 const fullShare = 0.9;
--- a/src/decide/forwarding/rank-upstreams.ts
+++ b/src/decide/forwarding/rank-upstreams.ts
@@ -1,17 +1,9 @@
-import {type UpstreamView} from './upstream-view.js';
+import {type Candidate} from './candidate.js';
 
 const failureMs = 400;
 const silentMs = 1e5;
 const avoidedMs = 1e6;
 
-/** An upstream with the predicted time to its first byte, in milliseconds. */
-export type Candidate = {
-	readonly view: UpstreamView;
-	readonly firstByteMs: number;
-	/** Time by which an engine with replaced weights is put back, in milliseconds. */
-	readonly weightsMs: number;
-};
-
 /**
 Ranks upstreams by the predicted time to the first byte, least first. Upstreams that failed lately, that are silent
 come last, and serve only where no other is left; those to which no connection is free are left out. Load pattern: bursts that several hosts place
--- a/src/decide/forwarding/service-pace.ts
+++ b/src/decide/forwarding/service-pace.ts
@@ -1,4 +1,4 @@
-import {type PlacementCosts} from './predict-first-byte.js';
+import {type PlacementCosts} from './placement-costs.js';
 
 /** What a host learns of how fast a service's upstreams are. Times are in milliseconds. */
 export type ServicePace = {
--- a/src/decide/kept/create-store-directory.ts
+++ b/src/decide/kept/create-store-directory.ts
@@ -1,4 +1,4 @@
-import {type PartNews} from '../../forwarding/engine-control.js';
+import {type PartNews} from '../../forwarding/part-news.js';
 import {keptTimes} from './kept-times.js';
 import {type StoreDirectory} from './store-directory.js';
 
--- /dev/null
+++ b/src/decide/kept/kept-plan.ts
@@ -0,0 +1,14 @@
+import {type PartPlan} from './part-plan.js';
+
+/** What is planned for a prompt at one engine. */
+export type KeptPlan = {
+	readonly parts: readonly PartPlan[];
+	/** Limit of the fetches on the stores' clock. */
+	readonly fetchUntil: number | undefined;
+	/** Tokens that the engine reads by itself. */
+	readonly missingTokens: number;
+	/** Tokens that are fetched from a store or another engine. */
+	readonly fetchedTokens: number;
+	/** Names of the parts to be saved, with their store. */
+	readonly saves: ReadonlyArray<{readonly store: string; readonly part: string; readonly tokens: number}>;
+};
--- a/src/decide/kept/plan-kept-context.ts
+++ b/src/decide/kept/plan-kept-context.ts
@@ -1,36 +1,6 @@
-/** A store of kept context, as a host knows it when it plans a request. */
-export type StoreView = {
-	readonly name: string;
-	readonly address: string;
-	readonly has: (part: string) => boolean;
-	/** Store's clock until which a fetch may run; `undefined` when nothing may be fetched. */
-	readonly fetchUntil: number | undefined;
-	/** Whether a part of so many tokens may be saved. */
-	readonly canSave: (tokens: number) => boolean;
-	/** Time to move so many tokens, in milliseconds. */
-	readonly moveMs: (tokens: number) => number;
-};
-
-/** Where one part of a prompt comes from and goes to. */
-type PartPlan = {
-	readonly fetchFrom: string | undefined;
-	readonly saveTo: string | undefined;
-	/** Time until the part is in the engine's memory, in milliseconds. */
-	readonly readMs: number;
-};
-
-/** What is planned for a prompt at one engine. */
-export type KeptPlan = {
-	readonly parts: readonly PartPlan[];
-	/** Limit of the fetches on the stores' clock. */
-	readonly fetchUntil: number | undefined;
-	/** Tokens that the engine reads by itself. */
-	readonly missingTokens: number;
-	/** Tokens that are fetched from a store or another engine. */
-	readonly fetchedTokens: number;
-	/** Names of the parts to be saved, with their store. */
-	readonly saves: ReadonlyArray<{readonly store: string; readonly part: string; readonly tokens: number}>;
-};
+import {type StoreView} from './store-view.js';
+import {type KeptPlan} from './kept-plan.js';
+import {type PartPlan} from './part-plan.js';
 
 /** What a plan is made from. */
 type KeptFacts = {
--- a/src/decide/kept/store-directory.ts
+++ b/src/decide/kept/store-directory.ts
@@ -1,4 +1,4 @@
-import {type PartNews} from '../../forwarding/engine-control.js';
+import {type PartNews} from '../../forwarding/part-news.js';
 
 /** What one host knows of a store of kept context. Times are in milliseconds of a clock that counts suspensions. */
 export type StoreDirectory = {
--- /dev/null
+++ b/src/decide/orders/count-loads-at-once.ts
@@ -0,0 +1,7 @@
+/** Share of a service's engines that load weights at once. */
+const loadingShare = 0.3;
+
+/** Engines of a service of `count` that load at once; the weight store slows down where there are more. */
+export function countLoadsAtOnce(count: number): number {
+	return Math.max(1, Math.ceil(count * loadingShare));
+}
--- a/src/decide/orders/plan-rollout.ts
+++ b/src/decide/orders/plan-rollout.ts
@@ -1,20 +1,5 @@
-/** An engine as the holder of the roll-out's lease knows it. */
-export type RolloutEngine = {
-	readonly id: string;
-	readonly version: number;
-	/** Requests in flight of all hosts, as far as known. */
-	readonly inFlight: number;
-	/** Whether an order is under way there. */
-	readonly isBusy: boolean;
-};
-
-/** Share of a service's engines that load weights at once. */
-const loadingShare = 0.3;
-
-/** Engines of a service of `count` that load at once; the weight store slows down where there are more. */
-export function countLoadsAtOnce(count: number): number {
-	return Math.max(1, Math.ceil(count * loadingShare));
-}
+import {type RolloutEngine} from './rollout-engine.js';
+import {countLoadsAtOnce} from './count-loads-at-once.js';
 
 /**
 Lists the engines to order next to version `target`: those with the oldest weights first, of these the emptiest, so that runs
--- a/src/forwarding/create-context-planner.ts
+++ b/src/forwarding/create-context-planner.ts
@@ -1,15 +1,18 @@
 import {canReadScope} from '../decide/kept/can-read-scope.js';
-import {planKeptContext, type KeptPlan, type StoreView} from '../decide/kept/plan-kept-context.js';
+import {planKeptContext} from '../decide/kept/plan-kept-context.js';
+import {type StoreView} from '../decide/kept/store-view.js';
 import {type Scope} from '../decide/kept/scope.js';
 import {writeScope} from '../decide/kept/write-scope.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
-import {type KeptStore, type KeptTask} from './create-kept-task.js';
+import {type KeptStore} from './kept-store.js';
+import {type KeptTask} from './kept-task.js';
 import {type NamedWeights} from './named-weights.js';
-import {type Prompt} from './prompt.js';
 import {type Service} from './service.js';
 import {type UpstreamBook} from './upstream-book.js';
 import {type Upstream} from './upstream.js';
 import {type Workspace} from './workspace.js';
+import {type ContextPlan} from './context-plan.js';
+import {type ContextPlanner} from './context-planner.js';
 
 const bitsPerByte = 8;
 const kilobitsPerMegabit = 1000;
@@ -30,21 +33,11 @@
 	readonly now: () => number;
 };
 
-/** A prompt at one engine: its scope there, and where its parts come from and go to. */
-export type ContextPlan = KeptPlan & {
-	readonly scope: string;
-	/** Notes that the request is sent as planned. */
-	readonly noteSent: () => void;
-};
-
 /** Gives the scope of a request's context: its weights, and its workspace where that is isolated. */
 function toScope(model: string, version: number, workspace: Workspace | undefined): Scope {
 	return {model, version, workspace: workspace?.isIsolated ? workspace.name : undefined};
 }
 
-/** Prepares the plans of one request: the result plans its prompt at an engine. */
-export type ContextPlanner = (prompt: Prompt, engine: NonNullable<Service['engine']>, workspace: Workspace | undefined, tokensPerMs: number) => (upstream: Upstream) => ContextPlan;
-
 /** Orders stores for a shared part, the same on every host, so that hosts that save a part at once choose the same store. */
 function orderStores(stores: readonly KeptStore[], part: string): readonly KeptStore[] {
 	const names = rankOwners(stores.map(store => store.name), part);
--- a/src/forwarding/create-crash-watch.ts
+++ b/src/forwarding/create-crash-watch.ts
@@ -4,35 +4,20 @@
 import {type CallerCall} from './caller-call.js';
 import {type EngineControl} from './engine-control.js';
 import {type Upstream} from './upstream.js';
+import {type Crash} from './crash.js';
+import {type CrashWatch} from './crash-watch.js';
 
 /** Other hosts are told of a crash for this long. */
 const newsMs = 3000;
 /** A crashed upstream refuses connections; it is asked this long after the break. */
 const askAfterMs = 20;
 
-/** What hosts tell each other of a crash: the request's digest and the upstream's id. */
-type Crash = readonly [string, string];
-
 /** What the watch needs. */
 type CrashWatchOptions = {
 	readonly control: Pick<EngineControl, 'isUp'>;
 	readonly now: () => number;
 };
 
-/** Finds requests that crash the upstreams that run them. */
-export type CrashWatch = {
-	/** Whether a request has crashed two upstreams and is to be refused. */
-	readonly isCondemned: (call: CallerCall) => boolean;
-	/** Looks into a break without an answer. */
-	readonly noteBreak: (call: CallerCall, upstream: Upstream) => void;
-	/** Notes that a request was answered, which clears it. */
-	readonly noteAnswer: (call: CallerCall) => void;
-	/** Takes crashes that another host tells of. */
-	readonly take: (crashes: readonly Crash[]) => void;
-	/** Crashes to tell other hosts of. */
-	readonly news: () => readonly Crash[];
-};
-
 /** Creates the watch. A crash counts only if the upstream is found down after it, and each upstream counts once for a request. */
 export function createCrashWatch({control, now}: CrashWatchOptions): CrashWatch {
 	const register = createPoisonRegister();
--- a/src/forwarding/create-free-task.ts
+++ b/src/forwarding/create-free-task.ts
@@ -2,9 +2,9 @@
 import {readScope} from '../decide/kept/read-scope.js';
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
-import {type KeptStore} from './create-kept-task.js';
+import {type KeptStore} from './kept-store.js';
 import {type EngineControl} from './engine-control.js';
-import {type KnownHost} from './host-links.js';
+import {type KnownHost} from './known-host.js';
 import {type HostReport} from './host-report.js';
 import {type NamedWeights} from './named-weights.js';
 
--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -1,12 +1,13 @@
 import {createStoreDirectory} from '../decide/kept/create-store-directory.js';
-import {type StoreDirectory} from '../decide/kept/store-directory.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
 import {log} from '../observe/log.js';
 import {type PeerCaller} from '../peers/peer-caller.js';
 import {sleep} from '../util/sleep.js';
-import {type EngineControl, type PartNews} from './engine-control.js';
+import {type EngineControl} from './engine-control.js';
 import {type KeptNews} from './kept-news.js';
 import {type Service} from './service.js';
+import {type KeptStore} from './kept-store.js';
+import {type KeptTask} from './kept-task.js';
 
 /** Polls of one store are this far apart, so that each brings several events; news of them go to every host. */
 const pollMs = 250;
@@ -27,16 +28,6 @@
 const fillShare = 0.96;
 const blockTokens = 16;
 
-/** A store of kept context and what this host knows of it. */
-export type KeptStore = {
-	readonly name: string;
-	readonly store: NonNullable<Service['store']>;
-	readonly directory: StoreDirectory;
-	/** Tokens of saves that have not shown in the events yet. */
-	readonly savingTokens: () => number;
-	readonly canSave: (tokens: number) => boolean;
-};
-
 /** What the task needs. */
 type KeptTaskOptions = {
 	readonly self: string;
@@ -50,21 +41,6 @@
 	readonly now: () => number;
 };
 
-/** Follows the stores of kept context. */
-export type KeptTask = {
-	/** Takes the stores of the configuration in force. */
-	readonly apply: (services: readonly Service[]) => void;
-	readonly stores: () => readonly KeptStore[];
-	/** Whether this host is the one that polls a store. */
-	readonly isPoller: (store: string) => boolean;
-	readonly take: (news: KeptNews) => void;
-	readonly list: (store: string) => PartNews | undefined;
-	/** Notes that a part is being saved. */
-	readonly noteSave: (store: string, scope: string, part: string, tokens: number) => void;
-	readonly isBeingSaved: (scope: string, part: string) => boolean;
-	readonly stop: () => void;
-};
-
 /** One followed store. */
 type Followed = {
 	readonly kept: KeptStore;
--- a/src/forwarding/create-kind-watch.ts
+++ b/src/forwarding/create-kind-watch.ts
@@ -1,6 +1,7 @@
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
-import {type KindState, type KindWatch} from './kind-watch.js';
+import {type KindState} from './kind-state.js';
+import {type KindWatch} from './kind-watch.js';
 import {type ObjectStore} from './object-store.js';
 import {type StoredObject} from './stored-object.js';
 
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -1,11 +1,13 @@
 import {predictFirstByte} from '../decide/forwarding/predict-first-byte.js';
-import {rankUpstreams, type Candidate} from '../decide/forwarding/rank-upstreams.js';
+import {rankUpstreams} from '../decide/forwarding/rank-upstreams.js';
+import {type Candidate} from '../decide/forwarding/candidate.js';
 import {type ServicePace} from '../decide/forwarding/service-pace.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
 import {weighOldWeights} from '../decide/forwarding/weigh-old-weights.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
 import {type CallerCall} from './caller-call.js';
-import {type ContextPlan, type ContextPlanner} from './create-context-planner.js';
+import {type ContextPlan} from './context-plan.js';
+import {type ContextPlanner} from './context-planner.js';
 import {type NamedWeights} from './named-weights.js';
 import {type Placed} from './placed.js';
 import {type Prompt} from './prompt.js';
--- a/src/forwarding/create-relayed-lease-store.ts
+++ b/src/forwarding/create-relayed-lease-store.ts
@@ -2,7 +2,7 @@
 import {log} from '../observe/log.js';
 import {type PeerCaller} from '../peers/peer-caller.js';
 import {sleep} from '../util/sleep.js';
-import {type KnownHost} from './host-links.js';
+import {type KnownHost} from './known-host.js';
 import {type LeaseStore} from './lease-store.js';
 import {type StoredObject} from './stored-object.js';
 
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -1,9 +1,11 @@
 import {createLease} from '../decide/orders/create-lease.js';
-import {planRollout, type RolloutEngine} from '../decide/orders/plan-rollout.js';
+import {planRollout} from '../decide/orders/plan-rollout.js';
+import {type RolloutEngine} from '../decide/orders/rollout-engine.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
-import {type EngineControl, type EngineReport} from './engine-control.js';
+import {type EngineControl} from './engine-control.js';
+import {type EngineReport} from './engine-report.js';
 import {type LeaseStore} from './lease-store.js';
 import {type NamedWeights} from './named-weights.js';
 import {type UpstreamBook} from './upstream-book.js';
--- a/src/forwarding/create-state-sync.ts
+++ b/src/forwarding/create-state-sync.ts
@@ -1,9 +1,10 @@
 import {log} from '../observe/log.js';
 import {type PeerCaller} from '../peers/peer-caller.js';
 import {sleep} from '../util/sleep.js';
-import {type KnownHost} from './host-links.js';
+import {type KnownHost} from './known-host.js';
 import {type HostReport} from './host-report.js';
-import {type KindState, type KindWatch} from './kind-watch.js';
+import {type KindState} from './kind-state.js';
+import {type KindWatch} from './kind-watch.js';
 import {type StateNews} from './state-news.js';
 
 const pullTimeoutMs = 800;
--- a/src/forwarding/create-upstream-book.ts
+++ b/src/forwarding/create-upstream-book.ts
@@ -1,10 +1,12 @@
 import {log} from '../observe/log.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
-import {type UpstreamLoad} from './host-report.js';
-import {type SendSize, type UpstreamBook} from './upstream-book.js';
-import {
-	type AnswerListener, type RunningSend, type UpstreamLink, type UpstreamMessage,
-} from './upstream-link.js';
+import {type UpstreamLoad} from './upstream-load.js';
+import {type SendSize} from './send-size.js';
+import {type UpstreamBook} from './upstream-book.js';
+import {type AnswerListener} from './answer-listener.js';
+import {type RunningSend} from './running-send.js';
+import {type UpstreamLink} from './upstream-link.js';
+import {type UpstreamMessage} from './upstream-message.js';
 import {type Upstream} from './upstream.js';
 
 /** Weight of the newest outcome in the share of failures. */
--- a/src/forwarding/gateway-state.ts
+++ b/src/forwarding/gateway-state.ts
@@ -1,4 +1,4 @@
-import {type RouteFinder} from '../decide/forwarding/find-route.js';
+import {type RouteFinder} from '../decide/forwarding/route-finder.js';
 import {type Configuration} from './configuration.js';
 import {type Workspace} from './workspace.js';
 
--- a/src/forwarding/host-links.ts
+++ b/src/forwarding/host-links.ts
@@ -1,19 +1,5 @@
-import {type HostReport} from './host-report.js';
 import {type KeptNews} from './kept-news.js';
-
-/** Another host, as it reports itself. */
-export type KnownHost = {
-	readonly host: string;
-	readonly domain: string;
-	readonly peers: string;
-	readonly reports: string;
-	/** When the last report came, in milliseconds of the steady clock; `undefined` where none has come. */
-	readonly heardAt: number | undefined;
-	/** Time between its reports, in milliseconds. */
-	readonly everyMs: number;
-	/** Whether the store does not answer it. */
-	readonly isStoreLost: boolean;
-};
+import {type KnownHost} from './known-host.js';
 
 /** The other hosts of the system, and reports to and from them. */
 export type HostLinks = {
@@ -30,5 +16,3 @@
 	readonly stop: () => void;
 };
 
-/** Makes the report to send now. */
-export type MakeReport = () => Pick<HostReport, 'loads' | 'loading' | 'weights' | 'changes' | 'weightsAgeMs' | 'crashes' | 'isStoreLost'>;
--- a/src/forwarding/kept-news.ts
+++ b/src/forwarding/kept-news.ts
@@ -1,4 +1,4 @@
-import {type PartNews} from './engine-control.js';
+import {type PartNews} from './part-news.js';
 
 /** What the host that polls a store of kept context passes on to the others. */
 export type KeptNews = {
--- /dev/null
+++ b/src/forwarding/kept-store.ts
@@ -0,0 +1,12 @@
+import {type StoreDirectory} from '../decide/kept/store-directory.js';
+import {type Service} from './service.js';
+
+/** A store of kept context and what this host knows of it. */
+export type KeptStore = {
+	readonly name: string;
+	readonly store: NonNullable<Service['store']>;
+	readonly directory: StoreDirectory;
+	/** Tokens of saves that have not shown in the events yet. */
+	readonly savingTokens: () => number;
+	readonly canSave: (tokens: number) => boolean;
+};
--- /dev/null
+++ b/src/forwarding/kept-task.ts
@@ -0,0 +1,19 @@
+import {type PartNews} from './part-news.js';
+import {type KeptNews} from './kept-news.js';
+import {type Service} from './service.js';
+import {type KeptStore} from './kept-store.js';
+
+/** Follows the stores of kept context. */
+export type KeptTask = {
+	/** Takes the stores of the configuration in force. */
+	readonly apply: (services: readonly Service[]) => void;
+	readonly stores: () => readonly KeptStore[];
+	/** Whether this host is the one that polls a store. */
+	readonly isPoller: (store: string) => boolean;
+	readonly take: (news: KeptNews) => void;
+	readonly list: (store: string) => PartNews | undefined;
+	/** Notes that a part is being saved. */
+	readonly noteSave: (store: string, scope: string, part: string, tokens: number) => void;
+	readonly isBeingSaved: (scope: string, part: string) => boolean;
+	readonly stop: () => void;
+};
--- a/src/forwarding/kind-watch.ts
+++ b/src/forwarding/kind-watch.ts
@@ -1,12 +1,4 @@
-import {type StoredObject} from './stored-object.js';
-
-/** All objects of a kind at a revision of the store. */
-export type KindState = {
-	readonly objects: readonly StoredObject[];
-	readonly revision: number;
-	/** Revision up to which the last change of the objects is known to have been made. */
-	readonly changedAt: number;
-};
+import {type KindState} from './kind-state.js';
 
 /** Follows the objects of one kind in the platform's store. */
 export type KindWatch = {
--- /dev/null
+++ b/src/forwarding/part-event.ts
@@ -0,0 +1,7 @@
+/** A change of what a store of kept context holds. */
+export type PartEvent = {
+	readonly isAdded: boolean;
+	readonly scope: string;
+	readonly part: string;
+	readonly tokens: number;
+};
--- a/src/forwarding/send-once.ts
+++ b/src/forwarding/send-once.ts
@@ -2,7 +2,8 @@
 import {type AnswerHead} from './answer-head.js';
 import {type CallerAnswer} from './caller-answer.js';
 import {type SendOutcome} from './send-outcome.js';
-import {type AnswerListener, type RunningSend} from './upstream-link.js';
+import {type AnswerListener} from './answer-listener.js';
+import {type RunningSend} from './running-send.js';
 
 const keptFailureBytes = 1024 * 1024;
 
--- a/src/forwarding/upstream-book.ts
+++ b/src/forwarding/upstream-book.ts
@@ -1,17 +1,11 @@
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
-import {type HostReport, type UpstreamLoad} from './host-report.js';
-import {type RunningSend, type AnswerListener, type UpstreamMessage} from './upstream-link.js';
+import {type HostReport} from './host-report.js';
+import {type UpstreamLoad} from './upstream-load.js';
+import {type RunningSend} from './running-send.js';
+import {type AnswerListener} from './answer-listener.js';
+import {type UpstreamMessage} from './upstream-message.js';
 import {type Upstream} from './upstream.js';
-
-/** What a request asks of an upstream, in tokens. */
-export type SendSize = {
-	/** Prompt tokens that have to be read before the answer begins. */
-	readonly waitingTokens: number;
-	/** Memory taken until the request ends. */
-	readonly heldTokens: number;
-	/** Rank at the engine; 0 is read first. */
-	readonly urgency: number;
-};
+import {type SendSize} from './send-size.js';
 
 /** What is known of the upstreams, and the connections to them. */
 export type UpstreamBook = {
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -9,7 +9,7 @@
 import {type GossipEntry} from '../decide/membership/gossip-entry.js';
 import {type PoisonVerdict} from '../decide/poison/poison-verdict.js';
 import {type RunEnd} from '../decide/poison/run-end.js';
-import {type PartNews} from '../forwarding/engine-control.js';
+import {type PartNews} from '../forwarding/part-news.js';
 import {type StateNews} from '../forwarding/state-news.js';
 import {type StoredObject} from '../forwarding/stored-object.js';
 import {type Decision} from '../observe/decision.js';
--- a/test/decide/forwarding/truth.test.ts
+++ b/test/decide/forwarding/truth.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import {closeCall} from '../../../src/decide/forwarding/close-call.js';
-import {decideNextStep} from '../../../src/decide/forwarding/next-step.js';
+import {decideNextStep} from '../../../src/decide/forwarding/decide-next-step.js';
 import {createWindowBudget} from '../../../src/decide/retries/create-window-budget.js';
 import {answers} from '../../../src/errors/answers.js';
 import {type RouteKind} from '../../../src/forwarding/route-kind.js';
--- a/test/decide/kept/plan.test.ts
+++ b/test/decide/kept/plan.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, test} from 'vitest';
-import {planKeptContext, type StoreView} from '../../../src/decide/kept/plan-kept-context.js';
+import {planKeptContext} from '../../../src/decide/kept/plan-kept-context.js';
+import {type StoreView} from '../../../src/decide/kept/store-view.js';
 
 const parts = [{id: 'common', tokens: 500}, {id: 'shared', tokens: 9000}, {id: 'own', tokens: 3000}];
 const store = (name: string, held: readonly string[], changed: Partial<StoreView> = {}): StoreView => ({
--- a/test/decide/rollout.test.ts
+++ b/test/decide/rollout.test.ts
@@ -1,7 +1,8 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import {createLease} from '../../src/decide/orders/create-lease.js';
-import {countLoadsAtOnce, planRollout} from '../../src/decide/orders/plan-rollout.js';
+import {countLoadsAtOnce} from '../../src/decide/orders/count-loads-at-once.js';
+import {planRollout} from '../../src/decide/orders/plan-rollout.js';
 import {weighOldWeights} from '../../src/decide/forwarding/weigh-old-weights.js';
 import {createElapsedClock} from '../../src/util/create-elapsed-clock.js';
 
