--- /dev/null
+++ b/src/forwarding/rollout-lease.ts
@@ -0,0 +1,14 @@
+/** The lease under which one host at a time orders engines. `hold` and `giveBack` may throw what the lease's store throws. */
+export type RolloutLease = {
+	/** Takes or renews the lease, if that may be done now; `workSince` is when there came to be something to order. */
+	readonly hold: (workSince: number) => Promise<void>;
+	/** Renews the lease while orders may still be on their way, then gives it back. */
+	readonly giveBack: () => Promise<void>;
+	/** Token under which orders may be given now; `undefined` when this host does not hold the lease. */
+	readonly token: () => number | undefined;
+	readonly noteOrder: () => void;
+	/** Notes that an engine refused a token because it had seen a higher one. */
+	readonly noteFenced: (token: number) => void;
+	/** Notes that the lease's store failed, so that it is read again at once. */
+	readonly noteFailure: () => void;
+};
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -14,6 +14,7 @@
 import {createLeaseStore} from './forwarding/create-lease-store.js';
 import {createPlacer} from './forwarding/create-placer.js';
 import {createRelayedLeaseStore} from './forwarding/create-relayed-lease-store.js';
+import {createRolloutLease} from './forwarding/create-rollout-lease.js';
 import {createRolloutTask} from './forwarding/create-rollout-task.js';
 import {createStateSync} from './forwarding/create-state-sync.js';
 import {createStatusPort} from './forwarding/create-status-port.js';
@@ -159,10 +160,17 @@
 	});
 	const ownLease = createLeaseStore(store, kinds.leases, 'rollout');
 	const rollout = createRolloutTask({
-		store: createRelayedLeaseStore({
-			own: ownLease, call: peerCaller.call, alive: links.alive, random,
+		self: name,
+		lease: createRolloutLease({
+			self: name, run: randomUUID(), others, leaseMs: bounds.leaseMs, now: elapsed,
+			store: createRelayedLeaseStore({
+				own: ownLease, call: peerCaller.call, alive: links.alive, random,
+			}),
 		}),
-		self: name, run: randomUUID(), control, book, named: stored.weights, others, leaseMs: bounds.leaseMs, now: elapsed,
+		control,
+		book,
+		named: stored.weights,
+		now: elapsed,
 	});
 
 	const free = createFreeTask({
