--- /dev/null
+++ b/test/forwarding/kept-context.test.ts
@@ -0,0 +1,118 @@
+import {
+	afterEach, beforeEach, describe, expect, test,
+} from 'vitest';
+import {callRaw} from '../support/call-raw.js';
+import {callerBytes} from '../support/caller-bytes.js';
+import {createGateway, type TestGateway} from '../support/create-gateway.js';
+import {createKeptStoreServer, type KeptStoreServer} from '../support/create-kept-store-server.js';
+import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
+import {createUpstreamServer, type UpstreamServer} from '../support/create-upstream-server.js';
+import {platformObjects} from '../support/platform-objects.js';
+import {waitUntil} from '../support/wait-until.js';
+
+let store: StoreServer;
+let kept: KeptStoreServer;
+let engine: UpstreamServer;
+let gateways: TestGateway[];
+
+const storeService = (address: string) => ({
+	name: 'cache', kv_store_addr: address, zone: 'domain-a', kv_capacity_tokens: 20_000, link_mbps: 100_000, max_concurrent: 12, managed: true, first_ms: 0.5,
+});
+const engineService = {
+	name: 'app', health_path: '/health', max_conns: 40, protocol: 'h1', tls: false,
+	engine: {
+		slots: 8, kv_capacity_tokens: 100_000, kv_token_bytes: 1000, link_mbps: 500_000, managed: true, models: [{name: 'm'}],
+	},
+};
+
+beforeEach(async () => {
+	[store, kept, engine] = await Promise.all([createStoreServer(), createKeptStoreServer(), createUpstreamServer()]);
+	gateways = [];
+	store.put('config', 'main', platformObjects.configuration(1, {services: [engineService, storeService(kept.address)]}));
+	store.put('versions', 'm', {model: 'm', version: 1});
+	store.put('servers', 'i-0', platformObjects.upstream(engine.address, {models: [{name: 'm', version: 1, adapters: []}]}));
+});
+
+afterEach(async () => {
+	await Promise.all(gateways.map(async gateway => gateway.stop()));
+	store.stop();
+	kept.stop();
+	engine.stop();
+});
+
+async function start(count = 1): Promise<void> {
+	gateways = await Promise.all(Array.from({length: count}, async () => createGateway(store.address)));
+	await waitUntil('the hosts to be ready', async () => {
+		const answers = await Promise.all(gateways.map(async gateway => fetch(`http://${gateway.readiness}/v1/readiness`)));
+		return answers.every(answer => answer.status === 200);
+	});
+}
+
+/** Sends a prompt of two shared parts and one of its own; gives what the engine was told of kept context. */
+async function ask(gateway: TestGateway, key = 'key-1'): Promise<Record<string, string | undefined>> {
+	await callRaw(gateway.callers, callerBytes({
+		method: 'POST', target: '/ask/x', body: 'prompt', deadlineMs: 4000, key,
+		headers: 'Model: m\r\nToken-Count: 3000,64\r\nPrompt-Prefix: aa:500,bb:2000,cc:500\r\n',
+	}));
+	const {headers} = engine.arrived.at(-1)!;
+	return {
+		scope: headers.get('cache-salt'), from: headers.get('kv-fetch'), to: headers.get('kv-save'), until: headers.get('kv-until'), version: headers.get('expect-version'),
+	};
+}
+
+describe('shared context', () => {
+	test('is saved once the store\'s last life is over for every reader, then fetched within a limit on the store\'s clock', async () => {
+		await start();
+		expect((await ask(gateways[0]!)).to).toBeUndefined();
+		await waitUntil('saves to be allowed', async () => (await ask(gateways[0]!)).to === `${kept.address},${kept.address},-`);
+		kept.save('m/1', 'aa', 500);
+		kept.save('m/1', 'bb', 2000);
+		await waitUntil('fetches', async () => (await ask(gateways[0]!)).from === `${kept.address},${kept.address},-`);
+		const told = await ask(gateways[0]!);
+		expect([told.scope, told.version, told.to]).toEqual(['m/1', '1', undefined]);
+		expect(Number(told.until)).toBeLessThanOrEqual(performance.now() + 3000);
+	});
+
+	test('of a workspace that is walled off has a scope of its own', async () => {
+		await start();
+		expect([(await ask(gateways[0]!, 'key-1')).scope, (await ask(gateways[0]!, 'key-3')).scope]).toEqual(['m/1', 'm/1/walled']);
+	});
+
+	test('is not fetched from a store that has restarted or is silent', async () => {
+		kept.save('m/1', 'aa', 500);
+		await start();
+		await waitUntil('fetches', async () => (await ask(gateways[0]!)).from === `${kept.address},-,-`);
+		kept.restart();
+		await waitUntil('no fetch', async () => (await ask(gateways[0]!)).from === undefined);
+		kept.save('m/1', 'aa', 500);
+		await waitUntil('fetches again', async () => (await ask(gateways[0]!)).from === `${kept.address},-,-`);
+		kept.isSilent = true;
+		await waitUntil('no fetch from the silent store', async () => (await ask(gateways[0]!)).from === undefined);
+	});
+
+	test('is followed by one host, which passes its news on', async () => {
+		await start(3);
+		await waitUntil('hosts to hear each other', async () => {
+			const before = kept.calls();
+			await new Promise(resolve => {
+				setTimeout(resolve, 1500);
+			});
+			// One host polls twice a second.
+			return kept.calls() - before <= 4;
+		});
+		kept.save('m/1', 'aa', 500);
+		for (const gateway of gateways) {
+			await waitUntil('fetches', async () => (await ask(gateway)).from === `${kept.address},-,-`);
+		}
+	});
+
+	test('of replaced weights is freed, and that of the named weights kept', async () => {
+		kept.save('m/1', 'aa', 500);
+		kept.save('m/2', 'aa', 500);
+		await start(2);
+		store.put('servers', 'i-0', platformObjects.upstream(engine.address, {models: [{name: 'm', version: 2, adapters: []}]}));
+		store.put('versions', 'm', {model: 'm', version: 2});
+		await waitUntil('the old part to be freed', () => !kept.parts().includes('m/1 aa'));
+		expect(kept.parts()).toEqual(['m/2 aa']);
+	});
+});
--- /dev/null
+++ b/test/forwarding/upstreams.test.ts
@@ -0,0 +1,116 @@
+import {createServer, type Socket} from 'node:net';
+import {
+	afterEach, beforeEach, describe, expect, test,
+} from 'vitest';
+import {sleep} from '../../src/util/sleep.js';
+import {callRaw} from '../support/call-raw.js';
+import {callerBytes} from '../support/caller-bytes.js';
+import {createGateway, type TestGateway} from '../support/create-gateway.js';
+import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
+import {answerWhole, createUpstreamServer, type UpstreamServer} from '../support/create-upstream-server.js';
+import {platformObjects} from '../support/platform-objects.js';
+import {waitUntil} from '../support/wait-until.js';
+
+const reportsMs = 1000;
+
+let store: StoreServer;
+let upstreams: UpstreamServer[];
+let gateways: TestGateway[];
+
+beforeEach(async () => {
+	store = await createStoreServer();
+	upstreams = await Promise.all([createUpstreamServer(), createUpstreamServer(), createUpstreamServer(), createUpstreamServer()]);
+	gateways = [];
+	store.put('config', 'main', platformObjects.configuration(1));
+	for (const [index, upstream] of upstreams.entries()) {
+		store.put('servers', `i-${index}`, platformObjects.upstream(upstream.address));
+	}
+});
+
+afterEach(async () => {
+	await Promise.all(gateways.map(async gateway => gateway.stop()));
+	store.stop();
+	for (const upstream of upstreams) {
+		upstream.stop();
+	}
+});
+
+async function start(count: number): Promise<void> {
+	gateways = await Promise.all(Array.from({length: count}, async () => createGateway(store.address, {bounds: {retrySlack: 1000}})));
+	await waitUntil('the hosts to be ready', async () => {
+		const answers = await Promise.all(gateways.map(async gateway => fetch(`http://${gateway.readiness}/v1/readiness`)));
+		return answers.every(answer => answer.status === 200);
+	});
+}
+
+const read = async (gateway: TestGateway, options: Parameters<typeof callerBytes>[0] = {}) => callRaw(gateway.callers, callerBytes(options));
+
+describe('an upstream', () => {
+	test('that does not answer loses an idempotent request to another, and gets no new ones for a while', async () => {
+		await start(1);
+		const [silent] = upstreams;
+		silent!.answer = () => undefined;
+		const answers = await Promise.all(Array.from({length: 12}, async () => read(gateways[0]!)));
+		expect(answers.map(answer => answer.status)).toEqual(Array.from({length: 12}, () => 200));
+	});
+
+	test('whose address another one has taken over says so, and the request goes elsewhere', async () => {
+		await start(1);
+		for (const upstream of upstreams.slice(1)) {
+			upstream.answer = (_, socket) => {
+				socket.write('HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n');
+			};
+		}
+
+		const got = await read(gateways[0]!, {method: 'POST', target: '/book/x', body: 'b'});
+		expect(got.status).toBe(200);
+		expect(upstreams[0]!.arrived.map(({headers}) => headers.get('expect-instance'))).toEqual(['i-0']);
+	});
+
+	test('that can\'t be reached proves that a request was not sent', async () => {
+		const closed = createServer();
+		await new Promise<void>(resolve => {
+			closed.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = closed.address() as {port: number};
+		closed.close();
+		for (const index of [0, 1, 2]) {
+			store.put('servers', `i-${index}`, platformObjects.upstream(`127.0.0.1:${port}`));
+		}
+
+		await start(1);
+		const got = await read(gateways[0]!, {method: 'POST', target: '/book/x', body: 'b'});
+		expect([got.status, upstreams[3]!.arrived.length]).toEqual([200, 1]);
+	});
+});
+
+describe('a request that crashes the upstreams that run it', () => {
+	test('is refused by all hosts after the second, and others are served', async () => {
+		await start(2);
+		const crashed: UpstreamServer[] = [];
+		for (const upstream of upstreams) {
+			upstream.answer = (arrived, socket: Socket) => {
+				if (!arrived.target.endsWith('/poison')) {
+					answerWhole(arrived, socket);
+					return;
+				}
+
+				crashed.push(upstream);
+				upstream.stop();
+			};
+		}
+
+		const poison = {method: 'POST', target: '/book/poison', body: 'p'};
+		for (const gateway of gateways) {
+			await read(gateway, poison);
+			// A host looks into a crash and tells the others with its next report.
+			await sleep(reportsMs);
+		}
+
+		const answers = await Promise.all(gateways.map(async gateway => read(gateway, poison)));
+		expect(answers.map(answer => [answer.status, answer.body.includes('crashed')])).toEqual([[503, true], [503, true]]);
+		expect(crashed.length).toBe(2);
+		const got = await read(gateways[1]!, {method: 'POST', target: '/book/other', body: 'p'});
+		expect(got.status).toBe(200);
+	});
+});
