--- /dev/null
+++ b/test/platform/boundary.test.ts
@@ -0,0 +1,25 @@
+import {readdirSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import {describe, expect, test} from 'vitest';
+
+/** Names that only the users' platform uses. */
+const wireNames = [
+	'kv-fetch', 'kv-save', 'kv-until', 'kv-from', 'kv-backup', 'kv-events', 'kv-list', 'kv-free', 'cache-salt', 'prompt-prefix', 'response-seal', 'not-executed',
+	'expect-instance', 'expect-version', 'deadline-ms', 'x-api-key', 'fencing_token', 'kv_store_addr', 'boot_epoch', 'traffic_split', 'allow_anonymous',
+	'create_revision', 'max_conns', 'path_prefix', 'as_of',
+];
+
+const files = (folder: string): readonly string[] => readdirSync(folder, {recursive: true, encoding: 'utf8'})
+	.filter(file => file.endsWith('.ts'))
+	.map(file => path.join(folder, file));
+
+describe('the names of the users\' platform', () => {
+	test.each(wireNames)('stand in platform/ only: %s', name => {
+		expect(files('src').filter(file => readFileSync(file, 'utf8').toLowerCase().includes(name))).toEqual([]);
+	});
+
+	test('are brought into the product by one command', () => {
+		const importing = files('src').filter(file => /from '(?:\.\.\/)+platform\/adapter\.js'/v.test(readFileSync(file, 'utf8')));
+		expect(importing).toEqual([path.join('src', 'commands', 'gateway.ts')]);
+	});
+});
