--- a/test/platform/boundary.test.ts
+++ b/test/platform/boundary.test.ts
@@ -4,9 +4,31 @@
 
 /** Names that only the users' platform uses. */
 const wireNames = [
-	'kv-fetch', 'kv-save', 'kv-until', 'kv-from', 'kv-backup', 'kv-events', 'kv-list', 'kv-free', 'cache-salt', 'prompt-prefix', 'response-seal', 'not-executed',
-	'expect-instance', 'expect-version', 'deadline-ms', 'x-api-key', 'fencing_token', 'kv_store_addr', 'boot_epoch', 'traffic_split', 'allow_anonymous',
-	'create_revision', 'max_conns', 'path_prefix', 'as_of',
+	'kv-fetch',
+	'kv-save',
+	'kv-until',
+	'kv-from',
+	'kv-backup',
+	'kv-events',
+	'kv-list',
+	'kv-free',
+	'cache-salt',
+	'prompt-prefix',
+	'response-seal',
+	'not-executed',
+	'expect-instance',
+	'expect-version',
+	'deadline-ms',
+	'x-api-key',
+	'fencing_token',
+	'kv_store_addr',
+	'boot_epoch',
+	'traffic_split',
+	'allow_anonymous',
+	'create_revision',
+	'max_conns',
+	'path_prefix',
+	'as_of',
 ];
 
 const files = (folder: string): readonly string[] => readdirSync(folder, {recursive: true, encoding: 'utf8'})
