--- a/src/forwarding/create-caller-answer.ts
+++ b/src/forwarding/create-caller-answer.ts
@@ -37,7 +37,8 @@
 	return {
 		hasBegun: () => hasBegun,
 		begin,
-		write: chunk => res.write(chunk),
+		// A caller that has gone takes everything at once: nothing would tell when it could take more.
+		write: chunk => res.destroyed || res.write(chunk),
 		onDrain(callback) {
 			res.once('drain', callback);
 		},
--- a/test/forwarding/answers.test.ts
+++ b/test/forwarding/answers.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {type Socket} from 'node:net';
 import {
 	afterAll, beforeAll, describe, expect, test,
@@ -243,6 +244,34 @@
 		expect(owner('gone-book').closed).not.toContain(booked.connection);
 	});
 
+	test('that is finished for a caller that has gone ends quietly, however its answer ends', async () => {
+		const uncaught: unknown[] = [];
+		const note = (error: unknown): void => {
+			uncaught.push(error);
+		};
+
+		process.on('uncaughtException', note);
+		let answered = 0;
+		setAnswers((arrived, socket) => {
+			setTimeout(() => {
+				socket.end(`HTTP/1.1 200 OK\r\n${signed(arrived)}\r\n${'x'.repeat(2000)}`);
+				answered++;
+			}, 300);
+		});
+		await callRaw(gateway.callers, callerBytes({
+			method: 'POST', target: '/book/x', body: 'b', keeps: true,
+		}), socket => {
+			setTimeout(() => {
+				socket.destroy();
+			}, 100);
+		});
+		await waitUntil('the answer', () => answered === 1);
+		setAnswers(answerWhole);
+		const got = await callRaw(gateway.callers, callerBytes());
+		process.off('uncaughtException', note);
+		expect([got.status, uncaught]).toEqual([200, []]);
+	});
+
 	test('has its final answer when its time is over, with the truth about whether it may have run', async () => {
 		setAnswers(() => undefined);
 		const [read, book] = await Promise.all([
