The stand-in store gives the events of a waiting poll as of its answer

The stand-in chose the events of a poll when the poll came in and told 'next' as of its answer, so a part saved while a poll waited was never told. Ruled out: the directory of the product, which asks from the 'next' that it was told.

--- a/test/support/create-kept-store-server.ts
+++ b/test/support/create-kept-store-server.ts
@@ -40,11 +40,11 @@
 				return;
 			}
 
-			const answer = (body: unknown, waitMs: number): void => {
+			const answer = (body: () => object, waitMs: number): void => {
 				setTimeout(() => {
 					res.writeHead(200, {'content-type': 'application/json'});
 					res.end(JSON.stringify({
-						boot_epoch: epoch, next, clock_ms: Math.round(performance.now()), ...body as object,
+						boot_epoch: epoch, next, clock_ms: Math.round(performance.now()), ...body(),
 					}));
 				}, waitMs);
 			};
@@ -59,16 +59,16 @@
 					}
 				}
 
-				answer({}, 0);
+				answer(() => ({}), 0);
 				return;
 			}
 
 			calls++;
 			if (url.pathname === '/v1/kv-list') {
-				answer({held: [...held.values()]}, listedMs);
+				answer(() => ({held: [...held.values()]}), listedMs);
 			} else {
 				const since = Number(url.searchParams.get('since'));
-				answer({lost: false, events: events.filter(([number]) => number >= since)}, Number(req.headers['wait-ms'] ?? 0));
+				answer(() => ({lost: false, events: events.filter(([number]) => number >= since)}), Number(req.headers['wait-ms'] ?? 0));
 			}
 		});
 	});
