Stores are listed again for saves that were not seen to end; settings are read anew

Cause: a store's events may be lost and a save may break off; the first hid a whole part for good, the second kept its room for good. Settings were read at the start only. Also: fields and settings that nothing read are gone, one condition for news of peers, ports of tests below the range of outgoing connections. Before: the new test of lost events and broken saves fails; after: it passes.

--- a/src/commands/gateway.ts
+++ b/src/commands/gateway.ts
@@ -7,6 +7,8 @@
 import {startLog} from '../observe/start-log.js';
 import {gatewaySettingsSchema} from '../settings/gateway-settings-schema.js';
 import {type GatewaySettings} from '../settings/gateway-settings.js';
+import {createSettingsWatch} from '../settings/create-settings-watch.js';
+import {parseJsonc} from '../settings/parse-jsonc.js';
 import {readSettingsFile} from '../settings/read-settings-file.js';
 import {startGateway} from '../wire-gateway.js';
 
@@ -18,7 +20,7 @@
 
 const exitFlushMs = 60;
 
-/** Runs one host in front of registered upstreams until SIGTERM or SIGINT. */
+/** Runs one host in front of registered upstreams until SIGTERM or SIGINT; SIGHUP reads the settings anew. */
 export const gatewayCommand: CommandModule<unknown, GatewayArguments> = {
 	command: 'gateway',
 	describe: 'run a host in front of the upstreams registered at a platform',
@@ -56,8 +58,14 @@
 		process.on('SIGINT', () => {
 			void leave();
 		});
+		const watch = createSettingsWatch({
+			file,
+			parse: text => parseJsonc<GatewaySettings>(file, text, gatewaySettingsSchema),
+			onChange: gateway.reload,
+		});
 		process.on('SIGHUP', () => {
-			log.info({file}, 'settings changed; they are read at the next start');
+			log.info({file}, 'signal to read the settings anew');
+			void watch.check();
 		});
 	},
 };
--- /dev/null
+++ b/src/decide/kept/create-pending-saves.ts
@@ -0,0 +1,43 @@
+import {type PendingSaves} from './pending-saves.js';
+import {writePartKey} from './write-part-key.js';
+
+/** A save that has not shown in the store's events after this long is taken for lost. */
+const savingMs = 4000;
+
+/** Creates the list of saves under way. */
+export function createPendingSaves(): PendingSaves {
+	const saves = new Map<string, {readonly scope: string; readonly part: string; readonly tokens: number; readonly at: number}>();
+	let hasLoss = false;
+
+	return {
+		note(scope, part, tokens, now) {
+			saves.set(writePartKey(scope, part), {
+				scope, part, tokens, at: now,
+			});
+		},
+		has(scope, part, now) {
+			const save = saves.get(writePartKey(scope, part));
+			return save !== undefined && now - save.at <= savingMs;
+		},
+		sweep(isHeld, now) {
+			let tokens = 0;
+			for (const [key, save] of saves) {
+				const isLost = now - save.at > savingMs;
+				const isShown = isHeld(save.scope, save.part);
+				hasLoss ||= isLost && !isShown;
+				if (isLost || isShown) {
+					saves.delete(key);
+				} else {
+					tokens += save.tokens;
+				}
+			}
+
+			return tokens;
+		},
+		takeLoss() {
+			const had = hasLoss;
+			hasLoss = false;
+			return had;
+		},
+	};
+}
--- a/src/decide/kept/create-store-directory.ts
+++ b/src/decide/kept/create-store-directory.ts
@@ -1,6 +1,7 @@
 import {type PartNews} from '../../forwarding/part-news.js';
 import {keptTimes} from './kept-times.js';
 import {type StoreDirectory} from './store-directory.js';
+import {writePartKey} from './write-part-key.js';
 
 const {fetchEndMs: validMs} = keptTimes;
 /** A fetch begins only if it has at least this long. */
@@ -13,10 +14,6 @@
 	readonly tokens: number;
 };
 
-function toKey(scope: string, part: string): string {
-	return `${scope}\n${part}`;
-}
-
 /**
 Creates the directory of a store that evicts nothing by itself and checks nothing. A part listed as whole stays so until it
 is freed or the store restarts, so every fetch ends within `validMs` of the answer that listed it, by the store's own clock.
@@ -67,7 +64,7 @@
 			}
 
 			for (const event of news.events) {
-				const key = toKey(event.scope, event.part);
+				const key = writePartKey(event.scope, event.part);
 				remove(key);
 				if (event.isAdded) {
 					parts.set(key, {scope: event.scope, part: event.part, tokens: event.tokens});
@@ -82,11 +79,11 @@
 		lose: clear,
 		forget(freed) {
 			for (const {scope, part} of freed) {
-				remove(toKey(scope, part));
+				remove(writePartKey(scope, part));
 			}
 		},
 		next: () => next,
-		has: (scope, part) => parts.has(toKey(scope, part)),
+		has: (scope, part) => parts.has(writePartKey(scope, part)),
 		fetchUntil(now) {
 			const ageMs = now - answeredAt;
 			return clockMs === undefined || ageMs > validMs - leastFetchMs ? undefined : Math.floor(clockMs + validMs);
--- a/src/decide/retries/create-window-budget.ts
+++ b/src/decide/retries/create-window-budget.ts
@@ -2,12 +2,17 @@
 
 const slices = 10;
 
-/** What a host may spend of a retry budget that all hosts share. */
-type WindowBudgetOptions = {
+/** Limits that may change while the host runs. */
+type RetryLimits = {
 	/** Retries for each first attempt. */
 	readonly ratio: number;
 	/** Retries in a window beyond the ratio, for all hosts together. */
 	readonly slack: number;
+};
+
+/** What a host may spend of a retry budget that all hosts share. */
+type WindowBudgetOptions = {
+	readonly limits: () => RetryLimits;
 	readonly windowMs: number;
 	/** Hosts that share the slack. */
 	readonly hosts: () => number;
@@ -18,7 +23,7 @@
 part of the slack, so no messages are needed to keep the sum. Load pattern: many upstreams fail at once and every host
 retries at the same time.
 */
-export function createWindowBudget({ratio, slack, windowMs, hosts}: WindowBudgetOptions): WindowBudget {
+export function createWindowBudget({limits, windowMs, hosts}: WindowBudgetOptions): WindowBudget {
 	const sliceMs = windowMs / slices;
 	let counts: Array<{readonly slice: number; firsts: number; repeats: number}> = [];
 
@@ -50,6 +55,7 @@
 				repeats += each.repeats;
 			}
 
+			const {ratio, slack} = limits();
 			if (repeats + 1 > (firsts * ratio) + (slack / Math.max(1, hosts()))) {
 				return false;
 			}
--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -1,9 +1,13 @@
+import {createBrokenSaves} from '../decide/kept/create-broken-saves.js';
+import {createPendingSaves} from '../decide/kept/create-pending-saves.js';
 import {createStoreDirectory} from '../decide/kept/create-store-directory.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
 import {log} from '../observe/log.js';
 import {type PeerCaller} from '../peers/peer-caller.js';
 import {sleep} from '../util/sleep.js';
+import {createStorePoller} from './create-store-poller.js';
 import {type EngineControl} from './engine-control.js';
+import {type FollowedStore} from './followed-store.js';
 import {type KeptNews} from './kept-news.js';
 import {type Service} from './service.js';
 import {type KeptStore} from './kept-store.js';
@@ -14,16 +18,11 @@
 /** Up to this many hosts; then polls are rarer in proportion, up to a limit set by how long a listing may be used. */
 const frequentHosts = 16;
 const mostPollMs = 1000;
-const waitMs = 250;
 const tickMs = 100;
 /** A host further down the ranking polls a store of which it has heard nothing for this long. */
 const quietMs = 1200;
 const quietRankMs = 500;
 const pullTimeoutMs = 1500;
-/** Events that fit in one datagram; other hosts ask for the whole list where there are more. */
-const toldEvents = 150;
-/** A save that has not shown in the store's events after this long is taken for lost. */
-const savingMs = 4000;
 /** Share of a store's room that saves may fill. */
 const fillShare = 0.96;
 const blockTokens = 16;
@@ -41,71 +40,23 @@
 	readonly now: () => number;
 };
 
-/** One followed store. */
-type Followed = {
-	readonly kept: KeptStore;
-	readonly saving: Map<string, {readonly tokens: number; readonly at: number}>;
-	heardAt: number;
-	isAnswering: boolean;
-	hasStopped: boolean;
-};
-
 /** Starts the task. One host polls each store and passes the news on; the others poll only when they hear nothing. */
 export function createKeptTask({self, peers, control, call, others, tell, now}: KeptTaskOptions): KeptTask {
-	const followed = new Map<string, Followed>();
+	const followed = new Map<string, FollowedStore>();
 	const pulling = new Set<string>();
 
-	const sweepSaves = ({saving, kept}: Followed): number => {
-		let tokens = 0;
-		for (const [key, save] of saving) {
-			const [scope, part] = key.split('\n');
-			if (now() - save.at > savingMs || kept.directory.has(scope!, part!)) {
-				saving.delete(key);
-			} else {
-				tokens += save.tokens;
-			}
-		}
-
-		return tokens;
-	};
-
-	const poll = async (entry: Followed): Promise<void> => {
-		const {name, store: {address}, directory} = entry.kept;
-		const since = directory.next();
-		const sentAt = now();
-		try {
-			const news = since === undefined ? await control.listParts(address) : await control.pollParts(address, since, waitMs);
-			directory.take(news, sentAt, now());
-			entry.heardAt = now();
-			if (!entry.isAnswering) {
-				entry.isAnswering = true;
-				log.info({store: name, epoch: news.epoch, tokens: directory.tokens()}, 'store of kept context answers');
-			}
-
-			const isWhole = since !== undefined && news.events.length <= toldEvents;
-			tell({
-				store: name, peers, since: since ?? -1, news: {...news, events: isWhole ? news.events : []},
-			});
-		} catch (error) {
-			directory.lose();
-			if (entry.isAnswering) {
-				entry.isAnswering = false;
-				log.warn({store: name, error: String(error)}, 'store of kept context does not answer');
-				tell({
-					store: name, peers, since: -1, news: undefined,
-				});
-			}
-		}
-	};
+	const poll = createStorePoller({
+		peers, control, tell, now,
+	});
 
 	const rankFor = (name: string): number => rankOwners([self, ...others()], name).indexOf(self);
 
-	const shouldPoll = (entry: Followed): boolean => {
+	const shouldPoll = (entry: FollowedStore): boolean => {
 		const rank = rankFor(entry.kept.name);
 		return rank === 0 || now() - entry.heardAt > quietMs + (rank * quietRankMs);
 	};
 
-	const follow = async (entry: Followed): Promise<void> => {
+	const follow = async (entry: FollowedStore): Promise<void> => {
 		while (!entry.hasStopped) {
 			if (shouldPoll(entry)) {
 				await poll(entry);
@@ -116,7 +67,7 @@
 		}
 	};
 
-	const pull = async (entry: Followed, address: string): Promise<void> => {
+	const pull = async (entry: FollowedStore, address: string): Promise<void> => {
 		const {name} = entry.kept;
 		if (pulling.has(name)) {
 			return;
@@ -139,15 +90,17 @@
 
 	const add = (name: string, store: NonNullable<Service['store']>): void => {
 		const directory = createStoreDirectory();
-		const entry: Followed = {
+		const entry: FollowedStore = {
 			kept: {
 				name, store, directory,
-				savingTokens: () => sweepSaves(entry),
 				canSave: tokens => directory.canSave(now())
-					&& directory.tokens() + sweepSaves(entry) + tokens + blockTokens <= store.capacityTokens * fillShare,
+					&& directory.tokens() + entry.saves.sweep(directory.has, now()) + tokens + blockTokens <= store.capacityTokens * fillShare,
 			},
-			saving: new Map(),
+			saves: createPendingSaves(),
+			findBroken: createBrokenSaves(),
 			heardAt: now(),
+			listedAt: now(),
+			hasUnfinished: false,
 			isAnswering: false,
 			hasStopped: false,
 		};
@@ -186,16 +139,15 @@
 				return;
 			}
 
-			const next = directory.next();
-			const isNewer = news.epoch === directory.epoch() && next !== undefined && next >= news.next;
-			if (isNewer && next !== news.next) {
+			const next = news.epoch === directory.epoch() ? directory.next() : undefined;
+			if (next !== undefined && next > news.next) {
 				return;
 			}
 
-			if (news.epoch === directory.epoch() && next !== undefined && since >= 0 && since <= next) {
-				directory.take(news, now(), now());
-			} else {
+			if (next === undefined || since < 0 || since > next) {
 				void pull(entry, from);
+			} else {
+				directory.take(news, now(), now());
 			}
 		},
 		list(store) {
@@ -209,12 +161,9 @@
 				: undefined;
 		},
 		noteSave(store, scope, part, tokens) {
-			followed.get(store)?.saving.set(`${scope}\n${part}`, {tokens, at: now()});
+			followed.get(store)?.saves.note(scope, part, tokens, now());
 		},
-		isBeingSaved: (scope, part) => [...followed.values()].some(entry => {
-			const save = entry.saving.get(`${scope}\n${part}`);
-			return save !== undefined && now() - save.at <= savingMs;
-		}),
+		isBeingSaved: (scope, part) => [...followed.values()].some(({saves}) => saves.has(scope, part, now())),
 		stop() {
 			for (const entry of followed.values()) {
 				entry.hasStopped = true;
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -29,7 +29,7 @@
 	/** The first naming of newer weights of a model than a version. */
 	readonly newerNaming: (model: string, version: number) => NamedWeights | undefined;
 	/** Time after a naming of weights by which no request begins on older ones. */
-	readonly versionMs: number;
+	readonly versionMs: () => number;
 	/** Clock in milliseconds that counts suspensions. */
 	readonly elapsed: () => number;
 	readonly now: () => number;
@@ -75,7 +75,7 @@
 			const {id, weights} = view.upstream;
 			const newer = prompt && newerNaming(prompt.model, weights.get(prompt.model) ?? 0);
 			const weightsMs = weighOldWeights({
-				replacedForMs: newer && elapsed() - newer.knownAt, isAgeKnown: newer !== undefined && Number.isFinite(newer.datedAt), limitMs: versionMs, objectiveMs: route.objectiveMs,
+				replacedForMs: newer && elapsed() - newer.knownAt, isAgeKnown: newer !== undefined && Number.isFinite(newer.datedAt), limitMs: versionMs(), objectiveMs: route.objectiveMs,
 			});
 			if (weightsMs === undefined) {
 				return [];
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -21,7 +21,6 @@
 type Ordered = {
 	readonly model: string;
 	readonly version: number;
-	readonly since: number;
 	nextAt: number;
 	isAccepted: boolean;
 };
@@ -131,7 +130,7 @@
 		for (const {target, engines} of behind()) {
 			for (const id of planRollout(engines, target.version)) {
 				ordered.set(id, {
-					model: target.model, version: target.version, since: now(), nextAt: 0, isAccepted: false,
+					model: target.model, version: target.version, nextAt: 0, isAccepted: false,
 				});
 			}
 
--- a/src/forwarding/create-state-sync.ts
+++ b/src/forwarding/create-state-sync.ts
@@ -18,7 +18,7 @@
 	readonly call: PeerCaller;
 	readonly alive: () => readonly KnownHost[];
 	/** Addresses to ask while no peer is known. */
-	readonly seeds: readonly string[];
+	readonly seeds: () => readonly string[];
 	readonly now: () => number;
 	readonly random: () => number;
 	/** A watch without an answer of the store for this long is taken for cut off, in milliseconds. */
@@ -95,7 +95,7 @@
 		while (!hasStopped) {
 			await sleep(checkMs);
 			const peers = alive().map(peer => peer.peers);
-			const addresses = peers.length > 0 ? peers : seeds;
+			const addresses = peers.length > 0 ? peers : seeds();
 			if (isCutOff() && addresses.length > 0) {
 				await pull(addresses[Math.floor(random() * addresses.length)]!);
 			}
--- /dev/null
+++ b/src/forwarding/create-store-poller.ts
@@ -0,0 +1,95 @@
+import {compareListing} from '../decide/kept/compare-listing.js';
+import {log} from '../observe/log.js';
+import {type EngineControl} from './engine-control.js';
+import {type FollowedStore} from './followed-store.js';
+import {type KeptNews} from './kept-news.js';
+import {type PartNews} from './part-news.js';
+
+const waitMs = 250;
+/** Events that fit in one datagram; other hosts ask for the whole list where there are more. */
+const toldEvents = 150;
+/** A store is listed anew at most this often for saves that were not seen to end: events may be lost, and saves break off. */
+const relistMs = 10_000;
+
+/** What the poller needs. */
+type StorePollerOptions = {
+	readonly peers: string;
+	readonly control: EngineControl;
+	readonly tell: (news: KeptNews) => void;
+	/** Clock in milliseconds that counts suspensions. */
+	readonly now: () => number;
+};
+
+/** Creates the function that asks a store of kept context once what has changed, and tells the other hosts. */
+export function createStorePoller({peers, control, tell, now}: StorePollerOptions) {
+	/** Frees the room of saves that broke off; nobody reads from them, since they were never told as whole. */
+	const freeBroken = async (entry: FollowedStore, {epoch, unfinished = []}: PartNews): Promise<void> => {
+		const broken = entry.findBroken(unfinished, now());
+		if (broken.length > 0) {
+			const isFreed = await control.freeParts(entry.kept.store.address, epoch, broken);
+			log.info({
+				store: entry.kept.name, epoch, parts: broken.length, tokens: broken.reduce((sum, {reservedTokens}) => sum + reservedTokens, 0), freed: isFreed,
+			}, 'room of broken saves freed');
+		}
+	};
+
+	/** Lists a store that was followed by events, and tells the others what the events did not say. */
+	const relist = async (entry: FollowedStore, since: number): Promise<void> => {
+		const {name, store: {address}, directory} = entry.kept;
+		const sentAt = now();
+		const listing = await control.listParts(address);
+		const isSameLife = listing.epoch === directory.epoch();
+		const events = isSameLife ? compareListing(directory.held(), listing.events) : [];
+		directory.lose();
+		directory.take(listing, sentAt, now());
+		entry.listedAt = now();
+		entry.hasUnfinished = (listing.unfinished ?? []).length > 0;
+		log.info({
+			store: name, epoch: listing.epoch, tokens: directory.tokens(), missed: events.length, unfinished: listing.unfinished?.length,
+		}, 'store of kept context listed again');
+		const isShort = isSameLife && events.length <= toldEvents;
+		tell({
+			store: name, peers, since: isShort ? since : -1, news: {...listing, events: isShort ? events : [], unfinished: undefined},
+		});
+		await freeBroken(entry, listing);
+	};
+
+	const pollEvents = async (entry: FollowedStore, since: number | undefined): Promise<void> => {
+		const {name, store: {address}, directory} = entry.kept;
+		const sentAt = now();
+		const news = since === undefined ? await control.listParts(address) : await control.pollParts(address, since, waitMs);
+		directory.take(news, sentAt, now());
+		const isWhole = since !== undefined && news.events.length <= toldEvents;
+		tell({
+			store: name, peers, since: since ?? -1, news: {...news, events: isWhole ? news.events : [], unfinished: undefined},
+		});
+	};
+
+	const shouldRelist = (entry: FollowedStore): boolean => {
+		entry.saves.sweep(entry.kept.directory.has, now());
+		entry.hasUnfinished = entry.saves.takeLoss() || entry.hasUnfinished;
+		return entry.hasUnfinished && now() - entry.listedAt > relistMs;
+	};
+
+	return async (entry: FollowedStore): Promise<void> => {
+		const {name, directory} = entry.kept;
+		const since = directory.next();
+		try {
+			await (since !== undefined && shouldRelist(entry) ? relist(entry, since) : pollEvents(entry, since));
+			entry.heardAt = now();
+			if (!entry.isAnswering) {
+				entry.isAnswering = true;
+				log.info({store: name, epoch: directory.epoch(), tokens: directory.tokens()}, 'store of kept context answers');
+			}
+		} catch (error) {
+			directory.lose();
+			if (entry.isAnswering) {
+				entry.isAnswering = false;
+				log.warn({store: name, error: String(error)}, 'store of kept context does not answer');
+				tell({
+					store: name, peers, since: -1, news: undefined,
+				});
+			}
+		}
+	};
+}
--- a/src/forwarding/kept-store.ts
+++ b/src/forwarding/kept-store.ts
@@ -6,7 +6,5 @@
 	readonly name: string;
 	readonly store: NonNullable<Service['store']>;
 	readonly directory: StoreDirectory;
-	/** Tokens of saves that have not shown in the events yet. */
-	readonly savingTokens: () => number;
 	readonly canSave: (tokens: number) => boolean;
 };
--- a/src/forwarding/route.ts
+++ b/src/forwarding/route.ts
@@ -20,6 +20,4 @@
 	/** Upstreams that one request may be sent to. */
 	readonly maxAttempts: number;
 	readonly isAnonymous: boolean;
-	/** Whether requests carry prompts whose parts upstreams keep. */
-	readonly isPrompt: boolean;
 };
--- a/src/forwarding/service.ts
+++ b/src/forwarding/service.ts
@@ -9,8 +9,6 @@
 		readonly memoryTokens: number;
 		readonly tokenBytes: number;
 		readonly linkMbps: number;
-		/** Event polls that one engine serves at once. */
-		readonly maxPolls: number;
 		readonly models: readonly string[];
 	};
 	/** Set where the service is a store of kept context. */
@@ -22,8 +20,6 @@
 		readonly linkMbps: number;
 		/** Wait before each transfer, in milliseconds. */
 		readonly firstMs: number;
-		/** Event polls that the store serves at once. */
-		readonly maxPolls: number;
 		/** Whether the store evicts nothing by itself. */
 		readonly isManaged: boolean;
 	};
--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -20,13 +20,8 @@
 	/** Peers' addresses to ask where the store can't be reached; they may be stale. */
 	seeds: z.array(addressSchema).default([]),
 	metricsPort: z.int().min(0).max(65_535),
-	memoryMb: z.number().min(32),
 	/** Address of the platform's store. */
 	objectStore: addressSchema,
-	/** How often an upstream renews its registration. */
-	heartbeatMs: z.number().min(1).default(1200),
-	/** Region of each failure domain. */
-	regions: z.record(z.string(), z.string()).default({}),
 	/** Figures that the deployment holds the system to. */
 	bounds: z.strictObject({
 		retryRatio: bound(0.2),
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -27,6 +27,7 @@
 import {log} from './observe/log.js';
 import {createPeerCaller} from './peers/create-peer-caller.js';
 import {createPeerServer} from './peers/create-peer-server.js';
+import {compareGatewaySettings} from './settings/compare-gateway-settings.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
 import {createElapsedClock} from './util/create-elapsed-clock.js';
 import {memoize} from './util/memoize.js';
@@ -56,11 +57,14 @@
 	/** Stops taking new callers, finishes the requests under way and stops. */
 	readonly drain: () => Promise<void>;
 	readonly stop: () => Promise<void>;
+	/** Takes settings that have changed while the host runs. */
+	readonly reload: (settings: GatewaySettings) => void;
 };
 
 /** Wires the parts of one gateway host together and starts it. */
 export async function startGateway(settings: GatewaySettings, adapter: GatewayAdapter): Promise<Gateway> {
-	const {name, domain, bounds} = settings;
+	const {name, domain} = settings;
+	let live = settings;
 	const {kinds} = adapter;
 	const now = (): number => performance.now();
 	const elapsed = createElapsedClock(now, Date.now);
@@ -151,7 +155,7 @@
 		watches,
 		call: peerCaller.call,
 		alive: links.alive,
-		seeds: settings.seeds.filter(seed => seed !== settings.peers),
+		seeds: () => live.seeds.filter(seed => seed !== settings.peers),
 		now: elapsed,
 		random,
 		silentMs: watchMs + watchSilenceMs,
@@ -162,7 +166,7 @@
 	const rollout = createRolloutTask({
 		self: name,
 		lease: createRolloutLease({
-			self: name, run: randomUUID(), others, leaseMs: bounds.leaseMs, now: elapsed,
+			self: name, run: randomUUID(), others, leaseMs: settings.bounds.leaseMs, now: elapsed,
 			store: createRelayedLeaseStore({
 				own: ownLease, call: peerCaller.call, alive: links.alive, random,
 			}),
@@ -179,7 +183,7 @@
 	const ageOf = (at: number | undefined): number | undefined => at === undefined ? undefined : Math.max(0, Math.round(elapsed() - at));
 
 	const budgetOf = memoize((_service: string) => createWindowBudget({
-		ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowS * msPerS, hosts,
+		limits: () => ({ratio: live.bounds.retryRatio, slack: live.bounds.retrySlack}), windowMs: settings.bounds.retryWindowS * msPerS, hosts,
 	}));
 	const paceOf = memoize((_service: string) => createServicePace());
 	const forward = createForwarder({
@@ -189,7 +193,7 @@
 		now,
 		random,
 		place: createPlacer({
-			domain, book, serviceOf: stored.serviceOf, paceOf, newerNaming: stored.newerNaming, versionMs: bounds.versionMs, now, elapsed, random,
+			domain, book, serviceOf: stored.serviceOf, paceOf, newerNaming: stored.newerNaming, versionMs: () => live.bounds.versionMs, now, elapsed, random,
 			planContext: createContextPlanner({
 				book, kept, newerNaming: stored.newerNaming, weightsConfirmedAt: sync.weightsConfirmedAt, now: elapsed,
 			}),
@@ -252,7 +256,7 @@
 
 			isDraining = true;
 			const startedAt = now();
-			const limitMs = (bounds.graceS * msPerS) - exitMarginMs;
+			const limitMs = (live.bounds.graceS * msPerS) - exitMarginMs;
 			callers.drain(startedAt + Math.min(leaveMs, limitMs), startedAt + limitMs);
 			log.info({host: name, underWay: callers.underWay()}, 'leaving');
 			await sleep(Math.min(leaveMs, limitMs));
@@ -262,5 +266,10 @@
 			await stop();
 		},
 		stop,
+		reload(changed) {
+			const change = compareGatewaySettings(live, changed);
+			live = changed;
+			log.info({host: name, changed: change.live, atNextStart: change.atStart}, 'settings changed');
+		},
 	};
 }
--- a/test/decide/forwarding/truth.test.ts
+++ b/test/decide/forwarding/truth.test.ts
@@ -70,7 +70,7 @@
 		fc.assert(fc.property(fc.array(event, {maxLength: 400}), events => {
 			const [ratio, slack, windowMs, hosts] = [0.2, 8, 10_000, 4];
 			const budgets = Array.from({length: hosts}, () => createWindowBudget({
-				ratio, slack, windowMs, hosts: () => hosts,
+				limits: () => ({ratio, slack}), windowMs, hosts: () => hosts,
 			}));
 			const firsts: number[] = [];
 			const repeats: number[] = [];
@@ -97,7 +97,7 @@
 
 	test('never lets retries pass the ratio while requests come steadily', () => {
 		const budget = createWindowBudget({
-			ratio: 0.2, slack: 0, windowMs: 10_000, hosts: () => 1,
+			limits: () => ({ratio: 0.2, slack: 0}), windowMs: 10_000, hosts: () => 1,
 		});
 		const spent: number[] = [];
 		for (let now = 0; now < 60_000; now += 10) {
--- a/test/forwarding/kept-context.test.ts
+++ b/test/forwarding/kept-context.test.ts
@@ -106,6 +106,16 @@
 		}
 	});
 
+	test('of which the store told no event, or of which the save broke off, is found by listing the store again', async () => {
+		await start();
+		await waitUntil('saves to be allowed', async () => (await ask(gateways[0]!)).to === `${kept.address},${kept.address},-`);
+		kept.saveUntold('m/1', 'aa', 500);
+		kept.breakOff('m/1', 'bb', 2000);
+		await waitUntil('fetches', async () => (await ask(gateways[0]!)).from === `${kept.address},-,-`);
+		await waitUntil('the room of the broken save to be freed', () => kept.unfinished().length === 0, 45_000);
+		expect(kept.parts()).toEqual(['m/1 aa']);
+	}, 60_000);
+
 	test('of replaced weights is freed, and that of the named weights kept', async () => {
 		kept.save('m/1', 'aa', 500);
 		kept.save('m/2', 'aa', 500);
--- /dev/null
+++ b/test/settings/watch.test.ts
@@ -0,0 +1,67 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {
+	afterEach, beforeEach, describe, expect, test,
+} from 'vitest';
+import {compareGatewaySettings} from '../../src/settings/compare-gateway-settings.js';
+import {createSettingsWatch} from '../../src/settings/create-settings-watch.js';
+import {gatewaySettingsSchema} from '../../src/settings/gateway-settings-schema.js';
+import {type GatewaySettings} from '../../src/settings/gateway-settings.js';
+import {parseJsonc} from '../../src/settings/parse-jsonc.js';
+import {waitUntil} from '../support/wait-until.js';
+
+const given = {
+	name: 'host-1', domain: 'domain-a', region: 'region-a', callers: '127.0.0.1:1', readiness: '127.0.0.1:2', peers: '127.0.0.1:3', reports: '127.0.0.1:4', metricsPort: 5, objectStore: '127.0.0.1:6',
+};
+const settings = (changed: Record<string, unknown>): GatewaySettings => gatewaySettingsSchema.parse({...given, ...changed});
+
+describe('settings read anew', () => {
+	const cases: ReadonlyArray<readonly [name: string, changed: Record<string, unknown>, live: readonly string[], atStart: readonly string[]]> = [
+		['that are the same', {}, [], []],
+		['with another retry ratio and other seeds', {bounds: {retryRatio: 0.1}, seeds: ['127.0.0.1:9']}, ['seeds', 'bounds.retryRatio'], []],
+		['with another address', {callers: '127.0.0.1:7'}, [], ['callers']],
+		['with another time of the lease, on which hosts agree', {bounds: {leaseMs: 1}}, [], ['bounds.leaseMs']],
+	];
+	test.each(cases)('%s', (_name, changed, live, atStart) => {
+		expect(compareGatewaySettings(settings({}), settings(changed))).toEqual({live, atStart});
+	});
+});
+
+describe('a settings file', () => {
+	let directory: string;
+	let file: string;
+
+	beforeEach(() => {
+		directory = mkdtempSync(join(tmpdir(), 'settings-'));
+		file = join(directory, 'host.jsonc');
+	});
+
+	afterEach(() => {
+		rmSync(directory, {recursive: true});
+	});
+
+	test('that changes without a signal is read; one that does not pass its checks changes nothing', async () => {
+		const taken: string[] = [];
+		const write = (changed: Record<string, unknown>): void => {
+			writeFileSync(file, JSON.stringify({...given, ...changed}));
+		};
+
+		write({});
+		const watch = createSettingsWatch({
+			file,
+			parse: text => parseJsonc<GatewaySettings>(file, text, gatewaySettingsSchema),
+			onChange({seeds}) {
+				taken.push(...seeds);
+			},
+		});
+		await watch.check();
+		write({seeds: ['nowhere']});
+		await watch.check();
+		expect(taken).toEqual([]);
+		write({seeds: ['127.0.0.1:9']});
+		await waitUntil('the file to be read', () => taken.length > 0);
+		watch.stop();
+		expect(taken).toEqual(['127.0.0.1:9']);
+	});
+});
--- a/test/support/create-gateway.ts
+++ b/test/support/create-gateway.ts
@@ -1,7 +1,9 @@
-import {createServer, type AddressInfo} from 'node:net';
 import {adapter} from '../../platform/adapter.js';
 import {gatewaySettingsSchema} from '../../src/settings/gateway-settings-schema.js';
 import {startGateway} from '../../src/wire-gateway.js';
+import {testPorts} from './test-ports.js';
+
+const portsOfHost = 5;
 
 /** A gateway host that runs in this process. */
 export type TestGateway = Awaited<ReturnType<typeof startGateway>> & {
@@ -11,21 +13,9 @@
 	readonly peers: string;
 };
 
-async function findPort(): Promise<number> {
-	const server = createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const {port} = server.address() as AddressInfo;
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return port;
-}
-
 /** Starts a gateway host on free ports. */
 export async function createGateway(objectStore: string, changed: Record<string, unknown> = {}): Promise<TestGateway> {
-	const [callers, readiness, peers, reports, metricsPort] = await Promise.all([1, 2, 3, 4, 5].map(async () => findPort()));
+	const [callers, readiness, peers, reports, metricsPort] = await testPorts(portsOfHost);
 	const settings = gatewaySettingsSchema.parse({
 		name: `host-${callers}`,
 		domain: 'domain-a',
@@ -35,7 +25,6 @@
 		peers: `127.0.0.1:${peers}`,
 		reports: `127.0.0.1:${reports}`,
 		metricsPort,
-		memoryMb: 256,
 		objectStore,
 		...changed,
 	});
--- a/test/support/create-kept-store-server.ts
+++ b/test/support/create-kept-store-server.ts
@@ -10,7 +10,13 @@
 	readonly save: (scope: string, part: string, tokens: number) => void;
 	/** Restarts the store, which empties it. */
 	readonly restart: () => void;
+	/** Puts a whole part there and tells no event of it. */
+	readonly saveUntold: (scope: string, part: string, tokens: number) => void;
+	/** Leaves a part there whose save has broken off. */
+	readonly breakOff: (scope: string, part: string, tokens: number) => void;
 	readonly parts: () => readonly string[];
+	/** Parts whose saves have not ended. */
+	readonly unfinished: () => readonly string[];
 	/** Polls and listings taken. */
 	readonly calls: () => number;
 	isSilent: boolean;
@@ -25,6 +31,7 @@
 	let next = 1;
 	let calls = 0;
 	let held = new Map<string, Entry>();
+	const partial = new Map<string, readonly [scope: string, part: string, done: number, reserved: number]>();
 	let events: Array<readonly [number, '+' | '-', string, string, number, string]> = [];
 	const note = (sign: '+' | '-', [scope, part, tokens, model]: Entry): void => {
 		events.push([next++, sign, scope, part, tokens, model]);
@@ -52,6 +59,7 @@
 			const url = new URL(req.url!, 'http://store');
 			if (url.pathname === '/v1/kv-free') {
 				for (const [scope, part] of (JSON.parse(text) as {parts: Array<[string, string]>}).parts) {
+					partial.delete(`${scope} ${part}`);
 					const entry = held.get(`${scope} ${part}`);
 					if (entry) {
 						held.delete(`${scope} ${part}`);
@@ -65,7 +73,7 @@
 
 			calls++;
 			if (url.pathname === '/v1/kv-list') {
-				answer(() => ({held: [...held.values()]}), listedMs);
+				answer(() => ({held: [...held.values()], partial: [...partial.values()]}), listedMs);
 			} else {
 				const since = Number(url.searchParams.get('since'));
 				answer(() => ({lost: false, events: events.filter(([number]) => number >= since)}), Number(req.headers['wait-ms'] ?? 0));
@@ -82,6 +90,12 @@
 			held.set(`${scope} ${part}`, entry);
 			note('+', entry);
 		},
+		saveUntold(scope, part, tokens) {
+			held.set(`${scope} ${part}`, [scope, part, tokens, 'm']);
+		},
+		breakOff(scope, part, tokens) {
+			partial.set(`${scope} ${part}`, [scope, part, 0, tokens]);
+		},
 		restart() {
 			epoch++;
 			held = new Map();
@@ -89,6 +103,7 @@
 			next = 1;
 		},
 		parts: () => [...held.keys()],
+		unfinished: () => [...partial.keys()],
 		calls: () => calls,
 		isSilent: false,
 		stop() {
