--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -38,7 +38,7 @@
 
 async function bundleForUse() {
 	mkdirSync('dist', {recursive: true});
-	const entries = [['src/main.ts', 'dist/hemlockpier.cjs'], ['bench/main.ts', 'dist/hemlockpier-bench.cjs']];
+	const entries = [['src/main.ts', 'dist/hemlockpier.cjs'], ['bench/main.ts', 'dist/hemlockpier-bench.cjs'], ['test/soak/main.ts', 'dist/hemlockpier-soak.cjs']];
 	for (const [entry, outfile] of entries) {
 		if (!existsSync(entry)) {
 			continue;
--- /dev/null
+++ b/src/decide/forwarding/create-load-totals.ts
@@ -0,0 +1,69 @@
+import {type UpstreamLoad} from '../../forwarding/upstream-load.js';
+import {type LoadTotals} from './load-totals.js';
+import {type UpstreamTotal} from './upstream-total.js';
+
+/** Reports of other hosts count for several of their intervals, and at least for this long. */
+const reportMs = 1000;
+const countedReports = 3;
+/** Reports that have run out are looked for this often. */
+const sweepMs = 50;
+
+/** The last report of a host. */
+type Reported = {
+	readonly untilMs: number;
+	readonly loads: readonly UpstreamLoad[];
+};
+
+/**
+Creates the sums over the hosts' last reports, by upstream. A report changes only the sums of the upstreams that it names, and
+a request reads one sum an upstream, so that its cost does not grow with the hosts.
+*/
+export function createLoadTotals(): LoadTotals {
+	const reports = new Map<string, Reported>();
+	const totals = new Map<string, UpstreamTotal>();
+	let sweptAt = 0;
+
+	const add = ({id, inFlight, heldTokens, waitingTokens}: UpstreamLoad, sign: 1 | -1): void => {
+		const total = totals.get(id) ?? {inFlight: 0, heldTokens: 0, waitingTokens: new Map<number, number>()};
+		totals.set(id, total);
+		total.inFlight += sign * inFlight;
+		total.heldTokens += sign * heldTokens;
+		for (const [urgency, tokens] of waitingTokens) {
+			total.waitingTokens.set(urgency, (total.waitingTokens.get(urgency) ?? 0) + (sign * tokens));
+		}
+
+		if (total.inFlight === 0 && total.heldTokens === 0 && [...total.waitingTokens.values()].every(tokens => tokens === 0)) {
+			totals.delete(id);
+		}
+	};
+
+	const drop = (host: string): void => {
+		for (const load of reports.get(host)?.loads ?? []) {
+			add(load, -1);
+		}
+
+		reports.delete(host);
+	};
+
+	return {
+		take({host, loads, everyMs}, now) {
+			drop(host);
+			reports.set(host, {untilMs: now + Math.max(reportMs, everyMs * countedReports), loads});
+			for (const load of loads) {
+				add(load, 1);
+			}
+		},
+		of(id, now) {
+			if (now - sweptAt >= sweepMs) {
+				sweptAt = now;
+				for (const [host, {untilMs}] of reports) {
+					if (now >= untilMs) {
+						drop(host);
+					}
+				}
+			}
+
+			return totals.get(id);
+		},
+	};
+}
--- /dev/null
+++ b/src/decide/forwarding/shorten-candidates.ts
@@ -0,0 +1,15 @@
+import {type Candidate} from './candidate.js';
+
+/** Upstreams that are looked at closely because little waits there; a few more than a burst fills at once. */
+const looked = 6;
+
+/**
+Leaves the candidates that may be the best: those with the least time by load alone, and those that are likely to hold context
+of the request, for which the plan of the context decides. All others hold none of it and have more ahead. Load pattern: scores
+of engines and prompts of many parts, where planning at each engine costs the host more than the engine's choice gains.
+
+@param ranked - Best first, by the predicted time if nothing had to be read.
+*/
+export function shortenCandidates(ranked: readonly Candidate[], mayHold: (candidate: Candidate) => boolean): readonly Candidate[] {
+	return [...ranked.slice(0, looked), ...ranked.slice(looked).filter(candidate => mayHold(candidate))];
+}
--- /dev/null
+++ b/src/decide/forwarding/upstream-total.ts
@@ -0,0 +1,7 @@
+/** Load of one upstream by several hosts. */
+export type UpstreamTotal = {
+	inFlight: number;
+	heldTokens: number;
+	/** Prompt tokens whose reading has not ended, by urgency. */
+	readonly waitingTokens: Map<number, number>;
+};
--- a/src/forwarding/create-context-planner.ts
+++ b/src/forwarding/create-context-planner.ts
@@ -4,6 +4,7 @@
 import {type Scope} from '../decide/kept/scope.js';
 import {writeScope} from '../decide/kept/write-scope.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
+import {memoize} from '../util/memoize.js';
 import {type KeptStore} from './kept-store.js';
 import {type KeptTask} from './kept-task.js';
 import {type NamedWeights} from './named-weights.js';
@@ -11,7 +12,6 @@
 import {type UpstreamBook} from './upstream-book.js';
 import {type Upstream} from './upstream.js';
 import {type Workspace} from './workspace.js';
-import {type ContextPlan} from './context-plan.js';
 import {type ContextPlanner} from './context-planner.js';
 
 const bitsPerByte = 8;
@@ -57,9 +57,8 @@
 		}
 	};
 
-	const toStoreView = ({name, store, directory, canSave}: KeptStore, scope: Scope, engine: NonNullable<Service['engine']>, engineDomain: string): StoreView => {
-		const text = writeScope(scope);
-		const newerAt = newerNaming(scope.model, scope.version)?.datedAt;
+	const toStoreView = ({name, store, directory, canSave}: KeptStore, {model, version}: Scope, text: string, engine: NonNullable<Service['engine']>, engineDomain: string): StoreView => {
+		const newerAt = newerNaming(model, version)?.datedAt;
 		const canRead = canReadScope({newerKnownAt: newerAt, confirmedAt: weightsConfirmedAt()}, now());
 		const bitsPerMs = Math.min(store.linkMbps, engine.linkMbps) * kilobitsPerMegabit;
 		const distance = store.domain === engineDomain ? 1 : otherDomainMoves;
@@ -73,40 +72,55 @@
 		};
 	};
 
-	const planAt = (request: Parameters<ContextPlanner>, stores: readonly KeptStore[], upstream: Upstream): ContextPlan => {
-		const [prompt, engine, workspace, tokensPerMs] = request;
-		const scope = toScope(prompt.model, upstream.weights.get(prompt.model) ?? 0, workspace);
-		const text = writeScope(scope);
-		const plan = planKeptContext({
-			parts: prompt.parts,
-			stores: stores.map(store => toStoreView(store, scope, engine, upstream.domain)),
-			engineHas: part => lastEngine.get(`${text}\n${part}`) === upstream.id,
-			otherEngine(part) {
-				const other = lastEngine.get(`${text}\n${part}`);
-				return other === undefined || other === upstream.id ? undefined : book.get(other)?.address;
-			},
-			isBeingSaved: part => kept.isBeingSaved(text, part),
-			tokensPerMs,
-			engineMoveMs: tokens => otherDomainMoves * tokens * engine.tokenBytes * bitsPerByte / (engine.linkMbps * kilobitsPerMegabit),
+	return (prompt, engine, workspace, tokensPerMs) => {
+		const stores = orderStores(kept.stores(), prompt.parts.at(-2)?.id ?? '');
+		const sharedParts = prompt.parts.slice(0, -1);
+		const weightsOf = (upstream: Upstream): number => upstream.weights.get(prompt.model) ?? 0;
+
+		/** What is the same for all engines with the same weights. */
+		const scopeOf = memoize((version: string) => {
+			const scope = toScope(prompt.model, Number(version), workspace);
+			const text = writeScope(scope);
+			return {scope, text, engines: new Map(sharedParts.map(({id}) => [id, lastEngine.get(`${text}\n${id}`)]))};
 		});
+		const storesOf = memoize((_key: string, domain: string, version: string) => {
+			const {scope, text} = scopeOf(version);
+			return stores.map(store => toStoreView(store, scope, text, engine, domain));
+		});
+
 		return {
-			...plan,
-			scope: text,
-			noteSent() {
-				for (const save of plan.saves) {
-					kept.noteSave(save.store, text, save.part, save.tokens);
-				}
+			isKnownTo(upstream) {
+				return [...scopeOf(String(weightsOf(upstream))).engines.values()].includes(upstream.id);
+			},
+			at(upstream) {
+				const version = String(weightsOf(upstream));
+				const {text, engines} = scopeOf(version);
+				const plan = planKeptContext({
+					parts: prompt.parts,
+					stores: storesOf(`${version}\n${upstream.domain}`, upstream.domain, version),
+					engineHas: part => engines.get(part) === upstream.id,
+					otherEngine(part) {
+						const other = engines.get(part);
+						return other === undefined || other === upstream.id ? undefined : book.get(other)?.address;
+					},
+					isBeingSaved: part => kept.isBeingSaved(text, part),
+					tokensPerMs,
+					engineMoveMs: tokens => otherDomainMoves * tokens * engine.tokenBytes * bitsPerByte / (engine.linkMbps * kilobitsPerMegabit),
+				});
+				return {
+					...plan,
+					scope: text,
+					noteSent() {
+						for (const save of plan.saves) {
+							kept.noteSave(save.store, text, save.part, save.tokens);
+						}
 
-				for (const part of prompt.parts.slice(0, -1)) {
-					remember(`${text}\n${part.id}`, upstream.id);
-				}
+						for (const part of sharedParts) {
+							remember(`${text}\n${part.id}`, upstream.id);
+						}
+					},
+				};
 			},
 		};
 	};
-
-	return (...request) => {
-		const [prompt] = request;
-		const stores = orderStores(kept.stores(), prompt.parts.at(-2)?.id ?? '');
-		return upstream => planAt(request, stores, upstream);
-	};
 }
--- a/src/forwarding/create-host-links.ts
+++ b/src/forwarding/create-host-links.ts
@@ -9,10 +9,14 @@
 import {type KeptNews} from './kept-news.js';
 import {type ObjectStore} from './object-store.js';
 
-/** Hosts of one failure domain, which share most of their upstreams, report to each other this often. */
+/** Hosts report to each other this often while they are few. */
 const reportMs = 100;
-/** Reports to other failure domains are as frequent up to this many hosts, and then rarer in proportion. */
-const frequentHosts = 10;
+/**
+Reports are as frequent up to this many hosts and then rarer in proportion, which bounds what a host takes in. Hosts of one
+failure domain, which share most of their upstreams, hear each other more often than those of others.
+*/
+const frequentNearHosts = 8;
+const frequentFarHosts = 6;
 /** A host whose reports stay out for several of their intervals, and at least for this long, counts as unreachable. */
 const silentMs = 1200;
 const silentReports = 4;
@@ -113,6 +117,11 @@
 		}
 	};
 
+	const sendByTurns = (report: Omit<HostReport, 'everyMs'>, hosts: readonly KnownHost[], frequentHosts: number): void => {
+		const turns = Math.max(1, Math.round(hosts.length / frequentHosts));
+		send({report: {...report, everyMs: reportMs * turns}}, hosts.filter((_, index) => (index + turn) % turns === 0));
+	};
+
 	const sendReport = (): void => {
 		for (const [name, {heardAt}] of known) {
 			if (heardAt !== undefined && now() - heardAt > forgetMs) {
@@ -123,10 +132,9 @@
 		const report = {...self, ...makeReport()};
 		const near = [...known.values()].filter(host => host.domain === self.domain);
 		const far = [...known.values()].filter(host => host.domain !== self.domain);
-		const turns = Math.max(1, Math.round(known.size / frequentHosts));
 		turn++;
-		send({report: {...report, everyMs: reportMs}}, near);
-		send({report: {...report, everyMs: reportMs * turns}}, far.filter((_, index) => (index + turn) % turns === 0));
+		sendByTurns(report, near, frequentNearHosts);
+		sendByTurns(report, far, frequentFarHosts);
 	};
 
 	socket.on('message', bytes => {
--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -1,7 +1,7 @@
 import {createBrokenSaves} from '../decide/kept/create-broken-saves.js';
 import {createPendingSaves} from '../decide/kept/create-pending-saves.js';
 import {createStoreDirectory} from '../decide/kept/create-store-directory.js';
-import {rankOwners} from '../decide/membership/rank-owners.js';
+import {rankOf} from '../decide/membership/rank-of.js';
 import {log} from '../observe/log.js';
 import {type PeerCaller} from '../peers/peer-caller.js';
 import {sleep} from '../util/sleep.js';
@@ -49,7 +49,7 @@
 		peers, control, tell, now,
 	});
 
-	const rankFor = (name: string): number => rankOwners([self, ...others()], name).indexOf(self);
+	const rankFor = (name: string): number => rankOf(self, others(), name);
 
 	const shouldPoll = (entry: FollowedStore): boolean => {
 		const rank = rankFor(entry.kept.name);
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -1,10 +1,12 @@
 import {predictFirstByte} from '../decide/forwarding/predict-first-byte.js';
 import {rankUpstreams} from '../decide/forwarding/rank-upstreams.js';
+import {shortenCandidates} from '../decide/forwarding/shorten-candidates.js';
 import {type Candidate} from '../decide/forwarding/candidate.js';
 import {type ServicePace} from '../decide/forwarding/service-pace.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
 import {weighOldWeights} from '../decide/forwarding/weigh-old-weights.js';
-import {rankOwners} from '../decide/membership/rank-owners.js';
+import {findOwner} from '../decide/membership/find-owner.js';
+import {memoize} from '../util/memoize.js';
 import {type CallerCall} from './caller-call.js';
 import {type ContextPlan} from './context-plan.js';
 import {type ContextPlanner} from './context-planner.js';
@@ -13,6 +15,7 @@
 import {type Prompt} from './prompt.js';
 import {type Service} from './service.js';
 import {type UpstreamBook} from './upstream-book.js';
+import {type Upstream} from './upstream.js';
 
 const mostUrgent = 0;
 const leastUrgent = 9;
@@ -57,6 +60,19 @@
 		};
 	};
 
+	/** Gives the time by which old weights put an upstream back; nothing where it may not be used any more. */
+	const createWeightsCosts = ({request: {prompt}, route}: CallerCall) => {
+		const costOf = memoize((version: string) => {
+			const newer = prompt && newerNaming(prompt.model, Number(version));
+			return {
+				ms: weighOldWeights({
+					replacedForMs: newer && elapsed() - newer.knownAt, isAgeKnown: newer !== undefined && Number.isFinite(newer.datedAt), limitMs: versionMs(), objectiveMs: route.objectiveMs,
+				}),
+			};
+		});
+		return ({weights}: Upstream): number | undefined => costOf(String(prompt ? weights.get(prompt.model) ?? 0 : 0)).ms;
+	};
+
 	return (call: CallerCall, service: string, tried: ReadonlySet<string>): Placed | undefined => {
 		const {request: {prompt}, route, workspace} = call;
 		const urgency = Math.min(leastUrgent, Math.max(mostUrgent, workspace?.priority ?? route.priority));
@@ -66,32 +82,28 @@
 		const fresh = known.filter(view => !tried.has(view.upstream.id));
 		const views = fresh.length > 0 ? fresh : known;
 		const sharedPart = findSharedPart(prompt);
-		const home = sharedPart === undefined ? undefined : rankOwners(views.map(view => view.upstream.id), sharedPart)[0];
+		const home = sharedPart === undefined ? undefined : findOwner(views.map(view => view.upstream.id), sharedPart);
 		const heldTokens = (prompt?.promptTokens ?? 0) + (prompt?.expectedOutputTokens ?? prompt?.outputTokens ?? 0);
 		const plans = new Map<string, ContextPlan>();
-		const planAt = prompt && engine && planContext(prompt, engine, workspace, costs.tokensPerMs);
-
-		const toCandidate = (view: UpstreamView): readonly Candidate[] => {
-			const {id, weights} = view.upstream;
-			const newer = prompt && newerNaming(prompt.model, weights.get(prompt.model) ?? 0);
-			const weightsMs = weighOldWeights({
-				replacedForMs: newer && elapsed() - newer.knownAt, isAgeKnown: newer !== undefined && Number.isFinite(newer.datedAt), limitMs: versionMs(), objectiveMs: route.objectiveMs,
-			});
-			if (weightsMs === undefined) {
-				return [];
-			}
-
-			const plan = planAt?.(view.upstream);
-			if (plan) {
-				plans.set(id, plan);
-			}
+		const context = prompt && engine && planContext(prompt, engine, workspace, costs.tokensPerMs);
+		const weightsMsOf = createWeightsCosts(call);
+		const predict = (view: UpstreamView, readMs: number): number => predictFirstByte(view, {readMs, heldTokens, memoryTokens: engine?.memoryTokens}, costs, domain);
 
-			const readMs = plan?.parts.reduce((sum, part) => sum + part.readMs, 0) ?? 0;
-			const size = {readMs: id === home ? readMs * homeShare : readMs, heldTokens, memoryTokens: engine?.memoryTokens};
-			return [{view, firstByteMs: predictFirstByte(view, size, costs, domain), weightsMs}];
+		const planAt = (candidate: Candidate): Candidate => {
+			const {id} = candidate.view.upstream;
+			const plan = context!.at(candidate.view.upstream);
+			plans.set(id, plan);
+			const readMs = plan.parts.reduce((sum, part) => sum + part.readMs, 0);
+			return {...candidate, firstByteMs: predict(candidate.view, id === home ? readMs * homeShare : readMs)};
 		};
 
-		const [best] = rankUpstreams(views.flatMap(view => toCandidate(view)), random);
+		const unread = rankUpstreams(views.flatMap((view): readonly Candidate[] => {
+			const weightsMs = weightsMsOf(view.upstream);
+			return weightsMs === undefined ? [] : [{view, firstByteMs: predict(view, 0), weightsMs}];
+		}), random);
+		const [best] = context
+			? rankUpstreams(shortenCandidates(unread, ({view: {upstream}}) => upstream.id === home || context.isKnownTo(upstream)).map(candidate => planAt(candidate)), random)
+			: unread;
 		if (!best) {
 			return undefined;
 		}
--- a/src/forwarding/create-rollout-lease.ts
+++ b/src/forwarding/create-rollout-lease.ts
@@ -1,5 +1,5 @@
 import {createLease} from '../decide/orders/create-lease.js';
-import {rankOwners} from '../decide/membership/rank-owners.js';
+import {rankOf} from '../decide/membership/rank-of.js';
 import {log} from '../observe/log.js';
 import {type LeaseStore} from './lease-store.js';
 import {type RolloutLease} from './rollout-lease.js';
@@ -112,7 +112,7 @@
 			}
 
 			wasHolder = false;
-			const rank = rankOwners([self, ...others()], rankedFor).indexOf(self);
+			const rank = rankOf(self, others(), rankedFor);
 			const delayMs = seen?.holder === self ? 0 : Math.min(rank * rankDelayMs, longestRankDelayMs);
 			if (at - workSince < delayMs || at - observedAt < observeMs) {
 				return;
--- a/src/forwarding/create-upstream-book.ts
+++ b/src/forwarding/create-upstream-book.ts
@@ -1,4 +1,5 @@
 import {log} from '../observe/log.js';
+import {createLoadTotals} from '../decide/forwarding/create-load-totals.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
 import {type UpstreamLoad} from './upstream-load.js';
 import {type SendSize} from './send-size.js';
@@ -19,9 +20,6 @@
 const firstUsualMs = 150;
 /** Share of less urgent tokens that are read first all the same, since a piece under way is not broken off. */
 const laterShare = 0.25;
-/** Reports of other hosts count for several of their intervals, and at least for this long. */
-const reportMs = 1000;
-const countedReports = 3;
 
 /** One upstream and what this host has seen of it. */
 type Entry = {
@@ -40,10 +38,6 @@
 	isGone: boolean;
 };
 
-function sum(numbers: readonly number[]): number {
-	return numbers.reduce((total, number) => total + number, 0);
-}
-
 function addTo(tokens: Map<number, number>, urgency: number, added: number): void {
 	const total = (tokens.get(urgency) ?? 0) + added;
 	if (total > 0) {
@@ -71,7 +65,7 @@
 export function createUpstreamBook({now, link, connectionsOf}: UpstreamBookOptions): UpstreamBook {
 	const entries = new Map<string, Entry>();
 	const usualMs = new Map<string, number>();
-	const reports = new Map<string, {readonly at: number; readonly validMs: number; readonly loads: ReadonlyMap<string, UpstreamLoad>}>();
+	const totals = createLoadTotals();
 
 	const closeWhenIdle = (entry: Entry): void => {
 		if (entry.isGone && entry.inFlight === 0) {
@@ -138,24 +132,27 @@
 		return at - Math.max(oldest, entry.lastAnswerAt) > limitMs;
 	};
 
-	const listOthers = (id: string, at: number): readonly UpstreamLoad[] => [...reports.values()].flatMap(report => {
-		const load = at - report.at < report.validMs ? report.loads.get(id) : undefined;
-		return load ? [load] : [];
-	});
-
 	const toLoad = ({upstream, inFlight, waitingTokens, heldTokens}: Entry): UpstreamLoad => ({
 		id: upstream.id, inFlight, heldTokens, waitingTokens: [...waitingTokens],
 	});
 
 	const toView = (entry: Entry, at: number, urgency: number): UpstreamView => {
-		const loads = [toLoad(entry), ...listOthers(entry.upstream.id, at)];
-		const waiting = loads.flatMap(load => load.waitingTokens);
+		const others = totals.of(entry.upstream.id, at);
+		let ahead = 0;
+		let waiting = 0;
+		for (const tokensOf of others ? [entry.waitingTokens, others.waitingTokens] : [entry.waitingTokens]) {
+			for (const [of, tokens] of tokensOf) {
+				waiting += tokens;
+				ahead += of <= urgency ? tokens : tokens * laterShare;
+			}
+		}
+
 		return {
 			upstream: entry.upstream,
-			inFlight: sum(loads.map(load => load.inFlight)),
-			waitingTokens: sum(waiting.map(([of, tokens]) => of <= urgency ? tokens : tokens * laterShare)),
-			isQueueing: sum(waiting.map(([, tokens]) => tokens)) > 0,
-			heldTokens: sum(loads.map(load => load.heldTokens)),
+			inFlight: entry.inFlight + (others?.inFlight ?? 0),
+			waitingTokens: ahead,
+			isQueueing: waiting > 0,
+			heldTokens: entry.heldTokens + (others?.heldTokens ?? 0),
 			isSilent: isSilent(entry, at),
 			isAvoided: at < entry.avoidUntil,
 			failureShare: entry.failureShare,
@@ -247,14 +244,12 @@
 				entry.upstream = {...entry.upstream, weights: new Map([...entry.upstream.weights, [model, version]])};
 			}
 		},
-		inFlight: id => (entries.get(id)?.inFlight ?? 0) + sum(listOthers(id, now()).map(load => load.inFlight)),
+		inFlight: id => (entries.get(id)?.inFlight ?? 0) + (totals.of(id, now())?.inFlight ?? 0),
 		get: id => entries.get(id)?.upstream,
 		all: () => [...entries.values()].map(entry => entry.upstream),
 		loads: () => [...entries.values()]
 			.filter(entry => entry.inFlight > 0)
 			.map(entry => toLoad(entry)),
-		noteLoads({host, loads, everyMs}, at) {
-			reports.set(host, {at, validMs: Math.max(reportMs, everyMs * countedReports), loads: new Map(loads.map(load => [load.id, load]))});
-		},
+		noteLoads: totals.take,
 	};
 }
--- a/src/membership/create-owners.ts
+++ b/src/membership/create-owners.ts
@@ -1,4 +1,4 @@
-import {rankOwners} from '../decide/membership/rank-owners.js';
+import {findOwner} from '../decide/membership/find-owner.js';
 import {type Member} from '../decide/membership/member.js';
 import {type MembershipTask} from './membership-task.js';
 import {type Owners} from './owners.js';
@@ -21,7 +21,7 @@
 		const id = `${group}\n${key}`;
 		if (!cache.has(id)) {
 			const list = hosts();
-			const [name] = rankOwners(list.map(member => member.name), key);
+			const name = findOwner(list.map(member => member.name), key);
 			cache.set(id, list.find(member => member.name === name));
 		}
 
@@ -34,7 +34,7 @@
 		inRegion: key => first('#region', key, () => listUp().filter(member => member.region === membership.self().region)),
 		overall(key) {
 			const domains = [...new Set(listUp().map(member => member.domain))];
-			const [domain] = rankOwners(domains, key);
+			const domain = findOwner(domains, key);
 			return domain === undefined ? undefined : first(domain, key, () => listUp().filter(member => member.domain === domain));
 		},
 	};
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {createServicePace} from './decide/forwarding/create-service-pace.js';
-import {rankOwners} from './decide/membership/rank-owners.js';
+import {rankOf} from './decide/membership/rank-of.js';
 import {createWindowBudget} from './decide/retries/create-window-budget.js';
 import {createCallerPort} from './forwarding/create-caller-port.js';
 import {createContextPlanner} from './forwarding/create-context-planner.js';
@@ -139,7 +139,7 @@
 	/** In a large failure domain a few hosts that the store answers follow it; reports tell the others of changes. */
 	const isWatching = (kind: string): boolean => {
 		const able = links.alive().filter(peer => peer.domain === domain && !peer.isStoreLost).map(peer => peer.host);
-		return rankOwners([name, ...able], kind).indexOf(name) < domainWatchers;
+		return rankOf(name, able, kind) < domainWatchers;
 	};
 
 	const watches = [
@@ -148,7 +148,7 @@
 		[kinds.weights, takeWeights] as const,
 	].map(([kind, onChange]) => createKindWatch({
 		kind, store, now: elapsed, random, onChange,
-		waitMs: () => rankOwners([name, ...others()], kind).indexOf(name) < closeWatchers ? closeWatchMs : watchMs,
+		waitMs: () => rankOf(name, others(), kind) < closeWatchers ? closeWatchMs : watchMs,
 		isWatching: () => isWatching(kind),
 	}));
 	const sync = createStateSync({
--- /dev/null
+++ b/test/decide/owners.test.ts
@@ -0,0 +1,32 @@
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {findOwner} from '../../src/decide/membership/find-owner.js';
+import {rankOf} from '../../src/decide/membership/rank-of.js';
+import {rankOwners} from '../../src/decide/membership/rank-owners.js';
+
+const names = fc.uniqueArray(fc.string({minLength: 1, maxLength: 8}), {minLength: 1, maxLength: 20});
+
+describe('the owners of a key', () => {
+	test('are the same whether ranked, looked for or placed', () => {
+		fc.assert(fc.property(names, fc.string(), (given, key) => {
+			const ranked = rankOwners(given, key);
+			expect(findOwner(given, key)).toBe(ranked[0]);
+			for (const [rank, name] of ranked.entries()) {
+				expect(rankOf(name, given.filter(other => other !== name), key)).toBe(rank);
+			}
+		}), {seed: 51});
+	});
+
+	test('are spread evenly over hosts whose names differ little', () => {
+		const hosts = Array.from({length: 20}, (_, index) => `front-domain-a-${index}`);
+		const counts = new Map<string, number>();
+		for (let key = 0; key < 4000; key++) {
+			const owner = findOwner(hosts, `part-${key}`)!;
+			counts.set(owner, (counts.get(owner) ?? 0) + 1);
+		}
+
+		// 200 each are expected; five standard deviations are 69.
+		expect(Math.min(...counts.values())).toBeGreaterThan(131);
+		expect(Math.max(...counts.values())).toBeLessThan(269);
+	});
+});
--- /dev/null
+++ b/test/soak/apply-fault.ts
@@ -0,0 +1,165 @@
+import {sleep} from '../../src/util/sleep.js';
+import {type Fault, type FaultKind} from './fault.js';
+import {type Change} from './history.js';
+import {type World} from './start-world.js';
+
+const slowMs = 300;
+const brokenShare = 0.4;
+const leavingMs = 4000;
+const termMs = 8000;
+
+/** What faults change for the checks to know. */
+export type FaultScene = {
+	readonly world: World;
+	/** Version of the weights named last. */
+	namedWeights: number;
+	hasExtra: boolean;
+	readonly onChange: (change: Change) => void;
+};
+
+/** How a fault is made; gives what it disturbs and, when a time has passed, ends it. */
+type Effect = (scene: FaultScene, fault: Fault) => {readonly scope: string; readonly end?: () => void; readonly forMs?: number};
+
+const pickHost = ({world}: FaultScene, {pick}: Fault) => world.hosts[Math.floor(pick * world.hosts.length)]!;
+const pickUpstream = ({world}: FaultScene, {pick}: Fault) => world.upstreams[Math.floor(pick * world.upstreams.length)]!;
+
+const signalling = (first: NodeJS.Signals, last?: NodeJS.Signals, forMs?: number): Effect => (scene, fault) => {
+	const {host} = pickHost(scene, fault);
+	host.signal(first);
+	return {
+		scope: `host ${host.name}`, ...(last && {
+			end() {
+				host.signal(last);
+			},
+		}), ...(forMs !== undefined && {forMs}),
+	};
+};
+
+const onLink = (side: 'toStore' | 'toHost', set: (link: World['hosts'][number]['toStore'], isOn: boolean) => void): Effect => (scene, fault) => {
+	const links = pickHost(scene, fault);
+	set(links[side], true);
+	return {
+		scope: `host ${links.host.name}`, end() {
+			set(links[side], false);
+		},
+	};
+};
+
+const onUpstream = (set: (link: World['upstreams'][number], isOn: boolean) => void): Effect => (scene, fault) => {
+	const upstream = pickUpstream(scene, fault);
+	set(upstream, true);
+	return {
+		scope: `upstream ${upstream.upstream.id}`, end() {
+			set(upstream, false);
+		},
+	};
+};
+
+const onStore = (set: (scene: FaultScene, isOn: boolean) => void): Effect => scene => {
+	set(scene, true);
+	return {
+		scope: 'store', end() {
+			set(scene, false);
+		},
+	};
+};
+
+const cut = ({state}: {readonly state: World['hosts'][number]['toStore']['state']}, isOn: boolean): void => {
+	state.isCutIn = isOn;
+	state.isCutOut = isOn;
+};
+
+const replaceUpstream: Effect = (scene, fault) => {
+	const {world, onChange} = scene;
+	const [leaving] = world.upstreams.splice(Math.floor(fault.pick * world.upstreams.length), 1);
+	const {id} = leaving!.upstream;
+	void world.addUpstream().then(async () => {
+		const entry = world.store.get('servers', id)!.spec as Record<string, unknown>;
+		world.store.put('servers', id, {...entry, state: 'draining'});
+		onChange({kind: 'leaving', what: id, at: performance.now()});
+		await sleep(leavingMs);
+		world.store.remove('servers', id);
+		leaving!.link.state.isRefusing = true;
+	});
+	return {scope: `upstream ${id}`, forMs: leavingMs};
+};
+
+/** Effect of each kind of fault. */
+export const faultEffects: Readonly<Record<FaultKind, Effect>> = {
+	'host stops': signalling('SIGTERM', undefined, termMs),
+	'host is killed': signalling('SIGKILL'),
+	'host pauses': signalling('SIGSTOP', 'SIGCONT'),
+	'host clock steps': signalling('SIGUSR2', 'SIGUSR2'),
+	'host reads settings'(scene, fault) {
+		const {host} = pickHost(scene, fault);
+		host.configure({bounds: {retryRatio: 0.1 + (fault.pick / 10)}});
+		host.signal('SIGHUP');
+		return {scope: `host ${host.name}`};
+	},
+	'store is silent': onStore(({world}, isOn) => {
+		world.store.faults.isSilent = isOn;
+	}),
+	'store is busy': onStore(({world}, isOn) => {
+		world.store.faults.isBusy = isOn;
+	}),
+	'store loses a write': onStore(({world}, isOn) => {
+		world.store.faults.losesNextWrite = isOn;
+	}),
+	'store forgets history': onStore(({world}, isOn) => {
+		if (isOn) {
+			world.store.compact();
+		}
+	}),
+	'store link is silent': onLink('toStore', (link, isOn) => {
+		if (isOn) {
+			link.silenceOpen();
+		}
+	}),
+	'store link is cut': onLink('toStore', cut),
+	'store link is cut one way': onLink('toStore', ({state}, isOn) => {
+		state.isCutOut = isOn;
+	}),
+	'store link is slow': onLink('toStore', ({state}, isOn) => {
+		state.delayMs = isOn ? slowMs : 0;
+	}),
+	'peer link is silent': onLink('toHost', (link, isOn) => {
+		if (isOn) {
+			link.silenceOpen();
+		}
+	}),
+	'peer link is cut': onLink('toHost', cut),
+	'peer link is slow': onLink('toHost', ({state}, isOn) => {
+		state.delayMs = isOn ? slowMs : 0;
+	}),
+	'upstream link is silent': onUpstream(({link}, isOn) => {
+		if (isOn) {
+			link.silenceOpen();
+		}
+	}),
+	'upstream link is reset': onUpstream(({link}, isOn) => {
+		if (isOn) {
+			link.resetOpen();
+		}
+	}),
+	'upstream link is cut': onUpstream(({link}, isOn) => {
+		cut(link, isOn);
+	}),
+	'upstream link is cut one way': onUpstream(({link}, isOn) => {
+		link.state.isCutOut = isOn;
+	}),
+	'upstream breaks answers': onUpstream(({upstream}, isOn) => {
+		upstream.broken = isOn ? brokenShare : 0;
+	}),
+	'upstream is replaced': replaceUpstream,
+	'configuration changes'(scene) {
+		scene.hasExtra = !scene.hasExtra;
+		scene.world.configure(scene.hasExtra);
+		scene.onChange({kind: scene.hasExtra ? 'added' : 'removed', what: 'r-extra', at: performance.now()});
+		return {scope: 'configuration'};
+	},
+	'weights are named'(scene) {
+		scene.namedWeights++;
+		scene.world.store.put('versions', 'm', {model: 'm', version: scene.namedWeights});
+		return {scope: 'weights'};
+	},
+};
--- /dev/null
+++ b/test/soak/create-report-relay.ts
@@ -0,0 +1,42 @@
+import {createSocket} from 'node:dgram';
+import {parseAddress} from '../../src/http/parse-address.js';
+import {type LinkState} from './link-state.js';
+
+/** Addresses as the hosts know them, by the addresses at which they really listen. */
+export type Disguises = ReadonlyMap<string, string>;
+
+/** Relays load reports to one host and names the addresses of proxies in them. */
+type ReportRelay = {
+	readonly address: string;
+	readonly stop: () => void;
+};
+
+/** Starts the relay; its link is that of the host's proxy for calls. */
+export async function createReportRelay(port: number, target: string, link: LinkState, disguises: Disguises): Promise<ReportRelay> {
+	const socket = createSocket('udp4');
+	const {host, port: targetPort} = parseAddress(target);
+	let hasStopped = false;
+	socket.on('message', bytes => {
+		if (link.isCutIn || link.isRefusing) {
+			return;
+		}
+
+		const text = bytes.toString().replaceAll(/127\.0\.0\.1:\d+/gv, address => disguises.get(address) ?? address);
+		setTimeout(() => {
+			if (!hasStopped) {
+				socket.send(text, targetPort, host, () => undefined);
+			}
+		}, link.delayMs);
+	});
+	socket.on('error', () => undefined);
+	await new Promise<void>(resolve => {
+		socket.bind(port, '127.0.0.1', resolve);
+	});
+	return {
+		address: `127.0.0.1:${port}`,
+		stop() {
+			hasStopped = true;
+			socket.close();
+		},
+	};
+}
--- /dev/null
+++ b/test/soak/create-soak-callers.ts
@@ -0,0 +1,132 @@
+import {Agent, get, request} from 'node:http';
+import {parseAddress} from '../../src/http/parse-address.js';
+import {sleep} from '../../src/util/sleep.js';
+import {type Call, type CallKind} from './history.js';
+import {type SoakHost} from './create-soak-host.js';
+
+const questionMs = 500;
+const questionTimeoutMs = 400;
+/** A balancer takes a host out after as many questions in a row without a good answer. */
+const questions = 2;
+const deadlines: Readonly<Record<CallKind, number>> = {
+	read: 1400, book: 1400, ask: 4000, extra: 1400,
+};
+/** Callers give up this long after their deadline. */
+const patienceMs = 3000;
+const leavingShare = 0.03;
+const connections = 8;
+
+/** Callers that send requests to the hosts that say they are ready. */
+type SoakCallers = {
+	readonly readyHosts: () => number;
+	/** Sends no new requests. */
+	readonly pause: () => void;
+	readonly stop: () => void;
+};
+
+/** Starts callers that send `perSecond` requests in all, over open connections that they keep. */
+export function createSoakCallers(hosts: readonly SoakHost[], perSecond: number, random: () => number, onCall: (call: Call) => void): SoakCallers {
+	const agents = new Map(hosts.map(host => [host.name, new Agent({keepAlive: true, maxSockets: connections})]));
+	const misses = new Map(hosts.map(host => [host.name, questions]));
+	let hasStopped = false;
+	let isPaused = false;
+	let sent = 0;
+
+	const ask = async (host: SoakHost): Promise<boolean> => new Promise(resolve => {
+		const {host: ip, port} = parseAddress(host.readiness);
+		const req = get({
+			host: ip, port, path: '/v1/readiness', timeout: questionTimeoutMs, agent: false,
+		}, res => {
+			res.resume();
+			resolve(res.statusCode === 200);
+		});
+		req.on('timeout', () => req.destroy()).on('error', () => {
+			resolve(false);
+		});
+	});
+
+	const keepAsking = async (host: SoakHost): Promise<void> => {
+		while (!hasStopped) {
+			misses.set(host.name, await ask(host) ? 0 : misses.get(host.name)! + 1);
+			await sleep(questionMs);
+		}
+	};
+
+	const send = (host: SoakHost): void => {
+		const kind = (['read', 'book', 'ask', 'extra'] as const)[Math.floor(random() * 4)]!;
+		const id = `soak-${sent++}`;
+		const target = `/${kind}/${id}`;
+		const key = random() < 0.5 ? 'key-1' : 'key-2';
+		const body = kind === 'read' || kind === 'extra' ? '' : `body of ${id}`;
+		const leavesMs = random() < leavingShare ? random() * 100 : undefined;
+		const {host: ip, port} = parseAddress(host.callers);
+		const sentAt = performance.now();
+		let status = 0;
+		let seal: string | undefined;
+		let text = '';
+		let hasEnded = false;
+		const end = (isWhole: boolean, hasLeft = false): void => {
+			if (!hasEnded) {
+				hasEnded = true;
+				clearTimeout(timer);
+				onCall({
+					id, kind, target, body, key, host: host.name, sentAt, endedAt: performance.now(), status, seal, text, isWhole, hasLeft,
+				});
+			}
+		};
+
+		const req = request({
+			host: ip, port, path: target, method: body === '' ? 'GET' : 'POST', agent: agents.get(host.name)!,
+			headers: {
+				host: 'app.example', 'request-id': id, 'deadline-ms': deadlines[kind], 'x-api-key': key, ...(body === '' ? {} : {'content-length': Buffer.byteLength(body)}),
+			},
+		}, res => {
+			status = res.statusCode!;
+			seal = res.headers['response-seal'] as string | undefined;
+			res.on('data', chunk => {
+				text += String(chunk);
+			}).on('end', () => {
+				end(res.complete);
+			}).on('error', () => {
+				end(false);
+			});
+		});
+		req.on('error', () => {
+			end(false);
+		});
+		const timer = setTimeout(() => {
+			end(false, true);
+			req.destroy();
+		}, leavesMs ?? deadlines[kind] + patienceMs);
+		req.end(body);
+	};
+
+	const keepSending = async (): Promise<void> => {
+		while (!hasStopped) {
+			const ready = hosts.filter(host => misses.get(host.name)! < questions);
+			if (ready.length > 0 && !isPaused) {
+				send(ready[Math.floor(random() * ready.length)]!);
+			}
+
+			await sleep(1000 / perSecond);
+		}
+	};
+
+	for (const host of hosts) {
+		void keepAsking(host);
+	}
+
+	void keepSending();
+	return {
+		readyHosts: () => hosts.filter(host => misses.get(host.name)! < questions).length,
+		pause() {
+			isPaused = true;
+		},
+		stop() {
+			hasStopped = true;
+			for (const agent of agents.values()) {
+				agent.destroy();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/test/soak/create-soak-host.ts
@@ -0,0 +1,74 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createWriteStream, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+
+const program = 'dist/hemlockpier.cjs';
+const clock = './test/soak/step-clock.cjs';
+const memoryMb = 128;
+const restartMs = 300;
+
+/** A host as a process of its own, which is started again when it ends. */
+export type SoakHost = {
+	readonly name: string;
+	readonly callers: string;
+	readonly readiness: string;
+	readonly signal: (name: NodeJS.Signals) => void;
+	/** Writes other settings. */
+	readonly configure: (changed: Record<string, unknown>) => void;
+	readonly stop: () => void;
+};
+
+/** Starts a host. `onOwnExit` is called when it ends without a signal of the soak. */
+export function createSoakHost(settings: Readonly<Record<string, unknown>>, folder: string, onOwnExit: (host: string) => void): SoakHost {
+	const name = settings.name as string;
+	const file = path.join(folder, `${name}.jsonc`);
+	const log = createWriteStream(path.join(folder, `${name}.log`));
+	let child: ChildProcess;
+	let isEnding = false;
+	let hasStopped = false;
+
+	const configure = (changed: Record<string, unknown>): void => {
+		writeFileSync(file, JSON.stringify({...settings, ...changed}));
+	};
+
+	const start = (): void => {
+		isEnding = false;
+		child = spawn(process.execPath, ['--require', clock, `--max-old-space-size=${memoryMb}`, program, 'gateway', '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
+		child.stdout!.pipe(log, {end: false});
+		child.stderr!.pipe(log, {end: false});
+		child.on('exit', () => {
+			if (hasStopped) {
+				return;
+			}
+
+			if (!isEnding) {
+				onOwnExit(name);
+			}
+
+			setTimeout(() => {
+				if (!hasStopped) {
+					start();
+				}
+			}, restartMs);
+		});
+	};
+
+	configure({});
+	start();
+	return {
+		name,
+		callers: settings.callers as string,
+		readiness: settings.readiness as string,
+		signal(signal) {
+			isEnding ||= signal === 'SIGTERM' || signal === 'SIGKILL';
+			child.kill(signal);
+		},
+		configure,
+		stop() {
+			hasStopped = true;
+			child.kill('SIGKILL');
+			log.end();
+		},
+	};
+}
--- /dev/null
+++ b/test/soak/create-tcp-proxy.ts
@@ -0,0 +1,132 @@
+import {connect, createServer, type Socket} from 'node:net';
+import {parseAddress} from '../../src/http/parse-address.js';
+import {type LinkState} from './link-state.js';
+
+const flushMs = 20;
+
+/** A loopback proxy in front of one address. */
+export type TcpProxy = {
+	readonly address: string;
+	readonly state: LinkState;
+	/** Resets all open connections. */
+	readonly resetOpen: () => void;
+	/** Makes all open connections silent for good; new ones work. */
+	readonly silenceOpen: () => void;
+	readonly stop: () => void;
+};
+
+/** One direction of a connection. */
+type Pipe = {
+	readonly target: Socket;
+	readonly isCut: () => boolean;
+	readonly waiting: Array<{readonly at: number; readonly bytes: Buffer | undefined}>;
+};
+
+/** A connection through the proxy. */
+type OpenConnection = {
+	readonly pipes: readonly Pipe[];
+	readonly end: () => void;
+	isSilent: boolean;
+};
+
+/** Starts the proxy on a given port of the loopback address. */
+export async function createTcpProxy(port: number, target: string): Promise<TcpProxy> {
+	const state: LinkState = {
+		isCutIn: false, isCutOut: false, delayMs: 0, isRefusing: false,
+	};
+	const open = new Map<Socket, OpenConnection>();
+	const {host, port: targetPort} = parseAddress(target);
+
+	const flush = ({target: to, isCut, waiting}: Pipe): void => {
+		while (waiting.length > 0 && !isCut() && waiting[0]!.at <= performance.now()) {
+			const {bytes} = waiting.shift()!;
+			if (bytes) {
+				to.write(bytes);
+			} else {
+				to.end();
+			}
+		}
+	};
+
+	const createPipe = (from: Socket, to: Socket, isCut: () => boolean): Pipe => {
+		const pipe: Pipe = {target: to, isCut, waiting: []};
+		const push = (bytes: Buffer | undefined): void => {
+			pipe.waiting.push({at: performance.now() + state.delayMs, bytes});
+			flush(pipe);
+		};
+
+		from.on('data', push).on('end', () => {
+			push(undefined);
+		});
+		return pipe;
+	};
+
+	const server = createServer({allowHalfOpen: true, noDelay: true}, near => {
+		if (state.isRefusing) {
+			near.resetAndDestroy();
+			return;
+		}
+
+		const far = connect({
+			host, port: targetPort, allowHalfOpen: true, noDelay: true,
+		});
+		const end = (): void => {
+			near.resetAndDestroy();
+			far.resetAndDestroy();
+			open.delete(near);
+		};
+
+		const entry: OpenConnection = {
+			pipes: [createPipe(near, far, () => entry.isSilent || state.isCutIn), createPipe(far, near, () => entry.isSilent || state.isCutOut)],
+			end,
+			isSilent: false,
+		};
+		open.set(near, entry);
+		for (const socket of [near, far]) {
+			// A reset does not pass through a cut or a silent connection.
+			socket.on('error', () => {
+				if (!entry.isSilent && !state.isCutIn && !state.isCutOut) {
+					end();
+				}
+			});
+			socket.on('close', () => {
+				if (near.destroyed && far.destroyed) {
+					open.delete(near);
+				} else if (!entry.isSilent && !state.isCutIn && !state.isCutOut && entry.pipes.every(({waiting}) => waiting.length === 0)) {
+					setTimeout(end, flushMs).unref();
+				}
+			});
+		}
+	});
+	await new Promise<void>(resolve => {
+		server.listen(port, '127.0.0.1', resolve);
+	});
+	const timer = setInterval(() => {
+		for (const {pipes} of open.values()) {
+			for (const pipe of pipes) {
+				flush(pipe);
+			}
+		}
+	}, flushMs);
+	return {
+		address: `127.0.0.1:${port}`,
+		state,
+		resetOpen() {
+			for (const {end} of open.values()) {
+				end();
+			}
+		},
+		silenceOpen() {
+			for (const entry of open.values()) {
+				entry.isSilent = true;
+			}
+		},
+		stop() {
+			clearInterval(timer);
+			server.close();
+			for (const {end} of open.values()) {
+				end();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/test/soak/expected-answer.ts
@@ -0,0 +1,14 @@
+import {hashNumber} from '../../src/util/hash-number.js';
+
+const fewestEvents = 3;
+const eventSpread = 8;
+
+/** Gives the events of a stream, or the only piece of another answer, for a request's id. */
+export function expectedAnswer(id: string, target: string): readonly string[] {
+	if (!target.startsWith('/ask/')) {
+		return [`answer to ${id} for ${target}`];
+	}
+
+	const count = fewestEvents + (hashNumber(id) % eventSpread);
+	return Array.from({length: count}, (_, index) => `id: ${index}\ndata: piece ${index} for ${id}\n\n`);
+}
--- /dev/null
+++ b/test/soak/find-violations.ts
@@ -0,0 +1,132 @@
+import {expectedAnswer} from './expected-answer.js';
+import {
+	type Call, type History, type Run,
+} from './history.js';
+
+/** Bounds of the promises, in milliseconds, as the platform's figures set them. */
+const bounds = {
+	contact: 3000, drain: 2000, apply: 2000, grace: 8000, recovery: 12_000, retryWindow: 10_000,
+} as const;
+const retryRatio = 0.2;
+const retrySlack = 20;
+/** Statuses that say that a request has not run and never will. */
+const notRun: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const workspaceOf: Readonly<Record<string, string>> = {'key-1': 'acme', 'key-2': 'acme'};
+const plannedKinds: ReadonlySet<string> = new Set(['host stops', 'host reads settings', 'configuration changes', 'upstream is replaced', 'weights are named']);
+const servedShare = 0.25;
+
+type Check = (history: History, runsOf: ReadonlyMap<string, readonly Run[]>) => readonly string[];
+
+/** Whether nothing but planned work disturbed any of the scopes in a time. */
+function isCalm({disturbances}: History, scopes: readonly string[], from: number, until: number): boolean {
+	return !disturbances.some(each => !plannedKinds.has(each.kind) && scopes.includes(each.scope) && each.until >= from && each.from <= until);
+}
+
+const isRepeatable = ({kind}: Call): boolean => kind !== 'book';
+
+const checkTwice: Check = ({calls}, runsOf) => calls
+	.filter(call => !isRepeatable(call) && (runsOf.get(call.id)?.length ?? 0) > 1)
+	.map(call => `twice: ${call.id} ran at ${runsOf.get(call.id)!.map(run => run.upstream).join(', ')}`);
+
+const checkRefused: Check = ({calls}, runsOf) => calls
+	.filter(call => !isRepeatable(call) && notRun.has(call.status) && runsOf.has(call.id))
+	.map(call => `refused: ${call.id} was answered ${call.status} and ran`);
+
+const checkAnswers: Check = ({calls}, runsOf) => calls.flatMap(call => {
+	if (call.status !== 200) {
+		return [];
+	}
+
+	const expected = expectedAnswer(call.id, call.target).join('');
+	const isRight = call.isWhole ? call.text === expected : expected.startsWith(call.text);
+	const isSealed = (runsOf.get(call.id) ?? []).some(run => run.seal === call.seal);
+	return isRight && isSealed ? [] : [`mixed: ${call.id} got ${JSON.stringify(call.text.slice(0, 200))} with seal ${call.seal}`];
+});
+
+const checkAsked: Check = ({calls, runs}) => {
+	const byId = new Map(calls.map(call => [call.id, call]));
+	return runs.filter(run => {
+		const call = byId.get(run.id);
+		return run.target !== call?.target || run.body !== call.body || run.workspace !== workspaceOf[call.key] || run.hasKey;
+	}).map(run => `unasked: ${run.id} ran at ${run.upstream} for ${run.workspace} as ${run.target}`);
+};
+
+const checkLeaving: Check = history => history.changes.filter(change => change.kind === 'leaving').flatMap(change => {
+	const hosts = new Map(history.calls.map(call => [call.id, call.host]));
+	return history.runs.filter(run => run.upstream === change.what && run.at > change.at + bounds.drain
+		&& isCalm(history, ['store', `host ${hosts.get(run.id)}`], change.at - bounds.contact, run.at))
+		.map(run => `drain: ${run.id} reached ${run.upstream} ${Math.round(run.at - change.at)} ms after it was leaving`);
+});
+
+const checkConfiguration: Check = (history, runsOf) => history.calls.filter(call => call.kind === 'extra').flatMap(call => {
+	const last = history.changes.findLast(change => (change.kind === 'added' || change.kind === 'removed') && change.at <= call.sentAt);
+	const next = history.changes.find(change => (change.kind === 'added' || change.kind === 'removed') && change.at > call.sentAt);
+	const isDue = last && call.sentAt >= last.at + bounds.apply && call.endedAt < (next?.at ?? Number.POSITIVE_INFINITY);
+	if (!isDue || !isCalm(history, ['store', `host ${call.host}`], last.at - bounds.contact, call.endedAt)) {
+		return [];
+	}
+
+	const isWrong = last.kind === 'added' ? call.status === 404 : runsOf.has(call.id);
+	return isWrong ? [`configuration: ${call.id} got ${call.status} ${Math.round(call.sentAt - last.at)} ms after its route was ${last.kind}`] : [];
+});
+
+const checkPlanned: Check = (history, runsOf) => {
+	const upstreams = [...new Set(history.runs.map(run => `upstream ${run.upstream}`))];
+	return history.calls.filter(call => !call.isWhole && !call.hasLeft && runsOf.has(call.id)
+		&& isCalm(history, ['store', `host ${call.host}`, ...upstreams], call.sentAt - bounds.contact, call.endedAt))
+		.map(call => `lost: ${call.id} at ${call.host} ended with status ${call.status} and ${call.text.length} bytes`);
+};
+
+const checkRetries: Check = ({calls, runs}) => {
+	const seen = new Set<string>();
+	const repeats = runs.filter(run => {
+		const isRepeat = seen.has(run.id);
+		seen.add(run.id);
+		return isRepeat;
+	});
+	return repeats.flatMap(({at}) => {
+		const from = at - bounds.retryWindow;
+		const requests = calls.filter(call => call.sentAt > from && call.sentAt <= at).length;
+		const count = repeats.filter(run => run.at > from && run.at <= at).length;
+		return count > (requests * retryRatio) + retrySlack ? [`budget: ${count} retries of ${requests} requests in the window to ${Math.round(at)}`] : [];
+	}).slice(0, 1);
+};
+
+const checkOrders: Check = ({orders}) => {
+	const holders = new Map<string, string>();
+	return orders.filter(({holder, token, upstream}) => {
+		const key = `${upstream} ${token}`;
+		const isSecond = holders.has(key) && holders.get(key) !== holder;
+		holders.set(key, holder);
+		return isSecond;
+	}).map(order => `one: ${order.upstream} got token ${order.token} from two holders`);
+};
+
+const checkWeights: Check = ({weights: {named, held}}) => held.filter(version => version !== named).map(version => `weights: an engine has ${version} at the end, ${named} is named`);
+
+const checkRecovery: Check = ({calls, calmFrom}) => {
+	const late = calls.filter(call => call.sentAt > calmFrom + bounds.recovery && call.kind !== 'extra' && !call.hasLeft);
+	const served = late.filter(call => call.status === 200 && call.isWhole).length;
+	return late.length === 0 || served < late.length * servedShare ? [`recovery: ${served} of ${late.length} served`] : [];
+};
+
+/** Requests that fail long after the last disturbance; none has a reason to. */
+const checkCalm: Check = ({calls, calmFrom}) => calls
+	.filter(call => call.sentAt > calmFrom + bounds.recovery && call.kind !== 'extra' && !call.hasLeft && !(call.status === 200 && call.isWhole))
+	.map(call => `calm: ${call.id} at ${call.host} ended with status ${call.status}`);
+
+const checkExits: Check = ({exits}) => exits.map(host => `exit: ${host} ended by itself`);
+
+const checks: readonly Check[] = [
+	checkTwice, checkRefused, checkAnswers, checkAsked, checkLeaving, checkConfiguration, checkPlanned, checkRetries, checkOrders, checkWeights, checkRecovery, checkCalm, checkExits,
+];
+
+/** Finds the promises that what callers and upstreams saw does not keep. */
+export function findViolations(history: History): readonly string[] {
+	const runsOf = new Map<string, Run[]>();
+	for (const run of history.runs) {
+		runsOf.set(run.id, [...runsOf.get(run.id) ?? [], run]);
+	}
+
+	return checks.flatMap(check => check(history, runsOf));
+}
--- /dev/null
+++ b/test/soak/main.ts
@@ -0,0 +1,29 @@
+import path from 'node:path';
+import process from 'node:process';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {runSoak} from './run-soak.js';
+
+const msPerMinute = 60_000;
+
+/** Runs soaks one after the other and ends with 1 if a promise was not kept in any. */
+async function main(): Promise<void> {
+	const {seed, count, minutes, logs} = await yargs(hideBin(process.argv))
+		.option('seed', {type: 'number', default: 1, describe: 'first seed'})
+		.option('count', {type: 'number', default: 1, describe: 'how many seeds'})
+		.option('minutes', {type: 'number', default: 0.75, describe: 'length of each soak'})
+		.option('logs', {type: 'string', default: 'reports/soak', describe: 'folder for logs and histories'})
+		.strict()
+		.parse();
+	for (let each = seed; each < seed + count; each++) {
+		const {violations, ...figures} = await runSoak(each, minutes * msPerMinute, path.join(logs, String(each)));
+		console.log(JSON.stringify({
+			seed: each, ...figures, violations: violations.slice(0, 10), violationCount: violations.length,
+		}));
+		process.exitCode = violations.length > 0 ? 1 : process.exitCode ?? 0;
+	}
+
+	process.exit();
+}
+
+void main();
--- /dev/null
+++ b/test/soak/run-soak.ts
@@ -0,0 +1,84 @@
+import {mkdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {createRandom} from '../../src/util/create-random.js';
+import {sleep} from '../../src/util/sleep.js';
+import {waitUntil} from '../support/wait-until.js';
+import {faultEffects, type FaultScene} from './apply-fault.js';
+import {createSoakCallers} from './create-soak-callers.js';
+import {type Fault} from './fault.js';
+import {findViolations} from './find-violations.js';
+import {
+	type Call, type Change, type Disturbance, type History, type Order, type Run,
+} from './history.js';
+import {planFaults} from './plan-faults.js';
+import {startWorld} from './start-world.js';
+
+/** Nothing is disturbed in the last part, so that the end shows whether all comes back. */
+const calmMs = 16_000;
+/** Requests under way when callers stop end within this time. */
+const endMs = 7500;
+const requestsPerSecond = 80;
+
+/** What a soak found. */
+type SoakResult = {
+	readonly violations: readonly string[];
+	readonly calls: number;
+	readonly served: number;
+	readonly runs: number;
+	readonly faults: number;
+};
+
+/** Runs one soak; its history, the faults and the hosts' logs are kept in `folder`. */
+export async function runSoak(seed: number, durationMs: number, folder: string): Promise<SoakResult> {
+	mkdirSync(folder, {recursive: true});
+	const random = createRandom(seed);
+	const faults = planFaults(createRandom(seed + 1), durationMs - calmMs);
+	const calls: Call[] = [];
+	const runs: Run[] = [];
+	const orders: Order[] = [];
+	const disturbances: Disturbance[] = [];
+	const changes: Change[] = [];
+	const exits: string[] = [];
+	const world = await startWorld({
+		folder, random,
+		onRun: run => runs.push(run),
+		onOrder: order => orders.push(order),
+		onOwnExit: host => exits.push(host),
+	});
+	const scene: FaultScene = {
+		world, namedWeights: 1, hasExtra: true, onChange: change => changes.push(change),
+	};
+
+	const make = async (fault: Fault): Promise<void> => {
+		await sleep(fault.atMs);
+		const from = performance.now();
+		const {scope, end, forMs = fault.forMs} = faultEffects[fault.kind](scene, fault);
+		disturbances.push({
+			scope, kind: fault.kind, from, until: from + forMs,
+		});
+		await sleep(fault.forMs);
+		end?.();
+	};
+
+	try {
+		const callers = createSoakCallers(world.hosts.map(({host}) => host), requestsPerSecond, random, call => calls.push(call));
+		await waitUntil('all hosts to be ready', () => callers.readyHosts() === world.hosts.length);
+		await Promise.all(faults.map(async fault => make(fault)));
+		const calmFrom = Math.max(performance.now(), ...disturbances.map(({until}) => until));
+		await sleep(calmFrom - performance.now() + calmMs);
+		callers.pause();
+		await sleep(endMs);
+		callers.stop();
+		const history: History = {
+			calls, runs, orders, disturbances, changes, exits, calmFrom, endedAt: performance.now(),
+			weights: {named: scene.namedWeights, held: world.upstreams.map(({upstream}) => upstream.weights())},
+		};
+		const violations = findViolations(history);
+		writeFileSync(path.join(folder, 'history.json'), JSON.stringify({seed, violations, ...history}, undefined, '\t'));
+		return {
+			violations, calls: calls.length, served: calls.filter(({status, isWhole}) => status === 200 && isWhole).length, runs: runs.length, faults: faults.length,
+		};
+	} finally {
+		world.stop();
+	}
+}
--- /dev/null
+++ b/test/soak/soak.test.ts
@@ -0,0 +1,16 @@
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {describe, expect, test} from 'vitest';
+import {runSoak} from './run-soak.js';
+
+const durationMs = 30_000;
+const limitMs = 120_000;
+
+describe('a fault soak', () => {
+	test.each([[1]])('with seed %i keeps the promises', async seed => {
+		const {violations, served} = await runSoak(seed, durationMs, mkdtempSync(path.join(tmpdir(), 'soak-')));
+		expect(violations).toEqual([]);
+		expect(served).toBeGreaterThan(0);
+	}, limitMs);
+});
--- /dev/null
+++ b/test/soak/start-world.ts
@@ -0,0 +1,102 @@
+import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
+import {platformObjects} from '../support/platform-objects.js';
+import {testPorts} from '../support/test-ports.js';
+import {createReportRelay} from './create-report-relay.js';
+import {createSoakHost, type SoakHost} from './create-soak-host.js';
+import {createSoakUpstream, type SoakUpstream} from './create-soak-upstream.js';
+import {createTcpProxy, type TcpProxy} from './create-tcp-proxy.js';
+import {type Order, type Run} from './history.js';
+
+const hostCount = 4;
+const upstreamCount = 5;
+const domains = ['domain-a', 'domain-b'] as const;
+const portsOfHost = 8;
+
+/** A host and the proxies on its way to the store and on the others' way to it. */
+type HostLinks = {readonly host: SoakHost; readonly toStore: TcpProxy; readonly toHost: TcpProxy};
+/** An upstream and the proxy before it. */
+type UpstreamLink = {readonly upstream: SoakUpstream; readonly link: TcpProxy};
+
+/** Hosts as processes, the stand-ins around them, and proxies between. */
+export type World = {
+	readonly store: StoreServer;
+	readonly hosts: readonly HostLinks[];
+	/** Upstreams that are registered. */
+	readonly upstreams: UpstreamLink[];
+	/** Registers one more upstream. */
+	readonly addUpstream: () => Promise<void>;
+	/** Puts the configuration in force, with or without the further route. */
+	readonly configure: (hasExtra: boolean) => void;
+	readonly stop: () => void;
+};
+
+/** What the world tells while it runs. */
+type WorldOptions = {
+	readonly folder: string;
+	readonly random: () => number;
+	readonly onRun: (run: Run) => void;
+	readonly onOrder: (order: Order) => void;
+	readonly onOwnExit: (host: string) => void;
+};
+
+/** Starts a world of four hosts and five upstreams in two failure domains. */
+export async function startWorld({folder, random, onRun, onOrder, onOwnExit}: WorldOptions): Promise<World> {
+	const disguises = new Map<string, string>();
+	const store = await createStoreServer(text => text.replaceAll(/127\.0\.0\.1:\d+/gv, address => disguises.get(address) ?? address));
+	const upstreams: UpstreamLink[] = [];
+	const stops: Array<() => void> = [store.stop];
+	let added = 0;
+	let version = 0;
+
+	const configure = (hasExtra: boolean): void => {
+		version++;
+		const {routes} = platformObjects.configuration(version);
+		const extra = platformObjects.route({name: 'r-extra', path_prefix: '/extra/'});
+		store.put('config', 'main', platformObjects.configuration(version, {routes: hasExtra ? [...routes, extra] : routes}));
+	};
+
+	const addUpstream = async (): Promise<void> => {
+		const id = `i-${added++}`;
+		const upstream = await createSoakUpstream(id, random, onRun, onOrder);
+		const [port] = await testPorts(1);
+		const link = await createTcpProxy(port!, upstream.address);
+		upstreams.push({upstream, link});
+		stops.push(upstream.stop, link.stop);
+		store.put('servers', id, platformObjects.upstream(link.address, {zone: domains[added % domains.length], models: [{name: 'm', version: 1, adapters: []}]}));
+	};
+
+	const startHost = async (index: number): Promise<HostLinks> => {
+		const ports = await testPorts(portsOfHost);
+		const [callers, readiness, peers, reports, peersProxy, relayPort, storeProxy, metricsPort] = ports.map(port => `127.0.0.1:${port}`);
+		const toStore = await createTcpProxy(ports[6]!, store.address);
+		const toHost = await createTcpProxy(ports[4]!, peers!);
+		const relay = await createReportRelay(ports[5]!, reports!, toHost.state, disguises);
+		disguises.set(peers!, peersProxy!).set(reports!, relayPort!);
+		const host = createSoakHost({
+			name: `host-${index}`, domain: domains[index % domains.length], region: 'region-a', callers, readiness, peers, reports,
+			metricsPort: Number(metricsPort!.split(':')[1]), objectStore: storeProxy,
+		}, folder, onOwnExit);
+		stops.push(host.stop, toStore.stop, toHost.stop, relay.stop);
+		return {host, toStore, toHost};
+	};
+
+	configure(true);
+	store.put('versions', 'm', {model: 'm', version: 1});
+	for (let count = 0; count < upstreamCount; count++) {
+		await addUpstream();
+	}
+
+	const hosts: HostLinks[] = [];
+	for (let index = 0; index < hostCount; index++) {
+		hosts.push(await startHost(index));
+	}
+
+	return {
+		store, hosts, upstreams, addUpstream, configure,
+		stop() {
+			for (const stop of stops) {
+				stop();
+			}
+		},
+	};
+}
--- a/test/support/create-store-server.ts
+++ b/test/support/create-store-server.ts
@@ -39,8 +39,12 @@
 	readonly stop: () => void;
 };
 
-/** Starts the stand-in on a free port. */
-export async function createStoreServer(): Promise<StoreServer> {
+/**
+Starts the stand-in on a free port.
+
+@param rewrite - Changes the text of what is written through calls.
+*/
+export async function createStoreServer(rewrite = (text: string): string => text): Promise<StoreServer> {
 	const kinds = new Map<string, Map<string, Held>>();
 	const calls = new Map<string, number>();
 	const waiting = new Set<() => void>();
@@ -137,7 +141,7 @@
 			if (faults.isBusy) {
 				send(res, 503, {});
 			} else if (req.method !== 'GET') {
-				const body = JSON.parse(text) as Parameters<typeof write>[3];
+				const body = JSON.parse(rewrite(text)) as Parameters<typeof write>[3];
 				const done = write(req.method!, kind, name ?? body.metadata.name, body);
 				if (faults.losesNextWrite) {
 					faults.losesNextWrite = false;
