Hosts' reports are shorter, and the store is called less by many hosts

Reports named each field of each load; each host listed all hosts every 15 s, read before it registered, and called anew after each single change of a burst of registrations. Ruled out: fewer hosts that follow the store, since three a domain are what keeps a change within its bound while some are cut off.

--- a/src/forwarding/create-host-links.ts
+++ b/src/forwarding/create-host-links.ts
@@ -7,6 +7,9 @@
 import {type MakeReport} from './make-report.js';
 import {type HostReport} from './host-report.js';
 import {type KeptNews} from './kept-news.js';
+import {decodeReport} from './decode-report.js';
+import {encodeReport} from './encode-report.js';
+import {type WireReport} from './wire-report.js';
 import {type ObjectStore} from './object-store.js';
 
 /** Hosts report to each other this often while they are few. */
@@ -20,15 +23,16 @@
 /** A host whose reports stay out for several of their intervals, and at least for this long, counts as unreachable. */
 const silentMs = 1200;
 const silentReports = 4;
-/** How often the hosts registered in the store are read again. */
+/** How often the hosts registered in the store are read again; rarer in proportion to hosts, since newcomers report to all. */
 const listMs = 15_000;
+const frequentlyListedHosts = 16;
 const retryMs = 1000;
 /** Hosts that have been silent for this long are forgotten. */
 const forgetMs = 60_000;
 
 /** What hosts send each other as datagrams. */
 type Datagram = {
-	readonly report?: HostReport;
+	readonly report?: WireReport;
 	readonly kept?: KeptNews;
 };
 
@@ -66,12 +70,14 @@
 	};
 
 	const register = async (): Promise<void> => {
-		const found = await store.read(kind, self.host);
-		if (found && JSON.stringify(found.value) === JSON.stringify(self)) {
+		if (await store.create(kind, self.host, self)) {
 			return;
 		}
 
-		await (found ? store.replace(kind, self.host, self, found.revision) : store.create(kind, self.host, self));
+		const found = await store.read(kind, self.host);
+		if (found && JSON.stringify(found.value) !== JSON.stringify(self)) {
+			await store.replace(kind, self.host, self, found.revision);
+		}
 	};
 
 	const listHosts = async (): Promise<void> => {
@@ -96,7 +102,7 @@
 				}
 
 				await listHosts();
-				await sleep(listMs);
+				await sleep(listMs * Math.max(1, known.size / frequentlyListedHosts));
 			} catch (error) {
 				log.warn({error: String(error)}, 'hosts can not be listed');
 				await sleep(retryMs);
@@ -119,7 +125,7 @@
 
 	const sendByTurns = (report: Omit<HostReport, 'everyMs'>, hosts: readonly KnownHost[], frequentHosts: number): void => {
 		const turns = Math.max(1, Math.round(hosts.length / frequentHosts));
-		send({report: {...report, everyMs: reportMs * turns}}, hosts.filter((_, index) => (index + turn) % turns === 0));
+		send({report: encodeReport({...report, everyMs: reportMs * turns})}, hosts.filter((_, index) => (index + turn) % turns === 0));
 	};
 
 	const sendReport = (): void => {
@@ -141,7 +147,7 @@
 		try {
 			const {report, kept} = JSON.parse(bytes.toString()) as Datagram;
 			if (report) {
-				hear(report);
+				hear(decodeReport(report));
 			}
 
 			if (kept) {
--- a/src/forwarding/create-kind-watch.ts
+++ b/src/forwarding/create-kind-watch.ts
@@ -10,6 +10,8 @@
 const retrySpread = 0.5;
 const idleMs = 100;
 const lostMs = 5000;
+/** Between two calls that bring changes, so that many changes in a row cost few calls; far below every bound on changes. */
+const gatherMs = 120;
 
 /** What a watch needs. */
 type KindWatchOptions = {
@@ -85,6 +87,7 @@
 			const next = {objects: [...byName.values()], revision: answer.revision, changedAt};
 			if (answer.changes.length > 0) {
 				set(next, confirmedAt);
+				await sleep(gatherMs);
 			} else {
 				current = next;
 			}
