A failure domain that is cut off is passed over as one; callers that leave count against no upstream

Also, a request whose caller left before it was sent kept its upstream out for 1.5 s. Ruled out: a shorter time-out of connections, which would break slow links.

--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -119,16 +119,19 @@
 	};
 
 	const noteUpstream = (outcome: SendOutcome, upstreamId: string, model: string | undefined): void => {
-		if (outcome.kind === 'not-run') {
-			const {head} = outcome;
-			if (head?.status === 421 && head.weightVersion !== undefined && model !== undefined) {
-				book.noteWeights(upstreamId, model, head.weightVersion);
-				return;
-			}
+		if (outcome.kind === 'answered' || outcome.kind === 'failed-answer' || outcome.isGivenUp) {
+			return;
+		}
 
-			book.avoid(upstreamId, now() + (head ? turnedAwayMs : unreachedMs));
-		} else if (outcome.kind === 'broken' && !outcome.isGivenUp) {
+		if (outcome.kind === 'broken') {
 			book.avoid(upstreamId, now() + brokenMs);
+		} else if (!outcome.head) {
+			book.avoid(upstreamId, now() + unreachedMs);
+			book.noteUnreached(upstreamId);
+		} else if (outcome.head.status === 421 && outcome.head.weightVersion !== undefined && model !== undefined) {
+			book.noteWeights(upstreamId, model, outcome.head.weightVersion);
+		} else {
+			book.avoid(upstreamId, now() + turnedAwayMs);
 		}
 	};
 
--- a/src/forwarding/create-upstream-book.ts
+++ b/src/forwarding/create-upstream-book.ts
@@ -1,4 +1,5 @@
 import {log} from '../observe/log.js';
+import {createDomainReach} from '../decide/forwarding/create-domain-reach.js';
 import {createLoadTotals} from '../decide/forwarding/create-load-totals.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
 import {type UpstreamLoad} from './upstream-load.js';
@@ -66,6 +67,7 @@
 	const entries = new Map<string, Entry>();
 	const usualMs = new Map<string, number>();
 	const totals = createLoadTotals();
+	const reach = createDomainReach();
 
 	const closeWhenIdle = (entry: Entry): void => {
 		if (entry.isGone && entry.inFlight === 0) {
@@ -154,7 +156,7 @@
 			isQueueing: waiting > 0,
 			heldTokens: entry.heldTokens + (others?.heldTokens ?? 0),
 			isSilent: isSilent(entry, at),
-			isAvoided: at < entry.avoidUntil,
+			isAvoided: at < entry.avoidUntil || reach.isCutOff(entry.upstream.domain, at),
 			failureShare: entry.failureShare,
 			freeConnections: entry.connections - entry.inFlight,
 		};
@@ -193,6 +195,7 @@
 				hasFailed = head.status >= firstFailureStatus && !head.isNotRun;
 				answered();
 				entry.lastAnswerAt = now();
+				reach.noteHeard(entry.upstream.domain, now());
 				noteUsual(entry.upstream.service, now() - wait.since);
 				listener.onHead(head);
 			},
@@ -238,6 +241,12 @@
 				entry.avoidUntil = Math.max(entry.avoidUntil, untilMs);
 			}
 		},
+		noteUnreached(id) {
+			const entry = entries.get(id);
+			if (entry) {
+				reach.noteUnreached(entry.upstream.domain, id, now());
+			}
+		},
 		noteWeights(id, model, version) {
 			const entry = entries.get(id);
 			if (entry && (entry.upstream.weights.get(model) ?? 0) < version) {
@@ -250,6 +259,9 @@
 		loads: () => [...entries.values()]
 			.filter(entry => entry.inFlight > 0)
 			.map(entry => toLoad(entry)),
-		noteLoads: totals.take,
+		noteLoads(report, at) {
+			totals.take(report, at);
+			reach.noteHeard(report.domain, at);
+		},
 	};
 }
--- a/src/forwarding/send-once.ts
+++ b/src/forwarding/send-once.ts
@@ -85,7 +85,9 @@
 					answer.end();
 					finish({kind: 'answered'});
 				} else if (judged?.use === 'not-run') {
-					finish({kind: 'not-run', reason: `upstream answered ${judged.head.status}`, head: judged.head});
+					finish({
+						kind: 'not-run', reason: `upstream answered ${judged.head.status}`, head: judged.head, isGivenUp: false,
+					});
 				} else if (judged?.use === 'failed' && keptBytes <= keptFailureBytes) {
 					finish({kind: 'failed-answer', head: judged.head, body: Buffer.concat(kept)});
 				} else {
@@ -94,11 +96,15 @@
 			},
 			onFail(error, wasSent) {
 				if (judged?.use === 'not-run') {
-					finish({kind: 'not-run', reason: `upstream answered ${judged.head.status}`, head: judged.head});
+					finish({
+						kind: 'not-run', reason: `upstream answered ${judged.head.status}`, head: judged.head, isGivenUp: false,
+					});
 				} else if (wasSent) {
 					finish({kind: 'broken', reason: String(error.message), isGivenUp: signal.aborted});
 				} else {
-					finish({kind: 'not-run', reason: String(error.message), head: undefined});
+					finish({
+						kind: 'not-run', reason: String(error.message), head: undefined, isGivenUp: signal.aborted,
+					});
 				}
 			},
 		});
--- a/src/forwarding/send-outcome.ts
+++ b/src/forwarding/send-outcome.ts
@@ -9,6 +9,6 @@
 */
 export type SendOutcome
 	= | {readonly kind: 'answered'}
-		| {readonly kind: 'not-run'; readonly reason: string; readonly head: AnswerHead | undefined}
+		| {readonly kind: 'not-run'; readonly reason: string; readonly head: AnswerHead | undefined; /** Whether it was given up from this side. */ readonly isGivenUp: boolean}
 		| {readonly kind: 'failed-answer'; readonly head: AnswerHead; readonly body: Buffer}
 		| {readonly kind: 'broken'; readonly reason: string; /** Whether it was given up from this side. */ readonly isGivenUp: boolean};
--- a/src/forwarding/upstream-book.ts
+++ b/src/forwarding/upstream-book.ts
@@ -17,6 +17,8 @@
 	readonly send: (id: string, message: UpstreamMessage, size: SendSize, listener: AnswerListener) => RunningSend;
 	/** Notes that an upstream should get no new work for a while. */
 	readonly avoid: (id: string, untilMs: number) => void;
+	/** Notes that no connection to an upstream came about. */
+	readonly noteUnreached: (id: string) => void;
 	/** Notes the weights that an upstream was found to have. */
 	readonly noteWeights: (id: string, model: string, version: number) => void;
 	/** Requests of all hosts in flight, as far as known. */
@@ -26,5 +28,5 @@
 	/** Requests in flight and prompt tokens not yet answered, by upstream. */
 	readonly loads: () => readonly UpstreamLoad[];
 	/** Takes another host's report of its load. */
-	readonly noteLoads: (report: Pick<HostReport, 'host' | 'loads' | 'everyMs'>, now: number) => void;
+	readonly noteLoads: (report: Pick<HostReport, 'host' | 'domain' | 'loads' | 'everyMs'>, now: number) => void;
 };
