--- a/src/forwarding/create-caller-port.ts
+++ b/src/forwarding/create-caller-port.ts
@@ -139,9 +139,15 @@
 		socket.once('close', () => open.delete(socket));
 	});
 	server.on('clientError', (error: Error & {code?: string}, socket) => {
+		if (error.code === 'ECONNRESET') {
+			log.info({error: error.code}, 'caller reset its connection');
+			socket.destroy();
+			return;
+		}
+
 		const status = parserAnswers[error.code ?? ''] ?? 400;
 		log.info({error: error.code ?? error.message, status}, 'malformed request');
-		if (!socket.writable || error.code === 'ECONNRESET' || busy.has(socket as Socket)) {
+		if (!socket.writable || busy.has(socket as Socket)) {
 			socket.destroy();
 			return;
 		}
