A signal to read settings does not end a host that is still starting

The soak sends signals that a process must handle only once the process has begun to write: before that no program can handle them.

--- a/src/main.ts
+++ b/src/main.ts
@@ -6,6 +6,8 @@
 
 const exitFailed = 1;
 const exitUsage = 2;
+/** Commands that run a host. */
+const hosts: ReadonlySet<string> = new Set(['serve', 'gateway']);
 
 async function pick<M extends object>(loading: Promise<M>, name: keyof M): Promise<CommandModule<unknown, never>> {
 	const module = await loading;
@@ -35,6 +37,11 @@
 
 async function run(): Promise<void> {
 	const [name = ''] = hideBin(process.argv);
+	if (hosts.has(name)) {
+		// A signal to read settings anew must not end a host that has not come so far yet.
+		process.on('SIGHUP', () => undefined);
+	}
+
 	const wanted = loaders[name] ? [loaders[name]] : Object.values(loaders);
 	const commands = await Promise.all(wanted.map(async load => load()));
 	const parser = yargs(hideBin(process.argv))
