--- /dev/null
+++ b/test/forwarding/silent-peers.test.ts
@@ -0,0 +1,72 @@
+import {
+	afterEach, beforeEach, describe, expect, test,
+} from 'vitest';
+import {createReportRelay} from '../soak/create-report-relay.js';
+import {createTcpProxy, type TcpProxy} from '../soak/create-tcp-proxy.js';
+import {callRaw} from '../support/call-raw.js';
+import {callerBytes} from '../support/caller-bytes.js';
+import {createGateway, type TestGateway} from '../support/create-gateway.js';
+import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
+import {createUpstreamServer, type UpstreamServer} from '../support/create-upstream-server.js';
+import {platformObjects} from '../support/platform-objects.js';
+import {testPorts} from '../support/test-ports.js';
+import {waitUntil} from '../support/wait-until.js';
+
+let store: StoreServer;
+let upstream: UpstreamServer;
+let first: TestGateway;
+let second: TestGateway;
+/** From the second host to the store, and from the second host to the first. */
+let toStore: TcpProxy;
+let toFirst: TcpProxy;
+let stops: Array<() => void>;
+
+const isReady = async ({readiness}: TestGateway): Promise<boolean> => (await fetch(`http://${readiness}/v1/readiness`)).status === 200;
+const statusAtSecond = async (target: string): Promise<number> => (await callRaw(second.callers, callerBytes({target}))).status;
+
+function putConfiguration(version: number, paths: readonly string[]): void {
+	const {routes} = platformObjects.configuration(version);
+	const added = paths.map(path => platformObjects.route({name: `r-${path}`, path_prefix: `/${path}/`}));
+	store.put('config', 'main', platformObjects.configuration(version, {routes: [...routes, ...added]}));
+}
+
+beforeEach(async () => {
+	const disguises = new Map<string, string>();
+	store = await createStoreServer(text => text.replaceAll(/127\.0\.0\.1:\d+/gv, address => disguises.get(address) ?? address));
+	upstream = await createUpstreamServer();
+	putConfiguration(1, []);
+	store.put('servers', 'i-0', platformObjects.upstream(upstream.address));
+	const [storePort, peersPort, realPeersPort, firstRelayPort, firstPort, secondRelayPort, secondPort] = await testPorts(7);
+	toStore = await createTcpProxy(storePort!, store.address);
+	toFirst = await createTcpProxy(peersPort!, `127.0.0.1:${realPeersPort}`);
+	// Each host hears the other through a relay that names the proxy as the first one's address.
+	const relays = await Promise.all([[firstRelayPort!, firstPort!], [secondRelayPort!, secondPort!]].map(async ([port, target]) => {
+		disguises.set(`127.0.0.1:${target}`, `127.0.0.1:${port}`);
+		return createReportRelay(port!, `127.0.0.1:${target}`, toFirst.state, disguises);
+	}));
+	disguises.set(`127.0.0.1:${realPeersPort}`, toFirst.address);
+	first = await createGateway(store.address, {peers: `127.0.0.1:${realPeersPort}`, reports: `127.0.0.1:${firstPort}`});
+	second = await createGateway(toStore.address, {reports: `127.0.0.1:${secondPort}`});
+	stops = [store.stop, upstream.stop, toStore.stop, toFirst.stop, ...relays.map(relay => relay.stop)];
+	await waitUntil('both hosts to be ready', async () => await isReady(first) && isReady(second));
+});
+
+afterEach(async () => {
+	await Promise.all([first.stop(), second.stop()]);
+	for (const stop of stops) {
+		stop();
+	}
+});
+
+describe('a host that the store does not answer', () => {
+	test('takes changes from a peer, also once the open connections to that peer have gone silent', async () => {
+		Object.assign(toStore.state, {isCutIn: true, isCutOut: true});
+		putConfiguration(2, ['one']);
+		await waitUntil('the first change to come from the peer', async () => await statusAtSecond('/one/x') === 200);
+		expect(toFirst.open()).toBeGreaterThan(0);
+		toFirst.silenceOpen();
+		putConfiguration(3, ['one', 'two']);
+		await waitUntil('the second change to come over a new connection', async () => await statusAtSecond('/two/x') === 200);
+		expect(await statusAtSecond('/one/x')).toBe(200);
+	});
+});
--- a/test/soak/create-tcp-proxy.ts
+++ b/test/soak/create-tcp-proxy.ts
@@ -10,6 +10,8 @@
 	readonly state: LinkState;
 	/** Resets all open connections. */
 	readonly resetOpen: () => void;
+	/** Connections that are open. */
+	readonly open: () => number;
 	/** Makes all open connections silent for good; new ones work. */
 	readonly silenceOpen: () => void;
 	readonly stop: () => void;
@@ -116,6 +118,7 @@
 				end();
 			}
 		},
+		open: () => open.size,
 		silenceOpen() {
 			for (const entry of open.values()) {
 				entry.isSilent = true;
