--- a/src/forwarding/create-host-links.ts
+++ b/src/forwarding/create-host-links.ts
@@ -23,6 +23,8 @@
 /** A host whose reports stay out for several of their intervals, and at least for this long, counts as unreachable. */
 const silentMs = 1200;
 const silentReports = 4;
+/** The list of hosts that are heard is made again this often; many tasks ask for it. */
+const aliveMs = 100;
 /** How often the hosts registered in the store are read again; rarer in proportion to hosts, since newcomers report to all. */
 const listMs = 15_000;
 const frequentlyListedHosts = 16;
@@ -54,9 +56,20 @@
 	const socket = createSocket('udp4');
 	let hasStopped = false;
 	let turn = 0;
+	let living: readonly KnownHost[] = [];
+	let listedAt = Number.NEGATIVE_INFINITY;
 
 	const isAlive = ({heardAt, everyMs}: KnownHost): boolean => heardAt !== undefined && now() - heardAt < Math.max(silentMs, everyMs * silentReports);
 
+	const listAlive = (): readonly KnownHost[] => {
+		if (now() - listedAt >= aliveMs) {
+			listedAt = now();
+			living = [...known.values()].filter(entry => isAlive(entry));
+		}
+
+		return living;
+	};
+
 	const hear = (report: HostReport): void => {
 		const before = known.get(report.host);
 		if (!before || !isAlive(before)) {
@@ -171,7 +184,7 @@
 			void keepListing();
 			timer = setInterval(sendReport, reportMs);
 		},
-		alive: () => [...known.values()].filter(entry => isAlive(entry)),
+		alive: listAlive,
 		async listAll() {
 			await listHosts();
 			return [...known.values()];
--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -4,6 +4,8 @@
 import {rankOf} from '../decide/membership/rank-of.js';
 import {log} from '../observe/log.js';
 import {type PeerCaller} from '../peers/peer-caller.js';
+import {createLastResult} from '../util/create-last-result.js';
+import {memoize} from '../util/memoize.js';
 import {sleep} from '../util/sleep.js';
 import {createStorePoller} from './create-store-poller.js';
 import {type EngineControl} from './engine-control.js';
@@ -49,7 +51,8 @@
 		peers, control, tell, now,
 	});
 
-	const rankFor = (name: string): number => rankOf(self, others(), name);
+	const ranksAmong = createLastResult((hosts: readonly string[]) => memoize((store: string) => rankOf(self, hosts, store)));
+	const rankFor = (store: string): number => ranksAmong(others())(store);
 
 	const shouldPoll = (entry: FollowedStore): boolean => {
 		const rank = rankFor(entry.kept.name);
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -21,6 +21,7 @@
 import {createStoredState} from './forwarding/create-stored-state.js';
 import {createUpstreamBook} from './forwarding/create-upstream-book.js';
 import {type GatewayAdapter} from './forwarding/gateway-adapter.js';
+import {type KnownHost} from './forwarding/known-host.js';
 import {type HostReport} from './forwarding/host-report.js';
 import {type StoredObject} from './forwarding/stored-object.js';
 import {parseAddress} from './http/parse-address.js';
@@ -30,6 +31,7 @@
 import {compareGatewaySettings} from './settings/compare-gateway-settings.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
 import {createElapsedClock} from './util/create-elapsed-clock.js';
+import {createLastResult} from './util/create-last-result.js';
 import {memoize} from './util/memoize.js';
 import {sleep} from './util/sleep.js';
 
@@ -108,7 +110,8 @@
 			kept.take(news);
 		},
 	});
-	const others = (): readonly string[] => links.alive().map(peer => peer.host);
+	const namesOf = createLastResult((peers: readonly KnownHost[]) => peers.map(peer => peer.host));
+	const others = (): readonly string[] => namesOf(links.alive());
 	const hosts = (): number => Math.max(assumedHosts, links.count());
 
 	const book = createUpstreamBook({
