One timer follows all stores of kept context

Cause: with 23 stores a host woke up 230 times a second only to see that another host polls them; each wake-up costs processor time. Ruled out: reports, 140 a second by now.

--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -6,7 +6,6 @@
 import {type PeerCaller} from '../peers/peer-caller.js';
 import {createLastResult} from '../util/create-last-result.js';
 import {memoize} from '../util/memoize.js';
-import {sleep} from '../util/sleep.js';
 import {createStorePoller} from './create-store-poller.js';
 import {type EngineControl} from './engine-control.js';
 import {type FollowedStore} from './followed-store.js';
@@ -59,16 +58,21 @@
 		return rank === 0 || now() - entry.heardAt > quietMs + (rank * quietRankMs);
 	};
 
-	const follow = async (entry: FollowedStore): Promise<void> => {
-		while (!entry.hasStopped) {
-			if (shouldPoll(entry)) {
-				await poll(entry);
-				await sleep(Math.min(mostPollMs, pollMs * Math.max(1, (others().length + 1) / frequentHosts)));
-			} else {
-				await sleep(tickMs);
+	const keepPolling = async (entry: FollowedStore): Promise<void> => {
+		entry.isPolling = true;
+		await poll(entry);
+		entry.isPolling = false;
+		entry.nextAt = now() + Math.min(mostPollMs, pollMs * Math.max(1, (others().length + 1) / frequentHosts));
+	};
+
+	/** One timer for all stores, since a host of a large deployment follows scores of them. */
+	const timer = setInterval(() => {
+		for (const entry of followed.values()) {
+			if (!entry.isPolling && now() >= entry.nextAt && shouldPoll(entry)) {
+				void keepPolling(entry);
 			}
 		}
-	};
+	}, tickMs);
 
 	const pull = async (entry: FollowedStore, address: string): Promise<void> => {
 		const {name} = entry.kept;
@@ -105,10 +109,10 @@
 			listedAt: now(),
 			hasUnfinished: false,
 			isAnswering: false,
-			hasStopped: false,
+			isPolling: false,
+			nextAt: now(),
 		};
 		followed.set(name, entry);
-		void follow(entry);
 	};
 
 	return {
@@ -116,7 +120,6 @@
 			const listed = new Map(services.flatMap(service => service.store?.isManaged ? [[service.name, service.store] as const] : []));
 			for (const [name, entry] of followed) {
 				if (listed.get(name)?.address !== entry.kept.store.address) {
-					entry.hasStopped = true;
 					followed.delete(name);
 				}
 			}
@@ -168,9 +171,7 @@
 		},
 		isBeingSaved: (scope, part) => [...followed.values()].some(({saves}) => saves.has(scope, part, now())),
 		stop() {
-			for (const entry of followed.values()) {
-				entry.hasStopped = true;
-			}
+			clearInterval(timer);
 		},
 	};
 }
--- a/src/forwarding/create-kind-watch.ts
+++ b/src/forwarding/create-kind-watch.ts
@@ -8,7 +8,7 @@
 const firstRetryMs = 200;
 const mostRetryMs = 1000;
 const retrySpread = 0.5;
-const idleMs = 100;
+const idleMs = 250;
 const lostMs = 5000;
 /** Between two calls that bring changes, so that many changes in a row cost few calls; far below every bound on changes. */
 const gatherMs = 120;
--- a/src/forwarding/followed-store.ts
+++ b/src/forwarding/followed-store.ts
@@ -12,5 +12,7 @@
 	/** Whether a save was not seen to end. */
 	hasUnfinished: boolean;
 	isAnswering: boolean;
-	hasStopped: boolean;
+	isPolling: boolean;
+	/** When the next poll is due. */
+	nextAt: number;
 };
