Hosts ask one peer at a time for what is newer, spread over time

Cause: after a change, a host that does not follow the store itself asked every peer whose report was newer, dozens at once, and those first with the news, on links of 10 Mbit/s, had to answer scores of hosts with a whole configuration. The same for whole lists of stores of kept context after a restart of many.

--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -6,6 +6,7 @@
 import {type PeerCaller} from '../peers/peer-caller.js';
 import {createLastResult} from '../util/create-last-result.js';
 import {memoize} from '../util/memoize.js';
+import {sleep} from '../util/sleep.js';
 import {createStorePoller} from './create-store-poller.js';
 import {type EngineControl} from './engine-control.js';
 import {type FollowedStore} from './followed-store.js';
@@ -24,6 +25,8 @@
 const quietMs = 1200;
 const quietRankMs = 500;
 const pullTimeoutMs = 1500;
+/** Hosts that need a whole list spread their questions over this time a host, so that the one that polls is not flooded. */
+const spreadMsPerHost = 20;
 /** Share of a store's room that saves may fill. */
 const fillShare = 0.96;
 const blockTokens = 16;
@@ -39,10 +42,11 @@
 	readonly tell: (news: KeptNews) => void;
 	/** Clock in milliseconds that counts suspensions. */
 	readonly now: () => number;
+	readonly random: () => number;
 };
 
 /** Starts the task. One host polls each store and passes the news on; the others poll only when they hear nothing. */
-export function createKeptTask({self, peers, control, call, others, tell, now}: KeptTaskOptions): KeptTask {
+export function createKeptTask({self, peers, control, call, others, tell, now, random}: KeptTaskOptions): KeptTask {
 	const followed = new Map<string, FollowedStore>();
 	const pulling = new Set<string>();
 
@@ -81,6 +85,7 @@
 		}
 
 		pulling.add(name);
+		await sleep(random() * spreadMsPerHost * others().length);
 		try {
 			const sentAt = now();
 			const {news} = await call(address, 'gateway.kept', {store: name}, {timeoutMs: pullTimeoutMs});
--- a/src/forwarding/create-state-sync.ts
+++ b/src/forwarding/create-state-sync.ts
@@ -11,9 +11,14 @@
 /** The own watch gets this long to bring a change before a peer is asked for it. */
 const patienceMs = 60;
 const checkMs = 300;
+/** Hosts that hear of a change spread their questions over this time a host, so that those asked first are not flooded. */
+const spreadMsPerHost = 12;
+const mostSpreadMs = 500;
 
 /** What the state sync needs. */
 type StateSyncOptions = {
+	/** Failure domain of this host. */
+	readonly domain: string;
 	readonly watches: readonly KindWatch[];
 	readonly call: PeerCaller;
 	readonly alive: () => readonly KnownHost[];
@@ -54,18 +59,15 @@
 };
 
 /** Starts the exchange of state between hosts. */
-export function createStateSync({watches, call, alive, seeds, now, random, silentMs, isWatching, weightsKind}: StateSyncOptions): StateSync {
-	const pulling = new Set<string>();
+export function createStateSync({domain, watches, call, alive, seeds, now, random, silentMs, isWatching, weightsKind}: StateSyncOptions): StateSync {
+	/** Peers that reported newer state, with what they reported. */
+	const ahead = new Map<string, HostReport>();
+	let isPulling = false;
 	const weightsWatch = watches.find(watch => watch.kind === weightsKind)!;
 	let peerConfirmedAt = Number.NEGATIVE_INFINITY;
 	let hasStopped = false;
 
 	const pull = async (address: string): Promise<void> => {
-		if (pulling.has(address)) {
-			return;
-		}
-
-		pulling.add(address);
 		try {
 			const revisions = Object.fromEntries(watches.map(watch => [watch.kind, watch.state()?.revision ?? 0]));
 			const {states} = await call(address, 'gateway.state', {revisions}, {timeoutMs: pullTimeoutMs});
@@ -77,14 +79,37 @@
 			}
 		} catch (error) {
 			log.warn({peer: address, error: String(error)}, 'peer gave no state');
-		} finally {
-			pulling.delete(address);
 		}
 	};
 
 	const isBehind = (changes: Readonly<Record<string, number>>): boolean =>
 		watches.some(watch => (changes[watch.kind] ?? 0) > (watch.state()?.revision ?? 0));
 
+	/** Picks a peer that is ahead, of the own failure domain where there is one. */
+	const pickAhead = (): string | undefined => {
+		for (const [address, {changes}] of ahead) {
+			if (!isBehind(changes)) {
+				ahead.delete(address);
+			}
+		}
+
+		const near = [...ahead.values()].filter(report => report.domain === domain);
+		const among = near.length > 0 ? near : [...ahead.values()];
+		return among[Math.floor(random() * among.length)]?.peers;
+	};
+
+	/** Asks one peer after the other until none is ahead. */
+	const catchUp = async (): Promise<void> => {
+		isPulling = true;
+		await sleep(patienceMs + (random() * Math.min(mostSpreadMs, spreadMsPerHost * alive().length)));
+		for (let address = pickAhead(); address !== undefined && !hasStopped; address = pickAhead()) {
+			ahead.delete(address);
+			await pull(address);
+		}
+
+		isPulling = false;
+	};
+
 	/** A host that does not follow the store itself is cut off only where it has no state at all. */
 	const isCutOff = (): boolean => watches.some(watch => {
 		const at = watch.contactAt();
@@ -110,12 +135,11 @@
 				peerConfirmedAt = Math.max(peerConfirmedAt, now() - report.weightsAgeMs);
 			}
 
-			if (isBehind(report.changes) && !pulling.has(report.peers)) {
-				setTimeout(() => {
-					if (isBehind(report.changes)) {
-						void pull(report.peers);
-					}
-				}, patienceMs);
+			if (isBehind(report.changes)) {
+				ahead.set(report.peers, report);
+				if (!isPulling) {
+					void catchUp();
+				}
 			}
 		},
 		answer: revisions => Object.fromEntries(watches.flatMap(watch => {
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -129,7 +129,7 @@
 
 	const crashes = createCrashWatch({control, now});
 	const kept = createKeptTask({
-		self: name, peers: settings.peers, control, call: peerCaller.call, others, tell: links.tell, now: elapsed,
+		self: name, peers: settings.peers, control, call: peerCaller.call, others, tell: links.tell, now: elapsed, random,
 	});
 	const stored = createStoredState(adapter, {
 		onServices: kept.apply,
@@ -155,6 +155,7 @@
 		isWatching: () => isWatching(kind),
 	}));
 	const sync = createStateSync({
+		domain,
 		watches,
 		call: peerCaller.call,
 		alive: links.alive,
