--- /dev/null
+++ b/test/soak/find-violations.test.ts
@@ -0,0 +1,79 @@
+import {describe, expect, test} from 'vitest';
+import {expectedAnswer} from './expected-answer.js';
+import {findViolations} from './find-violations.js';
+import {
+	type Call, type History, type Run,
+} from './history.js';
+
+const call = (changed: Partial<Call> = {}): Call => {
+	const id = changed.id ?? 'soak-1';
+	const target = changed.target ?? `/read/${id}`;
+	return {
+		id, kind: 'read', target, body: '', key: 'key-1', host: 'host-0', sentAt: 40_000, endedAt: 40_050, status: 200, seal: 'i-0-0',
+		text: expectedAnswer(id, target).join(''), isWhole: true, hasLeft: false, ...changed,
+	};
+};
+
+const run = (changed: Partial<Run> = {}): Run => ({
+	id: 'soak-1', upstream: 'i-0', target: '/read/soak-1', body: '', workspace: 'acme', hasKey: false, at: 40_010, resumedAfter: undefined, seal: 'i-0-0', ...changed,
+});
+
+const history = (changed: Partial<History> = {}): History => ({
+	calls: [call()], runs: [run()], orders: [], disturbances: [], changes: [], exits: [], weights: {named: 1, held: [1]}, calmFrom: 20_000, endedAt: 60_000, ...changed,
+});
+
+const booking = {id: 'soak-1', target: '/book/soak-1', body: 'b'};
+const stream = {id: 'soak-1', target: '/ask/soak-1', body: 'b'};
+const pieces = expectedAnswer('soak-1', '/ask/soak-1');
+
+const cases: ReadonlyArray<readonly [name: string, changed: Partial<History>, found: string | undefined]> = [
+	['a request that is served', {}, undefined],
+	['a booking that ran twice', {calls: [call({...booking, kind: 'book'})], runs: [run(booking), run({...booking, upstream: 'i-1', seal: 'i-1-0'})]}, 'twice'],
+	['a booking that is refused as not run and ran', {calls: [call({...booking, kind: 'book', status: 503})], runs: [run(booking)], calmFrom: 39_000}, 'refused'],
+	['an answer with other bytes', {calls: [call({text: 'answer to soak-2 for /read/soak-2'})]}, 'mixed'],
+	['an answer with the seal of no run of it', {calls: [call({seal: 'i-9-9'})]}, 'mixed'],
+	['a stream with a piece left out that looks whole', {calls: [call({...stream, kind: 'ask', text: pieces.slice(1).join('')})], runs: [run(stream)]}, 'mixed'],
+	['a stream that breaks visibly', {
+		calls: [call({
+			...stream, kind: 'ask', text: pieces[0]!, isWhole: false,
+		})], runs: [run(stream)], calmFrom: 39_000, disturbances: [{
+			scope: 'host host-0', kind: 'host is killed', from: 39_900, until: 40_100,
+		}],
+	}, 'recovery'],
+	['a request that nobody sent', {runs: [run(), run({id: 'soak-9'})]}, 'unasked'],
+	['a request under another workspace', {runs: [run({workspace: 'walled'})]}, 'unasked'],
+	['a key that was passed on', {runs: [run({hasKey: true})]}, 'unasked'],
+	['work for an upstream that is leaving', {changes: [{kind: 'leaving', what: 'i-0', at: 37_000}]}, 'drain'],
+	['a route that was removed and still leads on', {calls: [call({kind: 'extra'})], changes: [{kind: 'removed', what: 'r-extra', at: 37_000}]}, 'configuration'],
+	['a lost answer of a planned stop', {
+		calls: [call({isWhole: false, text: '', status: 0})], disturbances: [{
+			scope: 'host host-0', kind: 'host stops', from: 39_000, until: 47_000,
+		}],
+	}, 'lost'],
+	['more retries than the budget', {runs: Array.from({length: 30}, () => run())}, 'budget'],
+	['two holders with one token', {
+		orders: [{
+			upstream: 'i-0', holder: 'a', token: 3, at: 1,
+		}, {
+			upstream: 'i-0', holder: 'b', token: 3, at: 2,
+		}],
+	}, 'one'],
+	['an engine that is left on old weights', {weights: {named: 2, held: [2, 1]}}, 'weights'],
+	['a failure long after the last disturbance', {
+		calls: [call(), call({
+			id: 'soak-2', status: 502, isWhole: true, text: '',
+		})],
+	}, 'calm'],
+	['a host that ended by itself', {exits: ['host-1']}, 'exit'],
+];
+
+describe('the checks of the soak', () => {
+	test.each(cases)('find %s or let it pass', (_name, changed, found) => {
+		const kinds = findViolations(history(changed), true).map(text => text.split(':')[0]);
+		if (found === undefined) {
+			expect(kinds).toEqual([]);
+		} else {
+			expect(kinds).toContain(found);
+		}
+	});
+});
