--- a/test/forwarding/answers.test.ts
+++ b/test/forwarding/answers.test.ts
@@ -11,6 +11,7 @@
 	answerWhole, createUpstreamServer, type Answering, type Arrived, type UpstreamServer,
 } from '../support/create-upstream-server.js';
 import {platformObjects} from '../support/platform-objects.js';
+import {waitReady} from '../support/wait-ready.js';
 import {waitUntil} from '../support/wait-until.js';
 
 let store: StoreServer;
@@ -26,7 +27,7 @@
 	}
 
 	gateway = await createGateway(store.address, {bounds: {retrySlack: 1000}});
-	await waitUntil('the gateway to be ready', async () => (await fetch(`http://${gateway.readiness}/v1/readiness`)).status === 200);
+	await waitReady(gateway);
 });
 
 afterAll(async () => {
--- a/test/forwarding/kept-context.test.ts
+++ b/test/forwarding/kept-context.test.ts
@@ -8,6 +8,7 @@
 import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
 import {createUpstreamServer, type UpstreamServer} from '../support/create-upstream-server.js';
 import {platformObjects} from '../support/platform-objects.js';
+import {waitReady} from '../support/wait-ready.js';
 import {waitUntil} from '../support/wait-until.js';
 
 let store: StoreServer;
@@ -42,10 +43,7 @@
 
 async function start(count = 1): Promise<void> {
 	gateways = await Promise.all(Array.from({length: count}, async () => createGateway(store.address)));
-	await waitUntil('the hosts to be ready', async () => {
-		const answers = await Promise.all(gateways.map(async gateway => fetch(`http://${gateway.readiness}/v1/readiness`)));
-		return answers.every(answer => answer.status === 200);
-	});
+	await waitReady(...gateways);
 }
 
 /** Sends a prompt of two shared parts and one of its own; gives what the engine was told of kept context. */
--- a/test/forwarding/rollout.test.ts
+++ b/test/forwarding/rollout.test.ts
@@ -6,6 +6,7 @@
 import {createGateway, type TestGateway} from '../support/create-gateway.js';
 import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
 import {platformObjects} from '../support/platform-objects.js';
+import {waitReady} from '../support/wait-ready.js';
 import {waitUntil} from '../support/wait-until.js';
 
 /** An engine that takes orders. */
@@ -98,10 +99,7 @@
 
 async function start(count: number, leaseMs = 1000): Promise<void> {
 	gateways = await Promise.all(Array.from({length: count}, async () => createGateway(store.address, {bounds: {leaseMs}})));
-	await waitUntil('the hosts to be ready', async () => {
-		const answers = await Promise.all(gateways.map(async gateway => fetch(`http://${gateway.readiness}/v1/readiness`)));
-		return answers.every(answer => answer.status === 200);
-	});
+	await waitReady(...gateways);
 }
 
 const allOrders = () => engines.flatMap(engine => engine.orders);
--- a/test/forwarding/silent-peers.test.ts
+++ b/test/forwarding/silent-peers.test.ts
@@ -10,6 +10,7 @@
 import {createUpstreamServer, type UpstreamServer} from '../support/create-upstream-server.js';
 import {platformObjects} from '../support/platform-objects.js';
 import {testPorts} from '../support/test-ports.js';
+import {waitReady} from '../support/wait-ready.js';
 import {waitUntil} from '../support/wait-until.js';
 
 let store: StoreServer;
@@ -21,7 +22,6 @@
 let toFirst: TcpProxy;
 let stops: Array<() => void>;
 
-const isReady = async ({readiness}: TestGateway): Promise<boolean> => (await fetch(`http://${readiness}/v1/readiness`)).status === 200;
 const statusAtSecond = async (target: string): Promise<number> => (await callRaw(second.callers, callerBytes({target}))).status;
 
 function putConfiguration(version: number, paths: readonly string[]): void {
@@ -48,7 +48,7 @@
 	first = await createGateway(store.address, {peers: `127.0.0.1:${realPeersPort}`, reports: `127.0.0.1:${firstPort}`});
 	second = await createGateway(toStore.address, {reports: `127.0.0.1:${secondPort}`});
 	stops = [store.stop, upstream.stop, toStore.stop, toFirst.stop, ...relays.map(relay => relay.stop)];
-	await waitUntil('both hosts to be ready', async () => await isReady(first) && isReady(second));
+	await waitReady(first, second);
 });
 
 afterEach(async () => {
--- a/test/forwarding/state.test.ts
+++ b/test/forwarding/state.test.ts
@@ -7,6 +7,7 @@
 import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
 import {createUpstreamServer, type UpstreamServer} from '../support/create-upstream-server.js';
 import {platformObjects} from '../support/platform-objects.js';
+import {waitReady} from '../support/wait-ready.js';
 import {waitUntil} from '../support/wait-until.js';
 
 let store: StoreServer;
@@ -40,7 +41,7 @@
 
 async function startReady(): Promise<TestGateway> {
 	const gateway = await start();
-	await waitUntil('the gateway to be ready', async () => isReady(gateway));
+	await waitReady(gateway);
 	return gateway;
 }
 
@@ -149,7 +150,7 @@
 describe('a planned stop', () => {
 	test('refuses at once, unrun, what could not end before it', async () => {
 		const gateway = await start(store.address, {bounds: {graceS: 3}});
-		await waitUntil('the gateway to be ready', async () => isReady(gateway));
+		await waitReady(gateway);
 		upstream.answer = () => undefined;
 		const held = callRaw(gateway.callers, callerBytes({
 			target: '/ask/x', method: 'POST', body: 'b', deadlineMs: 5000,
--- a/test/forwarding/streams.test.ts
+++ b/test/forwarding/streams.test.ts
@@ -8,6 +8,7 @@
 import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
 import {createUpstreamServer, type Arrived, type UpstreamServer} from '../support/create-upstream-server.js';
 import {platformObjects} from '../support/platform-objects.js';
+import {waitReady} from '../support/wait-ready.js';
 import {waitUntil} from '../support/wait-until.js';
 
 let store: StoreServer;
@@ -28,10 +29,7 @@
 	}
 
 	gateway = await createGateway(store.address, {bounds: {retrySlack: 1000}});
-	await waitUntil('the gateway to be ready', async () => {
-		const {status} = await fetch(`http://${gateway.readiness}/v1/readiness`);
-		return status === 200;
-	});
+	await waitReady(gateway);
 });
 
 afterAll(async () => {
--- a/test/forwarding/upstreams.test.ts
+++ b/test/forwarding/upstreams.test.ts
@@ -9,7 +9,7 @@
 import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
 import {answerWhole, createUpstreamServer, type UpstreamServer} from '../support/create-upstream-server.js';
 import {platformObjects} from '../support/platform-objects.js';
-import {waitUntil} from '../support/wait-until.js';
+import {waitReady} from '../support/wait-ready.js';
 
 const reportsMs = 1000;
 
@@ -37,10 +37,7 @@
 
 async function start(count: number): Promise<void> {
 	gateways = await Promise.all(Array.from({length: count}, async () => createGateway(store.address, {bounds: {retrySlack: 1000}})));
-	await waitUntil('the hosts to be ready', async () => {
-		const answers = await Promise.all(gateways.map(async gateway => fetch(`http://${gateway.readiness}/v1/readiness`)));
-		return answers.every(answer => answer.status === 200);
-	});
+	await waitReady(...gateways);
 }
 
 const read = async (gateway: TestGateway, options: Parameters<typeof callerBytes>[0] = {}) => callRaw(gateway.callers, callerBytes(options));
--- /dev/null
+++ b/test/support/wait-ready.ts
@@ -0,0 +1,15 @@
+import {type TestGateway} from './create-gateway.js';
+import {waitUntil} from './wait-until.js';
+
+async function isReady({readiness}: TestGateway): Promise<boolean> {
+	const {status} = await fetch(`http://${readiness}/v1/readiness`);
+	return status === 200;
+}
+
+/** Waits until all hosts say that they are ready for callers. */
+export async function waitReady(...gateways: readonly TestGateway[]): Promise<void> {
+	await waitUntil('the hosts to be ready', async () => {
+		const answers = await Promise.all(gateways.map(async gateway => isReady(gateway)));
+		return answers.every(Boolean);
+	});
+}
