--- a/test/decide/forwarding/truth.test.ts
+++ b/test/decide/forwarding/truth.test.ts
@@ -10,7 +10,9 @@
 const head = {
 	status: 500, requestId: 'r', isSigned: true, isNotRun: false, isEncoded: false, upstreamId: undefined, weightVersion: undefined, headers: [],
 };
-const notRun: SendOutcome = {kind: 'not-run', reason: '', head: undefined, isGivenUp: false};
+const notRun: SendOutcome = {
+	kind: 'not-run', reason: '', head: undefined, isGivenUp: false,
+};
 const broken: SendOutcome = {kind: 'broken', reason: '', isGivenUp: false};
 const failed: SendOutcome = {kind: 'failed-answer', head, body: Buffer.alloc(0)};
 
