--- a/test/soak/create-report-relay.ts
+++ b/test/soak/create-report-relay.ts
@@ -28,10 +28,12 @@
 			}
 		}, link.delayMs);
 	});
-	socket.on('error', () => undefined);
-	await new Promise<void>(resolve => {
+	await new Promise<void>((resolve, reject) => {
+		socket.once('error', reject);
 		socket.bind(port, '127.0.0.1', resolve);
 	});
+	// A datagram that can't be passed on is like one that is lost.
+	socket.on('error', () => undefined);
 	return {
 		address: `127.0.0.1:${port}`,
 		stop() {
--- a/test/soak/create-tcp-proxy.ts
+++ b/test/soak/create-tcp-proxy.ts
@@ -100,7 +100,8 @@
 			});
 		}
 	});
-	await new Promise<void>(resolve => {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
 		server.listen(port, '127.0.0.1', resolve);
 	});
 	const timer = setInterval(() => {
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -26,4 +26,7 @@
 	process.exit();
 }
 
-void main();
+main().catch((error: unknown) => {
+	console.error(error);
+	process.exit(1);
+});
