--- /dev/null
+++ b/test/forwarding/state-sync.test.ts
@@ -0,0 +1,89 @@
+import {
+	afterEach, describe, expect, test,
+} from 'vitest';
+import {createStateSync} from '../../src/forwarding/create-state-sync.js';
+import {type HostReport} from '../../src/forwarding/host-report.js';
+import {type KindState} from '../../src/forwarding/kind-state.js';
+import {type KindWatch} from '../../src/forwarding/kind-watch.js';
+import {type PeerCaller} from '../../src/peers/peer-caller.js';
+import {sleep} from '../../src/util/sleep.js';
+import {waitUntil} from '../support/wait-until.js';
+
+const peers = 50;
+const revision = 7;
+const kind = 'configuration';
+let stop: () => void = () => undefined;
+
+afterEach(() => {
+	stop();
+});
+
+const report = (index: number): HostReport => ({
+	host: `host-${index}`, domain: index % 4 === 0 ? 'domain-a' : 'domain-b', peers: `10.0.0.${index}:1`, reports: '', everyMs: 100,
+	loads: [], loading: [], weights: [], crashes: [], changes: {[kind]: revision}, isStoreLost: false, weightsAgeMs: undefined,
+});
+
+/** A host whose state is old, among peers that answer `answer` after a while; gives the addresses asked and the most asked at once. */
+function startBehind(answer: (address: string) => boolean) {
+	const asked: string[] = [];
+	let state: KindState = {objects: [], revision: 1, changedAt: 1};
+	let open = 0;
+	let mostOpen = 0;
+	const watch: KindWatch = {
+		kind, state: () => state, contactAt: () => performance.now(), isLost: () => false, stop: () => undefined,
+		adopt(newer) {
+			state = newer;
+		},
+	};
+	const call = (async (address: string) => {
+		asked.push(address);
+		open++;
+		mostOpen = Math.max(mostOpen, open);
+		await sleep(5);
+		open--;
+		if (!answer(address)) {
+			throw new Error('no answer');
+		}
+
+		return {
+			states: {
+				[kind]: {
+					changed: [], names: [], revision, changedAt: revision,
+				},
+			},
+		};
+	}) as unknown as PeerCaller;
+	const sync = createStateSync({
+		domain: 'domain-a', watches: [watch], call, alive: () => [], seeds: () => [], now: () => performance.now(), random: () => 0.5, silentMs: 1e9, isWatching: () => true, weightsKind: kind,
+	});
+	stop = sync.stop;
+	return {
+		sync, asked, revision: () => state.revision, mostOpen: () => mostOpen,
+	};
+}
+
+const hear = ({sync}: ReturnType<typeof startBehind>): void => {
+	for (let index = 0; index < peers; index++) {
+		sync.compare(report(index));
+	}
+};
+
+describe('a host behind, with many peers ahead', () => {
+	test('asks one of its own failure domain', async () => {
+		const host = startBehind(() => true);
+		hear(host);
+		hear(host);
+		await waitUntil('the newer state', () => host.revision() === revision);
+		await sleep(200);
+		expect(host.asked).toHaveLength(1);
+		expect(Number(host.asked[0]!.split(/[.:]/v)[3]) % 4).toBe(0);
+	});
+
+	test('asks one after the other where some do not answer', async () => {
+		let asked = 0;
+		const host = startBehind(() => ++asked > 20);
+		hear(host);
+		await waitUntil('the newer state', () => host.revision() === revision);
+		expect([host.asked.length, new Set(host.asked).size, host.mostOpen()]).toEqual([21, 21, 1]);
+	});
+});
