--- /dev/null
+++ b/test/forwarding/shapes.test.ts
@@ -0,0 +1,122 @@
+import {
+	afterEach, beforeEach, describe, expect, test,
+} from 'vitest';
+import {callRaw} from '../support/call-raw.js';
+import {callerBytes} from '../support/caller-bytes.js';
+import {createGateway, type TestGateway} from '../support/create-gateway.js';
+import {createKeptStoreServer, type KeptStoreServer} from '../support/create-kept-store-server.js';
+import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
+import {createUpstreamServer, type UpstreamServer} from '../support/create-upstream-server.js';
+import {platformObjects} from '../support/platform-objects.js';
+import {waitReady} from '../support/wait-ready.js';
+
+type Services = (keptAddress: string) => ReadonlyArray<Record<string, unknown>>;
+
+/** A deployment that differs from those of the other tests. */
+type Shape = {
+	readonly name: string;
+	readonly services: Services;
+	readonly upstreams: number;
+	/** What a registration has beside the usual. */
+	readonly registered?: Record<string, unknown>;
+	readonly settings?: Record<string, unknown>;
+	readonly configuration?: Record<string, unknown>;
+	/** Whether the prompt's parts come with the request. */
+	readonly hasParts: boolean;
+};
+
+const plain = {name: 'app'};
+const engine = {
+	slots: 8, kv_capacity_tokens: 100_000, kv_token_bytes: 1000, link_mbps: 500_000, managed: true, models: [{name: 'm'}],
+};
+const weights = {models: [{name: 'm', version: 1, adapters: []}]};
+
+const shapes: readonly Shape[] = [
+	{
+		name: 'services without engines, and one upstream', services: () => [plain], upstreams: 1, hasParts: false,
+	},
+	{
+		name: 'one engine and no store of kept context', services: () => [{...plain, engine}], upstreams: 1, registered: weights, hasParts: true,
+	},
+	{
+		name: 'a store that is not managed', services: address => [{...plain, engine: {...engine, managed: false}}, {
+			name: 'cache', kv_store_addr: address, zone: 'domain-a', kv_capacity_tokens: 20_000,
+		}], upstreams: 2, registered: weights, hasParts: true,
+	},
+	{
+		name: 'engines of which nothing but slots is known', services: () => [{...plain, engine: {slots: 2}}], upstreams: 2, registered: weights, hasParts: true,
+	},
+	{
+		name: 'requests for a model without parts', services: () => [{...plain, engine}], upstreams: 2, registered: weights, hasParts: false,
+	},
+	{
+		name: 'thirty services', services: () => [plain, ...Array.from({length: 29}, (_, index) => ({name: `other-${index}`, max_conns: 4}))], upstreams: 2, hasParts: false,
+	},
+	{
+		name: 'a host that is alone in its failure domain, with other bounds', services: () => [plain], upstreams: 2, hasParts: false,
+		settings: {
+			domain: 'domain-far', bounds: {
+				retryRatio: 0.05, retrySlack: 1, retryWindowS: 3, graceS: 3, leaseMs: 700, versionMs: 3000,
+			},
+		},
+	},
+	{
+		name: 'bounds that the platform leaves out', services: () => [plain], upstreams: 2, hasParts: false,
+		settings: {
+			bounds: {
+				retryRatio: null, retrySlack: null, versionMs: null,
+			},
+		},
+	},
+	{
+		name: 'a configuration without limits of its own', services: () => [plain], upstreams: 2, hasParts: false, configuration: {limits: {}},
+	},
+];
+
+let store: StoreServer;
+let kept: KeptStoreServer;
+let upstreams: readonly UpstreamServer[];
+let gateway: TestGateway | undefined;
+
+beforeEach(async () => {
+	[store, kept] = await Promise.all([createStoreServer(), createKeptStoreServer()]);
+	upstreams = [];
+});
+
+afterEach(async () => {
+	await gateway?.stop();
+	for (const part of [store, kept, ...upstreams]) {
+		part.stop();
+	}
+});
+
+async function startShape(shape: Shape): Promise<TestGateway> {
+	upstreams = await Promise.all(Array.from({length: shape.upstreams}, async () => createUpstreamServer()));
+	store.put('config', 'main', platformObjects.configuration(1, {services: shape.services(kept.address), ...shape.configuration}));
+	store.put('versions', 'm', {model: 'm', version: 1});
+	for (const [index, upstream] of upstreams.entries()) {
+		store.put('servers', `i-${index}`, platformObjects.upstream(upstream.address, shape.registered));
+	}
+
+	gateway = await createGateway(store.address, shape.settings);
+	await waitReady(gateway);
+	return gateway;
+}
+
+describe('a deployment with', () => {
+	test.each(shapes)('$name serves every kind of request', async shape => {
+		const {callers} = await startShape(shape);
+		const parts = shape.hasParts ? 'Model: m\r\nToken-Count: 3000,64\r\nPrompt-Prefix: aa:500,bb:2000,cc:500\r\n' : '';
+		const requests: ReadonlyArray<Parameters<typeof callerBytes>[0]> = [
+			{target: '/read/x'},
+			{method: 'POST', target: '/book/x', body: 'booking'},
+			{
+				method: 'POST', target: '/ask/x', body: 'prompt', deadlineMs: 4000, headers: parts,
+			},
+		];
+		for (const request of requests) {
+			const answer = await callRaw(callers, callerBytes(request));
+			expect([request!.target, answer.status, answer.isWhole]).toEqual([request!.target, 200, true]);
+		}
+	});
+});
