--- /dev/null
+++ b/test/forwarding/kind-watch.test.ts
@@ -0,0 +1,48 @@
+import {describe, expect, test} from 'vitest';
+import {createKindWatch} from '../../src/forwarding/create-kind-watch.js';
+import {type ObjectStore} from '../../src/forwarding/object-store.js';
+import {sleep} from '../../src/util/sleep.js';
+
+const playMs = 1000;
+/** Least time between two calls that bring changes. */
+const gatherMs = 120;
+
+describe('a watch of the store', () => {
+	test('makes few calls while changes come one after the other, and misses none', async () => {
+		let revision = 1;
+		let calls = 0;
+		const store = {
+			list: async () => ({objects: [], revision: 1}),
+			async watch(_kind: string, from: number) {
+				calls++;
+				while (revision === from) {
+					await sleep(1);
+				}
+
+				return {changes: [{object: {name: 'i-0', value: {}, revision}, isRemoved: false}], revision};
+			},
+		} as unknown as ObjectStore;
+		const seen: number[] = [];
+		const startedAt = performance.now();
+		const watch = createKindWatch({
+			kind: 'upstreams', store, now: () => performance.now(), random: () => 0, waitMs: () => 1000, isWatching: () => true,
+			onChange(objects) {
+				seen.push(...objects.map(object => object.revision));
+			},
+		});
+		while (performance.now() - startedAt < playMs) {
+			revision++;
+			await sleep(5);
+		}
+
+		const last = revision;
+		const tookMs = performance.now() - startedAt;
+		expect(calls).toBeLessThanOrEqual((tookMs / gatherMs) + 2);
+		while (seen.at(-1) !== last) {
+			await sleep(5);
+		}
+
+		watch.stop();
+		expect(seen).toEqual(seen.toSorted((a, b) => a - b));
+	});
+});
