A request whose caller has left before a lagging host read it is not sent

An abort that came before the send began was never looked at. Ruled out: the answer's side, which cancels what was sent within a turn. Now a request waits two turns of the loop after its body, and is not sent where its caller has gone by then. Before: both new tests red; after: green.

--- a/src/forwarding/create-caller-port.ts
+++ b/src/forwarding/create-caller-port.ts
@@ -1,5 +1,6 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {admitCaller} from '../decide/forwarding/admit-caller.js';
 import {Refusal} from '../errors/refusal.js';
 import {listen} from '../http/listen.js';
@@ -92,6 +93,15 @@
 			}
 		});
 		const body = await readCallerBody(req, limits.bodyBytes, limits.idleTimeoutMs);
+		// A host that lags finds a request and its caller's leaving at the same moment; the leaving is read in the next turn.
+		await setImmediate();
+		await setImmediate();
+		if (gone.signal.aborted || req.socket.readableEnded) {
+			log.info({requestId: request.id ?? '', route: route.name, afterMs: Math.round(now() - receivedAt)}, 'caller left before its request was sent');
+			res.destroy();
+			return;
+		}
+
 		await forward({
 			request, route, workspace, body, receivedAt, signal: gone.signal,
 			answer: createCallerAnswer(res, nameRequest(request), () => draining !== undefined),
--- a/test/forwarding/answers.test.ts
+++ b/test/forwarding/answers.test.ts
@@ -3,6 +3,7 @@
 import {
 	afterAll, beforeAll, describe, expect, test,
 } from 'vitest';
+import {callFromThread} from '../support/call-from-thread.js';
 import {callRaw} from '../support/call-raw.js';
 import {callerBytes} from '../support/caller-bytes.js';
 import {createGateway, type TestGateway} from '../support/create-gateway.js';
@@ -14,6 +15,8 @@
 import {waitReady} from '../support/wait-ready.js';
 import {waitUntil} from '../support/wait-until.js';
 
+const lagMs = 300;
+
 let store: StoreServer;
 let gateway: TestGateway;
 let upstreams: readonly UpstreamServer[];
@@ -245,6 +248,18 @@
 		expect(owner('gone-book').closed).not.toContain(booked.connection);
 	});
 
+	test.each([
+		['an idempotent', {target: '/read/x'}],
+		['an unrepeatable', {method: 'POST', target: '/book/x', body: 'b'}],
+	])('of %s request is not asked for where the caller left before a host that lags has read it', async (kind, request) => {
+		const arrived = setAnswers(answerWhole);
+		const id = `left-${kind.split(' ')[1]}`;
+		// The host accepts the connection and then lags, so that it finds the request and its caller's leaving at the same moment.
+		await callFromThread(gateway.callers, callerBytes({id, keeps: true, ...request}), lagMs);
+		await callRaw(gateway.callers, callerBytes({target: '/read/x'}));
+		expect(arrived.map(({headers}) => headers.get('request-id'))).not.toContain(id);
+	});
+
 	test('that is finished for a caller that has gone ends quietly, however its answer ends', async () => {
 		const uncaught: unknown[] = [];
 		const note = (error: unknown): void => {
