--- a/test/forwarding/answers.test.ts
+++ b/test/forwarding/answers.test.ts
@@ -6,39 +6,27 @@
 import {callFromThread} from '../support/call-from-thread.js';
 import {callRaw} from '../support/call-raw.js';
 import {callerBytes} from '../support/caller-bytes.js';
-import {createGateway, type TestGateway} from '../support/create-gateway.js';
-import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
+import {type TestGateway} from '../support/create-gateway.js';
 import {
-	answerWhole, createUpstreamServer, type Answering, type Arrived, type UpstreamServer,
+	answerWhole, type Answering, type Arrived, type UpstreamServer,
 } from '../support/create-upstream-server.js';
 import {platformObjects} from '../support/platform-objects.js';
-import {waitReady} from '../support/wait-ready.js';
+import {startWithUpstreams, type ServedGateway} from '../support/start-with-upstreams.js';
 import {waitUntil} from '../support/wait-until.js';
 
 const lagMs = 300;
 
-let store: StoreServer;
+let served: ServedGateway;
 let gateway: TestGateway;
 let upstreams: readonly UpstreamServer[];
 
 beforeAll(async () => {
-	store = await createStoreServer();
-	upstreams = await Promise.all([createUpstreamServer(), createUpstreamServer()]);
-	store.put('config', 'main', platformObjects.configuration(1));
-	for (const [index, upstream] of upstreams.entries()) {
-		store.put('servers', `i-${index}`, platformObjects.upstream(upstream.address));
-	}
-
-	gateway = await createGateway(store.address, {bounds: {retrySlack: 1000}});
-	await waitReady(gateway);
+	served = await startWithUpstreams(platformObjects.configuration(1));
+	({gateway, upstreams} = served);
 });
 
 afterAll(async () => {
-	await gateway.stop();
-	store.stop();
-	for (const upstream of upstreams) {
-		upstream.stop();
-	}
+	await served.stop();
 });
 
 function setAnswers(answer: Answering): Arrived[] {
--- a/test/forwarding/streams.test.ts
+++ b/test/forwarding/streams.test.ts
@@ -4,40 +4,28 @@
 } from 'vitest';
 import {callRaw, type RawAnswer} from '../support/call-raw.js';
 import {callerBytes} from '../support/caller-bytes.js';
-import {createGateway, type TestGateway} from '../support/create-gateway.js';
-import {createStoreServer, type StoreServer} from '../support/create-store-server.js';
-import {createUpstreamServer, type Arrived, type UpstreamServer} from '../support/create-upstream-server.js';
+import {type TestGateway} from '../support/create-gateway.js';
+import {type Arrived, type UpstreamServer} from '../support/create-upstream-server.js';
 import {platformObjects} from '../support/platform-objects.js';
-import {waitReady} from '../support/wait-ready.js';
+import {startWithUpstreams, type ServedGateway} from '../support/start-with-upstreams.js';
 import {waitUntil} from '../support/wait-until.js';
 
-let store: StoreServer;
+let served: ServedGateway;
 let gateway: TestGateway;
 let upstreams: readonly UpstreamServer[];
 
 beforeAll(async () => {
-	store = await createStoreServer();
-	upstreams = await Promise.all([createUpstreamServer(), createUpstreamServer()]);
 	const {routes} = platformObjects.configuration(1);
-	store.put('config', 'main', platformObjects.configuration(1, {
+	served = await startWithUpstreams(platformObjects.configuration(1, {
 		routes: [...routes, platformObjects.route({
 			name: 'r-short', path_prefix: '/check/', kind: 'streaming', sticky: true, max_attempts: 2,
 		})],
 	}));
-	for (const [index, upstream] of upstreams.entries()) {
-		store.put('servers', `i-${index}`, platformObjects.upstream(upstream.address));
-	}
-
-	gateway = await createGateway(store.address, {bounds: {retrySlack: 1000}});
-	await waitReady(gateway);
+	({gateway, upstreams} = served);
 });
 
 afterAll(async () => {
-	await gateway.stop();
-	store.stop();
-	for (const upstream of upstreams) {
-		upstream.stop();
-	}
+	await served.stop();
 });
 
 const toEvents = (from: number, to: number): string => Array.from({length: to - from}, (_, index) => `id: ${from + index}\ndata: piece ${from + index}\n\n`).join('');
