A request that has ended keeps no slot where messages overtake each other

Cause: an owner that heard a withdrawal before its ask queued and granted the ask all the same, and a renewal that arrived after the release took the grant over anew; either held a slot for the lease of 10 s. Three cases of the queue failed before.

Also: the end of a call is worked out in one place, part keys are written by one function, and the engines that know a prompt are a set made once a request.

--- a/src/decide/grants/create-engine-queue.ts
+++ b/src/decide/grants/create-engine-queue.ts
@@ -6,6 +6,8 @@
 import {type RunningGrant} from './running-grant.js';
 
 const leaseMs = 10_000;
+/** Requests that have ended are remembered for as long as a message about one may be under way. */
+const endedMemoryMs = leaseMs;
 const assumedRunMs = 500;
 const smoothing = 0.1;
 const refuseSpread = 0.5;
@@ -41,6 +43,8 @@
 	const alone: Ask[] = [];
 	const deadlines = new Map<string, number>();
 	const running = new Map<string, Held>();
+	/** When requests were withdrawn or released, oldest first; asks and renewals that come later are out of date. */
+	const ended = new Map<string, number>();
 	let {slots} = options;
 	let leaving = false;
 	let runMs = assumedRunMs;
@@ -126,6 +130,17 @@
 			return refuse(ask, reason, now);
 		});
 
+	const noteEnd = (id: string, now: number): void => {
+		ended.set(id, now);
+		for (const [old, at] of ended) {
+			if (now - at <= endedMemoryMs) {
+				break;
+			}
+
+			ended.delete(old);
+		}
+	};
+
 	const learn = (held: Held, now: number): void => {
 		runMs += smoothing * (now - held.since - runMs);
 	};
@@ -133,6 +148,10 @@
 	return {
 		waitMs,
 		ask(ask, now) {
+			if (ended.has(ask.id)) {
+				return [refuse(ask, 'withdrawn', now)];
+			}
+
 			if (leaving) {
 				return [refuse(ask, 'leaving', now)];
 			}
@@ -158,6 +177,7 @@
 			return grantNext(now);
 		},
 		withdraw(id, now) {
+			noteEnd(id, now);
 			const ask = takeOut(id);
 			if (ask) {
 				return [refuse(ask, 'withdrawn', now)];
@@ -173,6 +193,7 @@
 			return grantNext(now);
 		},
 		release(id, tokens, now) {
+			noteEnd(id, now);
 			const held = running.get(id);
 			if (held) {
 				running.delete(id);
@@ -183,7 +204,7 @@
 			return grantNext(now);
 		},
 		renew(host, grants, now) {
-			for (const grant of grants) {
+			for (const grant of grants.filter(({item}) => !ended.has(item.id))) {
 				const known = running.get(grant.item.id);
 				running.set(grant.item.id, {
 					...grant, host, since: known?.since ?? now, prefillMs: known?.prefillMs ?? 0, expiresAt: now + leaseMs,
--- a/src/forwarding/caller-call.ts
+++ b/src/forwarding/caller-call.ts
@@ -10,6 +10,8 @@
 	readonly workspace: Workspace | undefined;
 	readonly body: Buffer | undefined;
 	readonly receivedAt: number;
+	/** When the caller's deadline or the route's timeout comes, whichever is first. */
+	readonly endsAt: number;
 	/** Aborted when the caller has gone. */
 	readonly signal: AbortSignal;
 	readonly answer: CallerAnswer;
--- a/src/forwarding/create-caller-port.ts
+++ b/src/forwarding/create-caller-port.ts
@@ -103,7 +103,7 @@
 		}
 
 		await forward({
-			request, route, workspace, body, receivedAt, signal: gone.signal,
+			request, route, workspace, body, receivedAt, endsAt, signal: gone.signal,
 			answer: createCallerAnswer(res, nameRequest(request), () => draining !== undefined),
 		});
 	};
--- a/src/forwarding/create-context-planner.ts
+++ b/src/forwarding/create-context-planner.ts
@@ -2,6 +2,7 @@
 import {planKeptContext} from '../decide/kept/plan-kept-context.js';
 import {type StoreView} from '../decide/kept/store-view.js';
 import {type Scope} from '../decide/kept/scope.js';
+import {writePartKey} from '../decide/kept/write-part-key.js';
 import {writeScope} from '../decide/kept/write-scope.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
 import {memoize} from '../util/memoize.js';
@@ -81,7 +82,10 @@
 		const scopeOf = memoize((version: string) => {
 			const scope = toScope(prompt.model, Number(version), workspace);
 			const text = writeScope(scope);
-			return {scope, text, engines: new Map(sharedParts.map(({id}) => [id, lastEngine.get(`${text}\n${id}`)]))};
+			const engines = new Map(sharedParts.map(({id}) => [id, lastEngine.get(writePartKey(text, id))] as const));
+			return {
+				scope, text, engines, knownTo: new Set(engines.values()),
+			};
 		});
 		const storesOf = memoize((_key: string, domain: string, version: string) => {
 			const {scope, text} = scopeOf(version);
@@ -90,7 +94,7 @@
 
 		return {
 			isKnownTo(upstream) {
-				return [...scopeOf(String(weightsOf(upstream))).engines.values()].includes(upstream.id);
+				return scopeOf(String(weightsOf(upstream))).knownTo.has(upstream.id);
 			},
 			at(upstream) {
 				const version = String(weightsOf(upstream));
@@ -116,7 +120,7 @@
 						}
 
 						for (const part of sharedParts) {
-							remember(`${text}\n${part.id}`, upstream.id);
+							remember(writePartKey(text, part.id), upstream.id);
 						}
 					},
 				};
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -50,11 +50,11 @@
 /** A place to send to, or the reason why there is none. */
 type Found = {readonly placed: Placed} | {readonly reason: CloseReason; readonly retryAfterMs?: number};
 
-function startTrack({request, route, receivedAt}: CallerCall, service: string): ForwardingTrack {
+function startTrack({route, endsAt}: CallerCall, service: string): ForwardingTrack {
 	return {
 		service,
 		tried: new Set(),
-		endsAt: receivedAt + Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs),
+		endsAt,
 		splitter: route.kind === 'stream' && route.isResumable ? createEventSplitter() : undefined,
 		sends: 0,
 		runs: 0,
--- a/test/decide/engine-queue.test.ts
+++ b/test/decide/engine-queue.test.ts
@@ -146,4 +146,30 @@
 		expect(show(queue.release('a', 10, 10))).toEqual(['grant s']);
 		expect(show(queue.release('s', 10, 20))).toEqual(['grant b']);
 	});
+
+	it.each<readonly [string, (queue: ReturnType<typeof makeQueue>) => void]>([
+		['its withdrawal came first', queue => {
+			queue.withdraw('a', 0);
+			expect(show(queue.ask(makeAsk('a'), 1))).toEqual(['refuse a withdrawn']);
+		}],
+		['a renewal came after its release', queue => {
+			queue.ask(makeAsk('a'), 0);
+			queue.release('a', 10, 10);
+			queue.renew('h1', [{
+				engine: 'e', host: 'h1', alone: false, item: makeAsk('a'),
+			}], 11);
+		}],
+		['a renewal came after its withdrawal', queue => {
+			queue.ask(makeAsk('a'), 0);
+			queue.withdraw('a', 10);
+			queue.renew('h1', [{
+				engine: 'e', host: 'h1', alone: false, item: makeAsk('a'),
+			}], 11);
+		}],
+	])('gives no slot to a request that has ended where messages overtake each other: %s', (_name, play) => {
+		const queue = makeQueue(1);
+		play(queue);
+		expect(queue.state()).toMatchObject({running: 0, waiting: 0});
+		expect(show(queue.ask(makeAsk('b'), 20))).toEqual(['grant b']);
+	});
 });
