Of many hosts, one in each failure domain collects the reports

Cause: every host told every other one of its load: 140 datagrams a second to and from each of 84 hosts, 11,800 a second in all (and about 1,900 of news of kept context), half of the bytes between failure domains, and most of what an idle deployment costs its hosts. Now, beyond 16 hosts, each reports to one host of its failure domain (the one with the most bandwidth that answers, among equals by rendezvous), which adds the reports up and sends each host the sum of the others, and other failure domains the whole sum every 300 ms. A host collects because others report to it, so hosts that disagree lose nothing. Loads of the own domain are then at most 200 ms old (300 before) and of others at most 500 ms (1 s). Up to 16 hosts nothing changes. Figures (test/forwarding/collecting.test.ts, 36 hosts in virtual time): at most 81 datagrams an interval instead of 1,260.

--- /dev/null
+++ b/src/decide/forwarding/add-load.ts
@@ -0,0 +1,17 @@
+import {type UpstreamLoad} from '../../forwarding/upstream-load.js';
+import {type UpstreamTotal} from './upstream-total.js';
+
+/** Adds a load to the total of its upstream, or takes it away; totals that come to nothing are dropped. */
+export function addLoad(totals: Map<string, UpstreamTotal>, {id, inFlight, heldTokens, waitingTokens}: UpstreamLoad, sign: 1 | -1): void {
+	const total = totals.get(id) ?? {inFlight: 0, heldTokens: 0, waitingTokens: new Map<number, number>()};
+	totals.set(id, total);
+	total.inFlight += sign * inFlight;
+	total.heldTokens += sign * heldTokens;
+	for (const [urgency, tokens] of waitingTokens) {
+		total.waitingTokens.set(urgency, (total.waitingTokens.get(urgency) ?? 0) + (sign * tokens));
+	}
+
+	if (total.inFlight === 0 && total.heldTokens === 0 && [...total.waitingTokens.values()].every(tokens => tokens === 0)) {
+		totals.delete(id);
+	}
+}
--- a/src/decide/forwarding/create-load-totals.ts
+++ b/src/decide/forwarding/create-load-totals.ts
@@ -1,4 +1,5 @@
 import {type UpstreamLoad} from '../../forwarding/upstream-load.js';
+import {addLoad} from './add-load.js';
 import {type LoadTotals} from './load-totals.js';
 import {type UpstreamTotal} from './upstream-total.js';
 
@@ -23,34 +24,20 @@
 	const totals = new Map<string, UpstreamTotal>();
 	let sweptAt = 0;
 
-	const add = ({id, inFlight, heldTokens, waitingTokens}: UpstreamLoad, sign: 1 | -1): void => {
-		const total = totals.get(id) ?? {inFlight: 0, heldTokens: 0, waitingTokens: new Map<number, number>()};
-		totals.set(id, total);
-		total.inFlight += sign * inFlight;
-		total.heldTokens += sign * heldTokens;
-		for (const [urgency, tokens] of waitingTokens) {
-			total.waitingTokens.set(urgency, (total.waitingTokens.get(urgency) ?? 0) + (sign * tokens));
-		}
-
-		if (total.inFlight === 0 && total.heldTokens === 0 && [...total.waitingTokens.values()].every(tokens => tokens === 0)) {
-			totals.delete(id);
-		}
-	};
-
 	const drop = (host: string): void => {
 		for (const load of reports.get(host)?.loads ?? []) {
-			add(load, -1);
+			addLoad(totals, load, -1);
 		}
 
 		reports.delete(host);
 	};
 
 	return {
-		take({host, loads, everyMs}, now) {
+		take({host, everyMs}, loads, now) {
 			drop(host);
 			reports.set(host, {untilMs: now + Math.max(reportMs, everyMs * countedReports), loads});
 			for (const load of loads) {
-				add(load, 1);
+				addLoad(totals, load, 1);
 			}
 		},
 		of(id, now) {
--- a/src/decide/forwarding/load-totals.ts
+++ b/src/decide/forwarding/load-totals.ts
@@ -1,10 +1,11 @@
-import {type HostReport} from '../../forwarding/host-report.js';
+import {type LoadSource} from '../../forwarding/load-source.js';
+import {type UpstreamLoad} from '../../forwarding/upstream-load.js';
 import {type UpstreamTotal} from './upstream-total.js';
 
 /** Sums over the other hosts' reports. Times are in milliseconds. */
 export type LoadTotals = {
-	/** Takes a host's report in place of its last one. */
-	readonly take: (report: Pick<HostReport, 'host' | 'loads' | 'everyMs'>, now: number) => void;
+	/** Takes a source's loads in place of its last ones. */
+	readonly take: (source: LoadSource, loads: readonly UpstreamLoad[], now: number) => void;
 	/** Load of one upstream by the other hosts; `undefined` where none reports any. */
 	readonly of: (id: string, now: number) => Readonly<UpstreamTotal> | undefined;
 };
--- /dev/null
+++ b/src/forwarding/create-collecting-sender.ts
@@ -0,0 +1,149 @@
+import {createCollectorChoice} from '../decide/reports/create-collector-choice.js';
+import {createDueMembers} from '../decide/reports/create-due-members.js';
+import {createLoadSums} from '../decide/reports/create-load-sums.js';
+import {log} from '../observe/log.js';
+import {type CollectingSender} from './collecting-sender.js';
+import {type DomainSum} from './domain-sum.js';
+import {type HostRegistry} from './host-registry.js';
+import {type HostSocket} from './host-socket.js';
+import {type HostStatus} from './host-status.js';
+import {type KeptNews} from './kept-news.js';
+import {type KnownHost} from './known-host.js';
+
+/** Hosts of the own failure domain, which share most of their upstreams, hear of each other this often. */
+const nearMembersMs = 500;
+/** Those of other failure domains hear of them this often. */
+const farMembersMs = 1000;
+/** Sums go to other failure domains once in so many intervals. */
+const farTurns = 3;
+/** A host of another failure domain that has sent sums lately is the one to send them to. */
+const farSourceMs = 2000;
+
+/** What the sender needs. */
+type CollectingSenderOptions = {
+	readonly self: Pick<HostStatus, 'host' | 'domain' | 'linkMbps'>;
+	readonly socket: HostSocket;
+	readonly registry: HostRegistry;
+	readonly now: () => number;
+	/** Time between reports, in milliseconds. */
+	readonly reportMs: number;
+};
+
+/** A sum of another failure domain that waits to be passed on. */
+type HeldSum = {
+	readonly sum: DomainSum;
+	readonly heldSince: number;
+};
+
+/** Creates the sender. */
+export function createCollectingSender({self, socket, registry, now, reportMs}: CollectingSenderOptions): CollectingSender {
+	const choice = createCollectorChoice(self, self.domain);
+	const sums = createLoadSums();
+	const nearDue = createDueMembers(nearMembersMs);
+	const farDue = createDueMembers(farMembersMs);
+	/** The host that last sent sums, by failure domain. */
+	const farSources = new Map<string, {readonly host: string; readonly at: number}>();
+	let heldSums: readonly HeldSum[] = [];
+	let heldKept: readonly KeptNews[] = [];
+	let collector = self.host;
+	let turn = 0;
+
+	const choose = (near: readonly KnownHost[]): void => {
+		const chosen = choice.choose(near, now());
+		if (chosen !== collector) {
+			log.info({collector: chosen, before: collector}, 'reports go to another host');
+			collector = chosen;
+		}
+	};
+
+	/** Gives the host of each other failure domain that collects there; each in turn where none is known to. */
+	const farCollectors = (): readonly string[] => {
+		const far = registry.all().filter(host => host.domain !== self.domain);
+		const domains = new Set(far.map(host => host.domain));
+		return [...domains].map(domain => {
+			const hosts = far.filter(host => host.domain === domain);
+			const source = farSources.get(domain);
+			const known = source && now() - source.at < farSourceMs ? hosts.find(host => host.host === source.host) : undefined;
+			return (known ?? hosts[turn % hosts.length]!).reports;
+		});
+	};
+
+	const toSum = (everyMs: number, news: DomainSum['news'], members: DomainSum['members']): DomainSum => ({
+		source: {host: self.host, domain: self.domain, everyMs}, news, members,
+	});
+
+	const takeHeldSums = (): readonly DomainSum[] => {
+		const held = heldSums.map(({sum, heldSince}) => ({
+			...sum, members: sum.members.map(({status, ageMs}) => ({status, ageMs: ageMs + Math.round(now() - heldSince)})),
+		}));
+		heldSums = [];
+		return held;
+	};
+
+	const sendNear = (near: readonly KnownHost[]): void => {
+		const isCollecting = sums.isCollecting(now());
+		if (!isCollecting && heldSums.length === 0 && heldKept.length === 0) {
+			return;
+		}
+
+		const passed = takeHeldSums();
+		const kept = heldKept;
+		heldKept = [];
+		const members = nearDue(sums.members(now()), now());
+		const sumFor = sums.add(now());
+		for (const host of near) {
+			const own = isCollecting ? [toSum(reportMs, sumFor(host.host), members)] : [];
+			socket.send({sums: [...own, ...passed], kept}, [host.reports]);
+		}
+	};
+
+	const sendFar = (): void => {
+		if (turn % farTurns === 0 && sums.isCollecting(now())) {
+			const sum = toSum(reportMs * farTurns, sums.add(now())(), farDue(sums.members(now()), now()));
+			socket.send({sums: [sum], isToPassOn: true}, farCollectors());
+		}
+	};
+
+	return {
+		send(report) {
+			turn++;
+			const near = registry.all().filter(host => host.domain === self.domain);
+			choose(near);
+			const own = {...report, everyMs: reportMs};
+			if (collector === self.host) {
+				sums.take(own, now());
+			} else {
+				socket.send({report: own, isForSum: true}, near.filter(host => host.host === collector).map(host => host.reports));
+			}
+
+			sendNear(near);
+			sendFar();
+		},
+		tell(news) {
+			const near = collector === self.host ? [] : registry.all().filter(host => host.host === collector).map(host => host.reports);
+			if (near.length === 0) {
+				heldKept = [...heldKept, news];
+			}
+
+			socket.send({kept: [news], isToPassOn: true}, [...near, ...farCollectors()]);
+		},
+		take({report, isForSum, sums: taken = [], kept = [], isToPassOn}) {
+			if (report && isForSum) {
+				sums.take(report, now());
+			}
+
+			for (const {source} of taken) {
+				if (source.domain === self.domain) {
+					choice.noteHeard(source.host, now());
+				} else {
+					farSources.set(source.domain, {host: source.host, at: now()});
+				}
+			}
+
+			if (isToPassOn) {
+				heldSums = [...heldSums, ...taken.map(sum => ({sum, heldSince: now()}))];
+				heldKept = [...heldKept, ...kept];
+			}
+		},
+	};
+}
--- a/src/forwarding/create-free-task.ts
+++ b/src/forwarding/create-free-task.ts
@@ -5,7 +5,7 @@
 import {type KeptStore} from './kept-store.js';
 import {type EngineControl} from './engine-control.js';
 import {type KnownHost} from './known-host.js';
-import {type HostReport} from './host-report.js';
+import {type HostStatus} from './host-status.js';
 import {type NamedWeights} from './named-weights.js';
 
 const stepMs = 500;
@@ -31,7 +31,7 @@
 
 /** Frees context of replaced weights from the managed stores. */
 type FreeTask = {
-	readonly noteReport: (report: HostReport) => void;
+	readonly noteStatus: (status: HostStatus) => void;
 	readonly stop: () => void;
 };
 
@@ -99,12 +99,12 @@
 
 	void keepStepping();
 	return {
-		noteReport(report) {
+		noteStatus(status) {
 			for (const {revision} of namings()) {
 				const ofNaming = acks.get(revision) ?? new Map<string, number>();
 				acks.set(revision, ofNaming);
-				if ((report.changes[weightsKind] ?? 0) >= revision && !ofNaming.has(report.host)) {
-					ofNaming.set(report.host, now());
+				if ((status.changes[weightsKind] ?? 0) >= revision && !ofNaming.has(status.host)) {
+					ofNaming.set(status.host, now());
 				}
 			}
 		},
--- /dev/null
+++ b/src/forwarding/create-host-socket.ts
@@ -0,0 +1,48 @@
+import {createSocket} from 'node:dgram';
+import {parseAddress} from '../http/parse-address.js';
+import {log} from '../observe/log.js';
+import {decodeHostMessage} from './decode-host-message.js';
+import {encodeHostMessage} from './encode-host-message.js';
+import {type HostMessage} from './host-message.js';
+import {type HostSocket} from './host-socket.js';
+
+/** Creates the socket at `address`; each message that arrives is given to `onMessage`. */
+export function createHostSocket(address: string, onMessage: (message: HostMessage) => void): HostSocket {
+	const socket = createSocket('udp4');
+	let isClosed = false;
+	socket.on('message', bytes => {
+		try {
+			onMessage(decodeHostMessage(bytes));
+		} catch (error) {
+			log.warn({error: String(error)}, 'report can not be read');
+		}
+	});
+	socket.on('error', error => {
+		log.warn({error: String(error)}, 'report socket failed');
+	});
+
+	return {
+		async open() {
+			const {host, port} = parseAddress(address);
+			await new Promise<void>(resolve => {
+				socket.bind(port, host, resolve);
+			});
+		},
+		send(message, addresses) {
+			if (isClosed || addresses.length === 0) {
+				return;
+			}
+
+			const bytes = encodeHostMessage(message);
+			for (const to of addresses) {
+				const {host, port} = parseAddress(to);
+				// A datagram that can't be sent is like one that is lost: the next one follows soon.
+				socket.send(bytes, port, host, () => undefined);
+			}
+		},
+		close() {
+			isClosed = true;
+			socket.close();
+		},
+	};
+}
--- a/src/forwarding/create-state-sync.ts
+++ b/src/forwarding/create-state-sync.ts
@@ -2,7 +2,7 @@
 import {type PeerCaller} from '../peers/peer-caller.js';
 import {sleep} from '../util/sleep.js';
 import {type KnownHost} from './known-host.js';
-import {type HostReport} from './host-report.js';
+import {type HostStatus} from './host-status.js';
 import {type KindState} from './kind-state.js';
 import {type KindWatch} from './kind-watch.js';
 import {type StateNews} from './state-news.js';
@@ -47,8 +47,8 @@
 
 /** Keeps the followed kinds up to date through peers where the store does not answer this host. */
 type StateSync = {
-	/** Compares a peer's report with the own state, and asks the peer for what is newer there. */
-	readonly compare: (report: HostReport) => void;
+	/** Compares a peer's status with the own state, and asks the peer for what is newer there. */
+	readonly compare: (status: HostStatus) => void;
 	readonly answer: (revisions: Readonly<Record<string, number>>) => Readonly<Record<string, StateNews>>;
 	readonly changes: () => Readonly<Record<string, number>>;
 	/** When a peer's word last confirmed the newest weights; far back when none has. */
@@ -61,7 +61,7 @@
 /** Starts the exchange of state between hosts. */
 export function createStateSync({domain, watches, call, alive, seeds, now, random, silentMs, isWatching, weightsKind}: StateSyncOptions): StateSync {
 	/** Peers that reported newer state, with what they reported. */
-	const ahead = new Map<string, HostReport>();
+	const ahead = new Map<string, HostStatus>();
 	let isPulling = false;
 	const weightsWatch = watches.find(watch => watch.kind === weightsKind)!;
 	let peerConfirmedAt = Number.NEGATIVE_INFINITY;
@@ -93,7 +93,7 @@
 			}
 		}
 
-		const near = [...ahead.values()].filter(report => report.domain === domain);
+		const near = [...ahead.values()].filter(status => status.domain === domain);
 		const among = near.length > 0 ? near : [...ahead.values()];
 		return among[Math.floor(random() * among.length)]?.peers;
 	};
@@ -129,14 +129,14 @@
 
 	void keepPulling();
 	return {
-		compare(report) {
+		compare(status) {
 			const state = weightsWatch.state();
-			if (state && report.weightsAgeMs !== undefined && (report.changes[weightsKind] ?? 0) <= state.revision) {
-				peerConfirmedAt = Math.max(peerConfirmedAt, now() - report.weightsAgeMs);
+			if (state && status.weightsAgeMs !== undefined && (status.changes[weightsKind] ?? 0) <= state.revision) {
+				peerConfirmedAt = Math.max(peerConfirmedAt, now() - status.weightsAgeMs);
 			}
 
-			if (isBehind(report.changes)) {
-				ahead.set(report.peers, report);
+			if (isBehind(status.changes)) {
+				ahead.set(status.peers, status);
 				if (!isPulling) {
 					void catchUp();
 				}
--- a/src/forwarding/create-upstream-book.ts
+++ b/src/forwarding/create-upstream-book.ts
@@ -259,9 +259,9 @@
 		loads: () => [...entries.values()]
 			.filter(entry => entry.inFlight > 0)
 			.map(entry => toLoad(entry)),
-		noteLoads(report, at) {
-			totals.take(report, at);
-			reach.noteHeard(report.domain, at);
+		noteLoads(source, loads, at) {
+			totals.take(source, loads, at);
+			reach.noteHeard(source.domain, at);
 		},
 	};
 }
--- /dev/null
+++ b/src/forwarding/encode-host-message.ts
@@ -0,0 +1,11 @@
+import {encodeLoads} from './encode-loads.js';
+import {type HostMessage} from './host-message.js';
+
+/** Writes a message for a datagram. */
+export function encodeHostMessage({report, sums, ...rest}: HostMessage): Buffer {
+	return Buffer.from(JSON.stringify({
+		...rest,
+		report: report && {...report, loads: encodeLoads(report.loads)},
+		sums: sums?.map(sum => ({...sum, news: {...sum.news, loads: encodeLoads(sum.news.loads)}})),
+	}));
+}
--- /dev/null
+++ b/src/forwarding/host-registry.ts
@@ -0,0 +1,19 @@
+import {type HostStatus} from './host-status.js';
+import {type KnownHost} from './known-host.js';
+
+/** The other hosts, as registered in the store and as heard of. */
+export type HostRegistry = {
+	/** Registers this host and begins to list the others. */
+	readonly start: () => void;
+	/** Notes what a host says of itself. */
+	readonly hear: (status: HostStatus, heardAt: number) => void;
+	/** Hosts that have been heard of lately. */
+	readonly alive: () => readonly KnownHost[];
+	/** All hosts that the store or a report has named, this one not included. */
+	readonly all: () => readonly KnownHost[];
+	/** The same, after the store was asked again. */
+	readonly listAll: () => Promise<readonly KnownHost[]>;
+	/** Forgets hosts that have been silent for long. */
+	readonly sweep: () => void;
+	readonly stop: () => void;
+};
--- a/src/forwarding/known-host.ts
+++ b/src/forwarding/known-host.ts
@@ -1,13 +1,7 @@
-/** Another host, as it reports itself. */
-export type KnownHost = {
-	readonly host: string;
-	readonly domain: string;
-	readonly peers: string;
-	readonly reports: string;
-	/** When the last report came, in milliseconds of the steady clock; `undefined` where none has come. */
+import {type HostStatus} from './host-status.js';
+
+/** Another host, as it reports itself or is registered. */
+export type KnownHost = Pick<HostStatus, 'host' | 'domain' | 'peers' | 'reports' | 'linkMbps' | 'everyMs' | 'isStoreLost'> & {
+	/** When it was last heard of, in milliseconds of the steady clock; `undefined` where it never was. */
 	readonly heardAt: number | undefined;
-	/** Time between its reports, in milliseconds. */
-	readonly everyMs: number;
-	/** Whether the store does not answer it. */
-	readonly isStoreLost: boolean;
 };
--- a/src/forwarding/make-report.ts
+++ b/src/forwarding/make-report.ts
@@ -1,4 +1,5 @@
-import {type HostReport} from './host-report.js';
+import {type HostStatus} from './host-status.js';
+import {type LoadNews} from './load-news.js';
 
 /** Makes the report to send now. */
-export type MakeReport = () => Pick<HostReport, 'loads' | 'loading' | 'weights' | 'changes' | 'weightsAgeMs' | 'crashes' | 'isStoreLost'>;
+export type MakeReport = () => LoadNews & Pick<HostStatus, 'changes' | 'weightsAgeMs' | 'isStoreLost'>;
--- a/src/forwarding/upstream-book.ts
+++ b/src/forwarding/upstream-book.ts
@@ -1,5 +1,5 @@
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
-import {type HostReport} from './host-report.js';
+import {type LoadSource} from './load-source.js';
 import {type UpstreamLoad} from './upstream-load.js';
 import {type RunningSend} from './running-send.js';
 import {type AnswerListener} from './answer-listener.js';
@@ -27,6 +27,6 @@
 	readonly all: () => readonly Upstream[];
 	/** Requests in flight and prompt tokens not yet answered, by upstream. */
 	readonly loads: () => readonly UpstreamLoad[];
-	/** Takes another host's report of its load. */
-	readonly noteLoads: (report: Pick<HostReport, 'host' | 'domain' | 'loads' | 'everyMs'>, now: number) => void;
+	/** Takes the load by another host, or by several together. */
+	readonly noteLoads: (source: LoadSource, loads: readonly UpstreamLoad[], now: number) => void;
 };
--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -19,6 +19,8 @@
 	reports: addressSchema,
 	/** Peers' addresses to ask where the store can't be reached; they may be stale. */
 	seeds: z.array(addressSchema).default([]),
+	/** Bandwidth of this host's own link, in Mbit/s; hosts with more of it do more for the others. */
+	linkMbps: bound(1000),
 	metricsPort: z.int().min(0).max(65_535),
 	/** Address of the platform's store. */
 	objectStore: addressSchema,
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -22,7 +22,7 @@
 import {createUpstreamBook} from './forwarding/create-upstream-book.js';
 import {type GatewayAdapter} from './forwarding/gateway-adapter.js';
 import {type KnownHost} from './forwarding/known-host.js';
-import {type HostReport} from './forwarding/host-report.js';
+import {type LoadNews} from './forwarding/load-news.js';
 import {type StoredObject} from './forwarding/stored-object.js';
 import {parseAddress} from './http/parse-address.js';
 import {log} from './observe/log.js';
@@ -82,7 +82,7 @@
 
 	const links = createHostLinks({
 		self: {
-			host: name, domain, peers: settings.peers, reports: settings.reports,
+			host: name, domain, peers: settings.peers, reports: settings.reports, linkMbps: settings.linkMbps,
 		},
 		store,
 		kind: kinds.hosts,
@@ -95,16 +95,18 @@
 				isStoreLost: watches.some(watch => watch.isLost()),
 			};
 		},
-		onReport(report) {
-			book.noteLoads(report, now());
-			passOver(report.loading);
-			for (const [id, model, version] of report.weights) {
+		onLoads(source, news) {
+			book.noteLoads(source, news.loads, now());
+			passOver(news.loading);
+			for (const [id, model, version] of news.weights) {
 				book.noteWeights(id, model, version);
 			}
 
-			crashes.take(report.crashes);
-			sync.compare(report);
-			free.noteReport(report);
+			crashes.take(news.crashes);
+		},
+		onStatus(status) {
+			sync.compare(status);
+			free.noteStatus(status);
 		},
 		onKeptNews(news) {
 			kept.take(news);
@@ -121,7 +123,7 @@
 			metrics.connections.inc({service: upstream.service});
 		}),
 	});
-	const passOver = (loading: HostReport['loading']): void => {
+	const passOver = (loading: LoadNews['loading']): void => {
 		for (const [id] of loading) {
 			book.avoid(id, now() + loadingMs);
 		}
--- /dev/null
+++ b/test/forwarding/collecting.test.ts
@@ -0,0 +1,160 @@
+import {describe, expect, test} from 'vitest';
+import {createLoadTotals} from '../../src/decide/forwarding/create-load-totals.js';
+import {createCollectingSender} from '../../src/forwarding/create-collecting-sender.js';
+import {type HostMessage} from '../../src/forwarding/host-message.js';
+import {type KeptNews} from '../../src/forwarding/kept-news.js';
+import {type KnownHost} from '../../src/forwarding/known-host.js';
+
+const reportMs = 100;
+const domains = ['a', 'b', 'c'];
+const hostsOfDomain = 12;
+const upstream = 'i-1';
+const settleTicks = 20;
+
+/** Hosts that exchange messages in virtual time; each has one request in flight at the same upstream. */
+function startHosts() {
+	let now = 0;
+	let sent = 0;
+	const down = new Set<string>();
+	const cut = new Set<string>();
+	const all: readonly KnownHost[] = domains.flatMap(domain => Array.from({length: hostsOfDomain}, (_, index) => ({
+		host: `${domain}-${index}`, domain, peers: `${domain}-${index}`, reports: `${domain}-${index}`, linkMbps: index < 2 ? 200 : 10,
+		heardAt: undefined, everyMs: reportMs, isStoreLost: false,
+	})));
+	let queue: Array<{readonly to: string; readonly message: HostMessage}> = [];
+	const hosts = all.map(self => {
+		const totals = createLoadTotals();
+		const news: KeptNews[] = [];
+		const heard = new Map<string, number>();
+		const sender = createCollectingSender({
+			self,
+			reportMs,
+			now: () => now,
+			registry: {all: () => all.filter(({host}) => host !== self.host)} as unknown as Parameters<typeof createCollectingSender>[0]['registry'],
+			socket: {
+				send(message, addresses) {
+					sent += addresses.length;
+					queue.push(...addresses.map(to => ({to, message})));
+				},
+				open: async () => undefined,
+				close: () => undefined,
+			},
+		});
+		return {
+			self, totals, news, heard, sender,
+			take(message: HostMessage) {
+				sender.take(message);
+				news.push(...message.kept ?? []);
+				if (message.report) {
+					totals.take(message.report, message.report.loads, now);
+					heard.set(message.report.host, now);
+				}
+
+				for (const {source, news: {loads}, members} of message.sums ?? []) {
+					totals.take(source, loads, now);
+					for (const {status, ageMs} of members) {
+						heard.set(status.host, now - ageMs);
+					}
+				}
+			},
+		};
+	});
+	const live = () => hosts.filter(({self}) => !down.has(self.host));
+	const isCutOff = (to: string, from: string): boolean => cut.has(to) !== cut.has(from);
+	return {
+		down, cut, live, hosts,
+		countSent: () => sent,
+		tick(times: number) {
+			for (let time = 0; time < times; time++) {
+				now += reportMs;
+				for (const {self, sender} of live()) {
+					const before = queue;
+					queue = [];
+					sender.send({
+						...self, loads: [{
+							id: upstream, inFlight: 1, heldTokens: 10, waitingTokens: [],
+						}], loading: [], weights: [], crashes: [], changes: {config: 1}, weightsAgeMs: 0,
+					});
+					queue = [...before, ...queue.filter(({to}) => !isCutOff(to.slice(0, 1), self.domain))];
+				}
+
+				const arrived = queue;
+				queue = [];
+				for (const {to, message} of arrived) {
+					live().find(({self}) => self.host === to)?.take(structuredClone(message));
+				}
+			}
+		},
+		/** Requests of others that each host believes to be in flight. */
+		believed: () => live().map(({totals}) => totals.of(upstream, now)?.inFlight ?? 0),
+		/** Hosts that each host has heard of in the last two seconds. */
+		heard: () => live().map(({heard, self}) => [...heard].filter(([host, at]) => host !== self.host && now - at < 2000).length),
+	};
+}
+
+type Hosts = ReturnType<typeof startHosts>;
+const size = domains.length * hostsOfDomain;
+
+describe('hosts whose reports are collected in each failure domain', () => {
+	test.each<readonly [string, (hosts: Hosts) => void, number]>([
+		['when nothing fails', () => undefined, size],
+		['after the hosts that collected are gone', ({down, tick}) => {
+			for (const domain of domains) {
+				down.add(`${domain}-0`);
+				down.add(`${domain}-1`);
+			}
+
+			tick(settleTicks);
+		}, size - (2 * domains.length)],
+		['after all are back', ({down, tick}) => {
+			down.add('a-0');
+			down.add('a-1');
+			tick(settleTicks);
+			down.clear();
+			tick(settleTicks * 2);
+		}, size],
+	])('know the load of all others %s', (_name, play, expected) => {
+		const hosts = startHosts();
+		hosts.tick(settleTicks);
+		play(hosts);
+		hosts.tick(settleTicks);
+		expect(hosts.believed()).toEqual(Array.from({length: expected}, () => expected - 1));
+		expect(hosts.heard()).toEqual(Array.from({length: expected}, () => expected - 1));
+	});
+
+	test('know only their own side while a failure domain is cut off, and all again after it', () => {
+		const hosts = startHosts();
+		hosts.tick(settleTicks);
+		hosts.cut.add('c');
+		hosts.tick(settleTicks);
+		expect(new Set(hosts.believed())).toEqual(new Set([hostsOfDomain - 1, (2 * hostsOfDomain) - 1]));
+		hosts.cut.clear();
+		hosts.tick(settleTicks);
+		expect(new Set(hosts.believed())).toEqual(new Set([size - 1]));
+	});
+
+	test('send a number of datagrams that grows with the hosts, not with their square', () => {
+		const hosts = startHosts();
+		hosts.tick(settleTicks);
+		const before = hosts.countSent();
+		hosts.tick(10);
+		// A report and a sum for each host, and the sums between failure domains.
+		expect(hosts.countSent() - before).toBeLessThanOrEqual(10 * ((2 * size) + (domains.length * domains.length)));
+	});
+
+	test('pass news of stores on to every host', () => {
+		const hosts = startHosts();
+		hosts.tick(settleTicks);
+		for (const {sender, self} of hosts.hosts.filter((_, index) => index % 5 === 0)) {
+			sender.tell({
+				store: self.host, peers: self.peers, since: 1, news: undefined,
+			});
+		}
+
+		hosts.tick(3);
+		const told = hosts.hosts.filter((_, index) => index % 5 === 0).map(({self}) => self.host);
+		for (const {news, self} of hosts.hosts) {
+			expect(new Set([...news.map(({store}) => store), ...told.filter(host => host === self.host)])).toEqual(new Set(told));
+		}
+	});
+});
--- /dev/null
+++ b/test/forwarding/host-message.test.ts
@@ -0,0 +1,37 @@
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {decodeHostMessage} from '../../src/forwarding/decode-host-message.js';
+import {encodeHostMessage} from '../../src/forwarding/encode-host-message.js';
+import {type HostMessage} from '../../src/forwarding/host-message.js';
+import {type HostStatus} from '../../src/forwarding/host-status.js';
+import {type LoadNews} from '../../src/forwarding/load-news.js';
+
+const load = fc.record({
+	id: fc.string(), inFlight: fc.nat(), heldTokens: fc.nat(), waitingTokens: fc.array(fc.tuple(fc.nat(9), fc.nat()), {maxLength: 4}),
+});
+const status: HostStatus = {
+	host: 'a', domain: 'd', peers: '127.0.0.1:1', reports: '127.0.0.1:2', linkMbps: 10, everyMs: 100, changes: {config: 3}, isStoreLost: false, weightsAgeMs: 5,
+};
+
+describe('a message between hosts', () => {
+	test('is the same after its way through a datagram', () => {
+		fc.assert(fc.property(fc.array(load, {maxLength: 9}), loads => {
+			const news: LoadNews = {
+				loads, loading: [['i', 'm', 2]], weights: [], crashes: [],
+			};
+			const messages: readonly HostMessage[] = [
+				{report: {...status, ...news}, isForSum: true},
+				{
+					sums: [{source: {host: 'a', domain: 'd', everyMs: 100}, news, members: [{status, ageMs: 7}]}],
+					kept: [{
+						store: 's', peers: '127.0.0.1:1', since: 4, news: undefined,
+					}],
+					isToPassOn: true,
+				},
+			];
+			for (const message of messages) {
+				expect(decodeHostMessage(encodeHostMessage(message))).toEqual(message);
+			}
+		}), {seed: 61});
+	});
+});
--- a/test/forwarding/state-sync.test.ts
+++ b/test/forwarding/state-sync.test.ts
@@ -2,7 +2,7 @@
 	afterEach, describe, expect, test,
 } from 'vitest';
 import {createStateSync} from '../../src/forwarding/create-state-sync.js';
-import {type HostReport} from '../../src/forwarding/host-report.js';
+import {type HostStatus} from '../../src/forwarding/host-status.js';
 import {type KindState} from '../../src/forwarding/kind-state.js';
 import {type KindWatch} from '../../src/forwarding/kind-watch.js';
 import {type PeerCaller} from '../../src/peers/peer-caller.js';
@@ -18,9 +18,9 @@
 	stop();
 });
 
-const report = (index: number): HostReport => ({
+const report = (index: number): HostStatus => ({
 	host: `host-${index}`, domain: index % 4 === 0 ? 'domain-a' : 'domain-b', peers: `10.0.0.${index}:1`, reports: '', everyMs: 100,
-	loads: [], loading: [], weights: [], crashes: [], changes: {[kind]: revision}, isStoreLost: false, weightsAgeMs: undefined,
+	linkMbps: 10, changes: {[kind]: revision}, isStoreLost: false, weightsAgeMs: undefined,
 });
 
 /** A host whose state is old, among peers that answer `answer` after a while; gives the addresses asked and the most asked at once. */
