--- /dev/null
+++ b/bench/bench-gateway.ts
@@ -0,0 +1,100 @@
+import {spawn} from 'node:child_process';
+import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {sleep} from '../src/util/sleep.js';
+import {callRaw} from '../test/support/call-raw.js';
+import {callerBytes} from '../test/support/caller-bytes.js';
+import {createStoreServer} from '../test/support/create-store-server.js';
+import {createUpstreamServer} from '../test/support/create-upstream-server.js';
+import {platformObjects} from '../test/support/platform-objects.js';
+import {testPorts} from '../test/support/test-ports.js';
+import {printSlope} from './print-slope.js';
+
+const engineCounts = [8, 16, 32, 64];
+const promptsPerS = 20;
+const warmMs = 6000;
+const measuredMs = 8000;
+/** Processor time in the process table is counted in hundredths of a second. */
+const msPerTick = 10;
+
+const engineService = {
+	name: 'app', health_path: '/health', max_conns: 400, protocol: 'h1', tls: false,
+	engine: {
+		slots: 24, kv_capacity_tokens: 100_000, kv_token_bytes: 1000, link_mbps: 500_000, managed: true, models: [{name: 'm'}],
+	},
+};
+
+function readCpuMs(pid: number): number {
+	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
+	return (Number(fields[11]) + Number(fields[12])) * msPerTick;
+}
+
+async function writeSettings(objectStore: string): Promise<{readonly file: string; readonly callers: string}> {
+	const [callers, readiness, peers, reports, metricsPort] = await testPorts(5);
+	const file = path.join(mkdtempSync(path.join(tmpdir(), 'hemlockpier-bench-')), 'host.jsonc');
+	const at = (port: number | undefined): string => `127.0.0.1:${port}`;
+	writeFileSync(file, JSON.stringify({
+		name: 'host-1', domain: 'domain-a', region: 'region-a', callers: at(callers), readiness: at(readiness), peers: at(peers), reports: at(reports), metricsPort, objectStore,
+	}));
+	return {file, callers: at(callers)};
+}
+
+async function ask(callers: string, index: number): Promise<void> {
+	await callRaw(callers, callerBytes({
+		method: 'POST', target: '/ask/x', body: 'p'.repeat(4000), deadlineMs: 4000,
+		headers: `Model: m\r\nToken-Count: 3000,64\r\nPrompt-Prefix: aa:500,b${index % 500}:2000,c${index}:500\r\n`,
+	}));
+}
+
+/** Sends prompts at a steady rate; gives how many. */
+async function load(callers: string, forMs: number): Promise<number> {
+	const asked: Array<Promise<void>> = [];
+	const endsAt = performance.now() + forMs;
+	while (performance.now() < endsAt) {
+		asked.push(ask(callers, asked.length));
+		await sleep(1000 / promptsPerS);
+	}
+
+	await Promise.all(asked);
+	return asked.length;
+}
+
+/** Measures a host in front of so many engines: processor time when idle and for a prompt, in milliseconds. */
+async function measure(engines: number): Promise<{readonly idle: number; readonly prompt: number}> {
+	const [store, upstream] = await Promise.all([createStoreServer(), createUpstreamServer()]);
+	store.put('config', 'main', platformObjects.configuration(1, {services: [engineService]}));
+	store.put('versions', 'm', {model: 'm', version: 1});
+	for (let index = 0; index < engines; index++) {
+		store.put('servers', `i-${index}`, platformObjects.upstream(upstream.address, {models: [{name: 'm', version: 1, adapters: []}]}));
+	}
+
+	const {file, callers} = await writeSettings(store.address);
+	const profiling = process.env.HEMLOCKPIER_BENCH_PROFILE ? ['--cpu-prof', '--cpu-prof-dir', process.env.HEMLOCKPIER_BENCH_PROFILE] : [];
+	const child = spawn(process.execPath, [...profiling, 'dist/hemlockpier.cjs', 'gateway', '--settings', file], {stdio: 'ignore'});
+	await load(callers, warmMs);
+	const before = readCpuMs(child.pid!);
+	await sleep(measuredMs);
+	const idle = readCpuMs(child.pid!);
+	const count = await load(callers, measuredMs);
+	const after = readCpuMs(child.pid!);
+	child.kill('SIGINT');
+	await sleep(profiling.length > 0 ? 4000 : 0);
+	child.kill('SIGKILL');
+	store.stop();
+	upstream.stop();
+	return {idle: idle - before, prompt: (after - idle - (idle - before)) / count};
+}
+
+/** Measures the processor time of a gateway host as its own process, by engines. */
+export async function benchGateway(): Promise<void> {
+	const points: Array<readonly [number, number]> = [];
+	for (const engines of engineCounts) {
+		const {idle, prompt} = await measure(engines);
+		process.stdout.write(`${engines} engines: idle ${(idle / measuredMs * 100).toFixed(2)}% of a core\n`);
+		points.push([engines, prompt]);
+	}
+
+	printSlope('a prompt, by engines', 'ms of processor time', points);
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {benchConfig} from './bench-config.js';
 import {benchContext} from './bench-context.js';
+import {benchGateway} from './bench-gateway.js';
 import {benchGrants} from './bench-grants.js';
 import {benchLedger} from './bench-ledger.js';
 import {benchMembership} from './bench-membership.js';
@@ -11,12 +12,16 @@
 	membership: benchMembership,
 	config: benchConfig,
 	context: benchContext,
+	gateway: benchGateway,
 	grants: benchGrants,
 	ledger: benchLedger,
 	peers: benchPeers,
 	'table-one': benchTableOne,
 };
 
+/** Benches that warm up by themselves, or need not. */
+const unwarmed: ReadonlySet<string> = new Set(['table-one', 'gateway']);
+
 /** Runs a bench without its output. */
 async function muted(bench: () => void | Promise<void>): Promise<void> {
 	const {write} = process.stdout;
@@ -27,7 +32,7 @@
 
 async function run(names: readonly string[]): Promise<void> {
 	for (const name of names) {
-		if (name !== 'table-one') {
+		if (!unwarmed.has(name)) {
 			// The first run only warms up the compiler.
 			await muted(benches[name]!);
 		}
--- /dev/null
+++ b/src/decide/collecting/create-due-members.ts
@@ -0,0 +1,24 @@
+import {type DomainSum} from '../../forwarding/domain-sum.js';
+import {type HostStatus} from '../../forwarding/host-status.js';
+
+/** Says whether hosts that heard the one need not hear the other before its time. */
+function isSame(a: HostStatus, b: HostStatus): boolean {
+	return a.isStoreLost === b.isStoreLost && a.peers === b.peers && Object.entries(a.changes).every(([kind, revision]) => revision === b.changes[kind]);
+}
+
+/**
+Creates the function that leaves the members of a sum which others should hear of now: those whose state has changed, at once, and
+each of the others once in `everyMs`. Load pattern: many hosts whose state seldom changes, on thin links.
+*/
+export function createDueMembers(everyMs: number): (members: DomainSum['members'], now: number) => DomainSum['members'] {
+	const told = new Map<string, {readonly status: HostStatus; readonly at: number}>();
+	return (members, now) => members.filter(({status}) => {
+		const last = told.get(status.host);
+		if (last && now - last.at < everyMs && isSame(status, last.status)) {
+			return false;
+		}
+
+		told.set(status.host, {status, at: now});
+		return true;
+	}).map(({status, ageMs}) => ({status: {...status, everyMs}, ageMs}));
+}
--- /dev/null
+++ b/src/decide/collecting/create-load-sums.ts
@@ -0,0 +1,83 @@
+import {type DomainSum} from '../../forwarding/domain-sum.js';
+import {type HostReport} from '../../forwarding/host-report.js';
+import {type LoadNews} from '../../forwarding/load-news.js';
+import {type UpstreamLoad} from '../../forwarding/upstream-load.js';
+import {addLoad} from '../forwarding/add-load.js';
+import {type UpstreamTotal} from '../forwarding/upstream-total.js';
+
+/** Hosts report every 100 ms; a report counts for several of these. */
+const countedMs = 500;
+/** A collector goes on for this long after the last report to it, so that the end of its sums is told too. */
+const collectsMs = 1000;
+
+/** The reports that one host collects. Times are in milliseconds. */
+type LoadSums = {
+	readonly take: (report: HostReport, now: number) => void;
+	/** Whether hosts report to this one. */
+	readonly isCollecting: (now: number) => boolean;
+	/** Adds up what counts now; gives the sum for a host, which leaves out its own part, or for all others. */
+	readonly add: (now: number) => (except?: string) => LoadNews;
+	readonly members: (now: number) => DomainSum['members'];
+};
+
+function toLoads(totals: ReadonlyMap<string, UpstreamTotal>): readonly UpstreamLoad[] {
+	return [...totals].map(([id, {inFlight, heldTokens, waitingTokens}]) => ({
+		id, inFlight, heldTokens, waitingTokens: [...waitingTokens].filter(([, tokens]) => tokens > 0),
+	}));
+}
+
+function unite<T extends readonly unknown[]>(lists: ReadonlyArray<readonly T[]>): readonly T[] {
+	return [...new Map(lists.flat().map(entry => [entry.join('\n'), entry])).values()];
+}
+
+function copy(totals: ReadonlyMap<string, UpstreamTotal>): Map<string, UpstreamTotal> {
+	return new Map([...totals].map(([id, total]) => [id, {...total, waitingTokens: new Map(total.waitingTokens)}]));
+}
+
+/** Creates the sums over the reports of the hosts that report to this one. */
+export function createLoadSums(): LoadSums {
+	const reports = new Map<string, {readonly report: HostReport; readonly at: number}>();
+
+	const sweep = (now: number): void => {
+		for (const [host, {at}] of reports) {
+			if (now - at > collectsMs) {
+				reports.delete(host);
+			}
+		}
+	};
+
+	return {
+		take(report, now) {
+			reports.set(report.host, {report, at: now});
+		},
+		isCollecting(now) {
+			sweep(now);
+			return reports.size > 0;
+		},
+		add(now) {
+			const counted = [...reports.values()].filter(({at}) => now - at <= countedMs).map(({report}) => report);
+			const totals = new Map<string, UpstreamTotal>();
+			for (const load of counted.flatMap(report => report.loads)) {
+				addLoad(totals, load, 1);
+			}
+
+			const found = {
+				loading: unite(counted.map(report => report.loading)),
+				weights: unite(counted.map(report => report.weights)),
+				crashes: unite(counted.map(report => report.crashes)),
+			};
+			return except => {
+				const own = counted.find(report => report.host === except);
+				const rest = own ? copy(totals) : totals;
+				for (const load of own?.loads ?? []) {
+					addLoad(rest, load, -1);
+				}
+
+				return {...found, loads: toLoads(rest)};
+			};
+		},
+		members: now => [...reports.values()].map(({report: {loads: _loads, loading: _loading, weights: _weights, crashes: _crashes, ...status}, at}) => ({
+			status, ageMs: Math.round(now - at),
+		})),
+	};
+}
--- a/src/forwarding/create-collecting-sender.ts
+++ b/src/forwarding/create-collecting-sender.ts
@@ -1,6 +1,6 @@
-import {createCollectorChoice} from '../decide/reports/create-collector-choice.js';
-import {createDueMembers} from '../decide/reports/create-due-members.js';
-import {createLoadSums} from '../decide/reports/create-load-sums.js';
+import {createCollectorChoice} from '../decide/collecting/create-collector-choice.js';
+import {createDueMembers} from '../decide/collecting/create-due-members.js';
+import {createLoadSums} from '../decide/collecting/create-load-sums.js';
 import {log} from '../observe/log.js';
 import {type CollectingSender} from './collecting-sender.js';
 import {type DomainSum} from './domain-sum.js';
--- /dev/null
+++ b/test/decide/collector-choice.test.ts
@@ -0,0 +1,44 @@
+import {describe, expect, test} from 'vitest';
+import {createCollectorChoice} from '../../src/decide/collecting/create-collector-choice.js';
+
+const hosts = ['h-0', 'h-1', 'h-2', 'h-3'].map((host, index) => ({host, linkMbps: index < 2 ? 200 : 10}));
+const self = {host: 'h-9', linkMbps: 10};
+const wide = new Set(['h-0', 'h-1']);
+
+/** Chooses every 100 ms for a while; hosts in `heard` send what they collect. */
+function play(choice: ReturnType<typeof createCollectorChoice>, heard: ReadonlySet<string>, fromMs: number, forMs: number): readonly string[] {
+	const chosen: string[] = [];
+	for (let now = fromMs; now < fromMs + forMs; now += 100) {
+		const host = choice.choose(hosts, now);
+		chosen.push(host);
+		if (heard.has(host)) {
+			choice.noteHeard(host, now);
+		}
+	}
+
+	return chosen;
+}
+
+describe('the host that collects reports', () => {
+	test('is one of those with the most bandwidth, the same at every host, and stays while it is heard', () => {
+		const [first, second] = ['h-8', 'h-9'].map(host => play(createCollectorChoice({host, linkMbps: 10}, 'd'), wide, 0, 5000));
+		expect(new Set(first).size).toBe(1);
+		expect(wide).toContain(first![0]);
+		expect(second).toEqual(first);
+	});
+
+	test('is passed over when it is silent, and tried again more and more rarely', () => {
+		const choice = createCollectorChoice(self, 'd');
+		const [first] = play(choice, wide, 0, 100);
+		const others = new Set([...wide].filter(host => host !== first));
+		const chosen = play(choice, others, 100, 40_000);
+		const tried = chosen.flatMap((host, index) => host === first && chosen[index - 1] !== first ? [index] : []);
+		expect(tried.length).toBeLessThanOrEqual(5);
+		expect(chosen.filter(host => host === first).length).toBeLessThan(0.1 * chosen.length);
+	});
+
+	test('is this host where no other answers', () => {
+		const chosen = play(createCollectorChoice(self, 'd'), new Set(), 0, 4000);
+		expect(chosen).toContain(self.host);
+	});
+});
