A host that missed news of a store asks for what it missed, first near by; hosts with wide links poll

Now directories remember the last answers to polls, a host asks for those since its own last one, first at a wide host of its own failure domain, and stores are polled by hosts with wide links first.

--- a/src/decide/collecting/create-collector-choice.ts
+++ b/src/decide/collecting/create-collector-choice.ts
@@ -1,3 +1,4 @@
+import {isWideAmong} from '../membership/is-wide-among.js';
 import {rankOwners} from '../membership/rank-owners.js';
 
 /** A collector sends every 100 ms; one that is not heard for several such times is passed over. */
@@ -26,16 +27,16 @@
 	readonly forMs: number;
 };
 
-/** Orders hosts by bandwidth, then the same on every host by rendezvous. */
+/** Orders hosts: those with a wide link first, then the same on every host by rendezvous. */
 function rank(candidates: readonly Candidate[], domain: string): readonly string[] {
-	const widest = Math.max(...candidates.map(candidate => candidate.linkMbps));
-	const hosts = (isWide: boolean): readonly string[] =>
-		rankOwners(candidates.filter(candidate => (candidate.linkMbps === widest) === isWide).map(candidate => candidate.host), domain);
+	const isWide = isWideAmong(candidates);
+	const hosts = (areWide: boolean): readonly string[] =>
+		rankOwners(candidates.filter(candidate => isWide(candidate) === areWide).map(candidate => candidate.host), domain);
 	return [...hosts(true), ...hosts(false)];
 }
 
 /**
-Creates the choice. Every host chooses for itself: the one with the most bandwidth, and among equals by rendezvous, that is not
+Creates the choice. Every host chooses for itself: by rendezvous among those with a wide link that are not
 silent towards this host. A host collects because others report to it, so hosts that choose differently lose nothing. Load
 pattern: scores of hosts, where reports from each to each cost the square of the hosts.
 */
--- a/src/decide/kept/create-store-directory.ts
+++ b/src/decide/kept/create-store-directory.ts
@@ -6,6 +6,8 @@
 const {fetchEndMs: validMs} = keptTimes;
 /** A fetch begins only if it has at least this long. */
 const leastFetchMs = 800;
+/** Answers to polls that are remembered, a minute's worth. */
+const rememberedAnswers = 120;
 
 /** A part that a store holds. */
 type HeldPart = {
@@ -28,12 +30,15 @@
 	let clockMs: number | undefined;
 	let answeredAt = 0;
 	let tokens = 0;
+	/** The last answers to polls, for hosts that missed some of them. */
+	let recent: ReadonlyArray<{readonly from: number; readonly events: PartNews['events']}> = [];
 
 	const clear = (): void => {
 		parts.clear();
 		tokens = 0;
 		next = undefined;
 		clockMs = undefined;
+		recent = [];
 	};
 
 	const remove = (key: string): void => {
@@ -72,6 +77,10 @@
 				}
 			}
 
+			if (next !== undefined && news.next > next) {
+				recent = [...recent.slice(-rememberedAnswers), {from: next, events: news.events}];
+			}
+
 			next = news.next;
 			clockMs = news.clockMs;
 			answeredAt = sentAt;
@@ -83,6 +92,14 @@
 			}
 		},
 		next: () => next,
+		since(from) {
+			const at = from === next ? recent.length : recent.findIndex(answer => answer.from === from);
+			return epoch === undefined || next === undefined || at === -1
+				? undefined
+				: {
+					epoch, next, hasGap: false, clockMs, events: recent.slice(at).flatMap(answer => answer.events),
+				};
+		},
 		has: (scope, part) => parts.has(writePartKey(scope, part)),
 		fetchUntil(now) {
 			const ageMs = now - answeredAt;
--- a/src/decide/kept/store-directory.ts
+++ b/src/decide/kept/store-directory.ts
@@ -12,6 +12,8 @@
 	readonly next: () => number | undefined;
 	/** Whether the store holds the whole part. */
 	readonly has: (scope: string, part: string) => boolean;
+	/** What has changed since a poll, as that poll's answer; `undefined` where it is not known any more. */
+	readonly since: (next: number) => PartNews | undefined;
 	/** Store's clock until which a fetch that begins now may run; `undefined` when nothing may be fetched now. */
 	readonly fetchUntil: (now: number) => number | undefined;
 	/** Whether parts may be saved now. */
--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -1,7 +1,8 @@
 import {createBrokenSaves} from '../decide/kept/create-broken-saves.js';
 import {createPendingSaves} from '../decide/kept/create-pending-saves.js';
 import {createStoreDirectory} from '../decide/kept/create-store-directory.js';
-import {rankOf} from '../decide/membership/rank-of.js';
+import {isWideAmong} from '../decide/membership/is-wide-among.js';
+import {rankOfWide} from '../decide/membership/rank-of-wide.js';
 import {log} from '../observe/log.js';
 import {type PeerCaller} from '../peers/peer-caller.js';
 import {createLastResult} from '../util/create-last-result.js';
@@ -10,7 +11,9 @@
 import {createStorePoller} from './create-store-poller.js';
 import {type EngineControl} from './engine-control.js';
 import {type FollowedStore} from './followed-store.js';
+import {type HostStatus} from './host-status.js';
 import {type KeptNews} from './kept-news.js';
+import {type KnownHost} from './known-host.js';
 import {type Service} from './service.js';
 import {type KeptStore} from './kept-store.js';
 import {type KeptTask} from './kept-task.js';
@@ -27,18 +30,18 @@
 const pullTimeoutMs = 1500;
 /** Hosts that need a whole list spread their questions over this time a host, so that the one that polls is not flooded. */
 const spreadMsPerHost = 20;
+const mostSpreadMs = 400;
 /** Share of a store's room that saves may fill. */
 const fillShare = 0.96;
 const blockTokens = 16;
 
 /** What the task needs. */
 type KeptTaskOptions = {
-	readonly self: string;
-	readonly peers: string;
+	readonly self: Pick<HostStatus, 'host' | 'domain' | 'peers' | 'linkMbps'>;
 	readonly control: EngineControl;
 	readonly call: PeerCaller;
-	/** Names of the hosts that are alive, this one not included. */
-	readonly others: () => readonly string[];
+	/** Hosts that are alive, this one not included. */
+	readonly others: () => readonly KnownHost[];
 	readonly tell: (news: KeptNews) => void;
 	/** Clock in milliseconds that counts suspensions. */
 	readonly now: () => number;
@@ -46,15 +49,15 @@
 };
 
 /** Starts the task. One host polls each store and passes the news on; the others poll only when they hear nothing. */
-export function createKeptTask({self, peers, control, call, others, tell, now, random}: KeptTaskOptions): KeptTask {
+export function createKeptTask({self, control, call, others, tell, now, random}: KeptTaskOptions): KeptTask {
 	const followed = new Map<string, FollowedStore>();
 	const pulling = new Set<string>();
 
 	const poll = createStorePoller({
-		peers, control, tell, now,
+		peers: self.peers, control, tell, now,
 	});
 
-	const ranksAmong = createLastResult((hosts: readonly string[]) => memoize((store: string) => rankOf(self, hosts, store)));
+	const ranksAmong = createLastResult((hosts: readonly KnownHost[]) => memoize((store: string) => rankOfWide(self, hosts, store)));
 	const rankFor = (store: string): number => ranksAmong(others())(store);
 
 	const shouldPoll = (entry: FollowedStore): boolean => {
@@ -78,26 +81,52 @@
 		}
 	}, tickMs);
 
-	const pull = async (entry: FollowedStore, address: string): Promise<void> => {
+	const pickHelper = (): string | undefined => {
+		const near = others().filter(host => host.domain === self.domain);
+		const wide = near.filter(isWideAmong(near));
+		return wide[Math.floor(random() * wide.length)]?.peers;
+	};
+
+	/** Asks one host for what is missing here; gives whether this host now knows the store up to `wanted`. */
+	const ask = async ({kept: {name, directory}}: FollowedStore, address: string, wanted: number): Promise<boolean> => {
+		const sentAt = now();
+		const [epoch, next] = [directory.epoch(), directory.next()];
+		const known = epoch === undefined || next === undefined ? undefined : {epoch, next};
+		const {news, isWhole} = await call(address, 'gateway.kept', {store: name, ...known && {known}}, {timeoutMs: pullTimeoutMs});
+		const isNewer = news !== null && (news.epoch !== directory.epoch() || news.next > (directory.next() ?? Number.NEGATIVE_INFINITY));
+		// The directory may have moved on meanwhile.
+		if (isNewer && (isWhole || directory.next() === next)) {
+			if (isWhole) {
+				directory.lose();
+			}
+
+			directory.take(news, sentAt, now());
+		}
+
+		return (directory.next() ?? Number.NEGATIVE_INFINITY) >= wanted;
+	};
+
+	/** A host of the own failure domain that does more for the others is asked first, then the one that polls. */
+	const pull = async (entry: FollowedStore, poller: string, wanted: number): Promise<void> => {
 		const {name} = entry.kept;
 		if (pulling.has(name)) {
 			return;
 		}
 
 		pulling.add(name);
-		await sleep(random() * spreadMsPerHost * others().length);
-		try {
-			const sentAt = now();
-			const {news} = await call(address, 'gateway.kept', {store: name}, {timeoutMs: pullTimeoutMs});
-			if (news) {
-				entry.kept.directory.lose();
-				entry.kept.directory.take(news, sentAt, now());
+		await sleep(random() * Math.min(mostSpreadMs, spreadMsPerHost * others().length));
+		const helper = pickHelper();
+		for (const address of helper === undefined || helper === poller ? [poller] : [helper, poller]) {
+			try {
+				if (await ask(entry, address, wanted)) {
+					break;
+				}
+			} catch (error) {
+				log.warn({store: name, peer: address, error: String(error)}, 'peer gave no list of kept context');
 			}
-		} catch (error) {
-			log.warn({store: name, peer: address, error: String(error)}, 'peer gave no list of kept context');
-		} finally {
-			pulling.delete(name);
 		}
+
+		pulling.delete(name);
 	};
 
 	const add = (name: string, store: NonNullable<Service['store']>): void => {
@@ -156,20 +185,26 @@
 			}
 
 			if (next === undefined || since < 0 || since > next) {
-				void pull(entry, from);
+				void pull(entry, from, news.next);
 			} else {
 				directory.take(news, now(), now());
 			}
 		},
-		list(store) {
+		list(store, known) {
 			const directory = followed.get(store)?.kept.directory;
 			const next = directory?.next();
-			return directory && next !== undefined
-				? {
-					epoch: directory.epoch()!, next, hasGap: false, clockMs: directory.clockMs(),
-					events: directory.held().map(part => ({isAdded: true, ...part})),
-				}
-				: undefined;
+			if (!directory || next === undefined) {
+				return {news: null, isWhole: true};
+			}
+
+			const changes = known?.epoch === directory.epoch() ? directory.since(known!.next) : undefined;
+			const events = changes?.events ?? directory.held().map(part => ({isAdded: true, ...part}));
+			return {
+				isWhole: changes === undefined,
+				news: {
+					epoch: directory.epoch()!, next, hasGap: false, clockMs: directory.clockMs(), events,
+				},
+			};
 		},
 		noteSave(store, scope, part, tokens) {
 			followed.get(store)?.saves.note(scope, part, tokens, now());
--- a/src/forwarding/kept-task.ts
+++ b/src/forwarding/kept-task.ts
@@ -11,7 +11,8 @@
 	/** Whether this host is the one that polls a store. */
 	readonly isPoller: (store: string) => boolean;
 	readonly take: (news: KeptNews) => void;
-	readonly list: (store: string) => PartNews | undefined;
+	/** What this host knows of a store, from what another one knows on where that is possible. */
+	readonly list: (store: string, known?: {readonly epoch: number; readonly next: number}) => {readonly news: PartNews | null; readonly isWhole: boolean};
 	/** Notes that a part is being saved. */
 	readonly noteSave: (store: string, scope: string, part: string, tokens: number) => void;
 	readonly isBeingSaved: (scope: string, part: string) => boolean;
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -95,10 +95,10 @@
 		readonly params: {readonly revisions: Readonly<Record<string, number>>};
 		readonly result: {readonly states: Readonly<Record<string, StateNews>>};
 	};
-	/** Gives all that the answerer knows of a store of kept context, as a listing. */
+	/** Gives what the answerer knows of a store of kept context: what has changed since a poll where it can tell, else all, as a listing. */
 	readonly 'gateway.kept': {
-		readonly params: {readonly store: string};
-		readonly result: {readonly news: PartNews | null};
+		readonly params: {readonly store: string; readonly known?: {readonly epoch: number; readonly next: number}};
+		readonly result: {readonly news: PartNews | null; readonly isWhole: boolean};
 	};
 	/** Reads the lease of the roll-out, or writes it, for a host that the store does not answer; `null` where the write lost. */
 	readonly 'gateway.lease': {
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -80,10 +80,11 @@
 	const control = adapter.openControl();
 	const peerCaller = createPeerCaller(undefined, () => false, () => undefined);
 
+	const self = {
+		host: name, domain, peers: settings.peers, reports: settings.reports, linkMbps: settings.linkMbps,
+	};
 	const links = createHostLinks({
-		self: {
-			host: name, domain, peers: settings.peers, reports: settings.reports, linkMbps: settings.linkMbps,
-		},
+		self,
 		store,
 		kind: kinds.hosts,
 		now,
@@ -131,7 +132,7 @@
 
 	const crashes = createCrashWatch({control, now});
 	const kept = createKeptTask({
-		self: name, peers: settings.peers, control, call: peerCaller.call, others, tell: links.tell, now: elapsed, random,
+		self, control, call: peerCaller.call, others: links.alive, tell: links.tell, now: elapsed, random,
 	});
 	const stored = createStoredState(adapter, {
 		onServices: kept.apply,
@@ -216,7 +217,7 @@
 	const peerServer = await createPeerServer(settings.peers, undefined, {
 		'gateway.state': async ({revisions}) => ({states: sync.answer(revisions)}),
 		'gateway.lease': async ({write}) => ({object: (write ? await ownLease.write(write.value, write.revision) : await ownLease.read()) ?? null}),
-		'gateway.kept': async ({store: asked}) => ({news: kept.list(asked) ?? null}),
+		'gateway.kept': async ({store: asked, known}) => kept.list(asked, known),
 	}, () => false);
 	await links.start();
 	const callers = await createCallerPort({
