Of many hosts, few read the lease of the roll-out, and a failed call does not make all ask again

Hosts further down the ranking now read it more rarely in proportion to their place, and only a write without an answer is looked at at once. A lease whose holder is gone is taken over within six seconds, as before.

--- a/src/forwarding/create-rollout-lease.ts
+++ b/src/forwarding/create-rollout-lease.ts
@@ -13,6 +13,8 @@
 const rankDelayMs = 600;
 const longestRankDelayMs = 1800;
 const observeMs = 600;
+/** Hosts up to this place in the ranking read the lease each `observeMs`, the others more rarely in proportion to their place. */
+const observers = 2;
 /** Ranks the hosts that may take the lease. */
 const rankedFor = 'rollout';
 
@@ -56,6 +58,8 @@
 	let renewedAt = Number.NEGATIVE_INFINITY;
 	let observedAt = Number.NEGATIVE_INFINITY;
 	let seen: LeaseValue | undefined;
+	/** Whether a write got no answer, and so may hold. */
+	let isWriteOpen = false;
 	let wasHolder = false;
 	let renewals = 0;
 	/** Token that an engine refused because it had seen a higher one. */
@@ -67,7 +71,9 @@
 		const value = {
 			holder: self, run, token, isReleased, renewals,
 		};
+		isWriteOpen = true;
 		const object = await store.write(value, lease.version());
+		isWriteOpen = false;
 		if (!object) {
 			log.info({holder: seen?.holder ?? ''}, 'lease was written by another host');
 			lease.lose();
@@ -114,10 +120,11 @@
 			wasHolder = false;
 			const rank = rankOf(self, others(), rankedFor);
 			const delayMs = seen?.holder === self ? 0 : Math.min(rank * rankDelayMs, longestRankDelayMs);
-			if (at - workSince < delayMs || at - observedAt < observeMs) {
+			if (at - workSince < delayMs || at - observedAt < observeMs * Math.max(1, rank / observers)) {
 				return;
 			}
 
+			observedAt = at;
 			await observe();
 			if (seen === undefined || seen.holder === self || seen.isReleased || lease.canTake(now())) {
 				await write(chooseToken(), false);
@@ -144,7 +151,10 @@
 			lease.lose();
 		},
 		noteFailure() {
-			observedAt = Number.NEGATIVE_INFINITY;
+			if (isWriteOpen) {
+				isWriteOpen = false;
+				observedAt = Number.NEGATIVE_INFINITY;
+			}
 		},
 	};
 }
--- a/src/forwarding/rollout-lease.ts
+++ b/src/forwarding/rollout-lease.ts
@@ -9,6 +9,6 @@
 	readonly noteOrder: () => void;
 	/** Notes that an engine refused a token because it had seen a higher one. */
 	readonly noteFenced: (token: number) => void;
-	/** Notes that the lease's store failed, so that it is read again at once. */
+	/** Notes that a call to the lease's store failed; where a write may hold all the same, the lease is read again at once. */
 	readonly noteFailure: () => void;
 };
--- /dev/null
+++ b/test/forwarding/rollout-lease.test.ts
@@ -0,0 +1,91 @@
+import {describe, expect, test} from 'vitest';
+import {createRolloutLease} from '../../src/forwarding/create-rollout-lease.js';
+import {type LeaseStore} from '../../src/forwarding/lease-store.js';
+import {type StoredObject} from '../../src/forwarding/stored-object.js';
+
+const stepMs = 120;
+const playedMs = 15_000;
+const names = Array.from({length: 84}, (_, index) => `h-${index}`);
+
+/** Hosts that all see work for the holder of the lease, in virtual time. */
+function startHosts() {
+	let now = 0;
+	let calls = 0;
+	let isDown = false;
+	let object: StoredObject | undefined;
+	const store: LeaseStore = {
+		async read() {
+			calls++;
+			if (isDown) {
+				throw new Error('store is down');
+			}
+
+			return object;
+		},
+		async write(value, revision) {
+			calls++;
+			if (isDown) {
+				throw new Error('store is down');
+			}
+
+			if ((object?.revision ?? 0) !== revision) {
+				return undefined;
+			}
+
+			object = {name: 'rollout', revision: revision + 1, value};
+			return object;
+		},
+	};
+	const gone = new Set<string>();
+	const hosts = names.map(name => ({
+		name,
+		lease: createRolloutLease({
+			self: name, run: name, store, others: () => names.filter(other => other !== name && !gone.has(other)), leaseMs: 3000, now: () => now,
+		}),
+	}));
+	return {
+		gone,
+		calls: () => calls,
+		setDown(down: boolean) {
+			isDown = down;
+		},
+		holders: () => hosts.filter(({name, lease}) => !gone.has(name) && lease.token() !== undefined).map(({name}) => name),
+		async play(forMs: number) {
+			for (const endsAt = now + forMs; now < endsAt; now += stepMs) {
+				for (const {name, lease} of hosts) {
+					if (!gone.has(name)) {
+						try {
+							await lease.hold(0);
+						} catch {
+							lease.noteFailure();
+						}
+					}
+				}
+			}
+		},
+	};
+}
+
+describe('the lease of the roll-out among scores of hosts', () => {
+	test.each([
+		['while its holder gives orders', false],
+		['while the store is down', true],
+	])('costs few calls %s', async (_name, isDown) => {
+		const hosts = startHosts();
+		await hosts.play(3000);
+		hosts.setDown(isDown);
+		const before = hosts.calls();
+		await hosts.play(playedMs);
+		// Half a call a second for each host would be 630.
+		expect(hosts.calls() - before).toBeLessThan(400);
+	});
+
+	test('goes to another host within six seconds when its holder is gone', async () => {
+		const hosts = startHosts();
+		await hosts.play(3000);
+		const [holder] = hosts.holders();
+		hosts.gone.add(holder!);
+		await hosts.play(6000);
+		expect(hosts.holders()).toHaveLength(1);
+	});
+});
