Hosts start with compiled code

The bundle for hosts is now one file with V8's compiled code beside it, made as the bundle is built, by a host that starts and reaches no store.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,8 +1,8 @@
 /**
 Bundles the program. Plainly: to CommonJS in dist/; with `--binary` also dist/hemlockpier, a Node single executable; with
-`--deploy DIR`: to DIR/hemlockpier.mjs with one chunk a command, so that a host loads only what it runs.
+`--deploy DIR`: to DIR/hemlockpier.cjs, which loads the program with the code that was compiled here.
 */
-import {execFileSync} from 'node:child_process';
+import {execFileSync, spawnSync} from 'node:child_process';
 import {
 	chmodSync, copyFileSync, existsSync, mkdirSync, writeFileSync,
 } from 'node:fs';
@@ -20,20 +20,35 @@
 };
 // Roarr makes silent loggers unless this variable is set when it is first loaded.
 const logBanner = 'process.env.ROARR_LOG ??= "true";';
+const plainModule = {
+	format: 'cjs',
+	banner: {js: `${logBanner} const importMetaUrl = require("node:url").pathToFileURL(__filename).href;`},
+	define: {'import.meta.url': 'importMetaUrl'},
+};
+/** Flags of a host in deploy/system.toml; V8 takes compiled code only under the flags that it was compiled with. */
+const hostFlags = ['--max-old-space-size=96', '--max-semi-space-size=4'];
+
+/** Settings of a host that starts on free ports and reaches no store, to have its code compiled. */
+const unreachableHost = {
+	name: 'compiled', domain: 'none', region: 'none', metricsPort: 0, objectStore: '127.0.0.1:9',
+	...Object.fromEntries(['callers', 'readiness', 'peers', 'reports'].map(name => [name, '127.0.0.1:0'])),
+};
 
 async function bundleForDeploy(outdir) {
 	mkdirSync(outdir, {recursive: true});
 	await build({
 		...common,
-		entryPoints: {hemlockpier: 'src/main.ts'},
-		outdir,
-		format: 'esm',
-		splitting: true,
+		...plainModule,
+		entryPoints: ['src/main.ts'],
+		outfile: `${outdir}/program.cjs`,
 		minify: true,
 		keepNames: true,
-		outExtension: {'.js': '.mjs'},
-		banner: {js: `${logBanner} import {createRequire as makeRequire} from 'node:module'; const require = makeRequire(import.meta.url);`},
+		// Hosts draw no plots.
+		external: ['vega', 'vega-lite'],
 	});
+	copyFileSync('scripts/load-cached.cjs', `${outdir}/hemlockpier.cjs`);
+	writeFileSync(`${outdir}/unreachable.jsonc`, JSON.stringify(unreachableHost));
+	spawnSync(process.execPath, [...hostFlags, `${outdir}/hemlockpier.cjs`, '--write-code-cache', 'gateway', '--settings', `${outdir}/unreachable.jsonc`], {stdio: 'ignore'});
 }
 
 async function bundleForUse() {
@@ -48,9 +63,7 @@
 			...common,
 			entryPoints: [entry],
 			outfile,
-			format: 'cjs',
-			banner: {js: `${logBanner} const importMetaUrl = require("node:url").pathToFileURL(__filename).href;`},
-			define: {'import.meta.url': 'importMetaUrl'},
+			...plainModule,
 		});
 	}
 }
