--- /dev/null
+++ b/src/decide/forwarding/create-unseen-work.ts
@@ -0,0 +1,29 @@
+import {type UnseenWork} from './unseen-work.js';
+
+/** Time over which the rate of work is averaged, in milliseconds. */
+const averagedMs = 2000;
+
+/**
+Creates the estimate of the work that other hosts have placed since their last reports. Load pattern: scores of hosts that place
+scores of requests between two reports; each would choose the upstream that had least to do, which by then has most.
+All hosts are taken to place as much as this one.
+*/
+export function createUnseenWork(): UnseenWork {
+	let workMs = 0;
+	let at = 0;
+	const decay = (now: number): void => {
+		workMs *= Math.exp((at - now) / averagedMs);
+		at = now;
+	};
+
+	return {
+		note(addedMs, now) {
+			decay(now);
+			workMs += addedMs;
+		},
+		perUpstreamMs({others, reportAgeMs, upstreams}, now) {
+			decay(now);
+			return workMs / averagedMs * others * reportAgeMs / Math.max(1, upstreams);
+		},
+	};
+}
--- a/src/decide/forwarding/rank-upstreams.ts
+++ b/src/decide/forwarding/rank-upstreams.ts
@@ -3,19 +3,21 @@
 const failureMs = 400;
 const silentMs = 1e5;
 const avoidedMs = 1e6;
+/** Equal upstreams are told apart by chance. */
+const leastSpreadMs = 1;
 
 /**
 Ranks upstreams by the predicted time to the first byte, least first. Upstreams that failed lately, that are silent
 come last, and serve only where no other is left; those to which no connection is free are left out. Load pattern: bursts that several hosts place
-at once on reports that lag, so ties are broken at random.
+at once on reports that lag, so differences up to `spreadMs` are left to chance.
 */
-export function rankUpstreams(candidates: readonly Candidate[], random: () => number): readonly Candidate[] {
+export function rankUpstreams(candidates: readonly Candidate[], random: () => number, spreadMs = 0): readonly Candidate[] {
 	const score = ({view: {isSilent, isAvoided, failureShare}, firstByteMs, weightsMs}: Candidate): number => firstByteMs
 		+ weightsMs
 		+ (failureShare * failureMs)
 		+ (isSilent ? silentMs : 0)
 		+ (isAvoided ? avoidedMs : 0)
-		+ random();
+		+ (random() * Math.max(leastSpreadMs, spreadMs));
 	return candidates
 		.filter(({view}) => view.freeConnections > 0)
 		.map(candidate => ({candidate, score: score(candidate)}))
--- a/src/decide/forwarding/shorten-candidates.ts
+++ b/src/decide/forwarding/shorten-candidates.ts
@@ -1,6 +1,6 @@
 import {type Candidate} from './candidate.js';
 
-/** Upstreams that are looked at closely because little waits there; a few more than a burst fills at once. */
+/** Upstreams that are looked at closely because little is known to wait there. */
 const looked = 6;
 
 /**
--- a/src/forwarding/create-host-links.ts
+++ b/src/forwarding/create-host-links.ts
@@ -17,6 +17,9 @@
 const reportMs = 100;
 /** Up to this many hosts report to each other; of more, one in each failure domain collects the reports. */
 const directHosts = 16;
+/** Mean ages of reports: half an interval and the way; with a collector also its intervals, of which far sums wait for several. */
+const directAgeMs = 60;
+const collectedAgeMs = 250;
 
 /** What the links need. */
 type HostLinksOptions = {
@@ -99,6 +102,7 @@
 		},
 		alive: registry.alive,
 		listAll: registry.listAll,
+		reportAgeMs: () => sender() === direct ? directAgeMs : collectedAgeMs,
 		count,
 		tell(news) {
 			sender().tell(news);
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -1,3 +1,5 @@
+import {createUnseenWork} from '../decide/forwarding/create-unseen-work.js';
+import {placementSpread} from '../decide/forwarding/placement-spread.js';
 import {predictFirstByte} from '../decide/forwarding/predict-first-byte.js';
 import {rankUpstreams} from '../decide/forwarding/rank-upstreams.js';
 import {shortenCandidates} from '../decide/forwarding/shorten-candidates.js';
@@ -28,6 +30,8 @@
 	readonly book: UpstreamBook;
 	readonly serviceOf: (name: string) => Service | undefined;
 	readonly paceOf: (service: string) => ServicePace;
+	/** Other hosts that place requests, and the mean age of their reports in milliseconds. */
+	readonly others: () => {readonly count: number; readonly reportAgeMs: number};
 	readonly planContext: ContextPlanner;
 	/** The first naming of newer weights of a model than a version. */
 	readonly newerNaming: (model: string, version: number) => NamedWeights | undefined;
@@ -45,7 +49,9 @@
 }
 
 /** Creates the function that chooses an upstream for a request and how the request is sent there. */
-export function createPlacer({domain, book, serviceOf, paceOf, planContext, newerNaming, versionMs, now, elapsed, random}: PlacerOptions) {
+export function createPlacer({domain, book, serviceOf, paceOf, others, planContext, newerNaming, versionMs, now, elapsed, random}: PlacerOptions) {
+	const unseenOf = memoize((_service: string) => createUnseenWork());
+
 	const toOptions = (call: CallerCall, view: UpstreamView, urgency: number, plan: ContextPlan | undefined): Placed['options'] => {
 		const {prompt} = call.request;
 		return {
@@ -97,12 +103,18 @@
 			return {...candidate, firstByteMs: predict(candidate.view, id === home ? readMs * homeShare : readMs)};
 		};
 
+		const {count, reportAgeMs} = others();
+		const unseenMs = unseenOf(service).perUpstreamMs({others: count, reportAgeMs, upstreams: views.length}, now());
 		const unread = rankUpstreams(views.flatMap((view): readonly Candidate[] => {
 			const weightsMs = weightsMsOf(view.upstream);
 			return weightsMs === undefined ? [] : [{view, firstByteMs: predict(view, 0), weightsMs}];
-		}), random);
+		}), random, unseenMs * (context ? placementSpread.shortlist : placementSpread.final));
 		const [best] = context
-			? rankUpstreams(shortenCandidates(unread, ({view: {upstream}}) => upstream.id === home || context.isKnownTo(upstream)).map(candidate => planAt(candidate)), random)
+			? rankUpstreams(
+				shortenCandidates(unread, ({view: {upstream}}) => upstream.id === home || context.isKnownTo(upstream)).map(candidate => planAt(candidate)),
+				random,
+				unseenMs * placementSpread.final,
+			)
 			: unread;
 		if (!best) {
 			return undefined;
@@ -122,6 +134,7 @@
 			isHome: view.upstream.id === home,
 			options: toOptions(call, view, urgency, plan),
 			noteSent() {
+				unseenOf(service).note(plan ? costs.requestMs + (plan.missingTokens / costs.tokensPerMs) : costs.stayMs / Math.max(1, view.upstream.slots), now());
 				plan?.noteSent();
 			},
 		};
--- a/src/forwarding/host-links.ts
+++ b/src/forwarding/host-links.ts
@@ -9,6 +9,8 @@
 	readonly alive: () => readonly KnownHost[];
 	/** Hosts that the store or a report has named, this one not included, after the store was asked again. */
 	readonly listAll: () => Promise<readonly KnownHost[]>;
+	/** Mean age of what is known of other hosts' loads, in milliseconds. */
+	readonly reportAgeMs: () => number;
 	/** Hosts that the store or a report has named, this one included. */
 	readonly count: () => number;
 	/** Sends news of a store of kept context to all hosts. */
--- a/test/decide/forwarding/load.test.ts
+++ b/test/decide/forwarding/load.test.ts
@@ -20,10 +20,18 @@
 ];
 
 const policies = {
-	spread: {ranks: false, refuses: false, guardsUrgent: false},
-	ranked: {ranks: true, refuses: false, guardsUrgent: false},
-	refusing: {ranks: true, refuses: true, guardsUrgent: false},
-	chosen: {ranks: true, refuses: true, guardsUrgent: true},
+	spread: {
+		ranks: false, refuses: false, guardsUrgent: false, spreads: true,
+	},
+	ranked: {
+		ranks: true, refuses: false, guardsUrgent: false, spreads: true,
+	},
+	refusing: {
+		ranks: true, refuses: true, guardsUrgent: false, spreads: true,
+	},
+	chosen: {
+		ranks: true, refuses: true, guardsUrgent: true, spreads: true,
+	},
 } satisfies Record<string, LoadPolicy>;
 
 const worthOf = (load: Load, policy: LoadPolicy): number => [...replayLoad(load, policy).values()].reduce((sum, kind) => sum + kind.worth, 0);
@@ -55,3 +63,20 @@
 		}
 	});
 });
+
+describe('scores of hosts that place requests on reports that lag', () => {
+	const grown: Load = {
+		kinds: [{...check, perS: 664}, {...draft, perS: 127}], engines: 63, memoryTokens: 97_000, durationMs: 5000, factorAt: () => 1.6, upAt: () => 63, seed: 11, hosts: 84, reportMs: 300,
+	};
+	const today: Load = {
+		...grown, kinds: [{...check, perS: 129}, {...draft, perS: 26}], engines: 13, upAt: () => 13, hosts: 8, reportMs: 100,
+	};
+	const together = {...policies.chosen, spreads: false};
+
+	test.each([
+		['eighty-four hosts, collected reports', grown, 1.3],
+		['eight hosts', today, 1],
+	])('serve callers better where they leave to chance what they can not know: %s', (_, load, factor) => {
+		expect(worthOf(load, policies.chosen)).toBeGreaterThan(factor * worthOf(load, together));
+	});
+});
--- a/test/support/replay-load.ts
+++ b/test/support/replay-load.ts
@@ -1,5 +1,8 @@
 import {admitLoad} from '../../src/decide/forwarding/admit-load.js';
 import {predictFirstByte} from '../../src/decide/forwarding/predict-first-byte.js';
+import {type Candidate} from '../../src/decide/forwarding/candidate.js';
+import {placementSpread} from '../../src/decide/forwarding/placement-spread.js';
+import {shortenCandidates} from '../../src/decide/forwarding/shorten-candidates.js';
 import {rankUpstreams} from '../../src/decide/forwarding/rank-upstreams.js';
 import {type UpstreamView} from '../../src/decide/forwarding/upstream-view.js';
 import {createRandom} from '../../src/util/create-random.js';
@@ -23,6 +26,8 @@
 	readonly refuses: boolean;
 	/** Whether the less urgent are refused first. */
 	readonly guardsUrgent: boolean;
+	/** Whether a host allows for what others place between reports. */
+	readonly spreads: boolean;
 };
 
 /** A load to replay. */
@@ -36,6 +41,10 @@
 	/** Engines that work at a time. */
 	readonly upAt: (now: number) => number;
 	readonly seed: number;
+	/** Hosts that place requests, each knowing of the others only by reports; 1 where left out. */
+	readonly hosts?: number;
+	/** Time between the reports of all hosts, in milliseconds. */
+	readonly reportMs?: number;
 };
 
 /** What came of a kind of request. */
@@ -61,7 +70,7 @@
 const stepMs = 5;
 const tokensPerMs = 90;
 const decodeMs = 250;
-const reportMs = 100;
+const usualReportMs = 100;
 
 /** Lets an engine read for one step: the urgent first, as far as its memory holds them. */
 function readStep(engine: Engine, memoryTokens: number, now: number): void {
@@ -99,10 +108,15 @@
 	const returning: Array<{readonly kind: LoadKind; readonly firstAskedAt: number; readonly at: number}> = [];
 	const jobs: Job[] = [];
 	let reported: ReadonlyArray<readonly Job[]> = engines.map(() => []);
-	let recent: Array<{readonly engine: number; readonly job: Job}> = [];
+	let recent: Array<{readonly host: number; readonly engine: number; readonly job: Job}> = [];
+	const {hosts = 1, reportMs = usualReportMs} = load;
 
-	const viewOf = (engine: number, kind: LoadKind): UpstreamView => {
-		const known = [...reported[engine]!, ...recent.filter(sent => sent.engine === engine).map(sent => sent.job)];
+	const readMsPerS = load.kinds.map(kind => kind.perS * kind.tokens / tokensPerMs);
+	/** What the other hosts place at an engine between two reports, on average. */
+	const unseenMs = readMsPerS.reduce((sum, ms) => sum + ms, 0) / load.engines * (reportMs / 2) / 1000 * (hosts - 1) / hosts;
+
+	const viewOf = (host: number, engine: number, kind: LoadKind): UpstreamView => {
+		const known = [...reported[engine]!, ...recent.filter(sent => sent.engine === engine && sent.host === host).map(sent => sent.job)];
 		const waiting = known.filter(job => job.firstByteAt === undefined);
 		const tokens = waiting.reduce((sum, job) => sum + (job.kind.urgency <= kind.urgency ? job.left : job.left / 4), 0);
 		return {
@@ -114,9 +128,16 @@
 		};
 	};
 
+	/** Chooses as the placer does, for prompts without context. */
+	const choose = (candidates: readonly Candidate[], spreadMs: number): Candidate => {
+		const shortlist = shortenCandidates(rankUpstreams(candidates, random, spreadMs * placementSpread.shortlist), () => false);
+		return rankUpstreams(shortlist, random, spreadMs * placementSpread.final)[0]!;
+	};
+
 	const ask = (kind: LoadKind, firstAskedAt: number, now: number, mayReturn: boolean): void => {
+		const host = Math.floor(random() * hosts);
 		const up = Array.from({length: load.upAt(now)}, (_, engine) => engine);
-		const views = up.map(engine => viewOf(engine, kind));
+		const views = up.map(engine => viewOf(host, engine, kind));
 		const costs = {
 			tokensPerMs, baseMs: 20, requestMs: 3, otherDomainMs: 3, stayMs: 400,
 		};
@@ -124,7 +145,7 @@
 			view, weightsMs: 0,
 			firstByteMs: predictFirstByte(view, {readMs: kind.tokens / tokensPerMs, heldTokens: kind.tokens, memoryTokens: load.memoryTokens}, costs, 'd'),
 		}));
-		const best = policy.ranks ? rankUpstreams(candidates, random)[0]! : candidates[Math.floor(random() * candidates.length)]!;
+		const best = policy.ranks ? choose(candidates, policy.spreads ? unseenMs : 0) : candidates[Math.floor(random() * candidates.length)]!;
 		const urgent = load.kinds.filter(other => other.urgency < kind.urgency).map(other => other.objectiveMs);
 		const admission = admitLoad({
 			firstByteMs: best.firstByteMs, waitedMs: 0, objectiveMs: kind.objectiveMs, isQueueing: best.view.isQueueing, draw: random(),
@@ -143,7 +164,7 @@
 		};
 		const engine = Number(best.view.upstream.id);
 		engines[engine]!.jobs.push(job);
-		recent.push({engine, job});
+		recent.push({host, engine, job});
 		jobs.push(job);
 	};
 
