--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -20,13 +20,12 @@
 
 /** Polls of one store are this far apart, so that each brings several events; news of them go to every host. */
 const pollMs = 250;
-/** Up to this many hosts; then polls are rarer in proportion, up to a limit set by how long a listing may be used. */
-const frequentHosts = 16;
-const mostPollMs = 1000;
 const tickMs = 100;
 /** A host further down the ranking polls a store of which it has heard nothing for this long. */
 const quietMs = 1200;
 const quietRankMs = 500;
+/** A host that has started polls nothing for this long, in which it hears which others do. */
+const settleMs = 1000;
 const pullTimeoutMs = 1500;
 /** Hosts that need a whole list spread their questions over this time a host, so that the one that polls is not flooded. */
 const spreadMsPerHost = 20;
@@ -52,6 +51,7 @@
 export function createKeptTask({self, control, call, others, tell, now, random}: KeptTaskOptions): KeptTask {
 	const followed = new Map<string, FollowedStore>();
 	const pulling = new Set<string>();
+	const startedAt = now();
 
 	const poll = createStorePoller({
 		peers: self.peers, control, tell, now,
@@ -62,14 +62,14 @@
 
 	const shouldPoll = (entry: FollowedStore): boolean => {
 		const rank = rankFor(entry.kept.name);
-		return rank === 0 || now() - entry.heardAt > quietMs + (rank * quietRankMs);
+		return (rank === 0 && now() - startedAt > settleMs) || now() - entry.heardAt > quietMs + (rank * quietRankMs);
 	};
 
 	const keepPolling = async (entry: FollowedStore): Promise<void> => {
 		entry.isPolling = true;
 		await poll(entry);
 		entry.isPolling = false;
-		entry.nextAt = now() + Math.min(mostPollMs, pollMs * Math.max(1, (others().length + 1) / frequentHosts));
+		entry.nextAt = now() + pollMs;
 	};
 
 	/** One timer for all stores, since a host of a large deployment follows scores of them. */
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -4,6 +4,7 @@
 import {rankUpstreams} from '../decide/forwarding/rank-upstreams.js';
 import {shortenCandidates} from '../decide/forwarding/shorten-candidates.js';
 import {type Candidate} from '../decide/forwarding/candidate.js';
+import {type PlacementCosts} from '../decide/forwarding/placement-costs.js';
 import {type ServicePace} from '../decide/forwarding/service-pace.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
 import {weighOldWeights} from '../decide/forwarding/weigh-old-weights.js';
@@ -48,10 +49,24 @@
 	return prompt?.parts.at(-2)?.id;
 }
 
+/** Tokens of memory that a prompt and its answer take. */
+function countTokens(prompt: Prompt | undefined): number {
+	return prompt ? prompt.promptTokens + (prompt.expectedOutputTokens ?? prompt.outputTokens) : 0;
+}
+
 /** Creates the function that chooses an upstream for a request and how the request is sent there. */
 export function createPlacer({domain, book, serviceOf, paceOf, others, planContext, newerNaming, versionMs, now, elapsed, random}: PlacerOptions) {
 	const unseenOf = memoize((_service: string) => createUnseenWork());
 
+	const findUnseenMs = (service: string, upstreams: number): number => {
+		const {count, reportAgeMs} = others();
+		return unseenOf(service).perUpstreamMs({others: count, reportAgeMs, upstreams}, now());
+	};
+
+	/** Time that a request adds for those behind it at an upstream. */
+	const addedMs = ({upstream: {slots}}: UpstreamView, plan: ContextPlan | undefined, costs: PlacementCosts): number =>
+		plan ? costs.requestMs + (plan.missingTokens / costs.tokensPerMs) : costs.stayMs / Math.max(1, slots);
+
 	const toOptions = (call: CallerCall, view: UpstreamView, urgency: number, plan: ContextPlan | undefined): Placed['options'] => {
 		const {prompt} = call.request;
 		return {
@@ -89,7 +104,7 @@
 		const views = fresh.length > 0 ? fresh : known;
 		const sharedPart = findSharedPart(prompt);
 		const home = sharedPart === undefined ? undefined : findOwner(views.map(view => view.upstream.id), sharedPart);
-		const heldTokens = (prompt?.promptTokens ?? 0) + (prompt?.expectedOutputTokens ?? prompt?.outputTokens ?? 0);
+		const heldTokens = countTokens(prompt);
 		const plans = new Map<string, ContextPlan>();
 		const context = prompt && engine && planContext(prompt, engine, workspace, costs.tokensPerMs);
 		const weightsMsOf = createWeightsCosts(call);
@@ -103,8 +118,7 @@
 			return {...candidate, firstByteMs: predict(candidate.view, id === home ? readMs * homeShare : readMs)};
 		};
 
-		const {count, reportAgeMs} = others();
-		const unseenMs = unseenOf(service).perUpstreamMs({others: count, reportAgeMs, upstreams: views.length}, now());
+		const unseenMs = findUnseenMs(service, views.length);
 		const unread = rankUpstreams(views.flatMap((view): readonly Candidate[] => {
 			const weightsMs = weightsMsOf(view.upstream);
 			return weightsMs === undefined ? [] : [{view, firstByteMs: predict(view, 0), weightsMs}];
@@ -134,7 +148,7 @@
 			isHome: view.upstream.id === home,
 			options: toOptions(call, view, urgency, plan),
 			noteSent() {
-				unseenOf(service).note(plan ? costs.requestMs + (plan.missingTokens / costs.tokensPerMs) : costs.stayMs / Math.max(1, view.upstream.slots), now());
+				unseenOf(service).note(addedMs(view, plan, costs), now());
 				plan?.noteSent();
 			},
 		};
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -200,7 +200,8 @@
 		now,
 		random,
 		place: createPlacer({
-			domain, book, serviceOf: stored.serviceOf, paceOf, others: () => ({count: links.alive().length, reportAgeMs: links.reportAgeMs()}), newerNaming: stored.newerNaming, versionMs: () => live.bounds.versionMs, now, elapsed, random,
+			domain, book, serviceOf: stored.serviceOf, paceOf, newerNaming: stored.newerNaming, versionMs: () => live.bounds.versionMs, now, elapsed, random,
+			others: () => ({count: links.alive().length, reportAgeMs: links.reportAgeMs()}),
 			planContext: createContextPlanner({
 				book, kept, newerNaming: stored.newerNaming, weightsConfirmedAt: sync.weightsConfirmedAt, now: elapsed,
 			}),
