--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -8,15 +8,18 @@
 
 /** Runs soaks one after the other and ends with 1 if a promise was not kept in any. */
 async function main(): Promise<void> {
-	const {seed, count, minutes, logs} = await yargs(hideBin(process.argv))
+	const {seed, count, minutes, hosts, logs} = await yargs(hideBin(process.argv))
 		.option('seed', {type: 'number', default: 1, describe: 'first seed'})
 		.option('count', {type: 'number', default: 1, describe: 'how many seeds'})
 		.option('minutes', {type: 'number', default: 0.75, describe: 'length of each soak'})
+		.option('hosts', {type: 'number', default: 4, describe: 'hosts; of more than 16, one in each failure domain collects the reports'})
 		.option('logs', {type: 'string', default: 'reports/soak', describe: 'folder for logs and histories'})
 		.strict()
 		.parse();
 	for (let each = seed; each < seed + count; each++) {
-		const {violations, ...figures} = await runSoak(each, minutes * msPerMinute, path.join(logs, String(each)));
+		const {violations, ...figures} = await runSoak({
+			seed: each, durationMs: minutes * msPerMinute, folder: path.join(logs, String(each)), hostCount: hosts,
+		});
 		console.log(JSON.stringify({
 			seed: each, ...figures, violations: violations.slice(0, 10), violationCount: violations.length,
 		}));
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -28,12 +28,25 @@
 	readonly faults: number;
 };
 
+/** Which soak to run. */
+type SoakOptions = {
+	readonly seed: number;
+	readonly durationMs: number;
+	/** Where its history, the faults and the hosts' logs are kept. */
+	readonly folder: string;
+	readonly hostCount?: number;
+	/** Whether promises with a bound in time are checked too. */
+	readonly withBounds?: boolean;
+};
+
+const usualHosts = 4;
+
 /**
 Runs one soak; its history, the faults and the hosts' logs are kept in `folder`.
 
-@param withBounds - Whether promises with a bound in time are checked too.
+More than sixteen hosts collect their reports.
 */
-export async function runSoak(seed: number, durationMs: number, folder: string, withBounds = true): Promise<SoakResult> {
+export async function runSoak({seed, durationMs, folder, hostCount = usualHosts, withBounds = true}: SoakOptions): Promise<SoakResult> {
 	mkdirSync(folder, {recursive: true});
 	const random = createRandom(seed);
 	const faults = planFaults(createRandom(seed + 1), durationMs - calmMs);
@@ -44,7 +57,7 @@
 	const changes: Change[] = [];
 	const exits: string[] = [];
 	const world = await startWorld({
-		folder, random,
+		folder, hostCount, random,
 		onRun: run => runs.push(run),
 		onOrder: order => orders.push(order),
 		onOwnExit: host => exits.push(host),
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -9,7 +9,9 @@
 
 describe('a fault soak', () => {
 	test.each([[1]])('with seed %i keeps the promises that have no bound in time', async seed => {
-		const {violations, served} = await runSoak(seed, durationMs, mkdtempSync(path.join(tmpdir(), 'soak-')), false);
+		const {violations, served} = await runSoak({
+			seed, durationMs, folder: mkdtempSync(path.join(tmpdir(), 'soak-')), withBounds: false,
+		});
 		expect(violations).toEqual([]);
 		expect(served).toBeGreaterThan(0);
 	}, limitMs);
--- a/test/soak/start-world.ts
+++ b/test/soak/start-world.ts
@@ -7,7 +7,6 @@
 import {createTcpProxy, type TcpProxy} from './create-tcp-proxy.js';
 import {type Order, type Run} from './history.js';
 
-const hostCount = 4;
 const upstreamCount = 5;
 const domains = ['domain-a', 'domain-b'] as const;
 const portsOfHost = 8;
@@ -33,14 +32,15 @@
 /** What the world tells while it runs. */
 type WorldOptions = {
 	readonly folder: string;
+	readonly hostCount: number;
 	readonly random: () => number;
 	readonly onRun: (run: Run) => void;
 	readonly onOrder: (order: Order) => void;
 	readonly onOwnExit: (host: string) => void;
 };
 
-/** Starts a world of four hosts and five upstreams in two failure domains. */
-export async function startWorld({folder, random, onRun, onOrder, onOwnExit}: WorldOptions): Promise<World> {
+/** Starts a world of hosts and five upstreams in two failure domains. */
+export async function startWorld({folder, hostCount, random, onRun, onOrder, onOwnExit}: WorldOptions): Promise<World> {
 	const disguises = new Map<string, string>();
 	const store = await createStoreServer(text => text.replaceAll(/127\.0\.0\.1:\d+/gv, address => disguises.get(address) ?? address));
 	const upstreams: UpstreamLink[] = [];
