--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -189,7 +189,7 @@
 		const {request, route} = call;
 		log.info({
 			requestId: request.id!, route: route.name, service: track.service, upstream: placed.upstream.id, sends: track.sends, inFlight: placed.inFlight,
-			missingTokens: placed.missingTokens, fetchedTokens: placed.fetchedTokens, isHome: placed.isHome, firstByteMs: Math.round(placed.firstByteMs),
+			missingTokens: placed.missingTokens, fetchedTokens: placed.fetchedTokens, isHome: placed.isHome, firstByteMs: Math.round(placed.firstByteMs), unseenMs: Math.round(placed.unseenMs),
 			leftMs: Math.round(track.endsAt - now()),
 		}, 'placed');
 		const outcome = await send(call, track, placed);
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -143,6 +143,7 @@
 			heldTokens,
 			urgency,
 			firstByteMs,
+			unseenMs,
 			isQueueing: view.isQueueing,
 			inFlight: view.inFlight,
 			isHome: view.upstream.id === home,
--- a/src/forwarding/placed.ts
+++ b/src/forwarding/placed.ts
@@ -15,6 +15,8 @@
 	readonly urgency: number;
 	/** Predicted time to the first byte, in milliseconds. */
 	readonly firstByteMs: number;
+	/** Work that others may have placed at an upstream since their reports, in milliseconds; by its measure chance decided. */
+	readonly unseenMs: number;
 	/** Whether requests wait there for their first byte. */
 	readonly isQueueing: boolean;
 	/** Requests known to be in flight there. */
