A host that has started leaves watching the store to the others for a second

Cause: until it has heard the others, each of 84 hosts followed the store itself, and was told of every registration of 96 upstreams at the start: by count up to 8 calls a second each. What it lists at its start is current, and reports tell it of changes.

--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -15,6 +15,7 @@
 import {type KeptNews} from './kept-news.js';
 import {type KnownHost} from './known-host.js';
 import {type Service} from './service.js';
+import {settleMs} from './settle-ms.js';
 import {type KeptStore} from './kept-store.js';
 import {type KeptTask} from './kept-task.js';
 
@@ -24,8 +25,6 @@
 /** A host further down the ranking polls a store of which it has heard nothing for this long. */
 const quietMs = 1200;
 const quietRankMs = 500;
-/** A host that has started polls nothing for this long, in which it hears which others do. */
-const settleMs = 1000;
 const pullTimeoutMs = 1500;
 /** Hosts that need a whole list spread their questions over this time a host, so that the one that polls is not flooded. */
 const spreadMsPerHost = 20;
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -24,6 +24,7 @@
 import {type KnownHost} from './forwarding/known-host.js';
 import {type LoadNews} from './forwarding/load-news.js';
 import {type StoredObject} from './forwarding/stored-object.js';
+import {settleMs} from './forwarding/settle-ms.js';
 import {parseAddress} from './http/parse-address.js';
 import {log} from './observe/log.js';
 import {createPeerCaller} from './peers/create-peer-caller.js';
@@ -72,6 +73,7 @@
 	const elapsed = createElapsedClock(now, Date.now);
 	const {random} = Math;
 	const metrics = createGatewayMetrics();
+	const startedAt = elapsed();
 	let isDraining = false;
 
 	const store = adapter.openStore(settings.objectStore, method => {
@@ -144,6 +146,10 @@
 
 	/** In a large failure domain a few hosts that the store answers follow it; reports tell the others of changes. */
 	const isWatching = (kind: string): boolean => {
+		if (elapsed() - startedAt < settleMs) {
+			return false;
+		}
+
 		const able = links.alive().filter(peer => peer.domain === domain && !peer.isStoreLost).map(peer => peer.host);
 		return rankOf(name, able, kind) < domainWatchers;
 	};
