--- a/test/decide/owners.test.ts
+++ b/test/decide/owners.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import {findOwner} from '../../src/decide/membership/find-owner.js';
+import {rankOfWide} from '../../src/decide/membership/rank-of-wide.js';
 import {rankOf} from '../../src/decide/membership/rank-of.js';
 import {rankOwners} from '../../src/decide/membership/rank-owners.js';
 
@@ -17,6 +18,17 @@
 		}), {seed: 51});
 	});
 
+	test('with wide links come first, each kind in the same order', () => {
+		fc.assert(fc.property(names, fc.string(), (given, key) => {
+			const hosts = given.map((host, index) => ({host, linkMbps: index % 3 === 0 ? 200 : 10}));
+			const rankedAt = (mbps: number) => rankOwners(hosts.filter(({linkMbps}) => linkMbps === mbps).map(({host}) => host), key);
+			const ranked = [...rankedAt(200), ...rankedAt(10)];
+			for (const self of hosts) {
+				expect(rankOfWide(self, hosts.filter(other => other !== self), key)).toBe(ranked.indexOf(self.host));
+			}
+		}), {seed: 52});
+	});
+
 	test('are spread evenly over hosts whose names differ little', () => {
 		const hosts = Array.from({length: 20}, (_, index) => `front-domain-a-${index}`);
 		const counts = new Map<string, number>();
--- a/test/forwarding/kept-context.test.ts
+++ b/test/forwarding/kept-context.test.ts
@@ -104,6 +104,16 @@
 		}
 	});
 
+	test('is listed by few of the hosts that start together', async () => {
+		await start(6);
+		for (const gateway of gateways) {
+			await waitUntil('saves to be allowed', async () => (await ask(gateway)).to === `${kept.address},${kept.address},-`);
+		}
+
+		// One host lists the store; another one may when it has heard nothing of it for a while.
+		expect(kept.listings()).toBeLessThanOrEqual(2);
+	});
+
 	test('of which the store told no event, or of which the save broke off, is found by listing the store again', async () => {
 		await start();
 		await waitUntil('saves to be allowed', async () => (await ask(gateways[0]!)).to === `${kept.address},${kept.address},-`);
--- a/test/support/create-kept-store-server.ts
+++ b/test/support/create-kept-store-server.ts
@@ -19,6 +19,8 @@
 	readonly unfinished: () => readonly string[];
 	/** Polls and listings taken. */
 	readonly calls: () => number;
+	/** Listings taken. */
+	readonly listings: () => number;
 	isSilent: boolean;
 	readonly stop: () => void;
 };
@@ -30,6 +32,7 @@
 	let epoch = 1;
 	let next = 1;
 	let calls = 0;
+	let listings = 0;
 	let held = new Map<string, Entry>();
 	const partial = new Map<string, readonly [scope: string, part: string, done: number, reserved: number]>();
 	let events: Array<readonly [number, '+' | '-', string, string, number, string]> = [];
@@ -73,6 +76,7 @@
 
 			calls++;
 			if (url.pathname === '/v1/kv-list') {
+				listings++;
 				answer(() => ({held: [...held.values()], partial: [...partial.values()]}), listedMs);
 			} else {
 				const since = Number(url.searchParams.get('since'));
@@ -105,6 +109,7 @@
 		parts: () => [...held.keys()],
 		unfinished: () => [...partial.keys()],
 		calls: () => calls,
+		listings: () => listings,
 		isSilent: false,
 		stop() {
 			server.close();
