An owner that does not answer is told again that a request has ended

Cause: a withdrawal or release that an owner did not answer was given up without a word, and the slot stayed taken until the grant lapsed, 10 s later; four of these stop an engine. Both are told up to four times now, and a line says so when that fails. test/grants/grant-asker.test.ts was red before.

--- a/src/grants/create-grant-asker-task.ts
+++ b/src/grants/create-grant-asker-task.ts
@@ -6,6 +6,7 @@
 import {PeerUnreachableError} from '../errors/peer-unreachable-error.js';
 import {Refusal} from '../errors/refusal.js';
 import {type Owners} from '../membership/owners.js';
+import {log} from '../observe/log.js';
 import {type PeerCaller} from '../peers/peer-caller.js';
 import {type PeerMethod} from '../peers/peer-method.js';
 import {type PeerMethods} from '../peers/peer-methods.js';
@@ -23,6 +24,9 @@
 const movedPauseMs = 100;
 const movedTries = 30;
 const comeBackMs = 1000;
+/** An owner that does not answer is told so many times that a request has ended, with growing pauses; a grant lapses after 10 s. */
+const tellTries = 4;
+const tellPauseMs = 150;
 
 /** What the asker task needs. */
 type GrantAskerTaskOptions = {
@@ -63,9 +67,23 @@
 		return call(owner.peers, method, params, timing);
 	};
 
-	const tellOwner = <M extends 'grant.withdraw' | 'grant.release'>(candidate: Pick<Candidate, 'engine' | 'domain'>, method: M, params: PeerMethods[M]['params']): void => {
-		// A lost message is made up for by the lapse of the grant.
-		callOwner(candidate, method, params).catch(() => undefined);
+	/** Tells an owner that a request has ended, again where it does not answer: until it hears of it, or the grant lapses, a slot stays taken. */
+	const tellOwner = async <M extends 'grant.withdraw' | 'grant.release'>(candidate: Pick<Candidate, 'engine' | 'domain'>, method: M, params: PeerMethods[M]['params']): Promise<void> => {
+		for (let tries = 1; ; tries++) {
+			try {
+				await callOwner(candidate, method, params);
+				return;
+			} catch (error) {
+				if (tries === tellTries) {
+					log.warn({
+						engine: candidate.engine, grant: params.id, method, tries, error: String(error),
+					}, 'owner does not hear that a grant has ended; it lapses');
+					return;
+				}
+
+				await sleep(tellPauseMs * tries);
+			}
+		}
 	};
 
 	const hold = (candidate: Candidate, ask: Ask, answer: AskAnswer): Grant => {
@@ -81,7 +99,7 @@
 			cachedPieces: answer.cachedPieces,
 			release(tokens, hasFailed) {
 				if (running.delete(ask.id)) {
-					tellOwner(candidate, 'grant.release', {
+					void tellOwner(candidate, 'grant.release', {
 						engine, id: ask.id, tokens, hasFailed,
 					});
 				}
@@ -134,7 +152,7 @@
 				engine, domain, owner: owner.name, abort,
 			});
 			const withdraw = (): void => {
-				tellOwner(candidate, 'grant.withdraw', {engine, id: ask.id});
+				void tellOwner(candidate, 'grant.withdraw', {engine, id: ask.id});
 			};
 
 			signal.addEventListener('abort', withdraw, {once: true});
--- /dev/null
+++ b/test/grants/grant-asker.test.ts
@@ -0,0 +1,72 @@
+import {
+	afterEach, describe, expect, test,
+} from 'vitest';
+import {createWaitMemory} from '../../src/decide/routing/create-wait-memory.js';
+import {PeerUnreachableError} from '../../src/errors/peer-unreachable-error.js';
+import {createGrantAskerTask} from '../../src/grants/create-grant-asker-task.js';
+import {type PeerCaller} from '../../src/peers/peer-caller.js';
+import {waitUntil} from '../support/wait-until.js';
+
+const engines = ['e-1', 'e-2'];
+let stop: () => Promise<void> = async () => undefined;
+
+afterEach(async () => {
+	await stop();
+});
+
+/** Starts a task whose owner grants e-1 at once and never e-2, and does not answer the first `lost` calls of a method. */
+function startAsker(method: string, lost: number) {
+	const told: string[] = [];
+	let failures = 0;
+	const call = (async (_address: string, called: string, params: {readonly engine: string}, {signal}: {readonly signal?: AbortSignal} = {}) => {
+		if (called === 'grant.ask') {
+			if (params.engine === 'e-1') {
+				return {cachedPieces: 0, waitMs: 0};
+			}
+
+			return new Promise((_, reject) => {
+				signal?.addEventListener('abort', () => {
+					reject(new PeerUnreachableError('owner', called, 'given up'));
+				});
+			});
+		}
+
+		if (called === method && failures < lost) {
+			failures++;
+			throw new PeerUnreachableError('owner', called, 'no answer');
+		}
+
+		told.push(`${called} ${params.engine}`);
+		return {};
+	}) as unknown as PeerCaller;
+	const owner = {name: 'owner', peers: 'owner', state: 'alive'};
+	const task = createGrantAskerTask({
+		self: 'self', call, fanout: 2, waits: createWaitMemory(),
+		owners: {inDomain: () => owner, up: () => [owner]} as never,
+		local: {handlers: {}} as never,
+		engineAt: () => undefined as never,
+	});
+	stop = task.stop;
+	return {task, told};
+}
+
+describe('the owner of an engine', () => {
+	test.each([
+		['grant.withdraw', 'grant.withdraw e-2'],
+		['grant.release', 'grant.release e-1'],
+	])('is told by %s again where it does not answer', async (method, expected) => {
+		const {task, told} = startAsker(method, 2);
+		const grant = await task.acquire({
+			requestId: 'r', keys: [], alone: false, resumed: false, deadlineAt: Date.now() + 5000, signal: new AbortController().signal,
+			item: {
+				service: 's', serviceWeight: 1, workspace: 'w', workspaceWeight: 1, cost: 1,
+			},
+			candidates: engines.map(engine => ({
+				engine, domain: 'd', url: '', prefillTokens: 0,
+			})),
+		});
+		grant.release(1, false);
+		await waitUntil('the owner to be told', () => told.includes(expected));
+		expect(told.filter(call => call === expected)).toHaveLength(1);
+	});
+});
