A host takes a store's new life from a host that knows it

Cause, found in reading the change: a host that hears of a store's restart asks a host near by first; where that one still knew the last life, event numbers of two lives were compared, the old list passed for new enough and the polling host was not asked. Two hosts of a failure domain could so keep each other on the old list, and fetch nothing from that store until they were told of its events by chance (an old list is never fetched from past its time, so no wrong context was read). Now only an answer of the life that was heard of counts. test/forwarding/kept-task.test.ts: two of three cases red before.

--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -14,6 +14,7 @@
 import {type HostStatus} from './host-status.js';
 import {type KeptNews} from './kept-news.js';
 import {type KnownHost} from './known-host.js';
+import {type PartNews} from './part-news.js';
 import {type Service} from './service.js';
 import {settleMs} from './settle-ms.js';
 import {type KeptStore} from './kept-store.js';
@@ -46,6 +47,9 @@
 	readonly random: () => number;
 };
 
+/** How far a store was heard of: which life of it, and up to which event. */
+type Heard = Pick<PartNews, 'epoch' | 'next'>;
+
 /** Starts the task. One host polls each store and passes the news on; the others poll only when they hear nothing. */
 export function createKeptTask({self, control, call, others, tell, now, random}: KeptTaskOptions): KeptTask {
 	const followed = new Map<string, FollowedStore>();
@@ -86,13 +90,17 @@
 		return wide[Math.floor(random() * wide.length)]?.peers;
 	};
 
-	/** Asks one host for what is missing here; gives whether this host now knows the store up to `wanted`. */
-	const ask = async ({kept: {name, directory}}: FollowedStore, address: string, wanted: number): Promise<boolean> => {
+	const knows = ({kept: {directory}}: FollowedStore, {epoch, next}: Heard): boolean =>
+		directory.epoch() === epoch && (directory.next() ?? Number.NEGATIVE_INFINITY) >= next;
+
+	/** Asks one host for what is missing here; gives whether this host now knows the store as far as was heard of it. */
+	const ask = async (entry: FollowedStore, address: string, heard: Heard): Promise<boolean> => {
+		const {name, directory} = entry.kept;
 		const sentAt = now();
 		const [epoch, next] = [directory.epoch(), directory.next()];
 		const known = epoch === undefined || next === undefined ? undefined : {epoch, next};
 		const {news, isWhole} = await call(address, 'gateway.kept', {store: name, ...known && {known}}, {timeoutMs: pullTimeoutMs});
-		const isNewer = news !== null && (news.epoch !== directory.epoch() || news.next > (directory.next() ?? Number.NEGATIVE_INFINITY));
+		const isNewer = news?.epoch === heard.epoch && !knows(entry, news);
 		// The directory may have moved on meanwhile.
 		if (isNewer && (isWhole || directory.next() === next)) {
 			if (isWhole) {
@@ -102,11 +110,11 @@
 			directory.take(news, sentAt, now());
 		}
 
-		return (directory.next() ?? Number.NEGATIVE_INFINITY) >= wanted;
+		return knows(entry, heard);
 	};
 
 	/** A host of the own failure domain that does more for the others is asked first, then the one that polls. */
-	const pull = async (entry: FollowedStore, poller: string, wanted: number): Promise<void> => {
+	const pull = async (entry: FollowedStore, poller: string, heard: Heard): Promise<void> => {
 		const {name} = entry.kept;
 		if (pulling.has(name)) {
 			return;
@@ -117,7 +125,7 @@
 		const helper = pickHelper();
 		for (const address of helper === undefined || helper === poller ? [poller] : [helper, poller]) {
 			try {
-				if (await ask(entry, address, wanted)) {
+				if (await ask(entry, address, heard)) {
 					break;
 				}
 			} catch (error) {
@@ -184,7 +192,7 @@
 			}
 
 			if (next === undefined || since < 0 || since > next) {
-				void pull(entry, from, news.next);
+				void pull(entry, from, news);
 			} else {
 				directory.take(news, now(), now());
 			}
--- /dev/null
+++ b/test/forwarding/kept-task.test.ts
@@ -0,0 +1,82 @@
+import {
+	afterEach, describe, expect, test,
+} from 'vitest';
+import {createKeptTask} from '../../src/forwarding/create-kept-task.js';
+import {type KnownHost} from '../../src/forwarding/known-host.js';
+import {type PartNews} from '../../src/forwarding/part-news.js';
+import {type Service} from '../../src/forwarding/service.js';
+import {type PeerCaller} from '../../src/peers/peer-caller.js';
+import {sleep} from '../../src/util/sleep.js';
+
+const store = {
+	name: 'cache', store: {
+		address: '127.0.0.1:1', domain: 'd', capacityTokens: 1e6, linkMbps: 1000, isManaged: true, firstMs: 1,
+	},
+} as unknown as Service;
+
+const host = (name: string, domain: string): KnownHost => ({
+	host: name, domain, peers: name, reports: name, linkMbps: 10, everyMs: 100, isStoreLost: false, heardAt: 0,
+});
+
+const listing = (epoch: number, next: number, part: string): PartNews => ({
+	epoch, next, hasGap: false, clockMs: 1000,
+	events: [{
+		isAdded: true, scope: 'm/1', part, tokens: 10,
+	}],
+});
+
+let stop: () => void = () => undefined;
+
+afterEach(() => {
+	stop();
+});
+
+/** A host that knows a store's first life, beside a host of its own failure domain and one of another that polls; gives what it then hears. */
+async function startFollower(atHelper: PartNews | null, atPoller: PartNews) {
+	let answers: Readonly<Record<string, PartNews | null>> = {helper: listing(1, 500, 'old'), poller: listing(1, 500, 'old')};
+	const asked: string[] = [];
+	const call = (async (address: string) => {
+		asked.push(address);
+		return {news: answers[address], isWhole: true};
+	}) as unknown as PeerCaller;
+	const task = createKeptTask({
+		self: {
+			host: 'self', domain: 'd', peers: 'self', linkMbps: 10,
+		},
+		control: {} as never,
+		call,
+		others: () => [host('helper', 'd'), host('poller', 'e')],
+		tell: () => undefined,
+		now: () => performance.now(),
+		random: () => 0,
+	});
+	({stop} = task);
+	task.apply([store]);
+	const hear = async (news: PartNews): Promise<void> => {
+		task.take({
+			store: 'cache', peers: 'poller', since: -1, news: {...news, events: []},
+		});
+		await sleep(20);
+	};
+
+	await hear(listing(1, 500, 'old'));
+	answers = {helper: atHelper, poller: atPoller};
+	asked.length = 0;
+	await hear(atPoller);
+	const [{directory}] = task.stores() as [ReturnType<typeof task.stores>[number]];
+	return {directory, asked};
+}
+
+describe('a host that hears of a store\'s new life', () => {
+	test.each([
+		['a host near by still knows the last life', listing(1, 501, 'old'), ['helper', 'poller']],
+		['a host near by knows nothing', null, ['helper', 'poller']],
+		['a host near by knows it too', listing(2, 3, 'new'), ['helper']],
+	])('takes over what the store holds now where %s', async (_name, atHelper, expected) => {
+		const {directory, asked} = await startFollower(atHelper, listing(2, 3, 'new'));
+		expect(asked).toEqual(expected);
+		expect(directory.epoch()).toBe(2);
+		expect(directory.has('m/1', 'new')).toBe(true);
+		expect(directory.has('m/1', 'old')).toBe(false);
+	});
+});
