One piece of code where the change had two

Found when the whole change was read again; behaviour stays as it is. - The choice of an upstream (shortlist, then the best of it) stood in the placer and again in the replay that tests it; both call chooseUpstream now, so the replay plays the decision that hosts make. - The order of hosts with wide links first stood in the collector's choice, and in a test; it is rankWideOwners, beside rankOfWide, which gives a place in it. The two types for a host and its bandwidth are one, as are the three for a position in a store's events. - Each request, and each look at the retry budget, copied the list of all hosts to count it: the registry counts.

--- a/src/forwarding/create-collecting-sender.ts
+++ b/src/forwarding/create-collecting-sender.ts
@@ -4,6 +4,7 @@
 import {log} from '../observe/log.js';
 import {type CollectingSender} from './collecting-sender.js';
 import {type DomainSum} from './domain-sum.js';
+import {type HostMessage} from './host-message.js';
 import {type HostRegistry} from './host-registry.js';
 import {type HostSocket} from './host-socket.js';
 import {type HostStatus} from './host-status.js';
@@ -80,27 +81,27 @@
 		return held;
 	};
 
-	const sendNear = (near: readonly KnownHost[]): void => {
-		const isCollecting = sums.isCollecting(now());
-		if (!isCollecting && heldSums.length === 0 && heldKept.length === 0) {
-			return;
+	/** Sends each host of the failure domain the sum of the others, and what other failure domains sent. */
+	const sendSums = (near: readonly KnownHost[], passedOn: HostMessage): void => {
+		const sumFor = sums.add(now());
+		const members = sums.members(now());
+		const nearMembers = nearDue(members, now());
+		for (const {host, reports} of near) {
+			socket.send({...passedOn, sums: [toSum(reportMs, sumFor(host), nearMembers), ...passedOn.sums ?? []]}, [reports]);
 		}
 
-		const passed = takeHeldSums();
-		const kept = heldKept;
-		heldKept = [];
-		const members = nearDue(sums.members(now()), now());
-		const sumFor = sums.add(now());
-		for (const host of near) {
-			const own = isCollecting ? [toSum(reportMs, sumFor(host.host), members)] : [];
-			socket.send({sums: [...own, ...passed], kept}, [host.reports]);
+		if (turn % farTurns === 0) {
+			socket.send({sums: [toSum(reportMs * farTurns, sumFor(), farDue(members, now()))], isToPassOn: true}, farCollectors());
 		}
 	};
 
-	const sendFar = (): void => {
-		if (turn % farTurns === 0 && sums.isCollecting(now())) {
-			const sum = toSum(reportMs * farTurns, sums.add(now())(), farDue(sums.members(now()), now()));
-			socket.send({sums: [sum], isToPassOn: true}, farCollectors());
+	const sendOn = (near: readonly KnownHost[]): void => {
+		const passedOn = {sums: takeHeldSums(), kept: heldKept};
+		heldKept = [];
+		if (sums.isCollecting(now())) {
+			sendSums(near, passedOn);
+		} else if (passedOn.sums.length > 0 || passedOn.kept.length > 0) {
+			socket.send(passedOn, near.map(host => host.reports));
 		}
 	};
 
@@ -116,8 +117,7 @@
 				socket.send({report: own, isForSum: true}, near.filter(host => host.host === collector).map(host => host.reports));
 			}
 
-			sendNear(near);
-			sendFar();
+			sendOn(near);
 		},
 		tell(news) {
 			const near = collector === self.host ? [] : registry.all().filter(host => host.host === collector).map(host => host.reports);
--- a/src/forwarding/create-host-links.ts
+++ b/src/forwarding/create-host-links.ts
@@ -11,6 +11,7 @@
 import {type LoadNews} from './load-news.js';
 import {type LoadSource} from './load-source.js';
 import {type MakeReport} from './make-report.js';
+import {type ReportSender} from './report-sender.js';
 import {type ObjectStore} from './object-store.js';
 
 /** Hosts report this often. */
@@ -41,7 +42,7 @@
 	const registry = createHostRegistry({
 		self, store, kind, now,
 	});
-	const count = (): number => registry.all().length + 1;
+	const count = (): number => registry.count() + 1;
 
 	const hear = (status: HostStatus, ageMs: number): void => {
 		if (status.host !== self.host) {
@@ -79,19 +80,18 @@
 	const collecting = createCollectingSender({
 		self, socket, registry, now, reportMs,
 	});
-	const sender = () => count() > directHosts ? collecting : direct;
+	let sender: ReportSender = direct;
 	let timer: NodeJS.Timeout | undefined;
-	let wasDirect = true;
 
 	const sendReport = (): void => {
 		registry.sweep();
-		const isDirect = sender() === direct;
-		if (isDirect !== wasDirect) {
-			wasDirect = isDirect;
-			log.info({hosts: count(), direct: isDirect}, 'way of reports changed');
+		const chosen = count() > directHosts ? collecting : direct;
+		if (chosen !== sender) {
+			sender = chosen;
+			log.info({hosts: count(), direct: sender === direct}, 'way of reports changed');
 		}
 
-		sender().send({...self, ...makeReport()});
+		sender.send({...self, ...makeReport()});
 	};
 
 	return {
@@ -102,10 +102,10 @@
 		},
 		alive: registry.alive,
 		listAll: registry.listAll,
-		reportAgeMs: () => sender() === direct ? directAgeMs : collectedAgeMs,
+		reportAgeMs: () => sender === direct ? directAgeMs : collectedAgeMs,
 		count,
 		tell(news) {
-			sender().tell(news);
+			sender.tell(news);
 		},
 		stop() {
 			clearInterval(timer);
--- a/src/forwarding/create-host-registry.ts
+++ b/src/forwarding/create-host-registry.ts
@@ -109,6 +109,7 @@
 			return living;
 		},
 		all: () => [...known.values()],
+		count: () => known.size,
 		async listAll() {
 			await listHosts();
 			return [...known.values()];
--- a/src/forwarding/create-kept-task.ts
+++ b/src/forwarding/create-kept-task.ts
@@ -14,9 +14,8 @@
 import {type HostStatus} from './host-status.js';
 import {type KeptNews} from './kept-news.js';
 import {type KnownHost} from './known-host.js';
-import {type PartNews} from './part-news.js';
+import {type PartPosition} from './part-position.js';
 import {type Service} from './service.js';
-import {settleMs} from './settle-ms.js';
 import {type KeptStore} from './kept-store.js';
 import {type KeptTask} from './kept-task.js';
 
@@ -42,19 +41,17 @@
 	/** Hosts that are alive, this one not included. */
 	readonly others: () => readonly KnownHost[];
 	readonly tell: (news: KeptNews) => void;
+	/** Whether this host has had time to hear which others there are. */
+	readonly hasSettled: () => boolean;
 	/** Clock in milliseconds that counts suspensions. */
 	readonly now: () => number;
 	readonly random: () => number;
 };
 
-/** How far a store was heard of: which life of it, and up to which event. */
-type Heard = Pick<PartNews, 'epoch' | 'next'>;
-
 /** Starts the task. One host polls each store and passes the news on; the others poll only when they hear nothing. */
-export function createKeptTask({self, control, call, others, tell, now, random}: KeptTaskOptions): KeptTask {
+export function createKeptTask({self, control, call, others, tell, hasSettled, now, random}: KeptTaskOptions): KeptTask {
 	const followed = new Map<string, FollowedStore>();
 	const pulling = new Set<string>();
-	const startedAt = now();
 
 	const poll = createStorePoller({
 		peers: self.peers, control, tell, now,
@@ -65,7 +62,7 @@
 
 	const shouldPoll = (entry: FollowedStore): boolean => {
 		const rank = rankFor(entry.kept.name);
-		return (rank === 0 && now() - startedAt > settleMs) || now() - entry.heardAt > quietMs + (rank * quietRankMs);
+		return (rank === 0 && hasSettled()) || now() - entry.heardAt > quietMs + (rank * quietRankMs);
 	};
 
 	const keepPolling = async (entry: FollowedStore): Promise<void> => {
@@ -90,11 +87,11 @@
 		return wide[Math.floor(random() * wide.length)]?.peers;
 	};
 
-	const knows = ({kept: {directory}}: FollowedStore, {epoch, next}: Heard): boolean =>
+	const knows = ({kept: {directory}}: FollowedStore, {epoch, next}: PartPosition): boolean =>
 		directory.epoch() === epoch && (directory.next() ?? Number.NEGATIVE_INFINITY) >= next;
 
 	/** Asks one host for what is missing here; gives whether this host now knows the store as far as was heard of it. */
-	const ask = async (entry: FollowedStore, address: string, heard: Heard): Promise<boolean> => {
+	const ask = async (entry: FollowedStore, address: string, heard: PartPosition): Promise<boolean> => {
 		const {name, directory} = entry.kept;
 		const sentAt = now();
 		const [epoch, next] = [directory.epoch(), directory.next()];
@@ -114,7 +111,7 @@
 	};
 
 	/** A host of the own failure domain that does more for the others is asked first, then the one that polls. */
-	const pull = async (entry: FollowedStore, poller: string, heard: Heard): Promise<void> => {
+	const pull = async (entry: FollowedStore, poller: string, heard: PartPosition): Promise<void> => {
 		const {name} = entry.kept;
 		if (pulling.has(name)) {
 			return;
@@ -205,13 +202,15 @@
 			}
 
 			const changes = known?.epoch === directory.epoch() ? directory.since(known!.next) : undefined;
-			const events = changes?.events ?? directory.held().map(part => ({isAdded: true, ...part}));
-			return {
-				isWhole: changes === undefined,
-				news: {
-					epoch: directory.epoch()!, next, hasGap: false, clockMs: directory.clockMs(), events,
-				},
-			};
+			return changes
+				? {news: changes, isWhole: false}
+				: {
+					isWhole: true,
+					news: {
+						epoch: directory.epoch()!, next, hasGap: false, clockMs: directory.clockMs(),
+						events: directory.held().map(part => ({isAdded: true, ...part})),
+					},
+				};
 		},
 		noteSave(store, scope, part, tokens) {
 			followed.get(store)?.saves.note(scope, part, tokens, now());
--- a/src/forwarding/create-placer.ts
+++ b/src/forwarding/create-placer.ts
@@ -1,8 +1,6 @@
+import {chooseUpstream} from '../decide/forwarding/choose-upstream.js';
 import {createUnseenWork} from '../decide/forwarding/create-unseen-work.js';
-import {placementSpread} from '../decide/forwarding/placement-spread.js';
 import {predictFirstByte} from '../decide/forwarding/predict-first-byte.js';
-import {rankUpstreams} from '../decide/forwarding/rank-upstreams.js';
-import {shortenCandidates} from '../decide/forwarding/shorten-candidates.js';
 import {type Candidate} from '../decide/forwarding/candidate.js';
 import {type PlacementCosts} from '../decide/forwarding/placement-costs.js';
 import {type ServicePace} from '../decide/forwarding/service-pace.js';
@@ -119,17 +117,12 @@
 		};
 
 		const unseenMs = findUnseenMs(service, views.length);
-		const unread = rankUpstreams(views.flatMap((view): readonly Candidate[] => {
+		const unread = views.flatMap((view): readonly Candidate[] => {
 			const weightsMs = weightsMsOf(view.upstream);
 			return weightsMs === undefined ? [] : [{view, firstByteMs: predict(view, 0), weightsMs}];
-		}), random, unseenMs * (context ? placementSpread.shortlist : placementSpread.final));
-		const [best] = context
-			? rankUpstreams(
-				shortenCandidates(unread, ({view: {upstream}}) => upstream.id === home || context.isKnownTo(upstream)).map(candidate => planAt(candidate)),
-				random,
-				unseenMs * placementSpread.final,
-			)
-			: unread;
+		});
+		const mayHold = ({view: {upstream}}: Candidate): boolean => upstream.id === home || context!.isKnownTo(upstream);
+		const best = chooseUpstream(unread, {random, unseenMs, context: context && {mayHold, planAt}});
 		if (!best) {
 			return undefined;
 		}
--- a/src/forwarding/host-registry.ts
+++ b/src/forwarding/host-registry.ts
@@ -11,7 +11,9 @@
 	readonly alive: () => readonly KnownHost[];
 	/** All hosts that the store or a report has named, this one not included. */
 	readonly all: () => readonly KnownHost[];
-	/** The same, after the store was asked again. */
+	/** How many these are. */
+	readonly count: () => number;
+	/** The same hosts, after the store was asked again. */
 	readonly listAll: () => Promise<readonly KnownHost[]>;
 	/** Forgets hosts that have been silent for long. */
 	readonly sweep: () => void;
--- a/src/forwarding/kept-task.ts
+++ b/src/forwarding/kept-task.ts
@@ -1,4 +1,5 @@
 import {type PartNews} from './part-news.js';
+import {type PartPosition} from './part-position.js';
 import {type KeptNews} from './kept-news.js';
 import {type Service} from './service.js';
 import {type KeptStore} from './kept-store.js';
@@ -12,7 +13,7 @@
 	readonly isPoller: (store: string) => boolean;
 	readonly take: (news: KeptNews) => void;
 	/** What this host knows of a store, from what another one knows on where that is possible. */
-	readonly list: (store: string, known?: {readonly epoch: number; readonly next: number}) => {readonly news: PartNews | null; readonly isWhole: boolean};
+	readonly list: (store: string, known?: PartPosition) => {readonly news: PartNews | null; readonly isWhole: boolean};
 	/** Notes that a part is being saved. */
 	readonly noteSave: (store: string, scope: string, part: string, tokens: number) => void;
 	readonly isBeingSaved: (scope: string, part: string) => boolean;
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -9,6 +9,7 @@
 import {type GossipEntry} from '../decide/membership/gossip-entry.js';
 import {type PoisonVerdict} from '../decide/poison/poison-verdict.js';
 import {type RunEnd} from '../decide/poison/run-end.js';
+import {type PartPosition} from '../forwarding/part-position.js';
 import {type PartNews} from '../forwarding/part-news.js';
 import {type StateNews} from '../forwarding/state-news.js';
 import {type StoredObject} from '../forwarding/stored-object.js';
@@ -97,7 +98,7 @@
 	};
 	/** Gives what the answerer knows of a store of kept context: what has changed since a poll where it can tell, else all, as a listing. */
 	readonly 'gateway.kept': {
-		readonly params: {readonly store: string; readonly known?: {readonly epoch: number; readonly next: number}};
+		readonly params: {readonly store: string; readonly known?: PartPosition};
 		readonly result: {readonly news: PartNews | null; readonly isWhole: boolean};
 	};
 	/** Reads the lease of the roll-out, or writes it, for a host that the store does not answer; `null` where the write lost. */
--- a/src/wire-gateway.ts
+++ b/src/wire-gateway.ts
@@ -24,7 +24,6 @@
 import {type KnownHost} from './forwarding/known-host.js';
 import {type LoadNews} from './forwarding/load-news.js';
 import {type StoredObject} from './forwarding/stored-object.js';
-import {settleMs} from './forwarding/settle-ms.js';
 import {parseAddress} from './http/parse-address.js';
 import {log} from './observe/log.js';
 import {createPeerCaller} from './peers/create-peer-caller.js';
@@ -47,6 +46,8 @@
 const watchSilenceMs = 900;
 /** An engine that takes new weights is passed over for this long after each report of it. */
 const loadingMs = 400;
+/** A host that has started leaves what few hosts do for all to the others for this long, in which it hears who they are. */
+const settleMs = 1000;
 /** The balancer takes a host out after two questions a second apart. */
 const leaveMs = 2500;
 /** Time kept of the grace for closing down. */
@@ -74,6 +75,7 @@
 	const {random} = Math;
 	const metrics = createGatewayMetrics();
 	const startedAt = elapsed();
+	const hasSettled = (): boolean => elapsed() - startedAt >= settleMs;
 	let isDraining = false;
 
 	const store = adapter.openStore(settings.objectStore, method => {
@@ -134,7 +136,7 @@
 
 	const crashes = createCrashWatch({control, now});
 	const kept = createKeptTask({
-		self, control, call: peerCaller.call, others: links.alive, tell: links.tell, now: elapsed, random,
+		self, control, call: peerCaller.call, others: links.alive, tell: links.tell, hasSettled, now: elapsed, random,
 	});
 	const stored = createStoredState(adapter, {
 		onServices: kept.apply,
@@ -146,7 +148,7 @@
 
 	/** In a large failure domain a few hosts that the store answers follow it; reports tell the others of changes. */
 	const isWatching = (kind: string): boolean => {
-		if (elapsed() - startedAt < settleMs) {
+		if (!hasSettled()) {
 			return false;
 		}
 
@@ -269,13 +271,13 @@
 			}
 
 			isDraining = true;
-			const startedAt = now();
+			const leavingAt = now();
 			const limitMs = (live.bounds.graceS * msPerS) - exitMarginMs;
-			callers.drain(startedAt + Math.min(leaveMs, limitMs), startedAt + limitMs);
+			callers.drain(leavingAt + Math.min(leaveMs, limitMs), leavingAt + limitMs);
 			log.info({host: name, underWay: callers.underWay()}, 'leaving');
 			await sleep(Math.min(leaveMs, limitMs));
 			callers.closeIdle();
-			await Promise.race([callers.idle(), sleep(limitMs - (now() - startedAt))]);
+			await Promise.race([callers.idle(), sleep(limitMs - (now() - leavingAt))]);
 			log.info({host: name, underWay: callers.underWay()}, 'left');
 			await stop();
 		},
--- a/test/decide/owners.test.ts
+++ b/test/decide/owners.test.ts
@@ -3,6 +3,7 @@
 import {findOwner} from '../../src/decide/membership/find-owner.js';
 import {rankOfWide} from '../../src/decide/membership/rank-of-wide.js';
 import {rankOf} from '../../src/decide/membership/rank-of.js';
+import {rankWideOwners} from '../../src/decide/membership/rank-wide-owners.js';
 import {rankOwners} from '../../src/decide/membership/rank-owners.js';
 
 const names = fc.uniqueArray(fc.string({minLength: 1, maxLength: 8}), {minLength: 1, maxLength: 20});
@@ -23,6 +24,7 @@
 			const hosts = given.map((host, index) => ({host, linkMbps: index % 3 === 0 ? 200 : 10}));
 			const rankedAt = (mbps: number) => rankOwners(hosts.filter(({linkMbps}) => linkMbps === mbps).map(({host}) => host), key);
 			const ranked = [...rankedAt(200), ...rankedAt(10)];
+			expect(rankWideOwners(hosts, key)).toEqual(ranked);
 			for (const self of hosts) {
 				expect(rankOfWide(self, hosts.filter(other => other !== self), key)).toBe(ranked.indexOf(self.host));
 			}
--- a/test/forwarding/kept-task.test.ts
+++ b/test/forwarding/kept-task.test.ts
@@ -47,6 +47,7 @@
 		call,
 		others: () => [host('helper', 'd'), host('poller', 'e')],
 		tell: () => undefined,
+		hasSettled: () => false,
 		now: () => performance.now(),
 		random: () => 0,
 	});
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -12,7 +12,7 @@
 		.option('seed', {type: 'number', default: 1, describe: 'first seed'})
 		.option('count', {type: 'number', default: 1, describe: 'how many seeds'})
 		.option('minutes', {type: 'number', default: 0.75, describe: 'length of each soak'})
-		.option('hosts', {type: 'number', default: 4, describe: 'hosts; of more than 16, one in each failure domain collects the reports'})
+		.option('hosts', {type: 'number', describe: 'hosts; of more than 16, one in each failure domain collects the reports'})
 		.option('logs', {type: 'string', default: 'reports/soak', describe: 'folder for logs and histories'})
 		.strict()
 		.parse();
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -34,7 +34,7 @@
 	readonly durationMs: number;
 	/** Where its history, the faults and the hosts' logs are kept. */
 	readonly folder: string;
-	readonly hostCount?: number;
+	readonly hostCount?: number | undefined;
 	/** Whether promises with a bound in time are checked too. */
 	readonly withBounds?: boolean;
 };
--- a/test/support/replay-load.ts
+++ b/test/support/replay-load.ts
@@ -1,9 +1,7 @@
 import {admitLoad} from '../../src/decide/forwarding/admit-load.js';
 import {predictFirstByte} from '../../src/decide/forwarding/predict-first-byte.js';
 import {type Candidate} from '../../src/decide/forwarding/candidate.js';
-import {placementSpread} from '../../src/decide/forwarding/placement-spread.js';
-import {shortenCandidates} from '../../src/decide/forwarding/shorten-candidates.js';
-import {rankUpstreams} from '../../src/decide/forwarding/rank-upstreams.js';
+import {chooseUpstream} from '../../src/decide/forwarding/choose-upstream.js';
 import {type UpstreamView} from '../../src/decide/forwarding/upstream-view.js';
 import {createRandom} from '../../src/util/create-random.js';
 
@@ -71,6 +69,8 @@
 const tokensPerMs = 90;
 const decodeMs = 250;
 const usualReportMs = 100;
+/** Prompts of a replay have no context that an engine may hold. */
+const withoutContext = {mayHold: () => false, planAt: (candidate: Candidate) => candidate};
 
 /** Lets an engine read for one step: the urgent first, as far as its memory holds them. */
 function readStep(engine: Engine, memoryTokens: number, now: number): void {
@@ -128,12 +128,6 @@
 		};
 	};
 
-	/** Chooses as the placer does, for prompts without context. */
-	const choose = (candidates: readonly Candidate[], spreadMs: number): Candidate => {
-		const shortlist = shortenCandidates(rankUpstreams(candidates, random, spreadMs * placementSpread.shortlist), () => false);
-		return rankUpstreams(shortlist, random, spreadMs * placementSpread.final)[0]!;
-	};
-
 	const ask = (kind: LoadKind, firstAskedAt: number, now: number, mayReturn: boolean): void => {
 		const host = Math.floor(random() * hosts);
 		const up = Array.from({length: load.upAt(now)}, (_, engine) => engine);
@@ -145,7 +139,7 @@
 			view, weightsMs: 0,
 			firstByteMs: predictFirstByte(view, {readMs: kind.tokens / tokensPerMs, heldTokens: kind.tokens, memoryTokens: load.memoryTokens}, costs, 'd'),
 		}));
-		const best = policy.ranks ? choose(candidates, policy.spreads ? unseenMs : 0) : candidates[Math.floor(random() * candidates.length)]!;
+		const best = policy.ranks ? chooseUpstream(candidates, {random, unseenMs: policy.spreads ? unseenMs : 0, context: withoutContext})! : candidates[Math.floor(random() * candidates.length)]!;
 		const urgent = load.kinds.filter(other => other.urgency < kind.urgency).map(other => other.objectiveMs);
 		const admission = admitLoad({
 			firstByteMs: best.firstByteMs, waitedMs: 0, objectiveMs: kind.objectiveMs, isQueueing: best.view.isQueueing, draw: random(),
