Log each check for a crash, and whether a failed send had begun to answer

Cause: the lines of the landing could not tell a crash that is not counted from one that is forgotten or taken for a known one. Change: one line for each check (digest, upstream, start, up, known), begun and isGivenUp on failed sends, one line for a request that is not sent.

--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -221,6 +221,7 @@
 		progress.triedUpstreams.add(placement.upstream.id);
 		log.info({
 			requestId: request.id!, upstream: placement.upstream.id, outcome: outcome.kind, detail: progress.lastReason, runs: progress.runs,
+			isGivenUp: outcome.kind !== 'failed-answer' && outcome.isGivenUp, begun: admitted.answer.isHeadSent(),
 		}, 'send failed');
 		if (admitted.signal.aborted) {
 			abortResponse(admitted, progress);
--- a/src/forwarding/create-poison-request-detector.ts
+++ b/src/forwarding/create-poison-request-detector.ts
@@ -48,18 +48,34 @@
 		}, 'request crashed an upstream');
 	};
 
-	const probe = async (request: string, {id, address}: Upstream): Promise<void> => {
-		if (!await engineClient.isUp(address)) {
-			recordCrash([request, id], true);
+	const probe = async (digest: string, requestId: string | undefined, {id, address, startedAt}: Upstream): Promise<void> => {
+		const isUp = await engineClient.isUp(address);
+		log.info({
+			requestId: requestId ?? '', digest, upstream: id, startedAt, isUp, isKnown: seenCrashes.has([digest, id].join('\n')),
+		}, 'checked whether an upstream crashed');
+		if (!isUp) {
+			recordCrash([digest, id], true);
 		}
 	};
 
 	return {
-		isCondemned: admitted => crashCount > 0 && tracker.isCondemned(computeDigest(admitted), now()),
+		isCondemned(admitted) {
+			if (crashCount === 0) {
+				return false;
+			}
+
+			const digest = computeDigest(admitted);
+			const isCondemned = tracker.isCondemned(digest, now());
+			if (isCondemned) {
+				log.info({requestId: admitted.request.id ?? '', digest}, 'request crashes upstreams and is not sent');
+			}
+
+			return isCondemned;
+		},
 		checkForCrash(admitted, upstream) {
-			const request = computeDigest(admitted);
+			const digest = computeDigest(admitted);
 			setTimeout(() => {
-				void probe(request, upstream);
+				void probe(digest, admitted.request.id, upstream);
 			}, probeDelayMs);
 		},
 		recordSuccess(admitted) {
