Count a crash also once the answer has begun

Callers saw: engines that end one after another, each under the same stream, which is resumed at the next one. Cause: the forwarder asked for a check only while no byte of an answer had been sent. A request that crashes its upstream after the head or within the body was never suspected, by any host, however often it came. Change: the check follows each broken send that this host did not give up itself.

--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -213,7 +213,7 @@
 			return true;
 		}
 
-		if (outcome.kind === 'broken' && !outcome.isGivenUp && !admitted.answer.isHeadSent()) {
+		if (outcome.kind === 'broken' && !outcome.isGivenUp) {
 			crashes.checkForCrash(admitted, placement.upstream);
 		}
 
