Count each start of an upstream that a request crashes, not each id

Callers saw: an engine that restarts under its id ends again under the same request. Cause: a crash was identified by request and upstream id, for good; further crashes of an upstream that starts again under its id counted as known. Evidence: the case 'starts again under its id' of crashing-request-sent-again.test.ts was red (4 crashes where 2 are the bound). Change: a crash names the upstream's start too, here and in the reports between hosts.

--- a/src/forwarding/create-poison-request-detector.ts
+++ b/src/forwarding/create-poison-request-detector.ts
@@ -18,7 +18,7 @@
 	readonly now: () => number;
 };
 
-/** Creates the detector. A crash counts only if a probe finds the upstream down after it; each upstream counts once for a request. */
+/** Creates the detector. A crash counts only if a probe finds the upstream down after it; each start of an upstream counts once for a request. */
 export function createPoisonRequestDetector({engineClient, now}: PoisonRequestDetectorOptions): PoisonRequestDetector {
 	const tracker = createPoisonRequestTracker();
 	/** Known crashes by request and upstream; the first crash makes a request a suspect, the second condemns it. */
@@ -36,7 +36,7 @@
 
 		seenCrashes.set(key, {crash, at: now(), isOwn});
 		crashCount++;
-		const [request, upstream] = crash;
+		const [request, upstream, startedAt] = crash;
 		if (tracker.isSuspect(request, now())) {
 			tracker.condemn(request, now());
 		} else {
@@ -44,17 +44,18 @@
 		}
 
 		log.warn({
-			digest: request, upstream, condemned: tracker.isCondemned(request, now()), seenHere: isOwn,
+			digest: request, upstream, startedAt, condemned: tracker.isCondemned(request, now()), seenHere: isOwn,
 		}, 'request crashed an upstream');
 	};
 
-	const probe = async (digest: string, requestId: string | undefined, {id, address, startedAt}: Upstream): Promise<void> => {
+	const probe = async (digest: string, requestId: string | undefined, {id, address, startedAt = 0}: Upstream): Promise<void> => {
+		const crash: CrashReport = [digest, id, startedAt];
 		const isUp = await engineClient.isUp(address);
 		log.info({
-			requestId: requestId ?? '', digest, upstream: id, startedAt, isUp, isKnown: seenCrashes.has([digest, id].join('\n')),
+			requestId: requestId ?? '', digest, upstream: id, startedAt, isUp, isKnown: seenCrashes.has(crash.join('\n')),
 		}, 'checked whether an upstream crashed');
 		if (!isUp) {
-			recordCrash([digest, id], true);
+			recordCrash(crash, true);
 		}
 	};
 
--- a/src/forwarding/load-report.ts
+++ b/src/forwarding/load-report.ts
@@ -1,3 +1,4 @@
+import {type CrashReport} from './crash-report.js';
 import {type UpstreamLoad} from './upstream-load.js';
 
 /** Loads that one or several hosts put on upstreams, and their recent findings about upstreams. */
@@ -7,6 +8,6 @@
 	readonly loading: ReadonlyArray<readonly [string, string, number]>;
 	/** Weights recently found on engines: id, model and version. */
 	readonly weights: ReadonlyArray<readonly [string, string, number]>;
-	/** Requests that recently crashed an upstream: the request's digest and the upstream's id. */
-	readonly crashes: ReadonlyArray<readonly [string, string]>;
+	/** Recent crashes of upstreams with the requests in flight there. */
+	readonly crashes: readonly CrashReport[];
 };
