Check whether the start of an upstream that ran a request has ended, not whether its address answers

Cause: the check connected to the address; a successor there counted as the upstream that had run the request. The case 'other upstreams have the addresses' was red before (4 crashes where 2 are the bound), and so are both cases that replace it on the code before. Change: an upstream that is no longer registered with the same start has ended; one that still is and answers is looked at again for 5 s, as its registration outlasts it by some heartbeats. Requests in flight at one upstream share a probe.

--- /dev/null
+++ b/src/forwarding/create-crash-checker.ts
@@ -0,0 +1,59 @@
+import {sleep} from '../util/sleep.js';
+import {type CrashCheckResult} from './crash-check-result.js';
+import {type EngineClient} from './engine-client.js';
+import {type Upstream} from './upstream.js';
+import {type UpstreamRegistry} from './upstream-registry.js';
+
+/** Delay of the probe after a response broke off; a crashed upstream refuses connections by then. */
+const probeDelayMs = 20;
+/** The registration of a crashed upstream disappears some heartbeats after the crash; until then its successor may have its address. */
+const registryCheckIntervalMs = 500;
+const registryChecks = 10;
+
+/** Options of `createCrashChecker`. */
+type CrashCheckerOptions = {
+	readonly engineClient: Pick<EngineClient, 'isUp'>;
+	readonly registry: Pick<UpstreamRegistry, 'get'>;
+};
+
+/** Creates the function that checks whether an upstream has crashed that broke off a response. */
+export function createCrashChecker({engineClient, registry}: CrashCheckerOptions): (upstream: Upstream) => Promise<CrashCheckResult> {
+	/** Probes in progress, by address: all requests that were in flight at an upstream share one. */
+	const probes = new Map<string, Promise<boolean>>();
+
+	const probe = async (address: string): Promise<boolean> => {
+		const current = probes.get(address) ?? engineClient.isUp(address).finally(() => {
+			probes.delete(address);
+		});
+		probes.set(address, current);
+		return current;
+	};
+
+	const findSameStart = ({id, startedAt}: Upstream): Upstream | undefined => {
+		const registered = registry.get(id);
+		return registered?.startedAt === startedAt ? registered : undefined;
+	};
+
+	/** The registration of an upstream that leaves as planned disappears too. */
+	const waitUntilGone = async (upstream: Upstream): Promise<CrashCheckResult> => {
+		for (let check = 0; check < registryChecks; check++) {
+			const registered = findSameStart(upstream);
+			if (!registered) {
+				return 'gone';
+			}
+
+			if (registered.isLeaving) {
+				return 'up';
+			}
+
+			await sleep(registryCheckIntervalMs);
+		}
+
+		return 'up';
+	};
+
+	return async upstream => {
+		await sleep(probeDelayMs);
+		return await probe(upstream.address) ? waitUntilGone(upstream) : 'down';
+	};
+}
--- a/src/forwarding/create-poison-request-detector.ts
+++ b/src/forwarding/create-poison-request-detector.ts
@@ -2,24 +2,23 @@
 import {log} from '../observe/log.js';
 import {computeSha256} from '../util/compute-sha256.js';
 import {type AdmittedRequest} from './admitted-request.js';
-import {type EngineClient} from './engine-client.js';
+import {type CrashCheckResult} from './crash-check-result.js';
 import {type Upstream} from './upstream.js';
 import {type CrashReport} from './crash-report.js';
 import {type PoisonRequestDetector} from './poison-request-detector.js';
 
 /** How long a crash is included in the reports to other hosts. */
 const crashReportMs = 3000;
-/** Delay of the probe after a response broke off; a crashed upstream refuses connections by then. */
-const probeDelayMs = 20;
 
 /** Options of `createPoisonRequestDetector`. */
 type PoisonRequestDetectorOptions = {
-	readonly engineClient: Pick<EngineClient, 'isUp'>;
+	/** Checks whether an upstream has crashed that broke off a response. */
+	readonly checkUpstream: (upstream: Upstream) => Promise<CrashCheckResult>;
 	readonly now: () => number;
 };
 
-/** Creates the detector. A crash counts only if a probe finds the upstream down after it; each start of an upstream counts once for a request. */
-export function createPoisonRequestDetector({engineClient, now}: PoisonRequestDetectorOptions): PoisonRequestDetector {
+/** Creates the detector. A crash counts only if a check finds that the upstream has ended; each start of an upstream counts once for a request. */
+export function createPoisonRequestDetector({checkUpstream, now}: PoisonRequestDetectorOptions): PoisonRequestDetector {
 	const tracker = createPoisonRequestTracker();
 	/** Known crashes by request and upstream; the first crash makes a request a suspect, the second condemns it. */
 	const seenCrashes = new Map<string, {readonly crash: CrashReport; readonly at: number; readonly isOwn: boolean}>();
@@ -48,13 +47,14 @@
 		}, 'request crashed an upstream');
 	};
 
-	const probe = async (digest: string, requestId: string | undefined, {id, address, startedAt = 0}: Upstream): Promise<void> => {
+	const checkForCrash = async (digest: string, requestId: string | undefined, upstream: Upstream): Promise<void> => {
+		const {id, startedAt = 0} = upstream;
 		const crash: CrashReport = [digest, id, startedAt];
-		const isUp = await engineClient.isUp(address);
+		const result = await checkUpstream(upstream);
 		log.info({
-			requestId: requestId ?? '', digest, upstream: id, startedAt, isUp, isKnown: seenCrashes.has(crash.join('\n')),
+			requestId: requestId ?? '', digest, upstream: id, startedAt, result, isKnown: seenCrashes.has(crash.join('\n')),
 		}, 'checked whether an upstream crashed');
-		if (!isUp) {
+		if (result !== 'up') {
 			recordCrash(crash, true);
 		}
 	};
@@ -74,10 +74,7 @@
 			return isCondemned;
 		},
 		checkForCrash(admitted, upstream) {
-			const digest = computeDigest(admitted);
-			setTimeout(() => {
-				void probe(digest, admitted.request.id, upstream);
-			}, probeDelayMs);
+			void checkForCrash(computeDigest(admitted), admitted.request.id, upstream);
 		},
 		recordSuccess(admitted) {
 			if (crashCount > 0) {
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -5,6 +5,7 @@
 import {createGatewayCallerServer} from './forwarding/create-gateway-caller-server.js';
 import {createKvReusePlanner} from './forwarding/create-kv-reuse-planner.js';
 import {createPoisonRequestDetector} from './forwarding/create-poison-request-detector.js';
+import {createCrashChecker} from './forwarding/create-crash-checker.js';
 import {createForwarder} from './forwarding/create-forwarder.js';
 import {createFreeStaleKvTask} from './forwarding/create-free-stale-kv-task.js';
 import {createGatewayMetrics} from './forwarding/create-gateway-metrics.js';
@@ -140,7 +141,7 @@
 		}
 	};
 
-	const crashes = createPoisonRequestDetector({engineClient, now});
+	const crashes = createPoisonRequestDetector({checkUpstream: createCrashChecker({engineClient, registry}), now});
 	const kvStoreTracker = createKvStoreTracker({
 		self, engineClient, call: peerClient.call, others: reportExchange.alive,
 		publishUpdate: reportExchange.publishKvUpdate, hasSettled, now: suspendAwareNow, random,
--- a/test/forwarding/crashing-request-sent-again.test.ts
+++ b/test/forwarding/crashing-request-sent-again.test.ts
@@ -143,19 +143,27 @@
 		expect(crashed.length).toBe(maxCrashes);
 	});
 
-	test('is refused after the second crash if other upstreams have the addresses by the time the host sees the crash', async () => {
+	test.each([
+		['before', 0, reportWaitMs],
+		['after', reportWaitMs, 0],
+	])('is refused after the second crash if other upstreams have the addresses and the crashed ones are deregistered %s the host sees it', async (_, removeAfterMs, closeAfterMs) => {
 		for (const [index, upstream] of upstreams.entries()) {
-			upstream.answer = (_, socket) => {
-				crashed.push(`i-${index}`);
-				store.remove('servers', `i-${index}`);
-				store.put('servers', `i-${index}-next-${crashed.length}`, platformObjects.upstream(upstream.address));
-				setTimeout(() => socket.resetAndDestroy(), reportWaitMs);
+			let id = `i-${index}`;
+			upstream.answer = (_received, socket) => {
+				crashed.push(id);
+				setTimeout(() => {
+					store.remove('servers', id);
+					id = `i-${index}-start-${crashed.length}`;
+					store.put('servers', id, platformObjects.upstream(upstream.address));
+				}, removeAfterMs);
+				setTimeout(() => socket.resetAndDestroy(), closeAfterMs);
 			};
 		}
 
 		const gateway = await start();
 		for (let attempt = 0; attempt < upstreamCount; attempt++) {
 			await sendPoison(gateway);
+			await sleep(reportWaitMs);
 		}
 
 		expect(crashed.length).toBe(maxCrashes);
