Keep condemned requests in the object store, so that hosts that start later refuse them too

Cause: hosts knew crashes only from the reports of the three seconds after them. A host that started, or heard its peers again, later than that sent the request on; and when all hosts had been restarted nobody knew it. Change: the host that condemns a request adds it to a list in the object store (own kind, one object, compare and set, ten minutes, 500 at most); hosts watch the list as they watch the configuration, and take it from peers while the store does not answer. Until the list has it, the crashes stay in the reports. Remembered crashes are dropped after ten minutes; a late success no longer clears a condemned request at one host only.

--- a/src/decide/poison/create-poison-request-tracker.ts
+++ b/src/decide/poison/create-poison-request-tracker.ts
@@ -89,9 +89,9 @@
 				records.set(digest, {...record, run: undefined, runExpiresAt: 0});
 			}
 		},
-		condemn(digest, now) {
+		condemn(digest, now, forMs = condemnedRetentionMs) {
 			records.set(digest, {
-				expiresAt: now + condemnedRetentionMs, condemned: true, isolatedCrashes: isolatedCrashesToCondemn, run: undefined, runExpiresAt: 0,
+				expiresAt: now + forMs, condemned: true, isolatedCrashes: isolatedCrashesToCondemn, run: undefined, runExpiresAt: 0,
 			});
 		},
 		clear(digest) {
--- a/src/decide/poison/poison-request-tracker.ts
+++ b/src/decide/poison/poison-request-tracker.ts
@@ -10,8 +10,8 @@
 	readonly end: (digest: string, run: string, crashed: boolean, now: number) => PoisonVerdict;
 	/** Cancels a permitted run that did not take place, so that another one may begin. */
 	readonly cancelRun: (digest: string, run: string) => void;
-	/** Records that another host has condemned the digest. */
-	readonly condemn: (digest: string, now: number) => void;
+	/** Condemns the digest, for ten minutes or for `forMs`. */
+	readonly condemn: (digest: string, now: number, forMs?: number) => void;
 	/** Records that a run of the digest has completed at another host. */
 	readonly clear: (digest: string) => void;
 	readonly isCondemned: (digest: string, now: number) => boolean;
--- /dev/null
+++ b/src/forwarding/create-condemned-request-list.ts
@@ -0,0 +1,105 @@
+import {z} from 'zod';
+import {type CondemnedRequest} from '../decide/poison/condemned-request.js';
+import {mergeCondemnedRequests} from '../decide/poison/merge-condemned-requests.js';
+import {log} from '../observe/log.js';
+import {sleep} from '../util/sleep.js';
+import {type CondemnedRequestList} from './condemned-request-list.js';
+import {type ObjectStore} from './object-store.js';
+import {type StoredObject} from './stored-object.js';
+
+/** Name of the one object that holds the list. */
+const objectName = 'requests';
+const retentionMs = 600_000;
+const retryDelayMs = 500;
+
+const listSchema = z.object({
+	requests: z.array(z.object({digest: z.string(), until: z.number()})),
+});
+
+/** Options of `createCondemnedRequestList`. */
+type CondemnedRequestListOptions = {
+	readonly store: Pick<ObjectStore, 'read' | 'create' | 'replace'>;
+	/** Kind of the object that holds the list. */
+	readonly kind: string;
+	readonly random: () => number;
+	/** Called with the listed requests after each change of the list. */
+	readonly onChange: (requests: readonly CondemnedRequest[]) => void;
+};
+
+function decodeList(value: unknown): readonly CondemnedRequest[] {
+	const parsed = listSchema.safeParse(value);
+	if (!parsed.success) {
+		log.warn({error: z.prettifyError(parsed.error)}, 'list of condemned requests cannot be decoded');
+	}
+
+	return parsed.data?.requests ?? [];
+}
+
+/** Creates the shared list. Hosts that start later, or that no report reached, refuse the requests in it too. */
+export function createCondemnedRequestList({store, kind, random, onChange}: CondemnedRequestListOptions): CondemnedRequestList {
+	const unstored = new Map<string, CondemnedRequest>();
+	let listed: ReadonlySet<string> = new Set();
+	let isWriting = false;
+	let hasStopped = false;
+
+	const removeStored = (requests: readonly CondemnedRequest[]): void => {
+		for (const {digest} of requests) {
+			unstored.delete(digest);
+		}
+	};
+
+	/** Adds the unstored requests unless another host changes the list in between. */
+	const writeOnce = async (): Promise<void> => {
+		const stored = await store.read(kind, objectName);
+		const added = [...unstored.values()];
+		const requests = mergeCondemnedRequests(stored ? decodeList(stored.value) : [], added, Date.now());
+		const written = await (stored ? store.replace(kind, objectName, {requests}, stored.revision) : store.create(kind, objectName, {requests}));
+		if (written) {
+			removeStored(added);
+			log.info({
+				added: added.map(({digest}) => digest), requests: requests.length, revision: written.revision,
+			}, 'condemned requests stored');
+		}
+	};
+
+	const write = async (): Promise<void> => {
+		isWriting = true;
+		while (unstored.size > 0 && !hasStopped) {
+			try {
+				await writeOnce();
+			} catch (error) {
+				log.warn({unstored: unstored.size, error: String(error)}, 'condemned requests could not be stored, retrying');
+				await sleep(retryDelayMs * (1 + random()));
+			}
+		}
+
+		isWriting = false;
+	};
+
+	const addDelayed = async (digest: string, delayMs: number): Promise<void> => {
+		unstored.set(digest, {digest, until: Date.now() + retentionMs});
+		await sleep(delayMs);
+		if (unstored.has(digest) && !isWriting) {
+			await write();
+		}
+	};
+
+	return {
+		add(digest, delayMs) {
+			if (!listed.has(digest)) {
+				void addDelayed(digest, delayMs);
+			}
+		},
+		isUnstored: digest => unstored.has(digest),
+		applyObjects(objects: readonly StoredObject[]) {
+			const object = objects.find(({name}) => name === objectName);
+			const requests = object ? decodeList(object.value) : [];
+			listed = new Set(requests.map(({digest}) => digest));
+			removeStored(requests);
+			onChange(requests);
+		},
+		stop() {
+			hasStopped = true;
+		},
+	};
+}
--- a/src/forwarding/create-poison-request-detector.ts
+++ b/src/forwarding/create-poison-request-detector.ts
@@ -7,35 +7,52 @@
 import {type CrashReport} from './crash-report.js';
 import {type PoisonRequestDetector} from './poison-request-detector.js';
 
-/** How long a crash is included in the reports to other hosts. */
+/** How long a crash is included in the reports to other hosts; longer while a request that it condemned is not listed. */
 const crashReportMs = 3000;
+/** How long a crash is remembered; as long as its request stays suspect. */
+const crashRetentionMs = 600_000;
 
 /** Options of `createPoisonRequestDetector`. */
 type PoisonRequestDetectorOptions = {
 	/** Checks whether an upstream has crashed that broke off a response. */
 	readonly checkUpstream: (upstream: Upstream) => Promise<CrashCheckResult>;
 	readonly now: () => number;
+	/** Called when this host condemns a request; `isOwn`: after a crash that it has seen itself. */
+	readonly onCondemn: (digest: string, isOwn: boolean) => void;
+	/** Whether a condemned request is not yet in the list that hosts read when they start. */
+	readonly isUnlisted: (digest: string) => boolean;
 };
 
 /** Creates the detector. A crash counts only if a check finds that the upstream has ended; each start of an upstream counts once for a request. */
-export function createPoisonRequestDetector({checkUpstream, now}: PoisonRequestDetectorOptions): PoisonRequestDetector {
+export function createPoisonRequestDetector({checkUpstream, now, onCondemn, isUnlisted}: PoisonRequestDetectorOptions): PoisonRequestDetector {
 	const tracker = createPoisonRequestTracker();
 	/** Known crashes by request and upstream; the first crash makes a request a suspect, the second condemns it. */
 	const seenCrashes = new Map<string, {readonly crash: CrashReport; readonly at: number; readonly isOwn: boolean}>();
-	let crashCount = 0;
+	/** Whether any request has been suspect; if not, no digest is computed. */
+	let hasSuspects = false;
 
 	const computeDigest = ({request, route, workspace, body}: AdmittedRequest): string =>
 		computeSha256([route.name, request.method, request.target, workspace?.name ?? '', body?.toString('latin1') ?? ''].join('\n'));
 
+	const removeExpired = (): void => {
+		for (const [key, {at}] of seenCrashes) {
+			if (now() - at > crashRetentionMs) {
+				seenCrashes.delete(key);
+			}
+		}
+	};
+
 	const recordCrash = (crash: CrashReport, isOwn: boolean): void => {
 		const key = crash.join('\n');
 		if (seenCrashes.has(key)) {
 			return;
 		}
 
+		removeExpired();
 		seenCrashes.set(key, {crash, at: now(), isOwn});
-		crashCount++;
+		hasSuspects = true;
 		const [request, upstream, startedAt] = crash;
+		const isNewlyCondemned = tracker.isSuspect(request, now()) && !tracker.isCondemned(request, now());
 		if (tracker.isSuspect(request, now())) {
 			tracker.condemn(request, now());
 		} else {
@@ -45,6 +62,9 @@
 		log.warn({
 			digest: request, upstream, startedAt, condemned: tracker.isCondemned(request, now()), seenHere: isOwn,
 		}, 'request crashed an upstream');
+		if (isNewlyCondemned) {
+			onCondemn(request, isOwn);
+		}
 	};
 
 	const checkForCrash = async (digest: string, requestId: string | undefined, upstream: Upstream): Promise<void> => {
@@ -61,7 +81,7 @@
 
 	return {
 		isCondemned(admitted) {
-			if (crashCount === 0) {
+			if (!hasSuspects) {
 				return false;
 			}
 
@@ -77,8 +97,19 @@
 			void checkForCrash(computeDigest(admitted), admitted.request.id, upstream);
 		},
 		recordSuccess(admitted) {
-			if (crashCount > 0) {
-				tracker.clear(computeDigest(admitted));
+			const digest = hasSuspects ? computeDigest(admitted) : undefined;
+			if (digest !== undefined && !tracker.isCondemned(digest, now())) {
+				tracker.clear(digest);
+			}
+		},
+		addCondemned(requests) {
+			for (const {digest, until} of requests) {
+				const remainingMs = until - Date.now();
+				if (remainingMs > 0 && !tracker.isCondemned(digest, now())) {
+					hasSuspects = true;
+					tracker.condemn(digest, now(), remainingMs);
+					log.info({digest, remainingMs}, 'request is listed as crashing upstreams');
+				}
 			}
 		},
 		addRemoteCrashes(crashes) {
@@ -86,6 +117,8 @@
 				recordCrash(crash, false);
 			}
 		},
-		news: () => [...seenCrashes.values()].filter(({at, isOwn}) => isOwn && now() - at < crashReportMs).map(({crash}) => crash),
+		news: () => [...seenCrashes.values()]
+			.filter(({crash: [digest], at, isOwn}) => isOwn && (now() - at < crashReportMs || isUnlisted(digest)))
+			.map(({crash}) => crash),
 	};
 }
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -18,6 +18,7 @@
 		readonly weights: string;
 		readonly hosts: string;
 		readonly leases: string;
+		readonly condemnedRequests: string;
 	};
 	/** Opens the client of the platform's store; `onCall` gets the HTTP method of each call. */
 	readonly openStore: (address: string, onCall: (method: string) => void) => ObjectStore;
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -5,6 +5,7 @@
 import {createGatewayCallerServer} from './forwarding/create-gateway-caller-server.js';
 import {createKvReusePlanner} from './forwarding/create-kv-reuse-planner.js';
 import {createPoisonRequestDetector} from './forwarding/create-poison-request-detector.js';
+import {createCondemnedRequestList} from './forwarding/create-condemned-request-list.js';
 import {createCrashChecker} from './forwarding/create-crash-checker.js';
 import {createForwarder} from './forwarding/create-forwarder.js';
 import {createFreeStaleKvTask} from './forwarding/create-free-stale-kv-task.js';
@@ -62,6 +63,9 @@
 /** Least number of connections of one host to an upstream. */
 const minConnections = 4;
 
+/** Time for the host that saw the crash to list a condemned request before the others do; the random part is as long. */
+const condemnedByOtherDelayMs = 1000;
+
 /** A running gateway host. */
 type Gateway = {
 	/** Fails the readiness check, finishes the requests in flight and stops. */
@@ -141,7 +145,17 @@
 		}
 	};
 
-	const crashes = createPoisonRequestDetector({checkUpstream: createCrashChecker({engineClient, registry}), now});
+	const crashes = createPoisonRequestDetector({
+		checkUpstream: createCrashChecker({engineClient, registry}),
+		now,
+		onCondemn(digest, isOwn) {
+			condemnedRequestList.add(digest, isOwn ? 0 : condemnedByOtherDelayMs * (1 + random()));
+		},
+		isUnlisted: digest => condemnedRequestList.isUnstored(digest),
+	});
+	const condemnedRequestList = createCondemnedRequestList({
+		store, kind: kinds.condemnedRequests, random, onChange: crashes.addCondemned,
+	});
 	const kvStoreTracker = createKvStoreTracker({
 		self, engineClient, call: peerClient.call, others: reportExchange.alive,
 		publishUpdate: reportExchange.publishKvUpdate, hasSettled, now: suspendAwareNow, random,
@@ -165,12 +179,13 @@
 	};
 
 	const watchers = [
+		[kinds.condemnedRequests, condemnedRequestList.applyObjects] as const,
 		[kinds.configuration, storedState.applyConfiguration] as const,
 		[kinds.upstreams, storedState.applyUpstreams] as const,
 		[kinds.weights, applyWeights] as const,
 	].map(([kind, onChange]) => createObjectWatcher({
 		kind, store, now: suspendAwareNow, random, onChange,
-		waitMs: () => getOwnerRank(name, listOtherNames(), kind) < shortWatchHosts ? shortWatchMs : longWatchMs,
+		waitMs: () => kind !== kinds.condemnedRequests && getOwnerRank(name, listOtherNames(), kind) < shortWatchHosts ? shortWatchMs : longWatchMs,
 		isWatching: () => isWatching(kind),
 	}));
 	const stateSync = createStateSync({
@@ -267,7 +282,16 @@
 
 	const stop = async (): Promise<void> => {
 		for (const component of [
-			...watchers, reportExchange, stateSync, rolloutTask, freeStaleKvTask, kvStoreTracker, callers, readinessServer, metricsServer,
+			...watchers,
+			reportExchange,
+			stateSync,
+			rolloutTask,
+			freeStaleKvTask,
+			kvStoreTracker,
+			condemnedRequestList,
+			callers,
+			readinessServer,
+			metricsServer,
 		]) {
 			component.stop();
 		}
--- a/test/forwarding/crashing-request-sent-again.test.ts
+++ b/test/forwarding/crashing-request-sent-again.test.ts
@@ -9,6 +9,7 @@
 import {
 	createUpstreamServer, sendSignedResponse, type ReceivedRequest, type UpstreamServer,
 } from '../support/create-upstream-server.js';
+import {findTestPorts} from '../support/find-test-ports.js';
 import {platformObjects} from '../support/platform-objects.js';
 import {sendRawRequest, type RawResponse} from '../support/send-raw-request.js';
 import {startTestGateway, type TestGateway} from '../support/start-test-gateway.js';
@@ -61,8 +62,8 @@
 	}
 });
 
-async function start(): Promise<TestGateway> {
-	const gateway = await startTestGateway(store.address, {bounds: {retrySlack: 1000}});
+async function start(overrides: Record<string, unknown> = {}): Promise<TestGateway> {
+	const gateway = await startTestGateway(store.address, {bounds: {retrySlack: 1000}, ...overrides});
 	gateways.push(gateway);
 	await waitUntilReady(gateway);
 	return gateway;
@@ -124,7 +125,27 @@
 		await sendPoison(first);
 		await sendPoison(first);
 		await disrupt();
-		const last = await sendPoison(await start());
+		const other = await start();
+		await sleep(reportWaitMs);
+		const last = await sendPoison(other);
+		expect([crashed.length, last.status, last.body.includes('crashed')]).toEqual([maxCrashes, 503, true]);
+	});
+
+	test('is refused by a host that was restarted while the store is unavailable since before the crashes', async () => {
+		const [callers, readiness, peers, reports] = await findTestPorts(4);
+		const addresses = {
+			name: 'restarted', callers: `127.0.0.1:${callers}`, readiness: `127.0.0.1:${readiness}`, peers: `127.0.0.1:${peers}`, reports: `127.0.0.1:${reports}`,
+		};
+		const staying = await start();
+		const restarted = await start(addresses);
+		await sleep(reportWaitMs);
+		store.faults.isUnavailable = true;
+		await sendPoison(staying);
+		await sendPoison(staying);
+		await restarted.stop();
+		gateways.splice(gateways.indexOf(restarted), 1);
+		await sleep(reportRetentionMs);
+		const last = await sendPoison(await start({...addresses, seeds: [staying.peers]}));
 		expect([crashed.length, last.status, last.body.includes('crashed')]).toEqual([maxCrashes, 503, true]);
 	});
 
