serve: condemn a request at all hosts also when its owner did not hear of the first crash

Cause: the host that runs a suspect alone reports its end to the owner of the digest. An owner without a record of the request (the mark of the first crash was lost, or has expired there) took the crash for news of nothing; the request was refused at the host that had run it alone. Change: that host publishes the condemnation itself, too.

--- a/src/poison/create-poison-request-task.ts
+++ b/src/poison/create-poison-request-task.ts
@@ -62,6 +62,7 @@
 		const crashed = outcome === 'crashed';
 		const verdict = tracker.end(digest, runId, crashed, Date.now());
 		if (verdict === 'condemned') {
+			// The host that ran the request may have ended since.
 			void publishMark(digest, 'condemned');
 		} else if (verdict === 'clear' && !crashed) {
 			void publishMark(digest, 'clear');
@@ -101,8 +102,9 @@
 				endLocally(digest, runId, outcome);
 			}
 
+			// An owner that never heard of the first crash does not condemn the request.
 			if (outcome === 'crashed') {
-				tracker.condemn(digest, Date.now());
+				await publishMark(digest, 'condemned');
 			}
 		},
 		handlers: {
