--- a/src/forwarding/create-poison-request-detector.ts
+++ b/src/forwarding/create-poison-request-detector.ts
@@ -9,6 +9,8 @@
 
 /** How long a crash is included in the reports to other hosts; longer while a request that it condemned is not listed. */
 const crashReportMs = 3000;
+/** Hexadecimal digits of a request's digest; few, since each report to other hosts repeats it. */
+const digestLength = 32;
 /** How long a crash is remembered; as long as its request stays suspect. */
 const crashRetentionMs = 600_000;
 
@@ -32,7 +34,7 @@
 	let hasSuspects = false;
 
 	const computeDigest = ({request, route, workspace, body}: AdmittedRequest): string =>
-		computeSha256([route.name, request.method, request.target, workspace?.name ?? '', body?.toString('latin1') ?? ''].join('\n'));
+		computeSha256([route.name, request.method, request.target, workspace?.name ?? '', body?.toString('latin1') ?? ''].join('\n')).slice(0, digestLength);
 
 	const removeExpired = (): void => {
 		for (const [key, {at}] of seenCrashes) {
