Recognize a request that crashes upstreams also when another route serves its path

Callers saw: engines that end again under a request after each change of the configuration that moves its path to a route of another name. Cause: the digest of a request held the name of its route. Evidence: the case 'another route serves its path' of crashing-request-sent-again.test.ts was red (a third crash, 502). Change: the digest is of host, method, target, workspace and body. Result: the case passes.

--- a/src/forwarding/create-poison-request-detector.ts
+++ b/src/forwarding/create-poison-request-detector.ts
@@ -33,8 +33,9 @@
 	/** Whether any request has been suspect; if not, no digest is computed. */
 	let hasSuspects = false;
 
-	const computeDigest = ({request, route, workspace, body}: AdmittedRequest): string =>
-		computeSha256([route.name, request.method, request.target, workspace?.name ?? '', body?.toString('latin1') ?? ''].join('\n')).slice(0, digestLength);
+	/** Holds no name of the configuration but the workspace's, since a change may serve the same request on another route. */
+	const computeDigest = ({request, workspace, body}: AdmittedRequest): string =>
+		computeSha256([request.host, request.method, request.target, workspace?.name ?? '', body?.toString('latin1') ?? ''].join('\n')).slice(0, digestLength);
 
 	const removeExpired = (): void => {
 		for (const [key, {at}] of seenCrashes) {
--- a/test/forwarding/crashing-request-sent-again.test.ts
+++ b/test/forwarding/crashing-request-sent-again.test.ts
@@ -189,4 +189,15 @@
 
 		expect(crashed.length).toBe(maxCrashes);
 	});
+
+	test('is refused also when another route serves its path', async () => {
+		const gateway = await start();
+		await sendPoison(gateway);
+		await sendPoison(gateway);
+		const {routes, ...rest} = platformObjects.configuration(2);
+		store.put('config', 'main', {...rest, routes: routes.map(route => ({...route, name: `${route.name}-2`}))});
+		await sleep(reportWaitMs);
+		const last = await sendPoison(gateway);
+		expect([crashed.length, last.status, last.body.includes('crashed')]).toEqual([maxCrashes, 503, true]);
+	});
 });
