Check for a crash also after a request that this host gave up

Callers saw: engines that end again under a request whose callers leave early, or that ends its engines without a sign until its time is over. Cause: only ends by the upstream were checked. Evidence: two cases of crashing-request-sent-again.test.ts were red (4 crashes where 2 are the bound). Its address is not probed, so that no connection is opened for each request given up.

--- a/src/forwarding/condemned-request-list.ts
+++ b/src/forwarding/condemned-request-list.ts
@@ -9,7 +9,7 @@
 	*/
 	readonly add: (digest: string, delayMs: number) => void;
 	/** Whether a request is still to be added to the list in the store. */
-	readonly isUnstored: (digest: string) => boolean;
+	readonly isUnlisted: (digest: string) => boolean;
 	/** Takes over the objects of the list's kind from the store or a peer. */
 	readonly applyObjects: (objects: readonly StoredObject[]) => void;
 	readonly stop: () => void;
--- a/src/forwarding/create-condemned-request-list.ts
+++ b/src/forwarding/create-condemned-request-list.ts
@@ -37,25 +37,25 @@
 
 /** Creates the shared list. Hosts that start later, or that no report reached, refuse the requests in it too. */
 export function createCondemnedRequestList({store, kind, random, onChange}: CondemnedRequestListOptions): CondemnedRequestList {
-	const unstored = new Map<string, CondemnedRequest>();
+	const unlisted = new Map<string, CondemnedRequest>();
 	let listed: ReadonlySet<string> = new Set();
 	let isWriting = false;
 	let hasStopped = false;
 
-	const removeStored = (requests: readonly CondemnedRequest[]): void => {
+	const removeListed = (requests: readonly CondemnedRequest[]): void => {
 		for (const {digest} of requests) {
-			unstored.delete(digest);
+			unlisted.delete(digest);
 		}
 	};
 
-	/** Adds the unstored requests unless another host changes the list in between. */
+	/** Adds the unlisted requests unless another host changes the list in between. */
 	const writeOnce = async (): Promise<void> => {
 		const stored = await store.read(kind, objectName);
-		const added = [...unstored.values()];
+		const added = [...unlisted.values()];
 		const requests = mergeCondemnedRequests(stored ? decodeList(stored.value) : [], added, Date.now());
 		const written = await (stored ? store.replace(kind, objectName, {requests}, stored.revision) : store.create(kind, objectName, {requests}));
 		if (written) {
-			removeStored(added);
+			removeListed(added);
 			log.info({
 				added: added.map(({digest}) => digest), requests: requests.length, revision: written.revision,
 			}, 'condemned requests stored');
@@ -64,11 +64,11 @@
 
 	const write = async (): Promise<void> => {
 		isWriting = true;
-		while (unstored.size > 0 && !hasStopped) {
+		while (unlisted.size > 0 && !hasStopped) {
 			try {
 				await writeOnce();
 			} catch (error) {
-				log.warn({unstored: unstored.size, error: String(error)}, 'condemned requests could not be stored, retrying');
+				log.warn({unlisted: unlisted.size, error: String(error)}, 'condemned requests could not be stored, retrying');
 				await sleep(retryDelayMs * (1 + random()));
 			}
 		}
@@ -77,9 +77,9 @@
 	};
 
 	const addDelayed = async (digest: string, delayMs: number): Promise<void> => {
-		unstored.set(digest, {digest, until: Date.now() + retentionMs});
+		unlisted.set(digest, {digest, until: Date.now() + retentionMs});
 		await sleep(delayMs);
-		if (unstored.has(digest) && !isWriting) {
+		if (unlisted.has(digest) && !isWriting) {
 			await write();
 		}
 	};
@@ -90,12 +90,12 @@
 				void addDelayed(digest, delayMs);
 			}
 		},
-		isUnstored: digest => unstored.has(digest),
+		isUnlisted: digest => unlisted.has(digest),
 		applyObjects(objects: readonly StoredObject[]) {
 			const object = objects.find(({name}) => name === objectName);
 			const requests = object ? decodeList(object.value) : [];
 			listed = new Set(requests.map(({digest}) => digest));
-			removeStored(requests);
+			removeListed(requests);
 			onChange(requests);
 		},
 		stop() {
--- a/src/forwarding/create-crash-checker.ts
+++ b/src/forwarding/create-crash-checker.ts
@@ -1,5 +1,6 @@
 import {sleep} from '../util/sleep.js';
 import {type CrashCheckResult} from './crash-check-result.js';
+import {type CrashChecker} from './crash-checker.js';
 import {type EngineClient} from './engine-client.js';
 import {type Upstream} from './upstream.js';
 import {type UpstreamRegistry} from './upstream-registry.js';
@@ -16,8 +17,11 @@
 	readonly registry: Pick<UpstreamRegistry, 'get'>;
 };
 
-/** Creates the function that checks whether an upstream has crashed that broke off a response. */
-export function createCrashChecker({engineClient, registry}: CrashCheckerOptions): (upstream: Upstream) => Promise<CrashCheckResult> {
+/**
+Creates the function that checks whether an upstream has crashed that ended a request without a response. A request that this host gave up
+says nothing about the address, which is not probed then.
+*/
+export function createCrashChecker({engineClient, registry}: CrashCheckerOptions): CrashChecker {
 	/** Probes in progress, by address: all requests that were in flight at an upstream share one. */
 	const probes = new Map<string, Promise<boolean>>();
 
@@ -52,7 +56,11 @@
 		return 'up';
 	};
 
-	return async upstream => {
+	return async (upstream, isGivenUp) => {
+		if (isGivenUp) {
+			return waitUntilGone(upstream);
+		}
+
 		await sleep(probeDelayMs);
 		return await probe(upstream.address) ? waitUntilGone(upstream) : 'down';
 	};
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -213,8 +213,8 @@
 			return true;
 		}
 
-		if (outcome.kind === 'broken' && !outcome.isGivenUp) {
-			crashes.checkForCrash(admitted, placement.upstream);
+		if (outcome.kind === 'broken') {
+			crashes.checkForCrash(admitted, placement.upstream, outcome.isGivenUp);
 		}
 
 		recordFailedAttempt(outcome, placement.upstream.id, request.prompt?.model);
--- a/src/forwarding/create-poison-request-detector.ts
+++ b/src/forwarding/create-poison-request-detector.ts
@@ -2,7 +2,7 @@
 import {log} from '../observe/log.js';
 import {computeSha256} from '../util/compute-sha256.js';
 import {type AdmittedRequest} from './admitted-request.js';
-import {type CrashCheckResult} from './crash-check-result.js';
+import {type CrashChecker} from './crash-checker.js';
 import {type Upstream} from './upstream.js';
 import {type CrashReport} from './crash-report.js';
 import {type PoisonRequestDetector} from './poison-request-detector.js';
@@ -16,8 +16,7 @@
 
 /** Options of `createPoisonRequestDetector`. */
 type PoisonRequestDetectorOptions = {
-	/** Checks whether an upstream has crashed that broke off a response. */
-	readonly checkUpstream: (upstream: Upstream) => Promise<CrashCheckResult>;
+	readonly checkUpstream: CrashChecker;
 	readonly now: () => number;
 	/** Called when this host condemns a request; `isOwn`: after a crash that it has seen itself. */
 	readonly onCondemn: (digest: string, isOwn: boolean) => void;
@@ -33,7 +32,7 @@
 	/** Whether any request has been suspect; if not, no digest is computed. */
 	let hasSuspects = false;
 
-	/** Holds no name of the configuration but the workspace's, since a change may serve the same request on another route. */
+	/** Leaves out the route, since a change of the configuration may serve the same request on another one. */
 	const computeDigest = ({request, workspace, body}: AdmittedRequest): string =>
 		computeSha256([request.host, request.method, request.target, workspace?.name ?? '', body?.toString('latin1') ?? ''].join('\n')).slice(0, digestLength);
 
@@ -70,12 +69,12 @@
 		}
 	};
 
-	const checkForCrash = async (digest: string, requestId: string | undefined, upstream: Upstream): Promise<void> => {
+	const checkForCrash = async (digest: string, requestId: string | undefined, upstream: Upstream, isGivenUp: boolean): Promise<void> => {
 		const {id, startedAt = 0} = upstream;
 		const crash: CrashReport = [digest, id, startedAt];
-		const result = await checkUpstream(upstream);
+		const result = await checkUpstream(upstream, isGivenUp);
 		log.info({
-			requestId: requestId ?? '', digest, upstream: id, startedAt, result, isKnown: seenCrashes.has(crash.join('\n')),
+			requestId: requestId ?? '', digest, upstream: id, startedAt, isGivenUp, result, isKnown: seenCrashes.has(crash.join('\n')),
 		}, 'checked whether an upstream crashed');
 		if (result !== 'up') {
 			recordCrash(crash, true);
@@ -96,8 +95,8 @@
 
 			return isCondemned;
 		},
-		checkForCrash(admitted, upstream) {
-			void checkForCrash(computeDigest(admitted), admitted.request.id, upstream);
+		checkForCrash(admitted, upstream, isGivenUp) {
+			void checkForCrash(computeDigest(admitted), admitted.request.id, upstream, isGivenUp);
 		},
 		recordSuccess(admitted) {
 			const digest = hasSuspects ? computeDigest(admitted) : undefined;
--- a/src/forwarding/poison-request-detector.ts
+++ b/src/forwarding/poison-request-detector.ts
@@ -7,8 +7,8 @@
 export type PoisonRequestDetector = {
 	/** Whether a request has crashed two upstreams and so is refused. */
 	readonly isCondemned: (admitted: AdmittedRequest) => boolean;
-	/** Checks whether an upstream crashed after it ended a request without a response. */
-	readonly checkForCrash: (admitted: AdmittedRequest, upstream: Upstream) => void;
+	/** Checks whether an upstream crashed after it ended a request without a response, or this host gave the request up. */
+	readonly checkForCrash: (admitted: AdmittedRequest, upstream: Upstream, isGivenUp: boolean) => void;
 	/** Records that a request got a response, which clears its crash; a condemned one stays refused. */
 	readonly recordSuccess: (admitted: AdmittedRequest) => void;
 	/** Adds crashes that another host reported. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -151,7 +151,7 @@
 		onCondemn(digest, isOwn) {
 			condemnedRequestList.add(digest, isOwn ? 0 : condemnedByOtherDelayMs * (1 + random()));
 		},
-		isUnlisted: digest => condemnedRequestList.isUnstored(digest),
+		isUnlisted: digest => condemnedRequestList.isUnlisted(digest),
 	});
 	const condemnedRequestList = createCondemnedRequestList({
 		store, kind: kinds.condemnedRequests, random, onChange: crashes.addCondemned,
--- a/test/forwarding/crashing-request-sent-again.test.ts
+++ b/test/forwarding/crashing-request-sent-again.test.ts
@@ -200,4 +200,31 @@
 		const last = await sendPoison(gateway);
 		expect([crashed.length, last.status, last.body.includes('crashed')]).toEqual([maxCrashes, 503, true]);
 	});
+
+	test.each([
+		['its upstreams end without a sign until its time is over', () => undefined],
+		['its callers leave before its upstreams end', (socket: Socket) => setTimeout(() => socket.destroy(), reportWaitMs / 2)],
+	])('is refused after the second crash if %s', async (_, onSent) => {
+		for (const [index, upstream] of upstreams.entries()) {
+			let id = `i-${index}`;
+			upstream.answer = () => {
+				crashed.push(id);
+				setTimeout(() => {
+					store.remove('servers', id);
+					id = `i-${index}-start-${crashed.length}`;
+					store.put('servers', id, platformObjects.upstream(upstream.address));
+				}, reportWaitMs);
+			};
+		}
+
+		const gateway = await start();
+		for (let attempt = 0; attempt < upstreamCount; attempt++) {
+			await sendRawRequest(gateway.callers, buildRawRequest({
+				method: 'POST', target: '/ask/poison', body: 'p', deadlineMs: 900,
+			}), onSent);
+			await sleep(3 * reportWaitMs);
+		}
+
+		expect(crashed.length).toBe(maxCrashes);
+	});
 });
