List a condemned request again whose earlier refusal has ended

Cause: an entry whose ten minutes had passed still counted as listed, so a request that crashed upstreams twice again was not listed again. Change: entries count until their refusal ends. Found in reading. Result: condemned-request-list.test.ts, five cases of what the list keeps, drops and writes again, pass; the case of the ended refusal covers the merge, its path through the watch was not seen red.

--- a/src/forwarding/create-condemned-request-list.ts
+++ b/src/forwarding/create-condemned-request-list.ts
@@ -38,7 +38,7 @@
 /** Creates the shared list. Hosts that start later, or that no report reached, refuse the requests in it too. */
 export function createCondemnedRequestList({store, kind, random, onChange}: CondemnedRequestListOptions): CondemnedRequestList {
 	const unlisted = new Map<string, CondemnedRequest>();
-	let listed: ReadonlySet<string> = new Set();
+	let listedUntil: ReadonlyMap<string, number> = new Map();
 	let isWriting = false;
 	let hasStopped = false;
 
@@ -86,15 +86,15 @@
 
 	return {
 		add(digest, delayMs) {
-			if (!listed.has(digest)) {
+			if ((listedUntil.get(digest) ?? 0) <= Date.now()) {
 				void addDelayed(digest, delayMs);
 			}
 		},
 		isUnlisted: digest => unlisted.has(digest),
 		applyObjects(objects: readonly StoredObject[]) {
 			const object = objects.find(({name}) => name === objectName);
-			const requests = object ? decodeList(object.value) : [];
-			listed = new Set(requests.map(({digest}) => digest));
+			const requests = (object ? decodeList(object.value) : []).filter(({until}) => until > Date.now());
+			listedUntil = new Map(requests.map(({digest, until}) => [digest, until]));
 			removeListed(requests);
 			onChange(requests);
 		},
--- /dev/null
+++ b/test/forwarding/condemned-request-list.test.ts
@@ -0,0 +1,54 @@
+import {expect, test} from 'vitest';
+import {type CondemnedRequest} from '../../src/decide/poison/condemned-request.js';
+import {createCondemnedRequestList} from '../../src/forwarding/create-condemned-request-list.js';
+import {type StoredObject} from '../../src/forwarding/stored-object.js';
+import {waitUntil} from '../support/wait-until.js';
+
+const laterMs = 60_000;
+
+/** Starts a list whose store holds `stored`, and runs `disrupt` before each of the first writes. */
+function startList(stored: readonly CondemnedRequest[], disrupt: ReadonlyArray<(write: (requests: readonly CondemnedRequest[]) => void) => void>) {
+	let object: StoredObject = {name: 'requests', revision: 1, value: {requests: stored}};
+	let writes = 0;
+	const write = (requests: readonly CondemnedRequest[]): void => {
+		object = {name: 'requests', revision: object.revision + 1, value: {requests}};
+	};
+
+	const list = createCondemnedRequestList({
+		kind: 'condemned',
+		random: () => 0,
+		onChange: () => undefined,
+		store: {
+			read: async () => object,
+			create: async () => undefined,
+			async replace(_kind, _name, value, revision) {
+				disrupt[writes++]?.(write);
+				if (revision !== object.revision) {
+					return undefined;
+				}
+
+				write((value as {readonly requests: readonly CondemnedRequest[]}).requests);
+				return object;
+			},
+		},
+	});
+	list.applyObjects([object]);
+	return {list, digests: () => (object.value as {readonly requests: readonly CondemnedRequest[]}).requests.map(({digest}) => digest).toSorted()};
+}
+
+test.each([
+	['keeps those that are listed', [{digest: 'known', until: Date.now() + laterMs}], [], ['known', 'new']],
+	['drops those whose refusal has ended', [{digest: 'ended', until: 1}], [], ['new']],
+	['lists a request again whose refusal had ended', [{digest: 'new', until: 1}], [], ['new']],
+	['is written again after another host wrote it', [], [(write: (requests: readonly CondemnedRequest[]) => void) => {
+		write([{digest: 'of another host', until: Date.now() + laterMs}]);
+	}], ['new', 'of another host']],
+	['is written again after the store failed', [], [() => {
+		throw new Error('no response');
+	}], ['new']],
+])('the list of condemned requests %s', async (_, stored, disrupt, expected) => {
+	const {list, digests} = startList(stored, disrupt);
+	list.add('new', 0);
+	await waitUntil('the request to be listed', () => !list.isUnlisted('new'));
+	expect(digests()).toEqual(expected);
+});
