Soak: send requests that crash upstreams, again and again

Change: callers send one such request after another, each for 8 s, to any ready host; upstreams crash before, within or after their answer has begun and start again under their id.

--- a/test/soak/create-soak-callers.ts
+++ b/test/soak/create-soak-callers.ts
@@ -1,6 +1,7 @@
 import {Agent, get, request} from 'node:http';
 import {parseAddress} from '../../src/http/parse-address.js';
 import {sleep} from '../../src/util/sleep.js';
+import {crashMark} from './crash-mark.js';
 import {type Call, type CallKind} from './soak-history.js';
 import {type SoakHost} from './create-soak-host.js';
 
@@ -9,16 +10,21 @@
 /** Consecutive failed readiness polls after which the balancer removes a host. */
 const maxFailedPolls = 2;
 const deadlinesMs: Readonly<Record<CallKind, number>> = {
-	read: 1400, book: 1400, ask: 4000, extra: 1400,
+	read: 1400, book: 1400, ask: 4000, extra: 1400, crash: 1400,
 };
 /** Callers disconnect this long after their deadline. */
 const abandonAfterDeadlineMs = 3000;
 const disconnectShare = 0.03;
 const connections = 8;
+/** A request that crashes upstreams is sent again and again for this long, then the next one. */
+const crashingRequestMs = 8000;
+const crashingIntervalMs = 400;
 
 /** Callers that send requests to the hosts that report readiness. */
 type SoakCallers = {
 	readonly countReadyHosts: () => number;
+	/** Stops sending requests that crash upstreams. */
+	readonly stopCrashing: () => void;
 	/** Stops sending new requests. */
 	readonly pause: () => void;
 	readonly stop: () => void;
@@ -30,6 +36,7 @@
 	const failedPolls = new Map(hosts.map(host => [host.name, maxFailedPolls]));
 	let hasStopped = false;
 	let isPaused = false;
+	let isCrashing = true;
 	let sent = 0;
 
 	const checkReadiness = async (host: SoakHost): Promise<boolean> => new Promise(resolve => {
@@ -52,12 +59,9 @@
 		}
 	};
 
-	const send = (host: SoakHost): void => {
-		const kind = (['read', 'book', 'ask', 'extra'] as const)[Math.floor(random() * 4)]!;
+	const send = (host: SoakHost, kind: CallKind, createRequest: (id: string) => Pick<Call, 'target' | 'body' | 'key'>): void => {
 		const id = `soak-${sent++}`;
-		const target = `/${kind}/${id}`;
-		const key = random() < 0.5 ? 'key-1' : 'key-2';
-		const body = kind === 'read' || kind === 'extra' ? '' : `body of ${id}`;
+		const {target, body, key} = createRequest(id);
 		const disconnectAfterMs = random() < disconnectShare ? random() * 100 : undefined;
 		const {host: ip, port} = parseAddress(host.callers);
 		const sentAt = performance.now();
@@ -101,24 +105,45 @@
 		req.end(body);
 	};
 
+	const listReadyHosts = (): readonly SoakHost[] => hosts.filter(host => failedPolls.get(host.name)! < maxFailedPolls);
+
+	const sendToAny = (kind: CallKind, createRequest: Parameters<typeof send>[2]): void => {
+		const ready = listReadyHosts();
+		if (ready.length > 0 && !isPaused) {
+			send(ready[Math.floor(random() * ready.length)]!, kind, createRequest);
+		}
+	};
+
 	const sendAtRate = async (): Promise<void> => {
 		while (!hasStopped) {
-			const ready = hosts.filter(host => failedPolls.get(host.name)! < maxFailedPolls);
-			if (ready.length > 0 && !isPaused) {
-				send(ready[Math.floor(random() * ready.length)]!);
-			}
-
+			const kind = (['read', 'book', 'ask', 'extra'] as const)[Math.floor(random() * 4)]!;
+			sendToAny(kind, id => ({
+				target: `/${kind}/${id}`, key: random() < 0.5 ? 'key-1' : 'key-2', body: kind === 'read' || kind === 'extra' ? '' : `body of ${id}`,
+			}));
 			await sleep(1000 / perSecond);
 		}
 	};
 
+	const sendCrashing = async (): Promise<void> => {
+		const startedAt = performance.now();
+		while (isCrashing && !hasStopped) {
+			const index = Math.floor((performance.now() - startedAt) / crashingRequestMs);
+			sendToAny('crash', () => ({target: `/${index % 2 === 0 ? 'ask' : 'book'}/${crashMark}-${index}`, key: 'key-1', body: 'same body'}));
+			await sleep(crashingIntervalMs);
+		}
+	};
+
 	for (const host of hosts) {
 		void pollReadiness(host);
 	}
 
 	void sendAtRate();
+	void sendCrashing();
 	return {
-		countReadyHosts: () => hosts.filter(host => failedPolls.get(host.name)! < maxFailedPolls).length,
+		countReadyHosts: () => listReadyHosts().length,
+		stopCrashing() {
+			isCrashing = false;
+		},
 		pause() {
 			isPaused = true;
 		},
--- a/test/soak/create-soak-upstream.ts
+++ b/test/soak/create-soak-upstream.ts
@@ -3,6 +3,7 @@
 import {sleep} from '../../src/util/sleep.js';
 import {createUpstreamServer, type ReceivedRequest} from '../support/create-upstream-server.js';
 import {buildExpectedChunks} from './build-expected-chunks.js';
+import {crashMark} from './crash-mark.js';
 import {type RecordedOrder, type UpstreamRun} from './soak-history.js';
 
 const maxWorkMs = 50;
@@ -20,8 +21,16 @@
 	readonly stop: () => void;
 };
 
-/** Starts an upstream; `random` selects the responses that it truncates. */
-export async function createSoakUpstream(id: string, random: () => number, onRun: (run: UpstreamRun) => void, onOrder: (order: RecordedOrder) => void): Promise<SoakUpstream> {
+/** Callbacks of an upstream. */
+type SoakUpstreamCallbacks = {
+	readonly onRun: (run: UpstreamRun) => void;
+	readonly onOrder: (order: RecordedOrder) => void;
+	/** Called when it runs a request that crashes upstreams. */
+	readonly onCrash: () => void;
+};
+
+/** Starts an upstream; `random` selects the responses that it truncates, and whether a crashing request crashes it before or after its first event. */
+export async function createSoakUpstream(id: string, random: () => number, {onRun, onOrder, onCrash}: SoakUpstreamCallbacks): Promise<SoakUpstream> {
 	const server = await createUpstreamServer();
 	let version = 1;
 	let isBusy = false;
@@ -67,11 +76,22 @@
 			id: requestId, upstream: id, target, body: body.toString(), workspace: headers.get('tenant'), hasKey: headers.has('x-api-key'),
 			at: performance.now(), resumedAfter, seal,
 		});
+		const isCrashing = target.includes(crashMark);
+		if (isCrashing && random() < 0.5) {
+			onCrash();
+			return;
+		}
+
 		const isBroken = random() < upstream.broken;
 		await sleep(hashTo48Bits(`${requestId}${id}`) % maxWorkMs);
 		const chunks = buildExpectedChunks(requestId, target).slice(resumedAfter === undefined ? 0 : Number(resumedAfter) + 1);
 		const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: ${seal}\r\n`;
 		if (!target.startsWith('/ask/')) {
+			if (isCrashing) {
+				onCrash();
+				return;
+			}
+
 			const text = chunks.join('');
 			socket.write(`${head}Content-Length: ${Buffer.byteLength(text)}\r\n\r\n${isBroken ? text.slice(0, text.length / 2) : text}`);
 			if (isBroken) {
@@ -91,6 +111,10 @@
 
 			socket.write(encodeChunk(chunk));
 			await sleep(eventMs);
+			if (isCrashing) {
+				onCrash();
+				return;
+			}
 		}
 
 		socket.write('0\r\n\r\n');
--- a/test/soak/create-tcp-proxy.ts
+++ b/test/soak/create-tcp-proxy.ts
@@ -10,6 +10,8 @@
 	readonly state: LinkFaults;
 	/** Resets all open connections. */
 	readonly resetConnections: () => void;
+	/** Resets all open connections and refuses new ones for `downMs`, then calls `onRestart`. */
+	readonly crash: (downMs: number, onRestart: () => void) => void;
 	/** Returns the number of open connections. */
 	readonly countConnections: () => number;
 	/** Stops forwarding on all open connections permanently; new connections work. */
@@ -114,13 +116,29 @@
 			}
 		}
 	}, flushMs);
+	const resetConnections = (): void => {
+		for (const {end} of openConnections.values()) {
+			end();
+		}
+	};
+
+	let hasStopped = false;
 	return {
 		address: `127.0.0.1:${port}`,
 		state,
-		resetConnections() {
-			for (const {end} of openConnections.values()) {
-				end();
+		resetConnections,
+		crash(downMs, onRestart) {
+			if (!server.listening) {
+				return;
 			}
+
+			server.close();
+			resetConnections();
+			setTimeout(() => {
+				if (!hasStopped) {
+					server.listen(port, '127.0.0.1', onRestart);
+				}
+			}, downMs);
 		},
 		countConnections: () => openConnections.size,
 		blackholeConnections() {
@@ -129,11 +147,10 @@
 			}
 		},
 		stop() {
+			hasStopped = true;
 			clearInterval(timer);
 			server.close();
-			for (const {end} of openConnections.values()) {
-				end();
-			}
+			resetConnections();
 		},
 	};
 }
--- a/test/soak/find-violations.test.ts
+++ b/test/soak/find-violations.test.ts
@@ -51,6 +51,9 @@
 		}],
 	}, 'lost'],
 	['more retries than the budget allows', {runs: Array.from({length: 30}, () => run())}, 'budget'],
+	['a request that crashes upstreams long after its third crash', {
+		runs: [run(), ...[1000, 2000, 3000, 6500, 7000, 7500, 8000].map(at => run({id: 'soak-1', target: '/ask/crash-0', at}))],
+	}, 'crash'],
 	['two holders with one fencing token', {
 		orders: [{
 			upstream: 'i-0', holder: 'a', token: 3, at: 1,
--- a/test/soak/find-violations.ts
+++ b/test/soak/find-violations.ts
@@ -1,4 +1,5 @@
 import {buildExpectedChunks} from './build-expected-chunks.js';
+import {crashMark} from './crash-mark.js';
 import {
 	type Call, type SoakHistory, type UpstreamRun,
 } from './soak-history.js';
@@ -14,6 +15,9 @@
 const workspaceOf: Readonly<Record<string, string>> = {'key-1': 'acme', 'key-2': 'acme'};
 const plannedFaultKinds: ReadonlySet<string> = new Set(['host stops', 'host reads settings', 'configuration changes', 'upstream is replaced', 'weights are named']);
 const minServedShare = 0.25;
+/** Crashes of one request, and its later sends once all hosts can know of them. */
+const maxCrashes = 3;
+const maxSendsAfterCrashes = 3;
 
 type Check = (history: SoakHistory, runsOf: ReadonlyMap<string, readonly UpstreamRun[]>) => readonly string[];
 
@@ -22,7 +26,7 @@
 	return !disturbances.some(each => !plannedFaultKinds.has(each.kind) && scopes.includes(each.scope) && each.until >= from && each.from <= until);
 }
 
-const isRepeatable = ({kind}: Call): boolean => kind !== 'book';
+const isRepeatable = ({target}: Call): boolean => !target.startsWith('/book/');
 
 const findRepeatedBookings: Check = ({calls}, runsOf) => calls
 	.filter(call => !isRepeatable(call) && (runsOf.get(call.id)?.length ?? 0) > 1)
@@ -92,6 +96,20 @@
 	}).slice(0, 1);
 };
 
+const findCrashingRequestsSentAgain: Check = history => {
+	const hosts = new Map(history.calls.map(call => [call.id, call.host]));
+	const runsOfTarget = new Map<string, UpstreamRun[]>();
+	for (const run of history.runs.filter(({target}) => target.includes(crashMark))) {
+		runsOfTarget.set(run.target, [...runsOfTarget.get(run.target) ?? [], run]);
+	}
+
+	return [...runsOfTarget].flatMap(([target, runs]) => {
+		const knownAt = (runs[maxCrashes - 1]?.at ?? Number.POSITIVE_INFINITY) + timeBoundsMs.contact;
+		const late = runs.filter(run => run.at > knownAt && isUndisturbed(history, ['store', `host ${hosts.get(run.id)}`], run.at - timeBoundsMs.contact, run.at));
+		return late.length > maxSendsAfterCrashes ? [`crash: ${target} crashed ${runs.length} upstreams, ${late.length} of them long after the third`] : [];
+	});
+};
+
 const findDuplicateFencingTokens: Check = ({orders}) => {
 	const holders = new Map<string, string>();
 	return orders.filter(({holder, token, upstream}) => {
@@ -107,14 +125,14 @@
 	.map(version => `weights: an engine has version ${version} at the end instead of the desired ${named}`);
 
 const findFailedRecovery: Check = ({calls, calmFrom}) => {
-	const late = calls.filter(call => call.sentAt > calmFrom + timeBoundsMs.recovery && call.kind !== 'extra' && !call.hasLeft);
+	const late = calls.filter(call => call.sentAt > calmFrom + timeBoundsMs.recovery && call.kind !== 'extra' && call.kind !== 'crash' && !call.hasLeft);
 	const served = late.filter(call => call.status === 200 && call.isWhole).length;
 	return late.length === 0 || served < late.length * minServedShare ? [`recovery: ${served} of ${late.length} requests were served after the recovery bound`] : [];
 };
 
 /** Finds requests that failed more than the recovery bound after the last fault, when none should fail. */
 const findLateFailures: Check = ({calls, calmFrom}) => calls
-	.filter(call => call.sentAt > calmFrom + timeBoundsMs.recovery && call.kind !== 'extra' && !call.hasLeft && !(call.status === 200 && call.isWhole))
+	.filter(call => call.sentAt > calmFrom + timeBoundsMs.recovery && call.kind !== 'extra' && call.kind !== 'crash' && !call.hasLeft && !(call.status === 200 && call.isWhole))
 	.map(call => `calm: ${call.id} at ${call.host} ended with status ${call.status}`);
 
 const findUnexpectedExits: Check = ({exits}) => exits.map(host => `exit: ${host} exited unexpectedly`);
@@ -122,7 +140,7 @@
 /** Guarantees that hold however slow the machine is. */
 const untimedChecks: readonly Check[] = [findRepeatedBookings, findRefusedRuns, findMixedResponses, findUnrequestedRuns, findRetryBudgetExcess, findDuplicateFencingTokens, findUnexpectedExits];
 /** Guarantees with a time bound, which hold only if the machine is not overloaded. */
-const timedChecks: readonly Check[] = [findRunsAfterDrain, findStaleConfigurationUse, findLostResponses, findStaleWeights, findFailedRecovery, findLateFailures];
+const timedChecks: readonly Check[] = [findRunsAfterDrain, findCrashingRequestsSentAgain, findStaleConfigurationUse, findLostResponses, findStaleWeights, findFailedRecovery, findLateFailures];
 
 /** Returns the guarantees that the records of callers and upstreams violate, as texts that start with the kind of violation. */
 export function findViolations(history: SoakHistory, checksTimeBounds: boolean): readonly string[] {
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -61,6 +61,9 @@
 		onRun: run => runs.push(run),
 		onOrder: order => orders.push(order),
 		onUnexpectedExit: host => exits.push(host),
+		onCrash: (upstream, downMs) => disturbances.push({
+			scope: `upstream ${upstream}`, kind: 'upstream crashes', from: performance.now(), until: performance.now() + downMs,
+		}),
 	});
 	const context: FaultContext = {
 		cluster, desiredWeightsVersion: 1, hasExtraRoute: true, onChange: change => changes.push(change),
@@ -81,6 +84,7 @@
 		const callers = createSoakCallers(cluster.hosts.map(({host}) => host), requestsPerSecond, random, call => calls.push(call));
 		await waitUntil('all hosts to be ready', () => callers.countReadyHosts() === cluster.hosts.length);
 		await Promise.all(faults.map(async fault => injectFault(fault)));
+		callers.stopCrashing();
 		const calmFrom = Math.max(performance.now(), ...disturbances.map(({until}) => until));
 		await sleep(calmFrom - performance.now() + undisturbedMs);
 		callers.pause();
--- a/test/soak/soak-history.ts
+++ b/test/soak/soak-history.ts
@@ -1,5 +1,5 @@
 /** Kinds of requests that the soak's callers send. */
-export type CallKind = 'read' | 'book' | 'ask' | 'extra';
+export type CallKind = 'read' | 'book' | 'ask' | 'extra' | 'crash';
 
 /** A request as its caller observed it. All times of a history are in milliseconds of the same clock. */
 export type Call = {
--- a/test/soak/start-soak-cluster.ts
+++ b/test/soak/start-soak-cluster.ts
@@ -10,6 +10,7 @@
 const upstreamCount = 5;
 const domains = ['domain-a', 'domain-b'] as const;
 const portsPerHost = 8;
+const crashDownMs = 1500;
 
 /** A host, the proxy between it and the object store, and the proxy between the other hosts and it. */
 type HostWithProxies = {readonly host: SoakHost; readonly toStore: TcpProxy; readonly toHost: TcpProxy};
@@ -37,10 +38,12 @@
 	readonly onRun: (run: UpstreamRun) => void;
 	readonly onOrder: (order: RecordedOrder) => void;
 	readonly onUnexpectedExit: (host: string) => void;
+	/** Called when a request has crashed an upstream, which is down for `downMs`. */
+	readonly onCrash: (upstream: string, downMs: number) => void;
 };
 
 /** Starts a cluster of hosts and five upstreams in two failure domains. */
-export async function startSoakCluster({folder, hostCount, random, onRun, onOrder, onUnexpectedExit}: SoakClusterOptions): Promise<SoakCluster> {
+export async function startSoakCluster({folder, hostCount, random, onRun, onOrder, onUnexpectedExit, onCrash}: SoakClusterOptions): Promise<SoakCluster> {
 	const advertisedAddresses = new Map<string, string>();
 	const store = await createObjectStoreServer(text => text.replaceAll(/127\.0\.0\.1:\d+/gv, address => advertisedAddresses.get(address) ?? address));
 	const upstreams: UpstreamWithProxy[] = [];
@@ -57,12 +60,27 @@
 
 	const addUpstream = async (): Promise<void> => {
 		const id = `i-${addedUpstreams++}`;
-		const upstream = await createSoakUpstream(id, random, onRun, onOrder);
+		const upstream = await createSoakUpstream(id, random, {
+			onRun, onOrder, onCrash() {
+				onCrash(id, crashDownMs);
+				link.crash(crashDownMs, registerStart);
+			},
+		});
 		const [port] = await findTestPorts(1);
 		const link = await createTcpProxy(port!, upstream.address);
+		/** Registers that it started again under its id, unless it has been replaced. */
+		const registerStart = (): void => {
+			const entry = store.get('servers', id)?.spec as Record<string, unknown> | undefined;
+			if (entry) {
+				store.put('servers', id, {...entry, born: Date.now()});
+			}
+		};
+
 		upstreams.push({upstream, link});
 		stopFunctions.push(upstream.stop, link.stop);
-		store.put('servers', id, platformObjects.upstream(link.address, {zone: domains[addedUpstreams % domains.length], models: [{name: 'm', version: 1, adapters: []}]}));
+		store.put('servers', id, platformObjects.upstream(link.address, {
+			zone: domains[addedUpstreams % domains.length], models: [{name: 'm', version: 1, adapters: []}], born: Date.now(),
+		}));
 	};
 
 	const startHost = async (index: number): Promise<HostWithProxies> => {
