Soak: crash upstreams before or after the answer has begun, by request, for fourteen seconds

Cause: with the crash drawn for each run, half of the crashes came before the answer and were counted on the code before too; in eight seconds the bound of the users could not be reached.

--- a/test/soak/crash-mark.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Text in the target of a request that crashes the upstreams that run it. */
-export const crashMark = 'crash';
--- a/test/soak/create-soak-callers.ts
+++ b/test/soak/create-soak-callers.ts
@@ -1,7 +1,7 @@
 import {Agent, get, request} from 'node:http';
 import {parseAddress} from '../../src/http/parse-address.js';
 import {sleep} from '../../src/util/sleep.js';
-import {crashMark} from './crash-mark.js';
+import {crashMarks} from './crash-marks.js';
 import {type Call, type CallKind} from './soak-history.js';
 import {type SoakHost} from './create-soak-host.js';
 
@@ -16,9 +16,10 @@
 const abandonAfterDeadlineMs = 3000;
 const disconnectShare = 0.03;
 const connections = 8;
-/** A request that crashes upstreams is sent again and again for this long, then the next one. */
-const crashingRequestMs = 8000;
-const crashingIntervalMs = 400;
+/** Requests that crash upstreams are sent in turn for this long, then others. */
+const crashingRequestsMs = 14_000;
+const crashingIntervalMs = 200;
+const crashingTargets = [`/ask/${crashMarks.late}`, `/book/${crashMarks.early}`, `/book/${crashMarks.late}`] as const;
 
 /** Callers that send requests to the hosts that report readiness. */
 type SoakCallers = {
@@ -126,9 +127,11 @@
 
 	const sendCrashing = async (): Promise<void> => {
 		const startedAt = performance.now();
+		let turn = 0;
 		while (isCrashing && !hasStopped) {
-			const index = Math.floor((performance.now() - startedAt) / crashingRequestMs);
-			sendToAny('crash', () => ({target: `/${index % 2 === 0 ? 'ask' : 'book'}/${crashMark}-${index}`, key: 'key-1', body: 'same body'}));
+			const round = Math.floor((performance.now() - startedAt) / crashingRequestsMs);
+			const target = `${crashingTargets[turn++ % crashingTargets.length]!}-${round}`;
+			sendToAny('crash', () => ({target, key: 'key-1', body: 'same body'}));
 			await sleep(crashingIntervalMs);
 		}
 	};
--- a/test/soak/create-soak-upstream.ts
+++ b/test/soak/create-soak-upstream.ts
@@ -3,7 +3,7 @@
 import {sleep} from '../../src/util/sleep.js';
 import {createUpstreamServer, type ReceivedRequest} from '../support/create-upstream-server.js';
 import {buildExpectedChunks} from './build-expected-chunks.js';
-import {crashMark} from './crash-mark.js';
+import {crashMarks} from './crash-marks.js';
 import {type RecordedOrder, type UpstreamRun} from './soak-history.js';
 
 const maxWorkMs = 50;
@@ -29,7 +29,7 @@
 	readonly onCrash: () => void;
 };
 
-/** Starts an upstream; `random` selects the responses that it truncates, and whether a crashing request crashes it before or after its first event. */
+/** Starts an upstream; `random` selects the responses that it truncates. */
 export async function createSoakUpstream(id: string, random: () => number, {onRun, onOrder, onCrash}: SoakUpstreamCallbacks): Promise<SoakUpstream> {
 	const server = await createUpstreamServer();
 	let version = 1;
@@ -76,8 +76,8 @@
 			id: requestId, upstream: id, target, body: body.toString(), workspace: headers.get('tenant'), hasKey: headers.has('x-api-key'),
 			at: performance.now(), resumedAfter, seal,
 		});
-		const isCrashing = target.includes(crashMark);
-		if (isCrashing && random() < 0.5) {
+		const isCrashing = target.includes(crashMarks.any);
+		if (target.includes(crashMarks.early)) {
 			onCrash();
 			return;
 		}
@@ -87,14 +87,12 @@
 		const chunks = buildExpectedChunks(requestId, target).slice(resumedAfter === undefined ? 0 : Number(resumedAfter) + 1);
 		const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: ${seal}\r\n`;
 		if (!target.startsWith('/ask/')) {
+			const text = chunks.join('');
+			socket.write(`${head}Content-Length: ${Buffer.byteLength(text)}\r\n\r\n${isBroken || isCrashing ? text.slice(0, text.length / 2) : text}`);
 			if (isCrashing) {
+				await sleep(eventMs);
 				onCrash();
-				return;
-			}
-
-			const text = chunks.join('');
-			socket.write(`${head}Content-Length: ${Buffer.byteLength(text)}\r\n\r\n${isBroken ? text.slice(0, text.length / 2) : text}`);
-			if (isBroken) {
+			} else if (isBroken) {
 				socket.destroy();
 			}
 
--- a/test/soak/find-violations.ts
+++ b/test/soak/find-violations.ts
@@ -1,5 +1,5 @@
 import {buildExpectedChunks} from './build-expected-chunks.js';
-import {crashMark} from './crash-mark.js';
+import {crashMarks} from './crash-marks.js';
 import {
 	type Call, type SoakHistory, type UpstreamRun,
 } from './soak-history.js';
@@ -99,7 +99,7 @@
 const findCrashingRequestsSentAgain: Check = history => {
 	const hosts = new Map(history.calls.map(call => [call.id, call.host]));
 	const runsOfTarget = new Map<string, UpstreamRun[]>();
-	for (const run of history.runs.filter(({target}) => target.includes(crashMark))) {
+	for (const run of history.runs.filter(({target}) => target.includes(crashMarks.any))) {
 		runsOfTarget.set(run.target, [...runsOfTarget.get(run.target) ?? [], run]);
 	}
 
