--- a/test/forwarding/crashing-request-sent-again.test.ts
+++ b/test/forwarding/crashing-request-sent-again.test.ts
@@ -42,6 +42,20 @@
 	};
 }
 
+/** Gives the upstream's address to another one `removeAfterMs` after each request, which gets no response. */
+function replaceOnRequest(upstream: UpstreamServer, firstId: string, removeAfterMs: number, onReceived: (socket: Socket) => void = () => undefined): void {
+	let id = firstId;
+	upstream.answer = (_, socket) => {
+		crashed.push(id);
+		setTimeout(() => {
+			store.remove('servers', id);
+			id = `${firstId}-start-${crashed.length}`;
+			store.put('servers', id, platformObjects.upstream(upstream.address));
+		}, removeAfterMs);
+		onReceived(socket);
+	};
+}
+
 beforeEach(async () => {
 	store = await createObjectStoreServer();
 	upstreams = await Promise.all(Array.from({length: upstreamCount}, async () => createUpstreamServer()));
@@ -169,16 +183,7 @@
 		['after', reportWaitMs, 0],
 	])('is refused after the second crash if other upstreams have the addresses and the crashed ones are deregistered %s the host sees it', async (_, removeAfterMs, closeAfterMs) => {
 		for (const [index, upstream] of upstreams.entries()) {
-			let id = `i-${index}`;
-			upstream.answer = (_received, socket) => {
-				crashed.push(id);
-				setTimeout(() => {
-					store.remove('servers', id);
-					id = `i-${index}-start-${crashed.length}`;
-					store.put('servers', id, platformObjects.upstream(upstream.address));
-				}, removeAfterMs);
-				setTimeout(() => socket.resetAndDestroy(), closeAfterMs);
-			};
+			replaceOnRequest(upstream, `i-${index}`, removeAfterMs, socket => setTimeout(() => socket.resetAndDestroy(), closeAfterMs));
 		}
 
 		const gateway = await start();
@@ -206,15 +211,7 @@
 		['its callers leave before its upstreams end', (socket: Socket) => setTimeout(() => socket.destroy(), reportWaitMs / 2)],
 	])('is refused after the second crash if %s', async (_, onSent) => {
 		for (const [index, upstream] of upstreams.entries()) {
-			let id = `i-${index}`;
-			upstream.answer = () => {
-				crashed.push(id);
-				setTimeout(() => {
-					store.remove('servers', id);
-					id = `i-${index}-start-${crashed.length}`;
-					store.put('servers', id, platformObjects.upstream(upstream.address));
-				}, reportWaitMs);
-			};
+			replaceOnRequest(upstream, `i-${index}`, reportWaitMs);
 		}
 
 		const gateway = await start();
