--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -14,6 +14,7 @@
 import {type PoisonRequestDetector} from './poison-request-detector.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type Placement} from './placement.js';
+import {type ReceivedResponse} from './received-response.js';
 import {type Route} from './route.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 import {type SendOutcome} from './send-outcome.js';
@@ -113,11 +114,11 @@
 		onEnd(admitted, refusal.kind, tookMs);
 	};
 
-	const recordEnd = (admitted: AdmittedRequest, progress: ForwardingProgress, result: string): void => {
+	const recordEnd = (admitted: AdmittedRequest, progress: ForwardingProgress, result: string, received?: ReceivedResponse): void => {
 		const tookMs = now() - admitted.receivedAt;
 		log.info({
 			requestId: admitted.request.id!, route: admitted.route.name, service: progress.service, result,
-			sends: progress.sends, tookMs: Math.round(tookMs),
+			sends: progress.sends, tookMs: Math.round(tookMs), ...received,
 		}, 'ended');
 		onEnd(admitted, result, tookMs);
 	};
@@ -209,7 +210,7 @@
 		recordSend(progress, outcome);
 		if (outcome.kind === 'answered') {
 			crashes.recordSuccess(admitted);
-			recordEnd(admitted, progress, 'answered');
+			recordEnd(admitted, progress, 'answered', outcome.received);
 			return true;
 		}
 
@@ -222,6 +223,7 @@
 		log.info({
 			requestId: request.id!, upstream: placement.upstream.id, outcome: outcome.kind, detail: progress.lastReason, runs: progress.runs,
 			isGivenUp: outcome.kind !== 'failed-answer' && outcome.isGivenUp, begun: admitted.answer.isHeadSent(),
+			...(outcome.kind === 'broken' ? outcome.received : undefined),
 		}, 'send failed');
 		if (admitted.signal.aborted) {
 			abortResponse(admitted, progress);
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -4,6 +4,7 @@
 import {type CallerRequest} from './caller-request.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type Placement} from './placement.js';
+import {createSseEventScanner} from './create-sse-event-scanner.js';
 import {sendOnce} from './send-once.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 import {type SendOutcome} from './send-outcome.js';
@@ -28,6 +29,7 @@
 	return async (admitted: AdmittedRequest, progress: ForwardingProgress, placement: Placement): Promise<SendOutcome> => {
 		const {request, route, body, answer} = admitted;
 		const {splitter, service} = progress;
+		const scanner = route.kind === 'stream' ? createSseEventScanner() : undefined;
 		const sentAt = now();
 		const leftMs = progress.endsAt - sentAt;
 		const controller = new AbortController();
@@ -50,7 +52,11 @@
 				requestId: request.id!,
 				answer,
 				signal: controller.signal,
-				filter: chunk => splitter ? splitter.push(chunk) : chunk,
+				filter(chunk) {
+					scanner?.scan(chunk);
+					return splitter ? splitter.push(chunk) : chunk;
+				},
+				countUnfinishedEventBytes: () => scanner?.unfinishedBytes() ?? 0,
 				flush: () => splitter?.flush() ?? emptyChunk,
 				send: listener => registry.send(placement.upstream.id, {
 					method: request.method,
--- a/src/forwarding/response-head.ts
+++ b/src/forwarding/response-head.ts
@@ -1,3 +1,5 @@
+import {type ResponseFraming} from './response-framing.js';
+
 /** The decoded head of an upstream's response. */
 export type ResponseHead = {
 	readonly status: number;
@@ -13,6 +15,9 @@
 	readonly upstreamId: string | undefined;
 	/** Weight version that the upstream served the request with; `undefined` when it states none. */
 	readonly weightVersion: number | undefined;
+	readonly framing: ResponseFraming;
+	/** Whether the upstream announces that it closes the connection after the response. */
+	readonly isCloseAnnounced: boolean;
 	/** Headers passed on to the caller unchanged, as alternating names and values. */
 	readonly headers: readonly string[];
 };
--- a/src/forwarding/send-once.ts
+++ b/src/forwarding/send-once.ts
@@ -1,4 +1,5 @@
 import {classifyResponse} from '../decide/forwarding/classify-response.js';
+import {type ReceivedResponse} from './received-response.js';
 import {type ResponseHead} from './response-head.js';
 import {type CallerResponse} from './caller-response.js';
 import {type SendOutcome} from './send-outcome.js';
@@ -19,20 +20,27 @@
 	readonly filter: (chunk: Buffer) => Buffer;
 	/** Returns the bytes held back by `filter`, at the end of a complete response. */
 	readonly flush: () => Buffer;
+	/** Returns the number of bytes after the last complete event of a stream; 0 if the response is no stream. */
+	readonly countUnfinishedEventBytes: () => number;
 	/** Called with the head of a response that is delivered. */
 	readonly onDelivery: (head: ResponseHead) => void;
 };
 
 /** Sends a request once and delivers the response to the caller if it can be delivered. */
-export async function sendOnce({requestId, answer, send, signal, filter, flush, onDelivery}: SendOnceOptions): Promise<SendOutcome> {
+export async function sendOnce({requestId, answer, send, signal, filter, flush, countUnfinishedEventBytes, onDelivery}: SendOnceOptions): Promise<SendOutcome> {
 	return new Promise(resolve => {
 		let classified: {readonly responseClass: ReturnType<typeof classifyResponse>; readonly head: ResponseHead} | undefined;
 		const buffered: Buffer[] = [];
 		let bufferedBytes = 0;
+		let bodyBytes = 0;
 		const onAbort = (): void => {
 			running.abort(signal.reason instanceof Error ? signal.reason : new Error('given up'), false);
 		};
 
+		const describeReceived = ({framing, isCloseAnnounced}: ResponseHead): ReceivedResponse => ({
+			framing, isCloseAnnounced, bodyBytes, unfinishedEventBytes: countUnfinishedEventBytes(),
+		});
+
 		const finish = (outcome: SendOutcome): void => {
 			signal.removeEventListener('abort', onAbort);
 			resolve(outcome);
@@ -65,6 +73,7 @@
 				}
 			},
 			onData(chunk) {
+				bodyBytes += chunk.length;
 				if (classified?.responseClass === 'deliver') {
 					return deliver(chunk);
 				}
@@ -84,7 +93,7 @@
 					}
 
 					answer.end();
-					finish({kind: 'answered'});
+					finish({kind: 'answered', received: describeReceived(classified.head)});
 				} else if (classified?.responseClass === 'not-run') {
 					finish({
 						kind: 'not-run', reason: `upstream answered ${classified.head.status}`, head: classified.head, isGivenUp: false,
@@ -92,7 +101,9 @@
 				} else if (classified?.responseClass === 'failed' && bufferedBytes <= maxBufferedFailureBytes) {
 					finish({kind: 'failed-answer', head: classified.head, body: Buffer.concat(buffered)});
 				} else {
-					finish({kind: 'broken', reason: 'the response cannot be used', isGivenUp: false});
+					finish({
+						kind: 'broken', reason: 'the response cannot be used', isGivenUp: false, received: classified && describeReceived(classified.head),
+					});
 				}
 			},
 			onFail(error, wasSent) {
@@ -101,7 +112,9 @@
 						kind: 'not-run', reason: `upstream answered ${classified.head.status}`, head: classified.head, isGivenUp: false,
 					});
 				} else if (wasSent) {
-					finish({kind: 'broken', reason: String(error.message), isGivenUp: signal.aborted});
+					finish({
+						kind: 'broken', reason: String(error.message), isGivenUp: signal.aborted, received: classified && describeReceived(classified.head),
+					});
 				} else {
 					finish({
 						kind: 'not-run', reason: String(error.message), head: undefined, isGivenUp: signal.aborted,
--- a/src/forwarding/send-outcome.ts
+++ b/src/forwarding/send-outcome.ts
@@ -1,3 +1,4 @@
+import {type ReceivedResponse} from './received-response.js';
 import {type ResponseHead} from './response-head.js';
 
 /**
@@ -8,7 +9,14 @@
 - `broken`: no complete response arrived, and the request may have run.
 */
 export type SendOutcome
-	= | {readonly kind: 'answered'}
+	= | {readonly kind: 'answered'; readonly received: ReceivedResponse}
 		| {readonly kind: 'not-run'; readonly reason: string; readonly head: ResponseHead | undefined; /** Whether this side aborted the request. */ readonly isGivenUp: boolean}
 		| {readonly kind: 'failed-answer'; readonly head: ResponseHead; readonly body: Buffer}
-		| {readonly kind: 'broken'; readonly reason: string; /** Whether this side aborted the request. */ readonly isGivenUp: boolean};
+		| {
+			readonly kind: 'broken';
+			readonly reason: string;
+			/** Whether this side aborted the request. */
+			readonly isGivenUp: boolean;
+			/** `undefined` when no head arrived. */
+			readonly received: ReceivedResponse | undefined;
+		};
--- a/test/decide/forwarding/refusals-and-retries.test.ts
+++ b/test/decide/forwarding/refusals-and-retries.test.ts
@@ -8,12 +8,15 @@
 import {type SendOutcome} from '../../../src/forwarding/send-outcome.js';
 
 const head = {
-	status: 500, requestId: 'r', isSigned: true, isNotRun: false, isEncoded: false, upstreamId: undefined, weightVersion: undefined, headers: [],
+	status: 500, requestId: 'r', isSigned: true, isNotRun: false, isEncoded: false, upstreamId: undefined, weightVersion: undefined, framing: 'length' as const,
+	isCloseAnnounced: false, headers: [],
 };
 const notRun: SendOutcome = {
 	kind: 'not-run', reason: '', head: undefined, isGivenUp: false,
 };
-const broken: SendOutcome = {kind: 'broken', reason: '', isGivenUp: false};
+const broken: SendOutcome = {
+	kind: 'broken', reason: '', isGivenUp: false, received: undefined,
+};
 const failed: SendOutcome = {kind: 'failed-answer', head, body: Buffer.alloc(0)};
 
 describe('the final refusal', () => {
