--- a/test/support/send-raw-request.ts
+++ b/test/support/send-raw-request.ts
@@ -7,6 +7,8 @@
 	readonly body: string;
 	/** Whether the body is complete according to its framing. */
 	readonly isWhole: boolean;
+	/** Whether the connection was reset. */
+	readonly isReset: boolean;
 	readonly text: string;
 };
 
@@ -34,7 +36,7 @@
 }
 
 /** Parses the first response in `text`. */
-export function parseRawResponse(text: string): RawResponse {
+export function parseRawResponse(text: string, isReset = false): RawResponse {
 	const headEnd = text.indexOf('\r\n\r\n');
 	const [statusLine = '', ...lines] = text.slice(0, Math.max(0, headEnd)).split('\r\n');
 	const status = Number(statusLine.split(' ')[1] ?? 0);
@@ -43,13 +45,13 @@
 	const length = headers.get('content-length');
 	if (headers.get('transfer-encoding') === 'chunked') {
 		return {
-			status, headers, ...readChunks(rawBody), text,
+			status, headers, ...readChunks(rawBody), isReset, text,
 		};
 	}
 
 	const body = length === undefined ? rawBody : rawBody.slice(0, Number(length));
 	return {
-		status, headers, body, isWhole: headEnd !== -1 && (length === undefined || body.length === Number(length)), text,
+		status, headers, body, isWhole: headEnd !== -1 && (length === undefined || body.length === Number(length)), isReset, text,
 	};
 }
 
@@ -62,13 +64,25 @@
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const chunks: Buffer[] = [];
-		const socket = connect(Number(port), host);
+		const socket = connect({host, port: Number(port), allowHalfOpen: true});
+		let isReset = false;
+		const recordFailure = (error?: Error | null): void => {
+			isReset ||= Boolean(error);
+		};
+
 		socket.on('data', chunk => {
 			chunks.push(chunk);
 		});
-		socket.on('error', () => undefined);
+		socket.on('error', recordFailure);
+		// A reset along with the last bytes is reported as an end; only a write fails then.
+		socket.on('end', () => {
+			socket.write('', error => {
+				recordFailure(error);
+				socket.end();
+			});
+		});
 		socket.on('close', () => {
-			resolve(parseRawResponse(Buffer.concat(chunks).toString('latin1')));
+			resolve(parseRawResponse(Buffer.concat(chunks).toString('latin1'), isReset));
 		});
 		socket.write(bytes, () => {
 			onSocket(socket);
