Recognize events that end with CRLF, in work proportional to the bytes received

Callers of resumable streams whose events end with CRLF got nothing before the end, and a broken stream started over: the splitter looked for two LF. It also copied what it held for each chunk received. Ends of events are now found byte by byte, by the line ends that the specification of server-sent events allows.

--- a/src/forwarding/create-sse-event-splitter.ts
+++ b/src/forwarding/create-sse-event-splitter.ts
@@ -1,37 +1,38 @@
+import {createByteBuffer} from '../util/create-byte-buffer.js';
+import {createSseEventScanner} from './create-sse-event-scanner.js';
 import {type SseEventSplitter} from './sse-event-splitter.js';
 
 const empty = Buffer.alloc(0);
-const eventSeparator = Buffer.from('\n\n');
 const idLine = /^id: ?(.*)$/gmv;
 
 /** Creates a splitter that passes on only complete events of a `text/event-stream` body. */
 export function createSseEventSplitter(): SseEventSplitter {
-	let buffered: Buffer = empty;
+	const held = createByteBuffer();
+	let scanner = createSseEventScanner();
 	let lastId: string | undefined;
 	let hasEmitted = false;
+
+	const completeEvents = (lastBytes: Buffer): Buffer => held.length() === 0 ? lastBytes : Buffer.concat([held.take(), lastBytes]);
+
 	return {
 		push(chunk) {
-			const combined = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
-			const lastSeparator = combined.lastIndexOf(eventSeparator);
-			if (lastSeparator === -1) {
-				buffered = combined;
+			const end = scanner.scan(chunk);
+			if (end === 0) {
+				held.append(chunk);
 				return empty;
 			}
 
 			hasEmitted = true;
-			const completeEvents = combined.subarray(0, lastSeparator + eventSeparator.length);
-			buffered = combined.subarray(lastSeparator + eventSeparator.length);
-			const id = [...completeEvents.toString('latin1').matchAll(idLine)].at(-1)?.[1];
+			const events = completeEvents(chunk.subarray(0, end));
+			held.append(chunk.subarray(end));
+			const id = [...events.toString('latin1').matchAll(idLine)].at(-1)?.[1];
 			lastId = id?.trim() ?? lastId;
-			return completeEvents;
-		},
-		flush() {
-			const remaining = buffered;
-			buffered = empty;
-			return remaining;
+			return events;
 		},
+		flush: () => held.take(),
 		reset() {
-			buffered = empty;
+			held.clear();
+			scanner = createSseEventScanner();
 		},
 		lastEventId: () => lastId,
 		canResume: () => !hasEmitted || lastId !== undefined,
