Take a stream that ends inside an event, or before any, for broken off

Callers got half a stream, framed as complete: an answer without a length or chunks whose connection closes in an orderly way was taken for whole, since the end of the connection was the only sign looked at.

The events now decide: a stream whose last event is unfinished, or that ends with its connection before any event, is broken off. It is sent on where its route allows that, and else its caller's connection is reset. A body that is whole by its length or chunks and shows no event stays whole.

--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -58,7 +58,7 @@
 		service,
 		triedUpstreams: new Set(),
 		endsAt,
-		splitter: route.kind === 'stream' && route.isResumable ? createSseEventSplitter() : undefined,
+		splitter: route.kind === 'stream' ? createSseEventSplitter(route.isResumable) : undefined,
 		sends: 0,
 		runs: 0,
 		ran: 'no',
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -4,7 +4,6 @@
 import {type CallerRequest} from './caller-request.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type Placement} from './placement.js';
-import {createSseEventScanner} from './create-sse-event-scanner.js';
 import {sendOnce} from './send-once.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 import {type SendOutcome} from './send-outcome.js';
@@ -12,7 +11,6 @@
 
 /** Share of the remaining time after which an idempotent request without a response is sent to another upstream. */
 const firstAttemptShare = 0.45;
-const emptyChunk = Buffer.alloc(0);
 
 /** Dependencies of the sender. */
 type SenderOptions = {
@@ -29,7 +27,6 @@
 	return async (admitted: AdmittedRequest, progress: ForwardingProgress, placement: Placement): Promise<SendOutcome> => {
 		const {request, route, body, answer} = admitted;
 		const {splitter, service} = progress;
-		const scanner = route.kind === 'stream' ? createSseEventScanner() : undefined;
 		const sentAt = now();
 		const leftMs = progress.endsAt - sentAt;
 		const controller = new AbortController();
@@ -52,12 +49,8 @@
 				requestId: request.id!,
 				answer,
 				signal: controller.signal,
-				filter(chunk) {
-					scanner?.scan(chunk);
-					return splitter ? splitter.push(chunk) : chunk;
-				},
-				countUnfinishedEventBytes: () => scanner?.unfinishedBytes() ?? 0,
-				flush: () => splitter?.flush() ?? emptyChunk,
+				splitter,
+				isResumedByCaller: request.resumeAfter !== undefined,
 				send: listener => registry.send(placement.upstream.id, {
 					method: request.method,
 					target: request.target,
--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -213,8 +213,9 @@
 			},
 			onData: listener.onData,
 			onEnd() {
-				recordEnded(hasFailed);
-				listener.onEnd();
+				const isComplete = listener.onEnd();
+				recordEnded(hasFailed || !isComplete);
+				return isComplete;
 			},
 			onFail(error, wasSent) {
 				recordEnded(!isAborted);
--- a/src/forwarding/forwarding-progress.ts
+++ b/src/forwarding/forwarding-progress.ts
@@ -8,7 +8,7 @@
 	readonly triedUpstreams: Set<string>;
 	/** Deadline, in milliseconds of the monotonic clock. */
 	readonly endsAt: number;
-	/** Set when the stream may be resumed at another upstream. */
+	/** Reads the events of a streaming route. */
 	readonly splitter: SseEventSplitter | undefined;
 	/** Number of times that the request was sent. */
 	sends: number;
--- a/src/forwarding/response-head.ts
+++ b/src/forwarding/response-head.ts
@@ -18,6 +18,8 @@
 	readonly framing: ResponseFraming;
 	/** Whether the upstream announces that it closes the connection after the response. */
 	readonly isCloseAnnounced: boolean;
+	/** Media type of the body in lower case, without parameters; `undefined` when it states none. */
+	readonly mediaType: string | undefined;
 	/** Headers passed on to the caller unchanged, as alternating names and values. */
 	readonly headers: readonly string[];
 };
--- a/src/forwarding/response-listener.ts
+++ b/src/forwarding/response-listener.ts
@@ -5,7 +5,8 @@
 	readonly onHead: (head: ResponseHead) => void;
 	/** @returns Whether more data can be accepted now; after `false` delivery pauses until `resume`. */
 	readonly onData: (chunk: Buffer) => boolean;
-	readonly onEnd: () => void;
+	/** @returns Whether the response is complete by its content too. */
+	readonly onEnd: () => boolean;
 	/** @param wasSent - Whether any part of the request may have reached the upstream. */
 	readonly onFail: (error: Error, wasSent: boolean) => void;
 };
--- a/src/forwarding/sse-event-splitter.ts
+++ b/src/forwarding/sse-event-splitter.ts
@@ -1,13 +1,17 @@
-/** Splits a stream of server-sent events into complete events and keeps the id of the last one passed on. */
+/** Reads a stream of server-sent events: tells whether its last event is complete and, for a stream that may be resumed, keeps the id of the last one passed on. */
 export type SseEventSplitter = {
-	/** Adds received bytes; returns the events that they complete. */
+	/** Adds received bytes; returns those to pass on now. */
 	readonly push: (chunk: Buffer) => Buffer;
-	/** Returns the bytes held back; for the end of a complete response. */
+	/** Returns the bytes held back; for the end of a complete response that is no stream after all. */
 	readonly flush: () => Buffer;
-	/** Drops an incomplete event, after the stream was interrupted. */
+	/** Returns the number of bytes received after the last complete event. */
+	readonly unfinishedBytes: () => number;
+	/** Whether any complete event was passed on. */
+	readonly hasEvents: () => boolean;
+	/** Drops an incomplete event before the next upstream continues the stream. */
 	readonly reset: () => void;
 	/** Returns the id of the last event passed on; `undefined` when none had an id. */
 	readonly lastEventId: () => string | undefined;
-	/** Whether the stream can be resumed after the events passed on: there were none, or the last one's id is known. */
+	/** Whether the stream can be resumed after the events passed on: there were none, or incomplete events are held back and the last id is known. */
 	readonly canResume: () => boolean;
 };
--- a/test/forwarding/sse-event-splitter.test.ts
+++ b/test/forwarding/sse-event-splitter.test.ts
@@ -39,14 +39,14 @@
 	test('passes on each event once and whole, however the bytes are cut', () => {
 		fc.assert(fc.property(events, fc.constantFrom(...lineEnds), line, fc.array(fc.nat(80), {maxLength: 12}), (lines, lineEnd, rest, cuts) => {
 			const complete = lines.map(event => event.map(text => text + lineEnd).join('') + lineEnd).join('');
-			const splitter = createSseEventSplitter();
+			const splitter = createSseEventSplitter(true);
 			const passedOn = cutAt(complete + rest, cuts).map(piece => splitter.push(piece).toString()).join('');
 			expect(passedOn).toBe(complete);
 		}), {seed: 5, numRuns: 500});
 	});
 
 	test('continues after the last event that was passed on', () => {
-		const splitter = createSseEventSplitter();
+		const splitter = createSseEventSplitter(true);
 		splitter.push(Buffer.from('id: 7\r\ndata: a\r\n\r\nid: 8\r\nda'));
 		splitter.reset();
 		expect([splitter.lastEventId(), splitter.canResume(), splitter.push(Buffer.from('id: 8\r\n\r\n')).toString()]).toEqual(['7', true, 'id: 8\r\n\r\n']);
