Bound every response of an upstream in bytes, and close its connection past the bound

A faulty upstream may send without end.

Delivered bodies, events, failures and discarded bodies now have limits in bytes, discarded ones in time too; what a caller hasn't read is limited where its upstream can't be paused. A request that was not run ends with the head that says so.

--- a/src/forwarding/caller-response.ts
+++ b/src/forwarding/caller-response.ts
@@ -7,6 +7,8 @@
 	readonly begin: (status: number, headers: readonly string[]) => void;
 	/** @returns Whether more can be written without waiting for `onDrain`. */
 	readonly write: (chunk: Buffer) => boolean;
+	/** Returns the number of bytes written that the caller has not read yet. */
+	readonly pendingBytes: () => number;
 	/** Calls `callback` once more can be written after `write` returned `false`. */
 	readonly onDrain: (callback: () => void) => void;
 	readonly end: () => void;
--- a/src/forwarding/create-caller-response.ts
+++ b/src/forwarding/create-caller-response.ts
@@ -39,6 +39,7 @@
 		begin,
 		// Returns true once the caller has disconnected, since no `drain` event would follow.
 		write: chunk => res.destroyed || res.write(chunk),
+		pendingBytes: () => res.writableLength,
 		onDrain(callback) {
 			res.once('drain', callback);
 		},
--- /dev/null
+++ b/src/forwarding/create-delivered-body.ts
@@ -0,0 +1,78 @@
+import {findStreamFault} from '../decide/forwarding/find-stream-fault.js';
+import {isEventStream} from '../decide/forwarding/is-event-stream.js';
+import {type CallerResponse} from './caller-response.js';
+import {type ReceivedResponse} from './received-response.js';
+import {type ResponseBody} from './response-body.js';
+import {type ResponseHead} from './response-head.js';
+import {responseLimits} from './response-limits.js';
+import {type SseEventSplitter} from './sse-event-splitter.js';
+
+/** Options of `createDeliveredBody`. */
+type DeliveredBodyOptions = {
+	readonly head: ResponseHead;
+	readonly answer: CallerResponse;
+	/** Reads the events of a response on a streaming route. */
+	readonly splitter: SseEventSplitter | undefined;
+	/** Whether the caller asked for what follows an earlier event. */
+	readonly isResumedByCaller: boolean;
+	readonly describeReceived: () => ReceivedResponse;
+	/** Aborts the response. */
+	readonly abort: (reason: string, isFault: boolean) => void;
+	/** Continues a response that was paused. */
+	readonly resume: () => void;
+};
+
+/** Creates the body of a response that is delivered to the caller as it arrives. */
+export function createDeliveredBody(options: DeliveredBodyOptions): ResponseBody {
+	const {head, answer, splitter, isResumedByCaller, describeReceived, abort, resume} = options;
+	const events = isEventStream(head) ? splitter : undefined;
+
+	const write = (chunk: Buffer): boolean => {
+		if (chunk.length === 0 || answer.write(chunk)) {
+			return true;
+		}
+
+		if (answer.pendingBytes() > responseLimits.undeliveredBytes) {
+			abort('the caller reads too slowly', false);
+			return false;
+		}
+
+		answer.onDrain(resume);
+		return false;
+	};
+
+	return {
+		push(chunk) {
+			const ready = events ? events.push(chunk) : chunk;
+			if (describeReceived().bodyBytes > responseLimits.bodyBytes) {
+				abort(`the body exceeds ${responseLimits.bodyBytes} bytes`, true);
+				return false;
+			}
+
+			if (events && events.unfinishedBytes() > responseLimits.eventBytes) {
+				abort(`an event exceeds ${responseLimits.eventBytes} bytes`, true);
+				return false;
+			}
+
+			return write(ready);
+		},
+		end() {
+			const received = describeReceived();
+			const fault = events && findStreamFault({
+				...received, isDeclared: head.mediaType !== undefined, hasEvents: events.hasEvents(), isResumedByCaller,
+			});
+			if (fault !== undefined) {
+				return {
+					kind: 'broken', reason: fault, isGivenUp: false, received,
+				};
+			}
+
+			if (events) {
+				write(events.flush());
+			}
+
+			answer.end();
+			return {kind: 'answered', received};
+		},
+	};
+}
--- a/src/forwarding/send-once.ts
+++ b/src/forwarding/send-once.ts
@@ -1,18 +1,15 @@
 import {classifyResponse} from '../decide/forwarding/classify-response.js';
-import {findStreamFault} from '../decide/forwarding/find-stream-fault.js';
-import {isEventStream} from '../decide/forwarding/is-event-stream.js';
+import {type CallerResponse} from './caller-response.js';
+import {createDeliveredBody} from './create-delivered-body.js';
+import {createFailureBody} from './create-failure-body.js';
+import {type InFlightRequest} from './in-flight-request.js';
 import {type ReceivedResponse} from './received-response.js';
+import {type ResponseBody} from './response-body.js';
 import {type ResponseHead} from './response-head.js';
-import {type CallerResponse} from './caller-response.js';
-import {type SendOutcome} from './send-outcome.js';
+import {responseLimits} from './response-limits.js';
 import {type ResponseListener} from './response-listener.js';
+import {type SendOutcome} from './send-outcome.js';
 import {type SseEventSplitter} from './sse-event-splitter.js';
-import {type InFlightRequest} from './in-flight-request.js';
-
-/** Longest error response of an upstream that is buffered; a longer one is not delivered. */
-const maxBufferedFailureBytes = 1024 * 1024;
-
-const emptyChunk = Buffer.alloc(0);
 
 /** Options of one attempt to send a request to an upstream. */
 type SendOnceOptions = {
@@ -32,115 +29,116 @@
 /** Sends a request once and delivers the response to the caller if it can be delivered. */
 export async function sendOnce({requestId, answer, send, signal, splitter, isResumedByCaller, onDelivery}: SendOnceOptions): Promise<SendOutcome> {
 	return new Promise(resolve => {
-		let classified: {readonly responseClass: ReturnType<typeof classifyResponse>; readonly head: ResponseHead} | undefined;
-		/** Set while the body is a stream of events. */
-		let events: SseEventSplitter | undefined;
-		const buffered: Buffer[] = [];
-		let bufferedBytes = 0;
+		let head: ResponseHead | undefined;
+		/** Takes the body; without one, the rest of the response is discarded. */
+		let body: ResponseBody | undefined;
 		let bodyBytes = 0;
+		let discardTimer: NodeJS.Timeout | undefined;
+
+		const abort = (reason: string, isFault: boolean): void => {
+			running.abort(new Error(reason), isFault);
+		};
+
 		const onAbort = (): void => {
 			running.abort(signal.reason instanceof Error ? signal.reason : new Error('given up'), false);
 		};
 
-		const describeReceived = ({framing, isCloseAnnounced}: ResponseHead): ReceivedResponse => ({
-			framing, isCloseAnnounced, bodyBytes, unfinishedEventBytes: events?.unfinishedBytes() ?? 0,
-		});
-
 		const finish = (outcome: SendOutcome): void => {
 			signal.removeEventListener('abort', onAbort);
 			resolve(outcome);
 		};
 
-		const deliver = (chunk: Buffer): boolean => {
-			const ready = events ? events.push(chunk) : chunk;
-			if (ready.length === 0 || answer.write(ready)) {
-				return true;
-			}
+		const describeReceived = ({framing, isCloseAnnounced}: ResponseHead): ReceivedResponse => ({
+			framing, isCloseAnnounced, bodyBytes, unfinishedEventBytes: splitter?.unfinishedBytes() ?? 0,
+		});
 
-			answer.onDrain(() => {
-				running.resume();
+		/** The outcome is known from the head; the rest is read so that the connection can serve further requests. */
+		const finishNotRun = (notRunHead: ResponseHead): void => {
+			discardTimer = setTimeout(() => {
+				abort('the rest of the response takes too long', true);
+			}, responseLimits.discardMs);
+			finish({
+				kind: 'not-run', reason: `upstream answered ${notRunHead.status}`, head: notRunHead, isGivenUp: false,
 			});
-			return false;
 		};
 
-		/** @returns Whether the response was complete. */
-		const endDelivery = (head: ResponseHead): boolean => {
-			const received = describeReceived(head);
-			const fault = events && findStreamFault({
-				...received, isDeclared: head.mediaType !== undefined, hasEvents: events.hasEvents(), isResumedByCaller,
-			});
-			if (fault === undefined) {
-				const rest = events?.flush() ?? emptyChunk;
-				if (rest.length > 0) {
-					answer.write(rest);
-				}
+		const reject = (unusable: ResponseHead): void => {
+			const reason = `answer with status ${unusable.status} can not be used`;
+			body = {
+				push: () => true,
+				end: () => ({
+					kind: 'broken', reason, isGivenUp: false, received: describeReceived(unusable),
+				}),
+			};
+			abort(reason, true);
+		};
 
-				answer.end();
-				finish({kind: 'answered', received});
-			} else {
-				finish({
-					kind: 'broken', reason: fault, isGivenUp: false, received,
-				});
+		const startDelivery = (delivered: ResponseHead): void => {
+			if (!answer.isHeadSent()) {
+				answer.begin(delivered.status, delivered.headers);
 			}
 
-			return fault === undefined;
+			body = createDeliveredBody({
+				head: delivered, answer, splitter, isResumedByCaller, abort,
+				describeReceived: () => describeReceived(delivered),
+				resume() {
+					running.resume();
+				},
+			});
+			onDelivery(delivered);
 		};
 
 		const running: InFlightRequest = send({
-			onHead(head) {
-				const responseClass = classifyResponse(head, requestId);
-				classified = {responseClass, head};
-				events = isEventStream(head) ? splitter : undefined;
-				if (responseClass === 'unusable') {
-					running.abort(new Error(`answer with status ${head.status} can not be used`), true);
-				} else if (responseClass === 'deliver') {
-					if (!answer.isHeadSent()) {
-						answer.begin(head.status, head.headers);
+			onHead(received) {
+				head = received;
+				switch (classifyResponse(received, requestId)) {
+					case 'unusable': {
+						reject(received);
+						break;
+					}
+
+					case 'not-run': {
+						finishNotRun(received);
+						break;
 					}
 
-					onDelivery(head);
+					case 'failed': {
+						body = createFailureBody(received, abort);
+						break;
+					}
+
+					case 'deliver': {
+						startDelivery(received);
+						break;
+					}
 				}
 			},
 			onData(chunk) {
 				bodyBytes += chunk.length;
-				if (classified?.responseClass === 'deliver') {
-					return deliver(chunk);
+				if (body) {
+					return body.push(chunk);
 				}
 
-				bufferedBytes += chunk.length;
-				if (bufferedBytes <= maxBufferedFailureBytes) {
-					buffered.push(chunk);
+				if (bodyBytes > responseLimits.discardedBytes) {
+					abort(`the rest of the response exceeds ${responseLimits.discardedBytes} bytes`, true);
 				}
 
 				return true;
 			},
 			onEnd() {
-				if (classified?.responseClass === 'deliver') {
-					return endDelivery(classified.head);
-				}
-
-				if (classified?.responseClass === 'not-run') {
-					finish({
-						kind: 'not-run', reason: `upstream answered ${classified.head.status}`, head: classified.head, isGivenUp: false,
-					});
-				} else if (classified?.responseClass === 'failed' && bufferedBytes <= maxBufferedFailureBytes) {
-					finish({kind: 'failed-answer', head: classified.head, body: Buffer.concat(buffered)});
-				} else {
-					finish({
-						kind: 'broken', reason: 'the response cannot be used', isGivenUp: false, received: classified && describeReceived(classified.head),
-					});
+				clearTimeout(discardTimer);
+				const outcome = body?.end();
+				if (outcome) {
+					finish(outcome);
 				}
 
-				return true;
+				return outcome?.kind !== 'broken';
 			},
 			onFail(error, wasSent) {
-				if (classified?.responseClass === 'not-run') {
-					finish({
-						kind: 'not-run', reason: `upstream answered ${classified.head.status}`, head: classified.head, isGivenUp: false,
-					});
-				} else if (wasSent) {
+				clearTimeout(discardTimer);
+				if (wasSent) {
 					finish({
-						kind: 'broken', reason: String(error.message), isGivenUp: signal.aborted, received: classified && describeReceived(classified.head),
+						kind: 'broken', reason: String(error.message), isGivenUp: signal.aborted, received: head && describeReceived(head),
 					});
 				} else {
 					finish({
--- a/test/forwarding/response-endings.test.ts
+++ b/test/forwarding/response-endings.test.ts
@@ -213,10 +213,15 @@
 		async ({lineEnd, target}) => {
 			const body = buildEvents(0, lineEnd);
 			const eventLength = body.length / eventCount;
-			const views = await Promise.all(Array.from({length: body.length + 1}, async (_, sentBytes) => call(target, 'HTTP/1.1', {
-				framing: 'neither', end: 'close', body, sentBytes,
-			})));
-			expect(views.map(({view}) => view.isWhole ? view.body : undefined)).toEqual(views.map((_, sentBytes) => {
+			const views: CallerView[] = [];
+			for (let sentBytes = 0; sentBytes <= body.length; sentBytes++) {
+				const {view} = await call(target, 'HTTP/1.1', {
+					framing: 'neither', end: 'close', body, sentBytes,
+				});
+				views.push(view);
+			}
+
+			expect(views.map(view => view.isWhole ? view.body : undefined)).toEqual(views.map((_, sentBytes) => {
 				if (sentBytes > 0 && sentBytes % eventLength === 0) {
 					return body.slice(0, sentBytes);
 				}
