Continue a stream only by another stream, of whatever length

Three cases, red before. What can't continue a stream is not used; a stream that may be continued goes out without the stated length.

--- a/src/forwarding/create-sse-event-splitter.ts
+++ b/src/forwarding/create-sse-event-splitter.ts
@@ -24,6 +24,7 @@
 	};
 
 	return {
+		holdsBack,
 		push(chunk) {
 			const end = scanner.scan(chunk);
 			hasEvents ||= end > 0;
--- a/src/forwarding/send-once.ts
+++ b/src/forwarding/send-once.ts
@@ -1,4 +1,5 @@
 import {classifyResponse} from '../decide/forwarding/classify-response.js';
+import {isEventStream} from '../decide/forwarding/is-event-stream.js';
 import {type CallerResponse} from './caller-response.js';
 import {createDeliveredBody} from './create-delivered-body.js';
 import {createFailureBody} from './create-failure-body.js';
@@ -26,6 +27,12 @@
 	readonly onDelivery: (head: ResponseHead) => void;
 };
 
+/** Removes the stated length: the part of another upstream may be longer or shorter. */
+function removeContentLength(headers: readonly string[]): readonly string[] {
+	const isKept = (index: number): boolean => headers[index - (index % 2)]!.toLowerCase() !== 'content-length';
+	return headers.filter((_, index) => isKept(index));
+}
+
 /** Sends a request once and delivers the response to the caller if it can be delivered. */
 export async function sendOnce({requestId, answer, send, signal, splitter, isResumedByCaller, onDelivery}: SendOnceOptions): Promise<SendOutcome> {
 	return new Promise(resolve => {
@@ -74,8 +81,15 @@
 		};
 
 		const startDelivery = (delivered: ResponseHead): void => {
+			if (answer.isHeadSent() && !isEventStream(delivered)) {
+				// The caller has the head of a stream, which nothing else can continue.
+				reject(delivered);
+				return;
+			}
+
 			if (!answer.isHeadSent()) {
-				answer.begin(delivered.status, delivered.headers);
+				const mayBeContinued = splitter?.holdsBack && isEventStream(delivered);
+				answer.begin(delivered.status, mayBeContinued ? removeContentLength(delivered.headers) : delivered.headers);
 			}
 
 			body = createDeliveredBody({
--- a/src/forwarding/sse-event-splitter.ts
+++ b/src/forwarding/sse-event-splitter.ts
@@ -1,5 +1,7 @@
 /** Reads a stream of server-sent events: tells whether its last event is complete and, for a stream that may be resumed, keeps the id of the last one passed on. */
 export type SseEventSplitter = {
+	/** Whether another upstream can continue the stream, since incomplete events are held back. */
+	readonly holdsBack: boolean;
 	/** Adds received bytes; returns those to pass on now. */
 	readonly push: (chunk: Buffer) => Buffer;
 	/** Returns the bytes held back; for the end of a complete response that is no stream after all. */
--- a/test/forwarding/streams.test.ts
+++ b/test/forwarding/streams.test.ts
@@ -114,6 +114,35 @@
 	});
 });
 
+describe('a stream that breaks after its first events', () => {
+	const continuations: ReadonlyArray<readonly [string, (id: string) => string, boolean]> = [
+		['by a stream of another length', id => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Seal: run-2\r\nContent-Length: ${toEvents(3, 9).length}\r\n\r\n${toEvents(3, 9)}`, true],
+		['not by the failure of another upstream', id => `HTTP/1.1 404 Not Found\r\nRequest-Id: ${id}\r\nResponse-Seal: run-2\r\nContent-Length: 2\r\n\r\nno`, false],
+		['not by a body of another media type', id => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Seal: run-2\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nno`, false],
+	];
+
+	test.each(continuations)('is continued %s', async (_, build, isContinued) => {
+		let sends = 0;
+		for (const upstream of upstreams) {
+			upstream.answer = ({headers}, socket) => {
+				const id = headers.get('request-id')!;
+				if (sends++ > 0) {
+					socket.write(build(id));
+					return;
+				}
+
+				socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Seal: run-1\r\nContent-Length: ${toEvents(0, 8).length}\r\n\r\n${toEvents(0, 3)}`);
+			};
+		}
+
+		const got = await sendRawRequest(gateway.callers, buildRawRequest({
+			method: 'POST', target: '/ask/x', body: 'prompt', deadlineMs: 1200,
+		}));
+		expect([got.status, got.isWhole && !got.isReset, got.body]).toEqual([200, isContinued, isContinued ? toEvents(0, 9) : toEvents(0, 3)]);
+		expect(sends).toBe(2);
+	});
+});
+
 describe('a stream that the caller resumes', () => {
 	test('continues after the last event that the caller received', async () => {
 		const {arrived} = breakFirstResponse(8);
