--- a/src/http/call-json.ts
+++ b/src/http/call-json.ts
@@ -1,6 +1,9 @@
 import {request, type Dispatcher} from 'undici';
+import {readBody} from './read-body.js';
 import {type JsonResponse} from './json-response.js';
 
+const maxBodyBytes = 32 * 1024 * 1024;
+
 /** Options of a JSON call. */
 type JsonCall = {
 	/** By default `POST` with a body, otherwise `GET`. */
@@ -14,6 +17,7 @@
 /**
 Sends a JSON request and reads the JSON response.
 
+@throws {BodyTooLargeError} When the body is too long.
 @throws {Error} When no complete response arrives within `timeoutMs`.
 */
 export async function callJson(url: string, call: JsonCall): Promise<JsonResponse> {
@@ -25,6 +29,6 @@
 		...(call.body === undefined ? {} : {body: JSON.stringify(call.body)}),
 		signal,
 	});
-	const text = await body.text();
+	const text = await readBody(body, maxBodyBytes);
 	return {status: statusCode, body: text === '' ? undefined : JSON.parse(text), bytes: Buffer.byteLength(text)};
 }
