--- a/src/upstreams/call-plain-service.ts
+++ b/src/upstreams/call-plain-service.ts
@@ -1,4 +1,6 @@
+import {type IncomingHttpHeaders} from 'node:http';
 import {Client} from 'undici';
+import {createConnectionObserver} from '../http/create-connection-observer.js';
 import {readBody} from '../http/read-body.js';
 import {type PlainRequest} from '../callers/plain-request.js';
 import {type PlainResponse} from '../callers/plain-response.js';
@@ -8,6 +10,11 @@
 const maxResponseBytes = 8 * 1024 * 1024;
 const connectTimeoutMs = 1000;
 
+/** Whether only the end of the connection marks the end of the body. */
+function endsWithConnection(headers: IncomingHttpHeaders): boolean {
+	return headers['content-length'] === undefined && !headers['transfer-encoding']?.endsWith('chunked');
+}
+
 /**
 Sends a request to a plain service once, over a new connection, so that the HTTP client never sends it a second time.
 
@@ -15,7 +22,8 @@
 */
 export async function callPlainService(url: string, req: PlainRequest, timeoutMs: number): Promise<PlainResponse> {
 	const {origin, pathname} = new URL(url);
-	const client = new Client(origin, {connect: {timeout: connectTimeoutMs}, pipelining: 1});
+	const observer = createConnectionObserver(connectTimeoutMs);
+	const client = new Client(origin, {connect: observer.connect, pipelining: 1});
 	try {
 		const {statusCode, headers, body} = await client.request({
 			method: req.method,
@@ -31,6 +39,10 @@
 			reset: true,
 		});
 		const text = await readBody(body, maxResponseBytes);
+		if (endsWithConnection(headers) && await observer.detectReset()) {
+			throw new Error('the connection was reset before the end of the response');
+		}
+
 		const contentType = headers['content-type'];
 		return {
 			status: statusCode,
