--- a/test/soak/create-soak-upstream.ts
+++ b/test/soak/create-soak-upstream.ts
@@ -9,6 +9,8 @@
 const maxWorkMs = 50;
 const eventMs = 15;
 const weightLoadMs = 300;
+/** One response of this many has neither a length nor chunks and ends with its connection. */
+const closeDelimitedEvery = 3;
 const encodeChunk = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 
 /** An upstream that records the requests it runs. */
@@ -85,29 +87,35 @@
 		const isBroken = random() < upstream.broken;
 		await sleep(hashTo48Bits(`${requestId}${id}`) % maxWorkMs);
 		const chunks = buildExpectedChunks(requestId, target).slice(resumedAfter === undefined ? 0 : Number(resumedAfter) + 1);
+		const isCloseDelimited = hashTo48Bits(`framing-${requestId}`) % closeDelimitedEvery === 0;
 		const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: ${seal}\r\n`;
 		if (!target.startsWith('/ask/')) {
 			const text = chunks.join('');
-			socket.write(`${head}Content-Length: ${Buffer.byteLength(text)}\r\n\r\n${isBroken || isCrashing ? text.slice(0, text.length / 2) : text}`);
+			const framing = isCloseDelimited ? '' : `Content-Length: ${Buffer.byteLength(text)}\r\n`;
+			socket.write(`${head}${framing}\r\n${isBroken || isCrashing ? text.slice(0, text.length / 2) : text}`);
 			if (isCrashing) {
 				await sleep(eventMs);
 				onCrash();
 			} else if (isBroken) {
-				socket.destroy();
+				// Without a length, only a reset shows that bytes are missing.
+				socket.resetAndDestroy();
+			} else if (isCloseDelimited) {
+				socket.end();
 			}
 
 			return;
 		}
 
-		socket.write(`${head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`);
+		const encode = isCloseDelimited ? (text: string): string => text : encodeChunk;
+		socket.write(`${head}Content-Type: text/event-stream\r\n${isCloseDelimited ? '' : 'Transfer-Encoding: chunked\r\n'}\r\n`);
 		for (const [index, chunk] of chunks.entries()) {
 			if (isBroken && index === chunks.length - 1) {
-				socket.write(encodeChunk(chunk.slice(0, 9)));
-				socket.destroy();
+				// Closes in an orderly way inside an event.
+				socket.end(encode(chunk.slice(0, 9)));
 				return;
 			}
 
-			socket.write(encodeChunk(chunk));
+			socket.write(encode(chunk));
 			await sleep(eventMs);
 			if (isCrashing) {
 				onCrash();
@@ -115,7 +123,11 @@
 			}
 		}
 
-		socket.write('0\r\n\r\n');
+		if (isCloseDelimited) {
+			socket.end();
+		} else {
+			socket.write('0\r\n\r\n');
+		}
 	};
 
 	server.answer = (received, socket) => {
