--- a/test/soak/create-tcp-proxy.ts
+++ b/test/soak/create-tcp-proxy.ts
@@ -3,6 +3,7 @@
 import {type LinkFaults} from './link-faults.js';
 
 const flushMs = 20;
+const emptyChunk = Buffer.alloc(0);
 
 /** A loopback TCP proxy in front of one address. */
 export type TcpProxy = {
@@ -60,7 +61,12 @@
 		};
 
 		from.on('data', enqueue).on('end', () => {
-			enqueue(undefined);
+			// A reset along with the last bytes is reported as an end; only a write fails then, and an error follows.
+			from.write(emptyChunk, error => {
+				if (!error) {
+					enqueue(undefined);
+				}
+			});
 		});
 		return pipe;
 	};
