Wait once for a caller that reads slowly, however many chunks arrive

Each chunk of a response that can't be paused added a listener to the caller's connection: a thousand for a thousand chunks (red before), which the runtime removes one by one in time that grows with their square. One is enough.

--- a/src/forwarding/create-delivered-body.ts
+++ b/src/forwarding/create-delivered-body.ts
@@ -27,6 +27,20 @@
 	const {head, answer, splitter, isResumedByCaller, describeReceived, abort, resume} = options;
 	const events = isEventStream(head) ? splitter : undefined;
 
+	let isWaitingForCaller = false;
+
+	const waitForCaller = (): void => {
+		if (isWaitingForCaller) {
+			return;
+		}
+
+		isWaitingForCaller = true;
+		answer.onDrain(() => {
+			isWaitingForCaller = false;
+			resume();
+		});
+	};
+
 	const write = (chunk: Buffer): boolean => {
 		if (chunk.length === 0 || answer.write(chunk)) {
 			return true;
@@ -37,7 +51,7 @@
 			return false;
 		}
 
-		answer.onDrain(resume);
+		waitForCaller();
 		return false;
 	};
 
