Test of a draining host: a second in which requests are refused, in place of 100 ms

Cause, from the log of one: a host with a grace period of 3 s accepts requests until 2.5 s and stops at 2.6 s; the test asks every 250 ms, and beside load its requests began at 2,371 and 2,622 ms, on both sides of the 100 ms in which requests are refused. With a grace period of 4 s it refuses for 1.1 s.

--- a/test/forwarding/state.test.ts
+++ b/test/forwarding/state.test.ts
@@ -150,7 +150,8 @@
 
 describe('a graceful shutdown', () => {
 	test('refuses at once, as not run, requests that could not end within the grace period', async () => {
-		const gateway = await start(store.address, {bounds: {graceS: 3}});
+		// Long enough that requests are refused for a second before the host stops.
+		const gateway = await start(store.address, {bounds: {graceS: 4}});
 		await waitUntilReady(gateway);
 		upstream.answer = () => undefined;
 		const heldRequest = sendRawRequest(gateway.callers, buildRawRequest({
