Take a response without a body for complete when its head has arrived

With the check for a reset that gateway and serve share since, the answer to a HEAD request without a length, and a 204 of a plain service, counted as reset: their connections don't end.

--- a/src/decide/forwarding/find-stream-fault.ts
+++ b/src/decide/forwarding/find-stream-fault.ts
@@ -1,4 +1,4 @@
-import {type ResponseFraming} from '../../forwarding/response-framing.js';
+import {type ResponseFraming} from '../../http/response-framing.js';
 
 /** A stream of events at the end of its response. */
 type EndedStream = {
--- a/src/forwarding/received-response.ts
+++ b/src/forwarding/received-response.ts
@@ -1,4 +1,4 @@
-import {type ResponseFraming} from './response-framing.js';
+import {type ResponseFraming} from '../http/response-framing.js';
 
 /** What arrived of a response, for logs. */
 export type ReceivedResponse = {
--- a/src/forwarding/response-head.ts
+++ b/src/forwarding/response-head.ts
@@ -1,4 +1,4 @@
-import {type ResponseFraming} from './response-framing.js';
+import {type ResponseFraming} from '../http/response-framing.js';
 
 /** The decoded head of an upstream's response. */
 export type ResponseHead = {
--- a/src/http/create-connection-observer.ts
+++ b/src/http/create-connection-observer.ts
@@ -7,7 +7,7 @@
 	readonly connect: buildConnector.connector;
 	/** Whether the connection has failed. */
 	readonly hasFailed: () => boolean;
-	/** Resolves whether the connection was reset; for a response whose end is marked only by the end of its connection, once it has ended. */
+	/** Resolves whether the connection was reset; to be called once a response has ended whose end is marked only by the end of its connection. */
 	readonly detectReset: () => Promise<boolean>;
 };
 
@@ -54,7 +54,6 @@
 			});
 		},
 		hasFailed: () => hasFailed,
-		// A connection that has closed without an end has failed.
-		detectReset: async () => resetAtEnd ?? true,
+		detectReset: async () => resetAtEnd ?? hasFailed,
 	};
 }
--- a/src/upstreams/call-plain-service.ts
+++ b/src/upstreams/call-plain-service.ts
@@ -1,6 +1,6 @@
-import {type IncomingHttpHeaders} from 'node:http';
 import {Client} from 'undici';
 import {createConnectionObserver} from '../http/create-connection-observer.js';
+import {getResponseFraming} from '../http/get-response-framing.js';
 import {readBody} from '../http/read-body.js';
 import {type PlainRequest} from '../callers/plain-request.js';
 import {type PlainResponse} from '../callers/plain-response.js';
@@ -10,11 +10,6 @@
 const maxResponseBytes = 8 * 1024 * 1024;
 const connectTimeoutMs = 1000;
 
-/** Whether only the end of the connection marks the end of the body. */
-function endsWithConnection(headers: IncomingHttpHeaders): boolean {
-	return headers['content-length'] === undefined && !headers['transfer-encoding']?.endsWith('chunked');
-}
-
 /**
 Sends a request to a plain service once, over a new connection, so that the HTTP client never sends it a second time.
 
@@ -39,7 +34,10 @@
 			reset: true,
 		});
 		const text = await readBody(body, maxResponseBytes);
-		if (endsWithConnection(headers) && await observer.detectReset()) {
+		const framing = getResponseFraming({
+			method: req.method, status: statusCode, transferEncoding: headers['transfer-encoding']?.toString(), contentLength: headers['content-length']?.toString(),
+		});
+		if (framing === 'close' && await observer.detectReset()) {
 			throw new Error('the connection was reset before the end of the response');
 		}
 
--- a/test/forwarding/responses.test.ts
+++ b/test/forwarding/responses.test.ts
@@ -171,6 +171,17 @@
 		expect([response.status, response.isWhole]).toEqual([200, false]);
 	});
 
+	test.each([
+		['the status has none', 'POST', '204 No Content', 204],
+		['the request is for its head', 'HEAD', '200 OK', 200],
+	])('is complete without a body and without a length where %s', async (_, method, statusLine, status) => {
+		const arrived = setResponses((request, socket) => {
+			socket.write(`HTTP/1.1 ${statusLine}\r\n${createSignedHead(request)}\r\n`);
+		});
+		const response = await sendRawRequest(gateway.callers, buildRawRequest({method}));
+		expect([response.status, response.body, response.isReset, arrived.length]).toEqual([status, '', false, 1]);
+	});
+
 	test('is complete when its body has no length and the connection ends regularly', async () => {
 		setResponses((arrived, socket) => {
 			socket.end(`HTTP/1.1 200 OK\r\n${createSignedHead(arrived)}\r\nall of it`);
