--- /dev/null
+++ b/src/announcements/announcement.ts
@@ -0,0 +1,5 @@
+/** What an upstream says of itself in the head of a response. */
+export type Announcement = {
+	/** Requests a second that it takes from all hosts together; `NaN` when it states something else, `undefined` when it states none. */
+	readonly requestsPerS: number | undefined;
+};
--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -5,6 +5,7 @@
 import {type UpstreamLoad} from './upstream-load.js';
 import {type RequestCost} from './request-cost.js';
 import {type UpstreamRegistry} from './upstream-registry.js';
+import {type ResponseHead} from './response-head.js';
 import {type ResponseListener} from './response-listener.js';
 import {type InFlightRequest} from './in-flight-request.js';
 import {type UpstreamConnectionPool} from './upstream-connection-pool.js';
@@ -47,6 +48,8 @@
 	avoidUntil: number;
 	/** Moving average of failed requests, from 0 to 1. */
 	failureShare: number;
+	/** The limit on requests a second that it stated last. */
+	statedLimit: number | undefined;
 	/** Whether the upstream is no longer registered; its connections close after the last request. */
 	isGone: boolean;
 };
@@ -109,6 +112,7 @@
 			lastAnswerAt: now(),
 			avoidUntil: 0,
 			failureShare: 0,
+			statedLimit: undefined,
 			isGone: false,
 		});
 		log.info({
@@ -181,6 +185,15 @@
 		headLatencyMs.set(service, mean + (headLatencyWeight * (tookMs - mean)));
 	};
 
+	const logStatedLimit = (entry: Entry, {announcement: {requestsPerS}, status, requestId}: ResponseHead): void => {
+		if (!Object.is(requestsPerS, entry.statedLimit)) {
+			log.info({
+				upstream: entry.upstream.id, startedAt: entry.upstream.startedAt, requestsPerS, before: entry.statedLimit, status, requestId,
+			}, 'upstream states a limit');
+			entry.statedLimit = requestsPerS;
+		}
+	};
+
 	const send = (id: string, request: UpstreamRequest, {waitingTokens, heldTokens, priority}: RequestCost, listener: ResponseListener): InFlightRequest => {
 		const entry = entries.get(id)!;
 		const waitStart = {since: now()};
@@ -210,6 +223,7 @@
 				recordAnswered();
 				entry.lastAnswerAt = now();
 				reachability.recordContact(entry.upstream.domain, now());
+				logStatedLimit(entry, head);
 				recordHeadLatency(entry.upstream.service, now() - waitStart.since);
 				listener.onHead(head);
 			},
--- a/src/forwarding/response-head.ts
+++ b/src/forwarding/response-head.ts
@@ -1,3 +1,4 @@
+import {type Announcement} from '../announcements/announcement.js';
 import {type ResponseFraming} from '../http/response-framing.js';
 
 /** The decoded head of an upstream's response. */
@@ -15,6 +16,8 @@
 	readonly upstreamId: string | undefined;
 	/** Weight version that the upstream served the request with; `undefined` when it states none. */
 	readonly weightVersion: number | undefined;
+	/** What the upstream says of itself. */
+	readonly announcement: Announcement;
 	readonly framing: ResponseFraming;
 	/** Whether the upstream announces that it closes the connection after the response. */
 	readonly isCloseAnnounced: boolean;
--- a/test/platform/boundary.test.ts
+++ b/test/platform/boundary.test.ts
@@ -31,6 +31,7 @@
 	'as_of',
 	'store-era',
 	'server-leaving',
+	'server-limit',
 ];
 
 const files = (folder: string): readonly string[] => readdirSync(folder, {recursive: true, encoding: 'utf8'})
