Keep the limit on requests that an upstream states, as the sum over all hosts

Callers saw nothing; an upstream that stated 2.1 requests a second got 34 in 4 s, when 18 are allowed.

Change: each start of an upstream has a record of what it says of itself (src/announcements/), filled from the heads of responses and from reports between hosts. For an upstream with a limit one host, of the upstream's failure domain where one is heard, issues the permits of all hosts from a token bucket; a host asks it before it sends a request there. Without a permit the upstream is closed to that host for the time that the issuer tells: placement leaves it out, and where nothing else serves, the caller is refused at once with that time. Orders and their polls are counted and paced. Where responses overtake each other, the lower limit holds until a request that was sent later says otherwise. Hosts that are cut off issue a share of the limit.

Why it works: permits are counted in one place, so nothing is rounded per host and idle hosts leave their part to others; the bound does not rest on how fast reports travel.

--- a/src/decide/collecting/create-load-aggregator.ts
+++ b/src/decide/collecting/create-load-aggregator.ts
@@ -1,8 +1,10 @@
+import {type ReportedLimit} from '../../announcements/reported-limit.js';
 import {type CrashReport} from '../../poison/crash-report.js';
 import {type DomainReport} from '../../forwarding/domain-report.js';
 import {type HostReport} from '../../forwarding/host-report.js';
 import {type LoadReport} from '../../forwarding/load-report.js';
 import {type UpstreamLoad} from '../../forwarding/upstream-load.js';
+import {mergeReportedLimits} from '../announcements/merge-reported-limits.js';
 import {getCrashKey} from '../poison/get-crash-key.js';
 import {limitReportedParts} from '../poison/limit-reported-parts.js';
 import {poisonLimits} from '../poison/poison-limits.js';
@@ -57,6 +59,11 @@
 	return limitReportedParts([...unique.values()], maxReportedParts);
 }
 
+/** Returns the limits of a report with their ages at a later time. */
+function ageLimits(limits: readonly ReportedLimit[], ageMs: number): readonly ReportedLimit[] {
+	return limits.map(limit => ({...limit, askedAgeMs: limit.askedAgeMs + ageMs, answeredAgeMs: limit.answeredAgeMs + ageMs}));
+}
+
 function copyTotals(totals: ReadonlyMap<string, UpstreamLoadTotal>): Map<string, UpstreamLoadTotal> {
 	return new Map([...totals].map(([id, total]) => [id, {...total, waitingTokens: new Map(total.waitingTokens)}]));
 }
@@ -82,7 +89,8 @@
 			return reports.size > 0;
 		},
 		add(now) {
-			const validReports = [...reports.values()].filter(({at}) => now - at <= reportValidMs).map(({report}) => report);
+			const validEntries = [...reports.values()].filter(({at}) => now - at <= reportValidMs);
+			const validReports = validEntries.map(({report}) => report);
 			const totals = new Map<string, UpstreamLoadTotal>();
 			for (const load of validReports.flatMap(report => report.loads)) {
 				applyLoad(totals, load, 1);
@@ -93,6 +101,7 @@
 				weights: mergeUnique(validReports.map(report => report.weights)),
 				crashes: mergeCrashes(validReports.flatMap(report => report.crashes)),
 				clearedParts: [...new Set(validReports.flatMap(report => report.clearedParts ?? []))].slice(0, maxReportedParts),
+				limits: mergeReportedLimits(validEntries.flatMap(({report, at}) => ageLimits(report.limits ?? [], Math.round(now - at)))),
 				condemnedParts: validReports.flatMap(report => report.condemnedParts ?? []).slice(0, maxReportedCondemned),
 			};
 			return excludedHost => {
@@ -107,7 +116,7 @@
 		},
 		members: now => [...reports.values()].map(({report, at}) => {
 			const {
-				loads: _loads, loading: _loading, weights: _weights, crashes: _crashes, clearedParts: _cleared, condemnedParts: _condemned, ...status
+				loads: _loads, loading: _loading, weights: _weights, crashes: _crashes, clearedParts: _cleared, condemnedParts: _condemned, limits: _limits, ...status
 			} = report;
 			return {status, ageMs: Math.round(now - at)};
 		}),
--- a/src/decide/forwarding/upstream-view.ts
+++ b/src/decide/forwarding/upstream-view.ts
@@ -19,4 +19,8 @@
 	readonly failureShare: number;
 	/** Number of further requests that this host's connections to the upstream can carry. */
 	readonly freeConnections: number;
+	/** Requests a second that the upstream takes from all hosts together; `undefined` without a limit. A request there needs a permit then. */
+	readonly requestsPerS: number | undefined;
+	/** For how long the limit leaves no room for this host, in milliseconds. */
+	readonly closedForMs: number;
 };
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -23,6 +23,8 @@
 /** Refused callers are told to retry after this time plus a random part of the spread, so that they don't all return at once. */
 const minRetryAfterMs = 300;
 const retryAfterSpreadMs = 700;
+/** Added to the time after which an upstream's limit leaves room. */
+const minReturnMs = 20;
 /** With less time left, a request is not sent: the response could not reach the caller in time. */
 const minTimeLeftMs = 20;
 /** Ejection time of an upstream that rejected a request without running it. */
@@ -48,6 +50,8 @@
 	readonly getUrgentObjectiveMs: (route: Route, service: string) => number | undefined;
 	/** Chooses an upstream of a service, and which KV cache the request fetches and saves there. */
 	readonly place: (admitted: AdmittedRequest, service: string, tried: ReadonlySet<string>) => Placement | undefined;
+	/** Returns whether an upstream's limit on requests leaves room for this one now. */
+	readonly acquirePermit: (upstreamId: string, requestId: string) => Promise<boolean>;
 	readonly encode: (request: CallerRequest, options: UpstreamRequestOptions) => string[];
 	readonly now: () => number;
 	readonly random: () => number;
@@ -94,7 +98,7 @@
 
 /** Creates the function that forwards a caller's request, retries it where that is safe, and sends the final response. */
 export function createForwarder(options: ForwarderOptions): (admitted: AdmittedRequest) => Promise<void> {
-	const {registry, crashes, getRetryBudget, getLatencyModel, getUrgentObjectiveMs, place, encode, now, random, onEnd} = options;
+	const {registry, crashes, getRetryBudget, getLatencyModel, getUrgentObjectiveMs, place, acquirePermit, encode, now, random, onEnd} = options;
 	const send = createSender({
 		registry, getLatencyModel, encode, now,
 	});
@@ -150,7 +154,19 @@
 		}
 	};
 
-	const findPlacement = (admitted: AdmittedRequest, progress: ForwardingProgress): PlacementResult => {
+	/** Returns the reason for a request that no upstream may be sent now. */
+	const describeNoUpstream = (service: string, progress: ForwardingProgress): PlacementResult => {
+		const closedForMs = registry.closedForMs(service, now());
+		if (closedForMs === undefined) {
+			return {reason: 'no-upstream'};
+		}
+
+		progress.lastReason = 'the upstreams are at the limits that they state';
+		return {reason: 'overloaded', retryAfterMs: closedForMs + minReturnMs + (random() * retryAfterSpreadMs)};
+	};
+
+	/** Chooses an upstream that may be sent the request; one whose limit leaves no room is closed meanwhile, and another one is chosen. */
+	const findPlacement = async (admitted: AdmittedRequest, progress: ForwardingProgress): Promise<PlacementResult> => {
 		const {route, receivedAt} = admitted;
 		if (progress.endsAt - now() < minTimeLeftMs) {
 			return {reason: 'time-over'};
@@ -164,7 +180,7 @@
 
 		const placement = place(admitted, progress.service, progress.triedUpstreams);
 		if (!placement) {
-			return {reason: 'no-upstream'};
+			return describeNoUpstream(progress.service, progress);
 		}
 
 		const {firstByteMs, isQueueing} = placement;
@@ -177,6 +193,10 @@
 			return {reason: 'overloaded', retryAfterMs: admission.retryAfterMs};
 		}
 
+		if (!await acquirePermit(placement.upstream.id, admitted.request.id!)) {
+			return findPlacement(admitted, progress);
+		}
+
 		if (progress.sends > 0 && !getRetryBudget(progress.service).tryWithdraw(now())) {
 			progress.lastReason = `${progress.lastReason}; the retry budget is spent`;
 			return {reason: 'upstream-failed'};
@@ -268,12 +288,17 @@
 				return;
 			}
 
-			const result = findPlacement(admitted, progress);
+			const result = await findPlacement(admitted, progress);
 			if ('reason' in result) {
 				refuseRequest(admitted, progress, result.reason, result.retryAfterMs);
 				return;
 			}
 
+			if (signal.aborted) {
+				// The caller disconnected while this host asked for a permit.
+				continue;
+			}
+
 			if (await attemptSend(admitted, progress, result.placement)) {
 				return;
 			}
--- a/src/forwarding/create-host-report-exchange.ts
+++ b/src/forwarding/create-host-report-exchange.ts
@@ -105,6 +105,7 @@
 			timer = setInterval(sendReport, reportMs);
 		},
 		alive: registry.alive,
+		listHeard: () => registry.listKnown().filter(({heardAt}) => heardAt !== undefined),
 		refreshAndList: registry.refreshAndList,
 		reportAgeMs: () => sender === direct ? directReportAgeMs : collectedReportAgeMs,
 		countHosts,
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -110,12 +110,13 @@
 		const priority = Math.min(lowestPriority, Math.max(highestPriority, workspace?.priority ?? route.priority));
 		const engine = serviceOf(service)?.engine;
 		const parameters = getLatencyModel(service).parameters();
-		const available = registry.listAvailable(service, now(), priority);
+		const available = registry.listAvailable(service, now(), priority).filter(view => view.closedForMs === 0);
 		const untried = available.filter(view => !tried.has(view.upstream.id));
 		const views = untried.length > 0 ? untried : available;
 		const sharedPart = findSharedPart(prompt);
-		// All hosts compute the same owner, so requests that share the part go to the same upstream.
-		const sharedPartOwner = sharedPart === undefined ? undefined : findOwner(views.map(view => view.upstream.id), sharedPart);
+		// All hosts compute the same owner, so requests that share the part go to the same upstream. One with a limit can't take them.
+		const ownerCandidates = views.filter(view => view.requestsPerS === undefined);
+		const sharedPartOwner = sharedPart === undefined ? undefined : findOwner(ownerCandidates.map(view => view.upstream.id), sharedPart);
 		const heldTokens = countTokens(prompt);
 		const plans = new Map<string, KvReusePlan>();
 		const reusePlans = prompt && engine && planKvReuse(prompt, engine, workspace, parameters.prefillTokensPerMs);
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -18,6 +18,8 @@
 const failedOrderRetryMs = 700;
 /** An order that the engine rejected as invalid is retried after this long. */
 const invalidOrderRetryMs = 1500;
+/** An order follows a report. */
+const callsPerOrder = 2;
 /** How long this host's reports include new weights that it found on an engine. */
 const weightsReportMs = 3000;
 
@@ -38,6 +40,8 @@
 	readonly lease: RolloutLease;
 	readonly engineClient: EngineClient;
 	readonly registry: UpstreamRegistry;
+	/** Counts a call to an engine that states a limit on requests; returns the time that the limit leaves between two, in milliseconds. */
+	readonly chargeCall: (upstreamId: string) => number;
 	readonly desiredWeights: () => readonly DesiredWeights[];
 	/** Clock in milliseconds that also advances while the machine is suspended. */
 	readonly now: () => number;
@@ -56,7 +60,7 @@
 Starts the task that updates engines to the desired weights. One host at a time sends orders, under a lease in the platform's
 store that is acquired only while there are engines to update.
 */
-export function createRolloutTask({self, lease, engineClient, registry, desiredWeights, now}: RolloutTaskOptions): RolloutTask {
+export function createRolloutTask({self, lease, engineClient, registry, chargeCall, desiredWeights, now}: RolloutTaskOptions): RolloutTask {
 	const pendingOrders = new Map<string, PendingOrder>();
 	const loadedWeights = new Map<string, {readonly model: string; readonly version: number; readonly at: number}>();
 	let hasStopped = false;
@@ -100,14 +104,16 @@
 	@returns Time until the engine is to be polled again, in milliseconds.
 	*/
 	const tryOrder = async (id: string, address: string, target: DesiredWeights, entry: PendingOrder): Promise<number> => {
+		const callPauseMs = chargeCall(id);
 		const report = await engineClient.report(address);
 		recordReport(id, report, target);
 		const token = lease.token();
 		if (!pendingOrders.has(id) || report.isBusy || token === undefined) {
-			return enginePollMs;
+			return Math.max(enginePollMs, callPauseMs);
 		}
 
 		lease.recordOrder();
+		chargeCall(id);
 		const answer = await engineClient.order(address, id, {
 			model: target.model, version: target.version, holder: self, token, expectedOrders: report.orders,
 		});
@@ -120,7 +126,7 @@
 		}
 
 		entry.isAccepted = answer === 'accepted';
-		return answer === 'invalid' ? invalidOrderRetryMs : enginePollMs;
+		return Math.max(answer === 'invalid' ? invalidOrderRetryMs : enginePollMs, callsPerOrder * callPauseMs);
 	};
 
 	const processOrder = async (id: string, target: DesiredWeights): Promise<void> => {
--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -1,3 +1,6 @@
+import {createUpstreamAnnouncements} from '../announcements/create-upstream-announcements.js';
+import {takeDueLimits} from '../announcements/take-due-limits.js';
+import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
 import {log} from '../observe/log.js';
 import {createDomainReachability} from '../decide/forwarding/create-domain-reachability.js';
 import {createLoadTotals} from '../decide/forwarding/create-load-totals.js';
@@ -15,6 +18,7 @@
 /** Weight of the newest outcome in the moving average of failures. */
 const newestOutcomeWeight = 0.1;
 const firstFailureStatus = 500;
+const misdirectedStatus = 421;
 /**
 An upstream is unresponsive when it has sent no response head for this time plus `unresponsiveFactor` times the mean head
 latency of its service, while a request waits for one.
@@ -48,8 +52,8 @@
 	avoidUntil: number;
 	/** Moving average of failed requests, from 0 to 1. */
 	failureShare: number;
-	/** The limit on requests a second that it stated last. */
-	statedLimit: number | undefined;
+	/** What it says of itself. */
+	readonly announcements: UpstreamAnnouncements;
 	/** Whether the upstream is no longer registered; its connections close after the last request. */
 	isGone: boolean;
 };
@@ -112,7 +116,7 @@
 			lastAnswerAt: now(),
 			avoidUntil: 0,
 			failureShare: 0,
-			statedLimit: undefined,
+			announcements: createUpstreamAnnouncements(upstream),
 			isGone: false,
 		});
 		log.info({
@@ -177,6 +181,8 @@
 			isEjected: at < entry.avoidUntil || reachability.isPartitioned(entry.upstream.domain, at),
 			failureShare: entry.failureShare,
 			freeConnections: entry.connections - entry.inFlight,
+			requestsPerS: entry.announcements.requestsPerS(),
+			closedForMs: entry.announcements.closedForMs(at),
 		};
 	};
 
@@ -185,12 +191,10 @@
 		headLatencyMs.set(service, mean + (headLatencyWeight * (tookMs - mean)));
 	};
 
-	const logStatedLimit = (entry: Entry, {announcement: {requestsPerS}, status, requestId}: ResponseHead): void => {
-		if (!Object.is(requestsPerS, entry.statedLimit)) {
-			log.info({
-				upstream: entry.upstream.id, startedAt: entry.upstream.startedAt, requestsPerS, before: entry.statedLimit, status, requestId,
-			}, 'upstream states a limit');
-			entry.statedLimit = requestsPerS;
+	/** A response with status 421 may come from another upstream at the address. */
+	const recordAnnouncement = (entry: Entry, {announcement, status, requestId, isSigned}: ResponseHead, askedAt: number): void => {
+		if (status !== misdirectedStatus) {
+			entry.announcements.record(announcement, {askedAt, requestId, isSigned}, now());
 		}
 	};
 
@@ -223,7 +227,7 @@
 				recordAnswered();
 				entry.lastAnswerAt = now();
 				reachability.recordContact(entry.upstream.domain, now());
-				logStatedLimit(entry, head);
+				recordAnnouncement(entry, head, waitStart.since);
 				recordHeadLatency(entry.upstream.service, now() - waitStart.since);
 				listener.onHead(head);
 			},
@@ -263,6 +267,13 @@
 		listAvailable: (service, at, priority) => [...entries.values()]
 			.filter(entry => entry.upstream.service === service && !entry.upstream.isLeaving)
 			.map(entry => toView(entry, at, priority)),
+		closedForMs(service, at) {
+			const closed = [...entries.values()]
+				.filter(entry => entry.upstream.service === service && !entry.upstream.isLeaving)
+				.map(entry => entry.announcements.closedForMs(at))
+				.filter(closedForMs => closedForMs > 0);
+			return closed.length > 0 ? Math.min(...closed) : undefined;
+		},
 		send,
 		ejectUntil(id, untilMs) {
 			const entry = entries.get(id);
@@ -282,6 +293,16 @@
 				entry.upstream = {...entry.upstream, weights: new Map([...entry.upstream.weights, [model, version]])};
 			}
 		},
+		announcements: id => entries.get(id)?.announcements,
+		takeDueLimits: at => takeDueLimits([...entries.values()].map(entry => entry.announcements), at),
+		recordReportedLimits(source, limits, at) {
+			for (const limit of limits) {
+				const entry = entries.get(limit.id);
+				if (entry && entry.upstream.startedAt === limit.startedAt) {
+					entry.announcements.recordReported(limit, source, at);
+				}
+			}
+		},
 		inFlight: id => (entries.get(id)?.inFlight ?? 0) + (remoteLoads.of(id, now())?.inFlight ?? 0),
 		get: id => entries.get(id)?.upstream,
 		listAll: () => [...entries.values()].map(entry => entry.upstream),
--- a/src/forwarding/host-report-exchange.ts
+++ b/src/forwarding/host-report-exchange.ts
@@ -7,6 +7,8 @@
 	readonly start: () => Promise<void>;
 	/** Returns the hosts with a recent report. */
 	readonly alive: () => readonly KnownHost[];
+	/** Returns the hosts that have reported within the last minute. */
+	readonly listHeard: () => readonly KnownHost[];
 	/** Reads the store again, then returns all other hosts known from the store or a report. */
 	readonly refreshAndList: () => Promise<readonly KnownHost[]>;
 	/** Returns the mean age of the known loads of other hosts, in milliseconds. */
--- a/src/forwarding/load-report.ts
+++ b/src/forwarding/load-report.ts
@@ -1,3 +1,4 @@
+import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type CrashFindings} from '../poison/crash-findings.js';
 import {type UpstreamLoad} from './upstream-load.js';
 
@@ -8,4 +9,6 @@
 	readonly loading: ReadonlyArray<readonly [string, string, number]>;
 	/** Weights recently found on engines: id, model and version. */
 	readonly weights: ReadonlyArray<readonly [string, string, number]>;
+	/** Limits that upstreams have stated, or their ends. Hosts of an earlier build state none. */
+	readonly limits?: readonly ReportedLimit[];
 };
--- a/src/forwarding/upstream-registry.ts
+++ b/src/forwarding/upstream-registry.ts
@@ -1,3 +1,5 @@
+import {type ReportedLimit} from '../announcements/reported-limit.js';
+import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
 import {type LoadReporter} from './load-reporter.js';
 import {type UpstreamLoad} from './upstream-load.js';
@@ -16,6 +18,11 @@
 	unresponsive ones are included.
 	*/
 	readonly listAvailable: (service: string, now: number, priority: number) => readonly UpstreamView[];
+	/**
+	Returns after what time the limit of an upstream of a service leaves room for this host again, in milliseconds; `undefined` when no upstream
+	is closed.
+	*/
+	readonly closedForMs: (service: string, now: number) => number | undefined;
 	/** Sends a request and counts it as in flight until it ends. */
 	readonly send: (id: string, request: UpstreamRequest, cost: RequestCost, listener: ResponseListener) => InFlightRequest;
 	/** Ejects an upstream from placement until `untilMs`. */
@@ -24,6 +31,12 @@
 	readonly recordConnectFailure: (id: string) => void;
 	/** Records a weight version found on an upstream. */
 	readonly recordWeights: (id: string, model: string, version: number) => void;
+	/** Returns what an upstream says of itself; `undefined` when it is not registered. */
+	readonly announcements: (id: string) => UpstreamAnnouncements | undefined;
+	/** Returns the limits that the next report to other hosts states, and records that it does. */
+	readonly takeDueLimits: (now: number) => readonly ReportedLimit[];
+	/** Records the limits that another host reported. */
+	readonly recordReportedLimits: (source: string, limits: readonly ReportedLimit[], now: number) => void;
 	/** Returns the requests of all hosts in flight at an upstream, as far as known. */
 	readonly inFlight: (id: string) => number;
 	/** Returns the upstream with an id; `undefined` when it is not registered. */
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -1,3 +1,5 @@
+import {type PermitRequest} from '../announcements/permit-request.js';
+import {type PermitResult} from '../announcements/permit-result.js';
 import {type SlotRequest} from '../decide/grants/slot-request.js';
 import {type SlotResponse} from '../decide/grants/slot-response.js';
 import {type ActiveGrant} from '../decide/grants/active-grant.js';
@@ -118,6 +120,8 @@
 		readonly params: {readonly write?: {readonly value: unknown; readonly revision: number; readonly epoch?: number}};
 		readonly result: {readonly object: StoredObject | null};
 	};
+	/** Asks for a permit to send one request to an upstream that states a limit. */
+	readonly 'gateway.permit': {readonly params: PermitRequest; readonly result: PermitResult};
 	/** Returns the receiver's decisions about a request. */
 	readonly explain: {
 		readonly params: {readonly requestId: string};
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {createPermitTask} from './announcements/create-permit-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {getOwnerRank} from './decide/membership/get-owner-rank.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
@@ -113,13 +114,14 @@
 			const loading = rolloutTask.loading();
 			ejectLoading(loading);
 			return {
-				loads: registry.loads(), loading, weights: rolloutTask.news(), ...stateSync.status(),
+				loads: registry.loads(), loading, weights: rolloutTask.news(), limits: registry.takeDueLimits(now()), ...stateSync.status(),
 				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), ...crashes.news(),
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
 			};
 		},
 		onLoads(source, report) {
 			registry.recordRemoteLoads(source, report.loads, now());
+			registry.recordReportedLimits(source.host, report.limits ?? [], now());
 			ejectLoading(report.loading);
 			for (const [id, model, version] of report.weights) {
 				registry.recordWeights(id, model, version);
@@ -146,6 +148,9 @@
 			metrics.connections.inc({service: upstream.service});
 		}),
 	});
+	const permits = createPermitTask({
+		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, hasSettled, call: peerClient.call, now, random,
+	});
 	const ejectLoading = (loading: LoadReport['loading']): void => {
 		for (const [id] of loading) {
 			registry.ejectUntil(id, now() + loadingEjectMs);
@@ -222,6 +227,7 @@
 		}),
 		engineClient,
 		registry,
+		chargeCall: permits.charge,
 		desiredWeights: storedState.weights,
 		now: suspendAwareNow,
 	});
@@ -253,6 +259,7 @@
 			}),
 		}),
 		getLatencyModel,
+		acquirePermit: permits.acquire,
 		getUrgentObjectiveMs: storedState.findUrgentObjectiveMs,
 		encode: adapter.encodeRequest,
 		onEnd({route}, result, tookMs) {
@@ -271,6 +278,7 @@
 			const {value, revision, epoch = epochs.current()} = write;
 			return {object: await ownLease.write(value, revision === 0 ? undefined : {epoch, revision}) ?? null};
 		},
+		'gateway.permit': async request => permits.answer(request),
 		'gateway.kept': async ({store: storeName, known}) => kvStoreTracker.listEvents(storeName, known),
 	}, () => false);
 	await reportExchange.start();
