A silent connection to the store hides a change for less than the bound of configuration

Callers got 404 for a route that had been acknowledged seconds before. Cause: the only sign of a connection that has gone silent was the end of a watch's longest wait (2.7 s on two hosts, 10.7 s on the others), and the call that followed was made on another connection of the same pool, silent too, with its own timeout and a growing pause.

--- a/src/object-store/create-epoch-checked-store.ts
+++ b/src/object-store/create-epoch-checked-store.ts
@@ -9,12 +9,13 @@
 export function createEpochCheckedStore(client: ObjectStore, epochs: EpochTracker): ObjectStore {
 	return {
 		...client,
-		async watch(kind, from, waitMs) {
+		async watch(kind, from, waitMs, signal) {
 			if (from.epoch !== epochs.current()) {
 				return undefined;
 			}
 
-			const result = await client.watch(kind, from, waitMs, epochs.endOfCurrent());
+			const endOfEpoch = epochs.endOfCurrent();
+			const result = await client.watch(kind, from, waitMs, signal ? AbortSignal.any([endOfEpoch, signal]) : endOfEpoch);
 			return result?.epoch === from.epoch ? result : undefined;
 		},
 		async replace(kind, name, value, expected) {
--- a/src/object-store/create-object-watcher.ts
+++ b/src/object-store/create-object-watcher.ts
@@ -23,6 +23,9 @@
 /** Wait of a watch after a failed call, whose response states the epoch of the store. */
 const probeWaitMs = 1;
 
+/** How often a waiting watch checks whether it should have waited less. */
+const waitCheckIntervalMs = 250;
+
 /** Options of `createObjectWatcher`. */
 type ObjectWatcherOptions = {
 	readonly kind: string;
@@ -94,8 +97,35 @@
 		}
 	};
 
+	/** Watches, and ends the watch early when this host is to notice dead connections sooner than when it began. */
+	const watchWithin = async (from: KindSnapshot, longestMs: number): Promise<Awaited<ReturnType<ObjectStore['watch']>> | 'waited-enough'> => {
+		const startedAt = now();
+		const shortened = new AbortController();
+		const timer = setInterval(() => {
+			const allowedMs = waitMs();
+			if (allowedMs < longestMs && now() - startedAt > allowedMs) {
+				shortened.abort();
+			}
+		}, waitCheckIntervalMs);
+		try {
+			return await store.watch(kind, from, longestMs, shortened.signal);
+		} catch (error) {
+			if (shortened.signal.aborted) {
+				return 'waited-enough';
+			}
+
+			throw error;
+		} finally {
+			clearInterval(timer);
+		}
+	};
+
 	const watchOnce = async (from: KindSnapshot): Promise<void> => {
-		const result = await store.watch(kind, from, hasFailed ? probeWaitMs : waitMs());
+		const result = await watchWithin(from, hasFailed ? probeWaitMs : waitMs());
+		if (result === 'waited-enough') {
+			return;
+		}
+
 		if (!result) {
 			log.info({kind, epoch: from.epoch, revision: from.revision}, 'store has discarded its history, listing objects again');
 			await list();
@@ -140,8 +170,15 @@
 			try {
 				await (current && contactAt !== undefined ? watchOnce(current) : list());
 			} catch (error) {
-				hasFailed = true;
 				lastFailureAt = now();
+				if (!hasFailed && current) {
+					// The connection may have gone silent: the next call goes on another one at once.
+					hasFailed = true;
+					log.info({kind, revision: current.revision, error: String(error)}, 'watch of the store got no response');
+					continue;
+				}
+
+				hasFailed = true;
 				if (!isUnreachable && !hasStopped) {
 					isUnreachable = true;
 					log.warn({kind, revision: current?.revision ?? 0, error: String(error)}, 'store does not answer');
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -41,8 +41,10 @@
 import {sleep} from './util/sleep.js';
 
 const msPerS = 1000;
-/** Longest wait of a watch call on a few hosts; limits how long a dead connection can hide a change from them. */
-const shortWatchMs = 2000;
+/** Longest wait of a watch call on a few hosts; limits how long a dead connection can hide a change from all. */
+const shortWatchMs = 700;
+/** The same for desired weights, which need not be in force as soon. */
+const shortWeightsWatchMs = 2000;
 const shortWatchHosts = 2;
 /** Number of hosts of a failure domain that watch a kind of objects in the store. */
 const watchersPerDomain = 3;
@@ -194,6 +196,14 @@
 		return getOwnerRank(name, candidates, kind) < watchersPerDomain;
 	};
 
+	const isShortWatcher = (kind: string): boolean => {
+		const candidates = reportExchange.alive().filter(peer => !peer.isStoreLost).map(peer => peer.host);
+		return getOwnerRank(name, candidates, kind) < shortWatchHosts;
+	};
+
+	const shortWaitsMs: Readonly<Record<string, number>> = {
+		[kinds.configuration]: shortWatchMs, [kinds.upstreams]: shortWatchMs, [kinds.weights]: shortWeightsWatchMs,
+	};
 	const watchers = [
 		{kind: kinds.condemnedRequests, onChange: condemnedRequestList.applyObjects},
 		{kind: kinds.configuration, onChange: storedState.applyConfiguration, getVersion: storedState.getConfigurationVersion},
@@ -201,7 +211,7 @@
 		{kind: kinds.weights, onChange: applyWeights, getVersion: storedState.getWeightsVersion},
 	].map(({kind, ...watched}) => createObjectWatcher({
 		kind, store, now: suspendAwareNow, random, ...watched,
-		waitMs: () => kind !== kinds.condemnedRequests && getOwnerRank(name, listOtherNames(), kind) < shortWatchHosts ? shortWatchMs : longWatchMs,
+		waitMs: () => isShortWatcher(kind) ? shortWaitsMs[kind] ?? longWatchMs : longWatchMs,
 		isWatching: () => isWatching(kind),
 	}));
 	const stateSync = createStateSync({
