Log the software version of upstreams, and what callers who take a stream up name

The list's version and the caller's header are decoded now, and logged when a request is placed and its answer begins; nothing else is changed.

--- a/src/forwarding/caller-request.ts
+++ b/src/forwarding/caller-request.ts
@@ -13,6 +13,8 @@
 	readonly deadlineMs: number | undefined;
 	/** Id of the last event that the caller received, if it resumes a stream. */
 	readonly resumeAfter: string | undefined;
+	/** Id of the request whose response brought the first event of the stream that the caller takes up; `undefined` where it names none. */
+	readonly begunBy: string | undefined;
 	readonly prompt: Prompt | undefined;
 	/** Headers forwarded to the upstream unchanged, as alternating names and values. */
 	readonly headers: readonly string[];
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -225,7 +225,8 @@
 	const attemptSend = async (admitted: AdmittedRequest, progress: ForwardingProgress, placement: Placement): Promise<boolean> => {
 		const {request, route} = admitted;
 		log.info({
-			requestId: request.id!, route: route.name, service: progress.service, upstream: placement.upstream.id,
+			requestId: request.id!, route: route.name, service: progress.service, upstream: placement.upstream.id, softwareVersion: placement.upstream.softwareVersion,
+			resumeAfter: progress.splitter?.lastEventId() ?? request.resumeAfter, begunBy: request.begunBy,
 			sends: progress.sends, inFlight: placement.inFlight,
 			missingTokens: placement.missingTokens, fetchedTokens: placement.fetchedTokens, isHome: placement.isHome,
 			firstByteMs: Math.round(placement.firstByteMs), unseenMs: Math.round(placement.unseenMs),
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -61,7 +61,8 @@
 					clearTimeout(attemptTimer);
 					getLatencyModel(service).recordFirstByte(placement.firstByteMs, now() - sentAt);
 					log.info({
-						requestId: request.id!, upstream: placement.upstream.id, status, afterMs: Math.round(now() - admitted.receivedAt), predictedMs: Math.round(placement.firstByteMs),
+						requestId: request.id!, upstream: placement.upstream.id, softwareVersion: placement.upstream.softwareVersion, status,
+						afterMs: Math.round(now() - admitted.receivedAt), predictedMs: Math.round(placement.firstByteMs),
 					}, 'answer begins');
 				},
 			});
--- a/src/forwarding/upstream.ts
+++ b/src/forwarding/upstream.ts
@@ -12,6 +12,8 @@
 	readonly isLeaving: boolean;
 	/** Start time in Unix milliseconds; distinguishes two starts under one id. */
 	readonly startedAt: number | undefined;
+	/** Version of its software; empty where it states none. */
+	readonly softwareVersion: string;
 	/** Weight version of each loaded model. */
 	readonly weights: ReadonlyMap<string, number>;
 };
--- a/test/platform/boundary.test.ts
+++ b/test/platform/boundary.test.ts
@@ -32,6 +32,7 @@
 	'store-era',
 	'server-leaving',
 	'server-limit',
+	'\'resumes\'',
 ];
 
 const files = (folder: string): readonly string[] => readdirSync(folder, {recursive: true, encoding: 'utf8'})
