Streams go on only at the software version that began them

Change: a host records the version of the upstream that brought a stream's first event, as it was when the request was placed. While a service has several versions, or had them within the last minute, each record is told to four other hosts, chosen by rendezvous, within 20 ms; records from before the second version came are told when it does. A host that is asked to go on and doesn't know asks up to 12 hosts at once. Only upstreams of that version are considered then, also for sends within one response; without one, or where nobody knows, the caller is refused at once, without Retry-After. With one version there is no call, no message and no refusal.

Why it works: the record is bound to the stream and not to an entry, so what is rewritten later says nothing; it outlives the host that made it; and where it is missing nothing is guessed.

--- a/src/decide/collecting/create-load-aggregator.ts
+++ b/src/decide/collecting/create-load-aggregator.ts
@@ -1,3 +1,4 @@
+import {type SeenVersion} from '../../streams/seen-version.js';
 import {type ReportedLimit} from '../../announcements/reported-limit.js';
 import {type CrashReport} from '../../poison/crash-report.js';
 import {type DomainReport} from '../../forwarding/domain-report.js';
@@ -64,6 +65,18 @@
 	return limits.map(limit => ({...limit, askedAgeMs: limit.askedAgeMs + ageMs, answeredAgeMs: limit.answeredAgeMs + ageMs}));
 }
 
+/** Merges the versions that several hosts have seen, each with its least age. */
+function mergeVersions(seen: readonly SeenVersion[]): readonly SeenVersion[] {
+	const merged = new Map<string, SeenVersion>();
+	for (const version of seen) {
+		const key = `${version.service}\n${version.version}`;
+		const known = merged.get(key);
+		merged.set(key, known && known.ageMs <= version.ageMs ? known : version);
+	}
+
+	return [...merged.values()];
+}
+
 function copyTotals(totals: ReadonlyMap<string, UpstreamLoadTotal>): Map<string, UpstreamLoadTotal> {
 	return new Map([...totals].map(([id, total]) => [id, {...total, waitingTokens: new Map(total.waitingTokens)}]));
 }
@@ -102,6 +115,8 @@
 				crashes: mergeCrashes(validReports.flatMap(report => report.crashes)),
 				clearedParts: [...new Set(validReports.flatMap(report => report.clearedParts ?? []))].slice(0, maxReportedParts),
 				limits: mergeReportedLimits(validEntries.flatMap(({report, at}) => ageLimits(report.limits ?? [], Math.round(now - at)))),
+				versions: mergeVersions(validEntries.flatMap(({report, at}) =>
+					(report.versions ?? []).map(seen => ({...seen, ageMs: seen.ageMs + Math.round(now - at)})))),
 				condemnedParts: validReports.flatMap(report => report.condemnedParts ?? []).slice(0, maxReportedCondemned),
 			};
 			return excludedHost => {
@@ -116,7 +131,7 @@
 		},
 		members: now => [...reports.values()].map(({report, at}) => {
 			const {
-				loads: _loads, loading: _loading, weights: _weights, crashes: _crashes, clearedParts: _cleared, condemnedParts: _condemned, limits: _limits, ...status
+				loads: _loads, loading: _loading, weights: _weights, crashes: _crashes, clearedParts: _cleared, condemnedParts: _condemned, limits: _limits, versions: _versions, ...status
 			} = report;
 			return {status, ageMs: Math.round(now - at)};
 		}),
--- a/src/decide/forwarding/create-final-refusal.ts
+++ b/src/decide/forwarding/create-final-refusal.ts
@@ -8,8 +8,8 @@
 	/** Whether an upstream ran the request, as far as known. */
 	readonly ran: ExecutionStatus;
 	readonly detail: string;
-	/** Time until capacity is expected, in milliseconds; used only where the request was not run. */
-	readonly retryAfterMs: number;
+	/** Time until capacity is expected, in milliseconds; used only where the request was not run. `undefined` where coming back does not help. */
+	readonly retryAfterMs: number | undefined;
 };
 
 /**
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -8,6 +8,7 @@
 import {type SlidingWindowRetryBudget} from '../decide/retries/sliding-window-retry-budget.js';
 import {log} from '../observe/log.js';
 import {type PoisonRequestDetector} from '../poison/poison-request-detector.js';
+import {type StreamVersions} from '../streams/stream-versions.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
 import {createSseEventSplitter} from './create-sse-event-splitter.js';
@@ -49,7 +50,9 @@
 	/** Returns the lowest latency objective, in milliseconds, of the routes to a service that are more urgent than `route`. */
 	readonly getUrgentObjectiveMs: (route: Route, service: string) => number | undefined;
 	/** Chooses an upstream of a service, and which KV cache the request fetches and saves there. */
-	readonly place: (admitted: AdmittedRequest, service: string, tried: ReadonlySet<string>) => Placement | undefined;
+	readonly place: (admitted: AdmittedRequest, progress: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>) => Placement | undefined;
+	/** The software versions that began streams. */
+	readonly streams: Pick<StreamVersions, 'recordBegin' | 'findRequired'>;
 	/** Returns whether an upstream's limit on requests leaves room for this one now. */
 	readonly acquirePermit: (upstreamId: string, requestId: string) => Promise<boolean>;
 	readonly encode: (request: CallerRequest, options: UpstreamRequestOptions) => string[];
@@ -59,7 +62,7 @@
 };
 
 /** The upstream to send to, or the reason why the request is not sent. */
-type PlacementResult = {readonly placement: Placement} | {readonly reason: FailureReason; readonly retryAfterMs?: number};
+type PlacementResult = {readonly placement: Placement} | {readonly reason: FailureReason; readonly retryAfterMs?: number | 'never'};
 
 function createProgress({route, endsAt}: AdmittedRequest, service: string): ForwardingProgress {
 	return {
@@ -67,6 +70,7 @@
 		triedUpstreams: new Set(),
 		endsAt,
 		splitter: route.kind === 'stream' ? createSseEventSplitter(route.isResumable) : undefined,
+		softwareVersion: undefined,
 		sends: 0,
 		runs: 0,
 		ran: 'no',
@@ -98,25 +102,25 @@
 
 /** Creates the function that forwards a caller's request, retries it where that is safe, and sends the final response. */
 export function createForwarder(options: ForwarderOptions): (admitted: AdmittedRequest) => Promise<void> {
-	const {registry, crashes, getRetryBudget, getLatencyModel, getUrgentObjectiveMs, place, acquirePermit, encode, now, random, onEnd} = options;
+	const {registry, crashes, getRetryBudget, getLatencyModel, getUrgentObjectiveMs, place, acquirePermit, streams, encode, now, random, onEnd} = options;
 	const send = createSender({
-		registry, getLatencyModel, encode, now,
+		registry, getLatencyModel, encode, recordBegin: streams.recordBegin, now,
 	});
 
 	const refuseRequest = (
 		admitted: AdmittedRequest,
 		progress: ForwardingProgress,
 		reason: FailureReason,
-		retryAfterMs = minRetryAfterMs + (random() * retryAfterSpreadMs),
+		retryAfterMs: number | 'never' = minRetryAfterMs + (random() * retryAfterSpreadMs),
 	): void => {
 		const refusal = createFinalRefusal({
-			reason, ran: progress.ran, detail: progress.lastReason, retryAfterMs,
+			reason, ran: progress.ran, detail: progress.lastReason, retryAfterMs: retryAfterMs === 'never' ? undefined : retryAfterMs,
 		});
 		const tookMs = now() - admitted.receivedAt;
 		log.info({
 			requestId: admitted.request.id!, route: admitted.route.name, service: progress.service, kind: refusal.kind,
 			ran: refusal.ran, sends: progress.sends,
-			detail: progress.lastReason, retryAfterMs: Math.round(retryAfterMs), tookMs: Math.round(tookMs), begun: admitted.answer.isHeadSent(),
+			detail: progress.lastReason, retryAfterMs: retryAfterMs === 'never' ? undefined : Math.round(retryAfterMs), tookMs: Math.round(tookMs), begun: admitted.answer.isHeadSent(),
 		}, 'refused');
 		admitted.answer.refuse(refusal);
 		onEnd(admitted, refusal.kind, tookMs);
@@ -154,9 +158,35 @@
 		}
 	};
 
+	/**
+	Finds the version at which a stream that its caller takes up must go on.
+
+	@returns Whether it may go on; not if the version matters and is not known.
+	*/
+	const requireVersion = async ({request, route, endsAt}: AdmittedRequest, progress: ForwardingProgress): Promise<boolean> => {
+		if (route.kind !== 'stream' || request.resumeAfter === undefined) {
+			return true;
+		}
+
+		const required = await streams.findRequired(progress.service, request.begunBy, request.id!, endsAt);
+		if (required.kind === 'unknown') {
+			progress.lastReason = 'the software version that began the stream is not known';
+			return false;
+		}
+
+		progress.softwareVersion = required.kind === 'one' ? required.version : undefined;
+		return true;
+	};
+
 	/** Returns the reason for a request that no upstream may be sent now. */
-	const describeNoUpstream = (service: string, progress: ForwardingProgress): PlacementResult => {
-		const closedForMs = registry.closedForMs(service, now());
+	const describeNoUpstream = (progress: ForwardingProgress): PlacementResult => {
+		const {service, softwareVersion} = progress;
+		const closedForMs = registry.closedForMs(service, now(), softwareVersion);
+		if (closedForMs === undefined && softwareVersion !== undefined) {
+			progress.lastReason = `no upstream of version ${softwareVersion}, which began the stream`;
+			return {reason: 'no-upstream', retryAfterMs: 'never'};
+		}
+
 		if (closedForMs === undefined) {
 			return {reason: 'no-upstream'};
 		}
@@ -178,9 +208,9 @@
 			return {reason: 'no-upstream', retryAfterMs: Math.min(condemnedRetryAfterMs, cause.until - now())};
 		}
 
-		const placement = place(admitted, progress.service, progress.triedUpstreams);
+		const placement = place(admitted, progress);
 		if (!placement) {
-			return describeNoUpstream(progress.service, progress);
+			return describeNoUpstream(progress);
 		}
 
 		const {firstByteMs, isQueueing} = placement;
@@ -283,6 +313,11 @@
 		}
 
 		getRetryBudget(service).deposit(now());
+		if (!await requireVersion(admitted, progress)) {
+			refuseRequest(admitted, progress, 'no-upstream', 'never');
+			return;
+		}
+
 		for (;;) {
 			if (signal.aborted) {
 				abortResponse(admitted, progress);
--- a/src/forwarding/create-host-report-exchange.ts
+++ b/src/forwarding/create-host-report-exchange.ts
@@ -1,5 +1,6 @@
 import {log} from '../observe/log.js';
 import {type ObjectStore} from '../object-store/object-store.js';
+import {type StreamGroup} from '../streams/stream-group.js';
 import {createCollectingReportSender} from './create-collecting-report-sender.js';
 import {createDirectReportSender} from './create-direct-report-sender.js';
 import {createHostRegistry} from './create-host-registry.js';
@@ -37,11 +38,13 @@
 	/** Called with the load that one host, or the hosts of a failure domain together, put on the upstreams. */
 	readonly onLoads: (source: LoadReporter, report: LoadReport) => void;
 	readonly onKvStoreUpdate: (update: KvStoreUpdate) => void;
+	/** Called with streams that another host has begun. */
+	readonly onStreams: (groups: readonly StreamGroup[]) => void;
 };
 
 /** Registers this host in the object store, lists the other hosts from there, and exchanges reports with them. */
 export function createHostReportExchange({
-	self, store, kind, getEpoch, now, makeReport, onStatus, onLoads, onKvStoreUpdate,
+	self, store, kind, getEpoch, now, makeReport, onStatus, onLoads, onKvStoreUpdate, onStreams,
 }: HostReportExchangeOptions): HostReportExchange {
 	const registry = createHostRegistry({
 		self, store, kind, getEpoch, now,
@@ -63,7 +66,7 @@
 	};
 
 	const handleMessage = (message: HostMessage): void => {
-		const {report, sums = [], kept = []} = message;
+		const {report, sums = [], kept = [], streams} = message;
 		collecting.handleMessage(message);
 		if (report) {
 			handleStatus(report, 0);
@@ -74,6 +77,10 @@
 			handleDomainReport(sum);
 		}
 
+		if (streams) {
+			onStreams(streams);
+		}
+
 		for (const update of kept) {
 			onKvStoreUpdate(update);
 		}
@@ -106,6 +113,10 @@
 		},
 		alive: registry.alive,
 		listHeard: () => registry.listKnown().filter(({heardAt}) => heardAt !== undefined),
+		listOthers: registry.listKnown,
+		tellStreams(host, streams) {
+			socket.send({streams}, [host.reports]);
+		},
 		refreshAndList: registry.refreshAndList,
 		reportAgeMs: () => sender === direct ? directReportAgeMs : collectedReportAgeMs,
 		countHosts,
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -9,6 +9,7 @@
 import {findOwner} from '../decide/membership/find-owner.js';
 import {memoize} from '../util/memoize.js';
 import {type AdmittedRequest} from './admitted-request.js';
+import {type ForwardingProgress} from './forwarding-progress.js';
 import {type KvReusePlan} from './kv-reuse-plan.js';
 import {type KvReusePlanner} from './kv-reuse-planner.js';
 import {type DesiredWeights} from './desired-weights.js';
@@ -105,12 +106,13 @@
 		return ({weights}: Upstream): number | undefined => penaltyOf(String(prompt ? weights.get(prompt.model) ?? 0 : 0)).ms;
 	};
 
-	return (admitted: AdmittedRequest, service: string, tried: ReadonlySet<string>): Placement | undefined => {
+	return (admitted: AdmittedRequest, {service, triedUpstreams: tried, softwareVersion}: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>): Placement | undefined => {
 		const {request: {prompt}, route, workspace} = admitted;
 		const priority = Math.min(lowestPriority, Math.max(highestPriority, workspace?.priority ?? route.priority));
 		const engine = serviceOf(service)?.engine;
 		const parameters = getLatencyModel(service).parameters();
-		const available = registry.listAvailable(service, now(), priority).filter(view => view.closedForMs === 0);
+		const available = registry.listAvailable(service, now(), priority)
+			.filter(view => view.closedForMs === 0 && (softwareVersion === undefined || view.upstream.softwareVersion === softwareVersion));
 		const untried = available.filter(view => !tried.has(view.upstream.id));
 		const views = untried.length > 0 ? untried : available;
 		const sharedPart = findSharedPart(prompt);
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -1,5 +1,6 @@
 import {type ServiceLatencyModel} from '../decide/forwarding/service-latency-model.js';
 import {log} from '../observe/log.js';
+import {type StreamVersions} from '../streams/stream-versions.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
@@ -19,11 +20,13 @@
 	readonly getLatencyModel: (service: string) => ServiceLatencyModel;
 	/** Returns the headers of a request to an upstream. */
 	readonly encode: (request: CallerRequest, options: UpstreamRequestOptions) => string[];
+	/** Called when the first event of a stream has been passed on to its caller. */
+	readonly recordBegin: StreamVersions['recordBegin'];
 	readonly now: () => number;
 };
 
 /** Creates the function that sends a request once to the upstream chosen for it, within the remaining time. */
-export function createSender({registry, getLatencyModel, encode, now}: SenderOptions) {
+export function createSender({registry, getLatencyModel, encode, recordBegin, now}: SenderOptions) {
 	return async (admitted: AdmittedRequest, progress: ForwardingProgress, placement: Placement): Promise<SendOutcome> => {
 		const {request, route, body, answer} = admitted;
 		const {splitter, service} = progress;
@@ -57,6 +60,10 @@
 					headers: encode(request, {...placement.options, deadlineMs: leftMs, resumeAfter: splitter?.lastEventId() ?? request.resumeAfter}),
 					body,
 				}, {waitingTokens: placement.missingTokens, heldTokens: placement.heldTokens, priority: placement.priority}, listener),
+				onFirstEvent() {
+					progress.softwareVersion ??= placement.upstream.softwareVersion;
+					recordBegin(request.id!, service, progress.softwareVersion);
+				},
 				onDelivery({status}) {
 					clearTimeout(attemptTimer);
 					getLatencyModel(service).recordFirstByte(placement.firstByteMs, now() - sentAt);
--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -267,9 +267,9 @@
 		listAvailable: (service, at, priority) => [...entries.values()]
 			.filter(entry => entry.upstream.service === service && !entry.upstream.isLeaving)
 			.map(entry => toView(entry, at, priority)),
-		closedForMs(service, at) {
+		closedForMs(service, at, softwareVersion) {
 			const closed = [...entries.values()]
-				.filter(entry => entry.upstream.service === service && !entry.upstream.isLeaving)
+				.filter(({upstream}) => upstream.service === service && !upstream.isLeaving && (softwareVersion ?? upstream.softwareVersion) === upstream.softwareVersion)
 				.map(entry => entry.announcements.closedForMs(at))
 				.filter(closedForMs => closedForMs > 0);
 			return closed.length > 0 ? Math.min(...closed) : undefined;
--- a/src/forwarding/forwarding-progress.ts
+++ b/src/forwarding/forwarding-progress.ts
@@ -10,6 +10,8 @@
 	readonly endsAt: number;
 	/** Reads the events of a streaming route. */
 	readonly splitter: SseEventSplitter | undefined;
+	/** Software version that began the stream, once an event has reached the caller; only upstreams of it may go on. */
+	softwareVersion: string | undefined;
 	/** Number of times that the request was sent. */
 	sends: number;
 	/** Number of sends after which the request may have run. */
--- a/src/forwarding/host-message.ts
+++ b/src/forwarding/host-message.ts
@@ -1,3 +1,4 @@
+import {type StreamGroup} from '../streams/stream-group.js';
 import {type DomainReport} from './domain-report.js';
 import {type HostReport} from './host-report.js';
 import {type KvStoreUpdate} from './kv-store-update.js';
@@ -10,6 +11,8 @@
 	readonly isForSum?: boolean | undefined;
 	/** Reports of collectors on the hosts of their failure domains. */
 	readonly sums?: readonly DomainReport[] | undefined;
+	/** Streams that the sender has begun, with the software version of each. */
+	readonly streams?: readonly StreamGroup[] | undefined;
 	/** Updates of KV cache stores. */
 	readonly kept?: readonly KvStoreUpdate[] | undefined;
 	/** Whether the receiver is to forward `sums` and `kept` to the hosts of its failure domain. */
--- a/src/forwarding/host-report-exchange.ts
+++ b/src/forwarding/host-report-exchange.ts
@@ -1,3 +1,4 @@
+import {type StreamGroup} from '../streams/stream-group.js';
 import {type KvStoreUpdate} from './kv-store-update.js';
 import {type KnownHost} from './known-host.js';
 
@@ -9,6 +10,10 @@
 	readonly alive: () => readonly KnownHost[];
 	/** Returns the hosts that have reported within the last minute. */
 	readonly listHeard: () => readonly KnownHost[];
+	/** Returns all other hosts known from the store or a report. */
+	readonly listOthers: () => readonly KnownHost[];
+	/** Tells a host of streams that this one has begun. */
+	readonly tellStreams: (host: KnownHost, streams: readonly StreamGroup[]) => void;
 	/** Reads the store again, then returns all other hosts known from the store or a report. */
 	readonly refreshAndList: () => Promise<readonly KnownHost[]>;
 	/** Returns the mean age of the known loads of other hosts, in milliseconds. */
--- a/src/forwarding/load-report.ts
+++ b/src/forwarding/load-report.ts
@@ -1,5 +1,6 @@
 import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type CrashFindings} from '../poison/crash-findings.js';
+import {type SeenVersion} from '../streams/seen-version.js';
 import {type UpstreamLoad} from './upstream-load.js';
 
 /** Loads that one or several hosts put on upstreams, and their recent findings about upstreams. */
@@ -11,4 +12,6 @@
 	readonly weights: ReadonlyArray<readonly [string, string, number]>;
 	/** Limits that upstreams have stated, or their ends. Hosts of an earlier build state none. */
 	readonly limits?: readonly ReportedLimit[];
+	/** Software versions of services with several ones. Hosts of an earlier build state none. */
+	readonly versions?: readonly SeenVersion[];
 };
--- a/src/forwarding/send-once.ts
+++ b/src/forwarding/send-once.ts
@@ -25,6 +25,8 @@
 	readonly isResumedByCaller: boolean;
 	/** Called with the head of a response that is delivered. */
 	readonly onDelivery: (head: ResponseHead) => void;
+	/** Called once the first event of this response has been passed on. */
+	readonly onFirstEvent: () => void;
 };
 
 /** Removes the stated length: the part of another upstream may be longer or shorter. */
@@ -34,13 +36,15 @@
 }
 
 /** Sends a request once and delivers the response to the caller if it can be delivered. */
-export async function sendOnce({requestId, answer, send, signal, splitter, isResumedByCaller, onDelivery}: SendOnceOptions): Promise<SendOutcome> {
+export async function sendOnce({requestId, answer, send, signal, splitter, isResumedByCaller, onDelivery, onFirstEvent}: SendOnceOptions): Promise<SendOutcome> {
 	return new Promise(resolve => {
 		let head: ResponseHead | undefined;
 		/** Takes the body; without one, the rest of the response is discarded. */
 		let body: ResponseBody | undefined;
 		let bodyBytes = 0;
 		let discardTimer: NodeJS.Timeout | undefined;
+		let isDelivered = false;
+		let hasEvent = false;
 
 		const abort = (reason: string, isFault: boolean): void => {
 			running.abort(new Error(reason), isFault);
@@ -99,9 +103,17 @@
 					running.resume();
 				},
 			});
+			isDelivered = true;
 			onDelivery(delivered);
 		};
 
+		const reportFirstEvent = (): void => {
+			if (!hasEvent && isDelivered && splitter?.hasEvents()) {
+				hasEvent = true;
+				onFirstEvent();
+			}
+		};
+
 		const running: InFlightRequest = send({
 			onHead(received) {
 				head = received;
@@ -130,7 +142,9 @@
 			onData(chunk) {
 				bodyBytes += chunk.length;
 				if (body) {
-					return body.push(chunk);
+					const canTakeMore = body.push(chunk);
+					reportFirstEvent();
+					return canTakeMore;
 				}
 
 				if (bodyBytes > responseLimits.discardedBytes) {
--- a/src/forwarding/upstream-registry.ts
+++ b/src/forwarding/upstream-registry.ts
@@ -19,10 +19,10 @@
 	*/
 	readonly listAvailable: (service: string, now: number, priority: number) => readonly UpstreamView[];
 	/**
-	Returns after what time the limit of an upstream of a service leaves room for this host again, in milliseconds; `undefined` when no upstream
+	Returns after what time the limit of an upstream of a service, of one software version where it is given, leaves room for this host again, in milliseconds; `undefined` when no upstream
 	is closed.
 	*/
-	readonly closedForMs: (service: string, now: number) => number | undefined;
+	readonly closedForMs: (service: string, now: number, softwareVersion?: string) => number | undefined;
 	/** Sends a request and counts it as in flight until it ends. */
 	readonly send: (id: string, request: UpstreamRequest, cost: RequestCost, listener: ResponseListener) => InFlightRequest;
 	/** Ejects an upstream from placement until `untilMs`. */
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -122,6 +122,8 @@
 	};
 	/** Asks for a permit to send one request to an upstream that states a limit. */
 	readonly 'gateway.permit': {readonly params: PermitRequest; readonly result: PermitResult};
+	/** Returns the software version that began a stream, `null` where the receiver does not know it. */
+	readonly 'gateway.streamVersion': {readonly params: {readonly id: string}; readonly result: {readonly version: string | null}};
 	/** Returns the receiver's decisions about a request. */
 	readonly explain: {
 		readonly params: {readonly requestId: string};
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -35,6 +35,7 @@
 import {createPeerServer} from './peers/create-peer-server.js';
 import {compareGatewaySettings} from './settings/compare-gateway-settings.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
+import {createStreamVersions} from './streams/create-stream-versions.js';
 import {createSuspendAwareClock} from './util/create-suspend-aware-clock.js';
 import {memoizeLast} from './util/memoize-last.js';
 import {memoize} from './util/memoize.js';
@@ -116,7 +117,7 @@
 			const loading = rolloutTask.loading();
 			ejectLoading(loading);
 			return {
-				loads: registry.loads(), loading, weights: rolloutTask.news(), limits: registry.takeDueLimits(now()), ...stateSync.status(),
+				loads: registry.loads(), loading, weights: rolloutTask.news(), limits: registry.takeDueLimits(now()), versions: streams.reviewVersions(), ...stateSync.status(),
 				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), ...crashes.news(),
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
 			};
@@ -124,6 +125,7 @@
 		onLoads(source, report) {
 			registry.recordRemoteLoads(source, report.loads, now());
 			registry.recordReportedLimits(source.host, report.limits ?? [], now());
+			streams.recordSeenVersions(report.versions ?? []);
 			ejectLoading(report.loading);
 			for (const [id, model, version] of report.weights) {
 				registry.recordWeights(id, model, version);
@@ -138,6 +140,9 @@
 		onKvStoreUpdate(update) {
 			kvStoreTracker.applyUpdate(update);
 		},
+		onStreams(groups) {
+			streams.receive(groups);
+		},
 	});
 	const toNames = memoizeLast((peers: readonly KnownHost[]) => peers.map(peer => peer.host));
 	const listOtherNames = (): readonly string[] => toNames(reportExchange.alive());
@@ -153,6 +158,10 @@
 	const permits = createPermitTask({
 		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, hasSettled, call: peerClient.call, now, random,
 	});
+	const streams = createStreamVersions({
+		listUpstreams: registry.listAll, listOthers: reportExchange.listOthers, alive: reportExchange.alive, call: peerClient.call,
+		tell: reportExchange.tellStreams, now,
+	});
 	const ejectLoading = (loading: LoadReport['loading']): void => {
 		for (const [id] of loading) {
 			registry.ejectUntil(id, now() + loadingEjectMs);
@@ -180,7 +189,10 @@
 	});
 	const storedState = createStoredState(adapter, {
 		onServicesChange: kvStoreTracker.updateServices,
-		onUpstreamsChange: registry.updateUpstreams,
+		onUpstreamsChange(upstreams) {
+			registry.updateUpstreams(upstreams);
+			streams.recordUpstreams(upstreams);
+		},
 	}, suspendAwareNow);
 	const applyWeights = (objects: readonly StoredObject[], confirmedAt: number | undefined): void => {
 		storedState.applyWeights(objects, Math.max(confirmedAt ?? Number.NEGATIVE_INFINITY, stateSync.weightsConfirmedByPeerAt()));
@@ -270,6 +282,7 @@
 		}),
 		getLatencyModel,
 		acquirePermit: permits.acquire,
+		streams,
 		getUrgentObjectiveMs: storedState.findUrgentObjectiveMs,
 		encode: adapter.encodeRequest,
 		onEnd({route}, result, tookMs) {
@@ -289,6 +302,7 @@
 			return {object: await ownLease.write(value, revision === 0 ? undefined : {epoch, revision}) ?? null};
 		},
 		'gateway.permit': async request => permits.answer(request),
+		'gateway.streamVersion': async ({id}) => ({version: streams.answer(id) ?? null}),
 		'gateway.kept': async ({store: storeName, known}) => kvStoreTracker.listEvents(storeName, known),
 	}, () => false);
 	await reportExchange.start();
@@ -324,6 +338,7 @@
 			rolloutTask,
 			freeStaleKvTask,
 			kvStoreTracker,
+			streams,
 			condemnedRequestList,
 			callers,
 			readinessServer,
--- a/src/start-host.ts
+++ b/src/start-host.ts
@@ -221,7 +221,7 @@
 	};
 
 	// Only gateways handle the `gateway.*` methods.
-	const handlers: Omit<PeerHandlers, 'gateway.state' | 'gateway.kept' | 'gateway.lease' | 'gateway.permit'> = {
+	const handlers: Omit<PeerHandlers, 'gateway.state' | 'gateway.kept' | 'gateway.lease' | 'gateway.permit' | 'gateway.streamVersion'> = {
 		...membership.handlers,
 		...config.handlers,
 		...engineOwner.handlers,
--- /dev/null
+++ b/src/streams/create-stream-versions.ts
@@ -0,0 +1,182 @@
+import {rankOwners} from '../decide/membership/rank-owners.js';
+import {createStreamIndex} from '../decide/streams/create-stream-index.js';
+import {createVersionHistory} from '../decide/streams/create-version-history.js';
+import {groupStreams} from '../decide/streams/group-streams.js';
+import {type KnownHost} from '../forwarding/known-host.js';
+import {type Upstream} from '../forwarding/upstream.js';
+import {log} from '../observe/log.js';
+import {type PeerRpc} from '../peers/peer-rpc.js';
+import {type RequiredVersion} from './required-version.js';
+import {type StreamGroup} from './stream-group.js';
+import {type StreamVersions} from './stream-versions.js';
+
+/** A stream is taken up within its caller's deadline, which is far shorter. */
+const retentionMs = 60_000;
+const maxStreams = 50_000;
+/** Hosts that are told of each stream, besides the one that begins it. */
+const replicas = 4;
+/** Streams that begin within this time are told together. */
+const tellDelayMs = 20;
+const maxToldAtOnce = 100;
+const reviewIntervalMs = 1000;
+/** Hosts that are asked at once for the version of a stream. */
+const maxAsked = 12;
+const askTimeoutMs = 400;
+
+/** Dependencies of the stream versions. */
+type StreamVersionsOptions = {
+	readonly listUpstreams: () => readonly Upstream[];
+	/** Returns all other hosts that are known, with or without a recent report. */
+	readonly listOthers: () => readonly KnownHost[];
+	/** Returns those with a recent report. */
+	readonly alive: () => readonly KnownHost[];
+	readonly call: PeerRpc;
+	/** Sends groups of streams to a host, as a datagram. */
+	readonly tell: (host: KnownHost, groups: readonly StreamGroup[]) => void;
+	/** Monotonic clock in milliseconds. */
+	readonly now: () => number;
+};
+
+/**
+Creates the record of the software versions that began streams. Each host keeps those of its own streams; while a service has several versions, it
+tells each to a few other hosts, chosen by rendezvous hashing, so that it outlives this host. A host that doesn't know asks.
+*/
+export function createStreamVersions({listUpstreams, listOthers, alive, call, tell, now}: StreamVersionsOptions): StreamVersions {
+	const index = createStreamIndex(retentionMs, maxStreams);
+	/** Versions listed here, and those that others report besides. */
+	const ownHistory = createVersionHistory(retentionMs);
+	const history = createVersionHistory(retentionMs);
+	/** Ids of this host's streams that no other host has been told of, the oldest first. */
+	let untold: string[] = [];
+	let tellTimer: NodeJS.Timeout | undefined;
+	let reviewedAt = Number.NEGATIVE_INFINITY;
+	const mixedServices = new Set<string>();
+
+	const tellNext = (): void => {
+		tellTimer = undefined;
+		const known = untold.flatMap(id => {
+			const record = index.lookUp(id, now());
+			return record ? [{id, ...record}] : [];
+		});
+		const due = known.filter(({service}) => history.isMixed(service, now())).slice(0, maxToldAtOnce);
+		const dueIds = new Set(due.map(({id}) => id));
+		untold = known.filter(({id}) => !dueIds.has(id)).map(({id}) => id);
+		const hosts = new Map(listOthers().map(host => [host.host, host]));
+		const names = [...hosts.keys()];
+		for (const [name, groups] of groupStreams(due.map(stream => ({...stream, hosts: rankOwners(names, stream.id).slice(0, replicas)})))) {
+			tell(hosts.get(name)!, groups);
+		}
+
+		if (due.length === maxToldAtOnce) {
+			scheduleTelling();
+		}
+	};
+
+	const scheduleTelling = (): void => {
+		tellTimer ??= setTimeout(tellNext, tellDelayMs);
+	};
+
+	const reviewMixed = (): void => {
+		for (const service of new Set(listUpstreams().map(upstream => upstream.service))) {
+			const isMixed = history.isMixed(service, now());
+			if (isMixed && !mixedServices.has(service)) {
+				mixedServices.add(service);
+				log.info({service, versions: history.listMixed(now()).filter(seen => seen.service === service)}, 'service has several software versions');
+				scheduleTelling();
+			} else if (!isMixed && mixedServices.delete(service)) {
+				log.info({service}, 'service has one software version');
+			}
+		}
+	};
+
+	/** Hosts that may have been told of a stream come first. */
+	const listAsked = (id: string): readonly KnownHost[] => {
+		const hosts = new Map(listOthers().map(host => [host.host, host]));
+		const responsive = alive();
+		const candidates = responsive.length > 0 ? new Map(responsive.map(host => [host.host, host])) : hosts;
+		return rankOwners([...hosts.keys()], id).flatMap(name => candidates.get(name) ?? []).slice(0, maxAsked);
+	};
+
+	const ask = async (id: string, timeoutMs: number): Promise<{readonly version: string; readonly from: string} | undefined> => {
+		try {
+			return await Promise.any(listAsked(id).map(async ({host, peers}) => {
+				const {version} = await call(peers, 'gateway.streamVersion', {id}, {timeoutMs});
+				if (version === null) {
+					throw new Error(`${host} does not know the stream`);
+				}
+
+				return {version, from: host};
+			}));
+		} catch (error) {
+			log.info({begunBy: id, errors: (error as AggregateError).errors?.map(String)}, 'no host knows the version that began a stream');
+			return undefined;
+		}
+	};
+
+	const findRequired = async (service: string, begunBy: string | undefined, requestId: string, endsAt: number): Promise<RequiredVersion> => {
+		const known = begunBy === undefined ? undefined : index.lookUp(begunBy, now());
+		if (!known && !history.isMixed(service, now())) {
+			return {kind: 'any'};
+		}
+
+		const mustAsk = begunBy !== undefined && known === undefined;
+		const asked = mustAsk ? await ask(begunBy, Math.min(askTimeoutMs, Math.max(1, endsAt - now()))) : undefined;
+		const version = known?.version ?? asked?.version;
+		log.info({
+			requestId, service, begunBy, version, from: asked?.from ?? 'here', ageMs: known && Math.round(now() - known.at),
+		}, version === undefined ? 'stream cannot go on, its version is unknown' : 'stream goes on at its version');
+		return version === undefined ? {kind: 'unknown'} : {kind: 'one', version};
+	};
+
+	const recordVersions = (upstreams: readonly Upstream[]): void => {
+		for (const {service, softwareVersion} of upstreams) {
+			ownHistory.record(service, softwareVersion, now());
+			history.record(service, softwareVersion, now());
+		}
+	};
+
+	return {
+		recordUpstreams(upstreams) {
+			recordVersions(upstreams);
+			reviewMixed();
+		},
+		recordBegin(requestId, service, version) {
+			index.add(requestId, service, version, now());
+			untold.push(requestId);
+			if (history.isMixed(service, now())) {
+				scheduleTelling();
+			}
+		},
+		findRequired,
+		receive(groups) {
+			for (const {service, version, ids} of groups) {
+				for (const id of ids) {
+					index.add(id, service, version, now());
+				}
+			}
+		},
+		answer: begunBy => index.lookUp(begunBy, now())?.version,
+		reviewVersions() {
+			if (now() - reviewedAt >= reviewIntervalMs) {
+				reviewedAt = now();
+				recordVersions(listUpstreams());
+				untold = untold.filter(id => index.lookUp(id, now()) !== undefined);
+				reviewMixed();
+			}
+
+			return ownHistory.listMixed(now());
+		},
+		recordSeenVersions(seen) {
+			for (const {service, version, ageMs} of seen) {
+				history.record(service, version, now() - ageMs);
+			}
+
+			if (seen.some(({service}) => !mixedServices.has(service))) {
+				reviewMixed();
+			}
+		},
+		stop() {
+			clearTimeout(tellTimer);
+		},
+	};
+}
--- /dev/null
+++ b/src/streams/stream-versions.ts
@@ -0,0 +1,27 @@
+import {type Upstream} from '../forwarding/upstream.js';
+import {type RequiredVersion} from './required-version.js';
+import {type SeenVersion} from './seen-version.js';
+import {type StreamGroup} from './stream-group.js';
+
+/** Which software version of its service began each stream, as far as this host and those it asks know. */
+export type StreamVersions = {
+	/** Records that the first event of a response has been delivered. */
+	readonly recordBegin: (requestId: string, service: string, version: string) => void;
+	/**
+	Returns the version at which a stream must go on.
+
+	@param begunBy - Id of the request whose response brought the first event, as its caller names it.
+	*/
+	readonly findRequired: (service: string, begunBy: string | undefined, requestId: string, endsAt: number) => Promise<RequiredVersion>;
+	/** Records what another host tells of streams that it began. */
+	readonly receive: (groups: readonly StreamGroup[]) => void;
+	/** Returns the version that began a stream, as this host knows it. */
+	readonly answer: (begunBy: string) => string | undefined;
+	/** Records the versions that are listed. */
+	readonly recordUpstreams: (upstreams: readonly Upstream[]) => void;
+	/** Notes the versions that are listed now; returns those of services with several ones, for the report to other hosts. */
+	readonly reviewVersions: () => readonly SeenVersion[];
+	/** Records the versions that another host has seen. */
+	readonly recordSeenVersions: (seen: readonly SeenVersion[]) => void;
+	readonly stop: () => void;
+};
--- /dev/null
+++ b/test/streams/stream-versions.test.ts
@@ -0,0 +1,218 @@
+import process from 'node:process';
+import fc from 'fast-check';
+import {
+	afterEach, beforeEach, describe, expect, test, vi,
+} from 'vitest';
+import {createStreamIndex} from '../../src/decide/streams/create-stream-index.js';
+import {createVersionHistory} from '../../src/decide/streams/create-version-history.js';
+import {type KnownHost} from '../../src/forwarding/known-host.js';
+import {type Upstream} from '../../src/forwarding/upstream.js';
+import {type PeerRpc} from '../../src/peers/peer-rpc.js';
+import {createStreamVersions} from '../../src/streams/create-stream-versions.js';
+import {createSeededRandom} from '../../src/util/create-seeded-random.js';
+
+const reportMs = 100;
+const toUpstream = (softwareVersion: string, index: number): Upstream => ({
+	id: `i-${index}`, service: 's', address: '', domain: 'd', slots: 1, isLeaving: false, startedAt: index, softwareVersion, weights: new Map(),
+});
+
+/** Hosts that tell and ask each other over links that lose messages, in the test's process. */
+function startHosts(count: number, lossShare: number, random: () => number) {
+	const hosts = new Map<string, ReturnType<typeof createStreamVersions>>();
+	let upstreams: readonly Upstream[] = [];
+	let messages = 0;
+	const toKnown = (host: string): KnownHost => ({host, peers: host}) as KnownHost;
+	const listOthers = (self: string): readonly KnownHost[] => [...hosts.keys()].filter(host => host !== self).map(host => toKnown(host));
+
+	const start = (name: string): void => {
+		const call = (async (address: string, _method: string, {id}: {readonly id: string}) => {
+			messages++;
+			const peer = hosts.get(address);
+			if (!peer || random() < lossShare) {
+				throw new Error('unreachable');
+			}
+
+			return {version: peer.answer(id) ?? null};
+		}) as unknown as PeerRpc;
+		const versions = createStreamVersions({
+			listUpstreams: () => upstreams, listOthers: () => listOthers(name), alive: () => listOthers(name), call, now: Date.now,
+			tell({host}, groups) {
+				messages++;
+				if (random() >= lossShare) {
+					hosts.get(host)?.receive(groups);
+				}
+			},
+		});
+		hosts.set(name, versions);
+		versions.recordUpstreams(upstreams);
+	};
+
+	for (let index = 0; index < count; index++) {
+		start(`h-${index}`);
+	}
+
+	return {
+		hosts, start,
+		countMessages: () => messages,
+		setUpstreams(versions: readonly string[]) {
+			upstreams = versions.map((version, index) => toUpstream(version, index));
+			for (const host of hosts.values()) {
+				host.recordUpstreams(upstreams);
+			}
+		},
+		listVersions: () => upstreams.map(({softwareVersion}) => softwareVersion),
+		report() {
+			for (const [name, host] of hosts) {
+				const seen = host.reviewVersions();
+				for (const [other, receiver] of hosts) {
+					if (other !== name && random() >= lossShare) {
+						receiver.recordSeenVersions(seen);
+					}
+				}
+			}
+		},
+		kill(name: string) {
+			hosts.get(name)?.stop();
+			hosts.delete(name);
+		},
+		stop() {
+			for (const host of hosts.values()) {
+				host.stop();
+			}
+		},
+	};
+}
+
+describe('the software versions that began streams', () => {
+	beforeEach(() => {
+		vi.useFakeTimers();
+	});
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
+	test('are never mistaken, whichever hosts die, start and are asked, and whatever is lost (property)', async () => {
+		const event = fc.oneof(
+			fc.record({kind: fc.constant('begin' as const), at: fc.nat(), which: fc.nat()}),
+			fc.record({kind: fc.constant('begin' as const), at: fc.nat(), which: fc.nat()}),
+			fc.record({kind: fc.constant('resume' as const), at: fc.nat(), which: fc.nat()}),
+			fc.record({kind: fc.constant('kill' as const), at: fc.nat(), which: fc.nat()}),
+			fc.record({kind: fc.constant('start' as const), at: fc.nat(), which: fc.nat()}),
+			fc.record({kind: fc.constant('versions' as const), at: fc.nat(), which: fc.nat()}),
+			fc.record({kind: fc.constant('wait' as const), at: fc.nat(), which: fc.nat()}),
+		);
+		const input = fc.record({
+			count: fc.integer({min: 1, max: 8}), lossShare: fc.constantFrom(0, 0.1, 0.5), seed: fc.integer(), events: fc.array(event, {maxLength: 40}),
+		});
+		await fc.assert(fc.asyncProperty(input, async ({count, lossShare, seed, events}) => {
+			const system = startHosts(count, lossShare, createSeededRandom(seed));
+			system.setUpstreams(['v1']);
+			const begun = new Map<string, string>();
+			/** Whether some host has been there from the beginning, and so seen all versions. */
+			let hasSurvivor = true;
+			const pick = <T>(list: readonly T[], index: number): T | undefined => list[index % Math.max(1, list.length)];
+			const resume = async (host: string, which: number): Promise<void> => {
+				const stream = pick([...begun], which);
+				const required = await system.hosts.get(host)!.findRequired('s', stream?.[0], 'r', Date.now() + 1000);
+				if (!stream || required.kind === 'unknown') {
+					return;
+				}
+
+				const [, version] = stream;
+				if (required.kind === 'one') {
+					expect(required.version).toBe(version);
+					return;
+				}
+
+				// Nothing is required only where this host has seen one version, that of all listed upstreams.
+				expect(new Set(system.listVersions()).size).toBe(1);
+				expect(hasSurvivor && lossShare === 0 ? system.listVersions()[0] : version).toBe(version);
+			};
+
+			const handlers: Readonly<Record<(typeof events)[number]['kind'], (host: string, which: number) => unknown>> = {
+				begin(host, which) {
+					const id = `r-${begun.size}`;
+					begun.set(id, pick(system.listVersions(), which)!);
+					system.hosts.get(host)?.recordBegin(id, 's', begun.get(id)!);
+				},
+				kill(host) {
+					system.kill(host);
+					hasSurvivor = [...system.hosts.keys()].some(name => name.startsWith('h-'));
+				},
+				start(host, which) {
+					system.start(`late-${host}-${which}`);
+					system.report();
+				},
+				versions(_host, which) {
+					system.setUpstreams(pick([['v1'], ['v1', 'v2'], ['v2'], ['v1', 'v2', 'v3'], ['v3', 'v2']], which)!);
+					system.report();
+				},
+				async wait() {
+					system.report();
+					await vi.advanceTimersByTimeAsync(reportMs);
+				},
+				resume,
+			};
+			for (const {kind, at, which} of events) {
+				const host = pick([...system.hosts.keys()], at);
+				if (host !== undefined) {
+					await handlers[kind](host, which);
+				}
+			}
+
+			system.stop();
+		}), {seed: 28, numRuns: Number(process.env.STREAM_RUNS ?? 100)});
+	});
+
+	test('cost no message while one version serves, and few when another one comes', async () => {
+		const system = startHosts(8, 0, () => 0.9);
+		system.setUpstreams(['v1', 'v1']);
+		const first = system.hosts.get('h-0')!;
+		for (let index = 0; index < 300; index++) {
+			first.recordBegin(`r-${index}`, 's', 'v1');
+		}
+
+		await vi.advanceTimersByTimeAsync(1000);
+		expect(await first.findRequired('s', 'unknown', 'r', Date.now() + 1000)).toEqual({kind: 'any'});
+		expect(system.countMessages()).toBe(0);
+		system.setUpstreams(['v1', 'v2']);
+		await vi.advanceTimersByTimeAsync(1000);
+		expect(system.countMessages()).toBeLessThanOrEqual(7 * 3);
+		system.kill('h-0');
+		const known = await Promise.all(Array.from({length: 300}, async (_, index) => system.hosts.get('h-5')!.findRequired('s', `r-${index}`, 'r', Date.now() + 1000)));
+		system.stop();
+		expect(known.every(({kind}) => kind === 'one')).toBe(true);
+	});
+});
+
+describe('the index of streams', () => {
+	test('is bounded in number and time', () => {
+		const index = createStreamIndex(1000, 3);
+		for (let at = 0; at < 5; at++) {
+			index.add(`r-${at}`, 's', 'v1', at * 100);
+		}
+
+		expect(index.size()).toBe(3);
+		expect(index.lookUp('r-0', 400)).toBe(undefined);
+		expect(index.lookUp('r-4', 400)?.version).toBe('v1');
+		expect(index.lookUp('r-4', 1401)).toBe(undefined);
+	});
+});
+
+describe('the history of versions', () => {
+	test.each([
+		['one version', [['v1', 0]], 500, false],
+		['two versions', [['v1', 0], ['v2', 100]], 500, true],
+		['a version that has gone a while ago', [['v1', 0], ['v2', 900]], 1000, true],
+		['a version that has gone long ago', [['v1', 0], ['v2', 900]], 1001, false],
+		['a version that another host saw later', [['v1', 0], ['v2', 900], ['v1', 500], ['v1', 300]], 1400, true],
+	] as const)('tells a service with several ones: %s', (_name, seen, at, expected) => {
+		const history = createVersionHistory(1000);
+		for (const [version, seenAt] of seen) {
+			history.record('s', version, seenAt);
+		}
+
+		expect(history.isMixed('s', at)).toBe(expected);
+		expect(history.listMixed(at).length > 0).toBe(expected);
+	});
+});
