--- a/src/announcements/create-permit-task.ts
+++ b/src/announcements/create-permit-task.ts
@@ -1,5 +1,5 @@
 import {findPermitIssuer} from '../decide/announcements/find-permit-issuer.js';
-import {type KnownHost} from '../forwarding/known-host.js';
+import {type KnownHost} from '../reports/known-host.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
--- a/src/decide/collecting/create-due-status-filter.ts
+++ b/src/decide/collecting/create-due-status-filter.ts
@@ -1,6 +1,6 @@
 import {isDeepStrictEqual} from 'node:util';
-import {type DomainReport} from '../../forwarding/domain-report.js';
-import {type HostStatus} from '../../forwarding/host-status.js';
+import {type DomainReport} from '../../reports/domain-report.js';
+import {type HostStatus} from '../../reports/host-status.js';
 
 /** Returns whether two statuses of a host are equal in all fields whose changes are sent to other hosts at once. */
 function hasSameState(a: HostStatus, b: HostStatus): boolean {
--- a/src/decide/collecting/create-load-aggregator.ts
+++ b/src/decide/collecting/create-load-aggregator.ts
@@ -1,10 +1,10 @@
 import {type SeenVersion} from '../../streams/seen-version.js';
 import {type ReportedLimit} from '../../announcements/reported-limit.js';
 import {type CrashReport} from '../../poison/crash-report.js';
-import {type DomainReport} from '../../forwarding/domain-report.js';
-import {type HostReport} from '../../forwarding/host-report.js';
-import {type LoadReport} from '../../forwarding/load-report.js';
-import {type UpstreamLoad} from '../../forwarding/upstream-load.js';
+import {type DomainReport} from '../../reports/domain-report.js';
+import {type HostReport} from '../../reports/host-report.js';
+import {type LoadReport} from '../../reports/load-report.js';
+import {type UpstreamLoad} from '../../reports/upstream-load.js';
 import {mergeReportedLimits} from '../announcements/merge-reported-limits.js';
 import {getCrashKey} from '../poison/get-crash-key.js';
 import {limitReportedParts} from '../poison/limit-reported-parts.js';
--- a/src/decide/forwarding/apply-load.ts
+++ b/src/decide/forwarding/apply-load.ts
@@ -1,4 +1,4 @@
-import {type UpstreamLoad} from '../../forwarding/upstream-load.js';
+import {type UpstreamLoad} from '../../reports/upstream-load.js';
 import {type UpstreamLoadTotal} from './upstream-load-total.js';
 
 /** Adds a load to the total of its upstream (`sign` 1) or subtracts it (`sign` -1); removes a total whose fields are all zero. */
--- a/src/decide/forwarding/create-load-totals.ts
+++ b/src/decide/forwarding/create-load-totals.ts
@@ -1,4 +1,4 @@
-import {type UpstreamLoad} from '../../forwarding/upstream-load.js';
+import {type UpstreamLoad} from '../../reports/upstream-load.js';
 import {applyLoad} from './apply-load.js';
 import {type LoadTotals} from './load-totals.js';
 import {type UpstreamLoadTotal} from './upstream-load-total.js';
--- a/src/decide/forwarding/load-totals.ts
+++ b/src/decide/forwarding/load-totals.ts
@@ -1,5 +1,5 @@
-import {type LoadReporter} from '../../forwarding/load-reporter.js';
-import {type UpstreamLoad} from '../../forwarding/upstream-load.js';
+import {type LoadReporter} from '../../reports/load-reporter.js';
+import {type UpstreamLoad} from '../../reports/upstream-load.js';
 import {type UpstreamLoadTotal} from './upstream-load-total.js';
 
 /** Totals of the other hosts' load reports, by upstream. Times are in milliseconds. */
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -9,9 +9,9 @@
 import {log} from '../observe/log.js';
 import {type PoisonRequestDetector} from '../poison/poison-request-detector.js';
 import {type StreamVersions} from '../streams/stream-versions.js';
+import {createSseEventSplitter} from '../streams/create-sse-event-splitter.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
-import {createSseEventSplitter} from './create-sse-event-splitter.js';
 import {createSender} from './create-sender.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type Placement} from './placement.js';
--- a/src/forwarding/create-free-stale-kv-task.ts
+++ b/src/forwarding/create-free-stale-kv-task.ts
@@ -2,10 +2,10 @@
 import {parseScope} from '../decide/kv-cache/parse-scope.js';
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
+import {type KnownHost} from '../reports/known-host.js';
+import {type HostStatus} from '../reports/host-status.js';
 import {type KvStore} from './kv-store.js';
 import {type EngineClient} from './engine-client.js';
-import {type KnownHost} from './known-host.js';
-import {type HostStatus} from './host-status.js';
 import {type DesiredWeights} from './desired-weights.js';
 
 const intervalMs = 500;
--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -5,7 +5,7 @@
 import {createDomainReachability} from '../decide/forwarding/create-domain-reachability.js';
 import {createLoadTotals} from '../decide/forwarding/create-load-totals.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
-import {type UpstreamLoad} from './upstream-load.js';
+import {type UpstreamLoad} from '../reports/upstream-load.js';
 import {type RequestCost} from './request-cost.js';
 import {type UpstreamRegistry} from './upstream-registry.js';
 import {type ResponseHead} from './response-head.js';
--- a/src/forwarding/forwarding-progress.ts
+++ b/src/forwarding/forwarding-progress.ts
@@ -1,5 +1,5 @@
 import {type ExecutionStatus} from '../errors/execution-status.js';
-import {type SseEventSplitter} from './sse-event-splitter.js';
+import {type SseEventSplitter} from '../streams/sse-event-splitter.js';
 
 /** Progress of one request through the forwarder. */
 export type ForwardingProgress = {
--- /dev/null
+++ b/src/forwarding/open-status-servers.ts
@@ -0,0 +1,39 @@
+import {parseAddress} from '../http/parse-address.js';
+import {type createGatewayMetrics} from './create-gateway-metrics.js';
+import {createStatusServer} from './create-status-server.js';
+
+/** What the status servers show. */
+type StatusServersOptions = {
+	/** Address of the readiness check, `IP:PORT`. */
+	readonly readiness: string;
+	readonly readinessPath: string;
+	readonly isReady: () => boolean;
+	/** Address for callers, `IP:PORT`; metrics are served on its host. */
+	readonly callers: string;
+	readonly metricsPort: number;
+	readonly metrics: ReturnType<typeof createGatewayMetrics>;
+	/** Returns the number of requests in flight. */
+	readonly underWay: () => number;
+};
+
+/** Opens the servers for the balancer's readiness check and for metrics. */
+export async function openStatusServers(options: StatusServersOptions): Promise<{readonly stop: () => void}> {
+	const {readiness, readinessPath, isReady, callers, metricsPort, metrics, underWay} = options;
+	const readinessServer = await createStatusServer(readiness, [
+		{path: readinessPath, answer: () => ({status: isReady() ? 200 : 503, text: ''})},
+	]);
+	const {host} = parseAddress(callers);
+	const metricsServer = await createStatusServer(`${host}:${metricsPort}`, [{
+		path: '/metrics',
+		async answer() {
+			metrics.underWay.set(underWay());
+			return {status: 200, text: await metrics.registry.metrics()};
+		},
+	}]);
+	return {
+		stop() {
+			readinessServer.stop();
+			metricsServer.stop();
+		},
+	};
+}
--- a/src/forwarding/send-once.ts
+++ b/src/forwarding/send-once.ts
@@ -1,16 +1,16 @@
 import {classifyResponse} from '../decide/forwarding/classify-response.js';
 import {isEventStream} from '../decide/forwarding/is-event-stream.js';
+import {createDeliveredBody} from '../streams/create-delivered-body.js';
+import {type SseEventSplitter} from '../streams/sse-event-splitter.js';
+import {type ResponseBody} from './response-body.js';
 import {type CallerResponse} from './caller-response.js';
-import {createDeliveredBody} from './create-delivered-body.js';
 import {createFailureBody} from './create-failure-body.js';
 import {type InFlightRequest} from './in-flight-request.js';
 import {type ReceivedResponse} from './received-response.js';
-import {type ResponseBody} from './response-body.js';
 import {type ResponseHead} from './response-head.js';
 import {responseLimits} from './response-limits.js';
 import {type ResponseListener} from './response-listener.js';
 import {type SendOutcome} from './send-outcome.js';
-import {type SseEventSplitter} from './sse-event-splitter.js';
 
 /** Options of one attempt to send a request to an upstream. */
 type SendOnceOptions = {
--- a/src/forwarding/upstream-registry.ts
+++ b/src/forwarding/upstream-registry.ts
@@ -1,8 +1,8 @@
 import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
-import {type LoadReporter} from './load-reporter.js';
-import {type UpstreamLoad} from './upstream-load.js';
+import {type LoadReporter} from '../reports/load-reporter.js';
+import {type UpstreamLoad} from '../reports/upstream-load.js';
 import {type InFlightRequest} from './in-flight-request.js';
 import {type ResponseListener} from './response-listener.js';
 import {type UpstreamRequest} from './upstream-request.js';
--- a/src/object-store/create-relayed-lease-store.ts
+++ b/src/object-store/create-relayed-lease-store.ts
@@ -2,7 +2,7 @@
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {sleep} from '../util/sleep.js';
-import {type KnownHost} from '../forwarding/known-host.js';
+import {type KnownHost} from '../reports/known-host.js';
 import {type EpochTracker} from './epoch-tracker.js';
 import {type LeaseStore} from './lease-store.js';
 import {type StoredObject} from './stored-object.js';
--- a/src/forwarding/create-collecting-report-sender.ts
+++ b/src/reports/create-collecting-report-sender.ts
@@ -8,7 +8,7 @@
 import {type HostRegistry} from './host-registry.js';
 import {type HostSocket} from './host-socket.js';
 import {type HostStatus} from './host-status.js';
-import {type KvStoreUpdate} from './kv-store-update.js';
+import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
 import {type KnownHost} from './known-host.js';
 
 /**
--- a/src/forwarding/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -9,7 +9,7 @@
 import {type HostReportExchange} from './host-report-exchange.js';
 import {type HostMessage} from './host-message.js';
 import {type HostStatus} from './host-status.js';
-import {type KvStoreUpdate} from './kv-store-update.js';
+import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
 import {type LoadReport} from './load-report.js';
 import {type LoadReporter} from './load-reporter.js';
 import {type ReportFactory} from './report-factory.js';
--- a/src/forwarding/host-report-exchange.ts
+++ b/src/reports/host-report-exchange.ts
@@ -1,5 +1,5 @@
 import {type StreamGroup} from '../streams/stream-group.js';
-import {type KvStoreUpdate} from './kv-store-update.js';
+import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
 import {type KnownHost} from './known-host.js';
 
 /** Exchange of reports with the other hosts of the system. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -1,7 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {createPermitTask} from './announcements/create-permit-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
-import {getOwnerRank} from './decide/membership/get-owner-rank.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
 import {createGatewayCallerServer} from './forwarding/create-gateway-caller-server.js';
 import {createKvReusePlanner} from './forwarding/create-kv-reuse-planner.js';
@@ -11,7 +10,7 @@
 import {createForwarder} from './forwarding/create-forwarder.js';
 import {createFreeStaleKvTask} from './forwarding/create-free-stale-kv-task.js';
 import {createGatewayMetrics} from './forwarding/create-gateway-metrics.js';
-import {createHostReportExchange} from './forwarding/create-host-report-exchange.js';
+import {createHostReportExchange} from './reports/create-host-report-exchange.js';
 import {createKvStoreTracker} from './forwarding/create-kv-store-tracker.js';
 import {createObjectWatcher} from './object-store/create-object-watcher.js';
 import {createLeaseStore} from './object-store/create-lease-store.js';
@@ -20,14 +19,15 @@
 import {createRolloutLease} from './forwarding/create-rollout-lease.js';
 import {createRolloutTask} from './forwarding/create-rollout-task.js';
 import {createStateSync} from './object-store/create-state-sync.js';
-import {createStatusServer} from './forwarding/create-status-server.js';
+import {openStatusServers} from './forwarding/open-status-servers.js';
+import {createWatchPolicy} from './object-store/create-watch-policy.js';
+import {drainGateway} from './forwarding/drain-gateway.js';
 import {createStoredState} from './object-store/create-stored-state.js';
 import {createUpstreamRegistry} from './forwarding/create-upstream-registry.js';
 import {type GatewayAdapter} from './forwarding/gateway-adapter.js';
-import {type KnownHost} from './forwarding/known-host.js';
-import {type LoadReport} from './forwarding/load-report.js';
+import {type KnownHost} from './reports/known-host.js';
+import {type LoadReport} from './reports/load-report.js';
 import {type StoredObject} from './object-store/stored-object.js';
-import {parseAddress} from './http/parse-address.js';
 import {log} from './observe/log.js';
 import {createEpochCheckedStore} from './object-store/create-epoch-checked-store.js';
 import {createEpochTracker} from './object-store/create-epoch-tracker.js';
@@ -39,20 +39,8 @@
 import {createSuspendAwareClock} from './util/create-suspend-aware-clock.js';
 import {memoizeLast} from './util/memoize-last.js';
 import {memoize} from './util/memoize.js';
-import {sleep} from './util/sleep.js';
 
 const msPerS = 1000;
-/** Longest wait of a watch call on a few hosts; limits how long a dead connection can hide a change from all. */
-const shortWatchMs = 700;
-/** The same for desired weights, which need not be in force as soon. */
-const shortWeightsWatchMs = 2000;
-const shortWatchHosts = 2;
-/** Number of hosts of a failure domain that watch a kind of objects in the store. */
-const watchersPerDomain = 3;
-/** Longest wait of a watch call on the other hosts; they learn of changes that a dead connection hides from the reports of peers. */
-const longWatchMs = 10_000;
-/** Time beyond the longest wait of a watch call after which the store counts as unresponsive. */
-const watchTimeoutMarginMs = 900;
 /** An engine is ejected for this long after each report that it is loading weights. */
 const loadingEjectMs = 400;
 /**
@@ -60,10 +48,6 @@
 their reports.
 */
 const settleMs = 1000;
-/** Time for the load balancer to remove a draining host, which it does after two readiness checks a second apart. */
-const balancerRemovalMs = 2500;
-/** Part of the grace period reserved for shutting down. */
-const shutdownMarginMs = 400;
 /** Retry budgets and connections are divided among at least this many hosts, since the others are not known yet after a start. */
 const minAssumedHosts = 3;
 /** Least number of connections of one host to an upstream. */
@@ -198,24 +182,9 @@
 		storedState.applyWeights(objects, Math.max(confirmedAt ?? Number.NEGATIVE_INFINITY, stateSync.weightsConfirmedByPeerAt()));
 	};
 
-	/** In each failure domain only a few hosts that reach the store watch it; the others learn of changes from reports. */
-	const isWatching = (kind: string): boolean => {
-		if (!hasSettled()) {
-			return false;
-		}
-
-		const candidates = reportExchange.alive().filter(peer => peer.domain === domain && !peer.isStoreLost).map(peer => peer.host);
-		return getOwnerRank(name, candidates, kind) < watchersPerDomain;
-	};
-
-	const isShortWatcher = (kind: string): boolean => {
-		const candidates = reportExchange.alive().filter(peer => !peer.isStoreLost).map(peer => peer.host);
-		return getOwnerRank(name, candidates, kind) < shortWatchHosts;
-	};
-
-	const shortWaitsMs: Readonly<Record<string, number>> = {
-		[kinds.configuration]: shortWatchMs, [kinds.upstreams]: shortWatchMs, [kinds.weights]: shortWeightsWatchMs,
-	};
+	const watchPolicy = createWatchPolicy({
+		self, kinds, alive: reportExchange.alive, hasSettled,
+	});
 	const watchers = [
 		{kind: kinds.condemnedRequests, onChange: condemnedRequestList.applyObjects},
 		{kind: kinds.configuration, onChange: storedState.applyConfiguration, getVersion: storedState.getConfigurationVersion},
@@ -223,8 +192,8 @@
 		{kind: kinds.weights, onChange: applyWeights, getVersion: storedState.getWeightsVersion},
 	].map(({kind, ...watched}) => createObjectWatcher({
 		kind, store, now: suspendAwareNow, random, ...watched,
-		waitMs: () => isShortWatcher(kind) ? shortWaitsMs[kind] ?? longWatchMs : longWatchMs,
-		isWatching: () => isWatching(kind),
+		waitMs: () => watchPolicy.waitMs(kind),
+		isWatching: () => watchPolicy.isWatching(kind),
 	}));
 	const stateSync = createStateSync({
 		domain,
@@ -234,8 +203,8 @@
 		seeds: () => liveSettings.seeds.filter(seed => seed !== settings.peers),
 		now: suspendAwareNow,
 		random,
-		partitionedAfterMs: longWatchMs + watchTimeoutMarginMs,
-		isWatching,
+		partitionedAfterMs: watchPolicy.partitionedAfterMs,
+		isWatching: watchPolicy.isWatching,
 		weightsKind: kinds.weights,
 	});
 	const ownLease = createLeaseStore(store, epochs, kinds.leases, 'rollout');
@@ -318,17 +287,10 @@
 		},
 	});
 	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0;
-	const readinessServer = await createStatusServer(settings.readiness, [
-		{path: adapter.readinessPath, answer: () => ({status: isReady() ? 200 : 503, text: ''})},
-	]);
-	const {host} = parseAddress(settings.callers);
-	const metricsServer = await createStatusServer(`${host}:${settings.metricsPort}`, [{
-		path: '/metrics',
-		async answer() {
-			metrics.underWay.set(callers.underWay());
-			return {status: 200, text: await metrics.registry.metrics()};
-		},
-	}]);
+	const statusServers = await openStatusServers({
+		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
+		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
+	});
 
 	const stop = async (): Promise<void> => {
 		for (const component of [
@@ -341,8 +303,7 @@
 			streams,
 			condemnedRequestList,
 			callers,
-			readinessServer,
-			metricsServer,
+			statusServers,
 		]) {
 			component.stop();
 		}
@@ -360,14 +321,7 @@
 			}
 
 			isDraining = true;
-			const drainStartedAt = now();
-			const limitMs = (liveSettings.bounds.graceS * msPerS) - shutdownMarginMs;
-			callers.drain(drainStartedAt + Math.min(balancerRemovalMs, limitMs), drainStartedAt + limitMs);
-			log.info({host: name, underWay: callers.underWay()}, 'leaving');
-			await sleep(Math.min(balancerRemovalMs, limitMs));
-			callers.closeIdleConnections();
-			await Promise.race([callers.waitUntilIdle(), sleep(limitMs - (now() - drainStartedAt))]);
-			log.info({host: name, underWay: callers.underWay()}, 'left');
+			await drainGateway(name, callers, liveSettings.bounds.graceS * msPerS, now);
 			await stop();
 		},
 		stop,
--- a/src/forwarding/create-delivered-body.ts
+++ b/src/streams/create-delivered-body.ts
@@ -1,10 +1,10 @@
 import {findStreamFault} from '../decide/forwarding/find-stream-fault.js';
 import {isEventStream} from '../decide/forwarding/is-event-stream.js';
-import {type CallerResponse} from './caller-response.js';
-import {type ReceivedResponse} from './received-response.js';
-import {type ResponseBody} from './response-body.js';
-import {type ResponseHead} from './response-head.js';
-import {responseLimits} from './response-limits.js';
+import {type CallerResponse} from '../forwarding/caller-response.js';
+import {type ReceivedResponse} from '../forwarding/received-response.js';
+import {type ResponseHead} from '../forwarding/response-head.js';
+import {responseLimits} from '../forwarding/response-limits.js';
+import {type ResponseBody} from '../forwarding/response-body.js';
 import {type SseEventSplitter} from './sse-event-splitter.js';
 
 /** Options of `createDeliveredBody`. */
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -2,7 +2,7 @@
 import {createStreamIndex} from '../decide/streams/create-stream-index.js';
 import {createVersionHistory} from '../decide/streams/create-version-history.js';
 import {groupStreams} from '../decide/streams/group-streams.js';
-import {type KnownHost} from '../forwarding/known-host.js';
+import {type KnownHost} from '../reports/known-host.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
--- a/src/upstreams/read-server-sent-events.ts
+++ b/src/upstreams/read-server-sent-events.ts
@@ -1,4 +1,4 @@
-import {createSseEventSplitter} from '../forwarding/create-sse-event-splitter.js';
+import {createSseEventSplitter} from '../streams/create-sse-event-splitter.js';
 
 const maxEventBytes = 1024 * 1024;
 const lineEnd = /\r\n|\r|\n/v;
--- a/test/decide/forwarding/load-totals.test.ts
+++ b/test/decide/forwarding/load-totals.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import {createLoadTotals} from '../../../src/decide/forwarding/create-load-totals.js';
-import {type UpstreamLoad} from '../../../src/forwarding/upstream-load.js';
+import {type UpstreamLoad} from '../../../src/reports/upstream-load.js';
 
 const load = fc.record({
 	id: fc.constantFrom('i-1', 'i-2', 'i-3'), inFlight: fc.nat(5), heldTokens: fc.nat(900),
--- a/test/forwarding/kv-store-tracker.test.ts
+++ b/test/forwarding/kv-store-tracker.test.ts
@@ -2,7 +2,7 @@
 	afterEach, describe, expect, test,
 } from 'vitest';
 import {createKvStoreTracker} from '../../src/forwarding/create-kv-store-tracker.js';
-import {type KnownHost} from '../../src/forwarding/known-host.js';
+import {type KnownHost} from '../../src/reports/known-host.js';
 import {type KvEventBatch} from '../../src/forwarding/kv-event-batch.js';
 import {type Service} from '../../src/forwarding/service.js';
 import {type PeerRpc} from '../../src/peers/peer-rpc.js';
--- a/test/object-store/state-sync.test.ts
+++ b/test/object-store/state-sync.test.ts
@@ -2,7 +2,7 @@
 	afterEach, describe, expect, test,
 } from 'vitest';
 import {createStateSync} from '../../src/object-store/create-state-sync.js';
-import {type HostStatus} from '../../src/forwarding/host-status.js';
+import {type HostStatus} from '../../src/reports/host-status.js';
 import {type KindSnapshot} from '../../src/object-store/kind-snapshot.js';
 import {type ObjectWatcher} from '../../src/object-store/object-watcher.js';
 import {type PeerRpc} from '../../src/peers/peer-rpc.js';
--- a/test/forwarding/collecting-report-sender.test.ts
+++ b/test/reports/collecting-report-sender.test.ts
@@ -1,9 +1,9 @@
 import {describe, expect, test} from 'vitest';
 import {createLoadTotals} from '../../src/decide/forwarding/create-load-totals.js';
-import {createCollectingReportSender} from '../../src/forwarding/create-collecting-report-sender.js';
-import {type HostMessage} from '../../src/forwarding/host-message.js';
+import {createCollectingReportSender} from '../../src/reports/create-collecting-report-sender.js';
+import {type HostMessage} from '../../src/reports/host-message.js';
 import {type KvStoreUpdate} from '../../src/forwarding/kv-store-update.js';
-import {type KnownHost} from '../../src/forwarding/known-host.js';
+import {type KnownHost} from '../../src/reports/known-host.js';
 
 const reportMs = 100;
 const domains = ['a', 'b', 'c'];
--- a/test/forwarding/host-message.test.ts
+++ b/test/reports/host-message.test.ts
@@ -1,10 +1,10 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import {decodeHostMessage} from '../../src/forwarding/decode-host-message.js';
-import {encodeHostMessage} from '../../src/forwarding/encode-host-message.js';
-import {type HostMessage} from '../../src/forwarding/host-message.js';
-import {type HostStatus} from '../../src/forwarding/host-status.js';
-import {type LoadReport} from '../../src/forwarding/load-report.js';
+import {decodeHostMessage} from '../../src/reports/decode-host-message.js';
+import {encodeHostMessage} from '../../src/reports/encode-host-message.js';
+import {type HostMessage} from '../../src/reports/host-message.js';
+import {type HostStatus} from '../../src/reports/host-status.js';
+import {type LoadReport} from '../../src/reports/load-report.js';
 
 const load = fc.record({
 	id: fc.string(), inFlight: fc.nat(), heldTokens: fc.nat(), waitingTokens: fc.array(fc.tuple(fc.nat(9), fc.nat()), {maxLength: 4}),
--- a/test/forwarding/delivered-body.test.ts
+++ b/test/streams/delivered-body.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, test} from 'vitest';
-import {createDeliveredBody} from '../../src/forwarding/create-delivered-body.js';
+import {createDeliveredBody} from '../../src/streams/create-delivered-body.js';
 import {type CallerResponse} from '../../src/forwarding/caller-response.js';
 import {responseLimits} from '../../src/forwarding/response-limits.js';
 
--- a/test/forwarding/sse-event-splitter.test.ts
+++ b/test/streams/sse-event-splitter.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import {createSseEventScanner} from '../../src/forwarding/create-sse-event-scanner.js';
-import {createSseEventSplitter} from '../../src/forwarding/create-sse-event-splitter.js';
+import {createSseEventScanner} from '../../src/streams/create-sse-event-scanner.js';
+import {createSseEventSplitter} from '../../src/streams/create-sse-event-splitter.js';
 
 const cutAt = (text: string, cuts: readonly number[]): Buffer[] => {
 	const bounds = [0, ...cuts.map(cut => Math.min(cut, text.length)).toSorted((a, b) => a - b), text.length];
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -5,7 +5,7 @@
 } from 'vitest';
 import {createStreamIndex} from '../../src/decide/streams/create-stream-index.js';
 import {createVersionHistory} from '../../src/decide/streams/create-version-history.js';
-import {type KnownHost} from '../../src/forwarding/known-host.js';
+import {type KnownHost} from '../../src/reports/known-host.js';
 import {type Upstream} from '../../src/forwarding/upstream.js';
 import {type PeerRpc} from '../../src/peers/peer-rpc.js';
 import {createStreamVersions} from '../../src/streams/create-stream-versions.js';
