--- a/test/soak/create-soak-callers.ts
+++ b/test/soak/create-soak-callers.ts
@@ -10,7 +10,7 @@
 /** Consecutive failed readiness polls after which the balancer removes a host. */
 const maxFailedPolls = 2;
 const deadlinesMs: Readonly<Record<CallKind, number>> = {
-	read: 1400, book: 1400, ask: 4000, extra: 1400, crash: 1400, part: 4000, sound: 4000,
+	read: 1400, book: 1400, ask: 4000, extra: 1400, crash: 1400, part: 4000, sound: 4000, resume: 4000,
 };
 /** Callers disconnect this long after their deadline. */
 const abandonAfterDeadlineMs = 3000;
@@ -24,8 +24,12 @@
 const crashingPartShare = 0.3;
 const crashingTargets = [`/ask/${crashMarks.late}`, `/book/${crashMarks.early}`, `/book/${crashMarks.late}`] as const;
 
+const maxResumptions = 2;
+/** Id of the last complete event of a stream. */
+const lastEvent = /^id: (\d+)\ndata: .*\n\n(?![\s\S]*^id: \d+\ndata: .*\n\n)/mv;
+
 /** What a request holds; `prompt` lists the parts that other requests share. */
-type RequestContent = Pick<Call, 'target' | 'body' | 'key'> & {readonly prompt?: readonly string[]};
+type RequestContent = Pick<Call, 'target' | 'body' | 'key'> & {readonly prompt?: readonly string[]; readonly resumed?: Call['resumed']; readonly resumptions?: number};
 
 /** Callers that send requests to the hosts that report readiness. */
 type SoakCallers = {
@@ -68,7 +72,7 @@
 
 	const send = (host: SoakHost, kind: CallKind, createRequest: (id: string) => RequestContent): void => {
 		const id = `soak-${sent++}`;
-		const {target, body, key, prompt} = createRequest(id);
+		const {target, body, key, prompt, resumed, resumptions = 0} = createRequest(id);
 		const disconnectAfterMs = random() < disconnectShare ? random() * 100 : undefined;
 		const {host: ip, port} = parseAddress(host.callers);
 		const sentAt = performance.now();
@@ -81,8 +85,14 @@
 				hasEnded = true;
 				clearTimeout(timer);
 				onCall({
-					id, kind, target, body, key, host: host.name, sentAt, endedAt: performance.now(), status, seal, text, isWhole, hasLeft,
+					id, kind, target, body, key, host: host.name, sentAt, endedAt: performance.now(), status, seal, text, isWhole, hasLeft, resumed,
 				});
+				const after = lastEvent.exec(text)?.[1];
+				if (status === 200 && !isWhole && !hasLeft && after !== undefined && prompt === undefined && kind !== 'crash' && resumptions < maxResumptions) {
+					sendToAny('resume', () => ({
+						target, body, key, resumed: {begunBy: resumed?.begunBy ?? id, after: Number(after)}, resumptions: resumptions + 1,
+					}));
+				}
 			}
 		};
 
@@ -90,6 +100,7 @@
 			host: ip, port, path: target, method: body === '' ? 'GET' : 'POST', agent: agents.get(host.name)!,
 			headers: {
 				host: 'app.example', 'request-id': id, 'deadline-ms': deadlinesMs[kind], 'x-api-key': key, ...(body === '' ? {} : {'content-length': Buffer.byteLength(body)}),
+				...(resumed && {'last-event-id': resumed.after, resumes: resumed.begunBy}),
 				...(prompt && {model: 'other', 'token-count': '300,10', 'prompt-prefix': [...prompt, `own-${id}`].map(part => `${part}:100`).join(',')}),
 			},
 		}, res => {
--- a/test/soak/create-soak-upstream.ts
+++ b/test/soak/create-soak-upstream.ts
@@ -19,6 +19,8 @@
 	readonly address: string;
 	/** Share of the responses that it truncates, from 0 to 1. */
 	broken: number;
+	/** Limit on requests a second that it states in its responses. */
+	limit: number | undefined;
 	readonly weights: () => number;
 	readonly stop: () => void;
 };
@@ -32,7 +34,7 @@
 };
 
 /** Starts an upstream; `random` selects the responses that it truncates. */
-export async function createSoakUpstream(id: string, random: () => number, {onRun, onOrder, onCrash}: SoakUpstreamCallbacks): Promise<SoakUpstream> {
+export async function createSoakUpstream(id: string, softwareVersion: string, random: () => number, {onRun, onOrder, onCrash}: SoakUpstreamCallbacks): Promise<SoakUpstream> {
 	const server = await createUpstreamServer();
 	let version = 1;
 	let isBusy = false;
@@ -70,13 +72,15 @@
 		sendJson(socket, '202 Accepted', {});
 	};
 
+	const stateLimit = (): string => upstream.limit === undefined ? '' : `Server-Limit: ${upstream.limit}\r\n`;
+
 	const run = async ({headers, target, body}: ReceivedRequest, socket: Socket): Promise<void> => {
 		const requestId = headers.get('request-id') ?? '';
 		const resumedAfter = headers.get('last-event-id');
 		const seal = `${id}-${runCount++}`;
 		onRun({
 			id: requestId, upstream: id, target, body: body.toString(), workspace: headers.get('tenant'), hasKey: headers.has('x-api-key'),
-			at: performance.now(), resumedAfter, seal,
+			at: performance.now(), resumedAfter, seal, version: softwareVersion,
 		});
 		const isCrashing = target.includes(crashMarks.any) || headers.get('prompt-prefix')?.includes(crashMarks.part) === true;
 		if (target.includes(crashMarks.early)) {
@@ -86,9 +90,9 @@
 
 		const isBroken = random() < upstream.broken;
 		await sleep(hashTo48Bits(`${requestId}${id}`) % maxWorkMs);
-		const chunks = buildExpectedChunks(requestId, target).slice(resumedAfter === undefined ? 0 : Number(resumedAfter) + 1);
+		const chunks = buildExpectedChunks(headers.get('resumes') ?? requestId, target).slice(resumedAfter === undefined ? 0 : Number(resumedAfter) + 1);
 		const isCloseDelimited = hashTo48Bits(`framing-${requestId}`) % closeDelimitedEvery === 0;
-		const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: ${seal}\r\n`;
+		const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: ${seal}\r\n${stateLimit()}`;
 		if (!target.startsWith('/ask/')) {
 			const text = chunks.join('');
 			const framing = isCloseDelimited ? '' : `Content-Length: ${Buffer.byteLength(text)}\r\n`;
@@ -144,7 +148,7 @@
 	};
 
 	const upstream: SoakUpstream = {
-		id, address: server.address, broken: 0, weights: () => version, stop: server.stop,
+		id, address: server.address, broken: 0, limit: undefined, weights: () => version, stop: server.stop,
 	};
 	return upstream;
 }
--- a/test/soak/find-violations.test.ts
+++ b/test/soak/find-violations.test.ts
@@ -15,11 +15,11 @@
 };
 
 const run = (changed: Partial<UpstreamRun> = {}): UpstreamRun => ({
-	id: 'soak-1', upstream: 'i-0', target: '/read/soak-1', body: '', workspace: 'acme', hasKey: false, at: 40_010, resumedAfter: undefined, seal: 'i-0-0', ...changed,
+	id: 'soak-1', upstream: 'i-0', target: '/read/soak-1', body: '', workspace: 'acme', hasKey: false, at: 40_010, resumedAfter: undefined, seal: 'i-0-0', version: 'v1', ...changed,
 });
 
 const history = (changed: Partial<SoakHistory> = {}): SoakHistory => ({
-	calls: [call()], runs: [run()], orders: [], disturbances: [], changes: [], exits: [], weights: {named: 1, held: [1]}, calmFrom: 20_000, endedAt: 60_000, ...changed,
+	calls: [call()], runs: [run()], orders: [], limits: [], disturbances: [], changes: [], exits: [], weights: {named: 1, held: [1]}, calmFrom: 20_000, endedAt: 60_000, ...changed,
 });
 
 const booking = {id: 'soak-1', target: '/book/soak-1', body: 'b'};
@@ -40,6 +40,45 @@
 			scope: 'host host-0', kind: 'host is killed', from: 39_900, until: 40_100,
 		}],
 	}, 'recovery'],
+	['a stream that its host went on with at another version', {
+		calls: [call({...stream, kind: 'ask'})], runs: [run(stream), run({
+			...stream, resumedAfter: '1', seal: 'i-1-0', version: 'v2',
+		})],
+	}, 'order'],
+	['a stream that its caller took up at another version', {
+		calls: [call({
+			...stream, kind: 'ask', text: pieces[0]!, isWhole: false, hasLeft: true,
+		}), call({
+			...stream, id: 'soak-2', kind: 'resume', text: pieces.slice(1).join(''), seal: 'i-1-0', resumed: {begunBy: 'soak-1', after: 0},
+		})],
+		runs: [run(stream), run({
+			...stream, id: 'soak-2', resumedAfter: '0', seal: 'i-1-0', version: 'v2',
+		})],
+	}, 'order'],
+	['a stream that its caller took up at its version', {
+		calls: [call({
+			...stream, kind: 'ask', text: pieces[0]!, isWhole: false, hasLeft: true,
+		}), call({
+			...stream, id: 'soak-2', kind: 'resume', text: pieces.slice(1).join(''), seal: 'i-1-0', resumed: {begunBy: 'soak-1', after: 0},
+		})],
+		runs: [run(stream), run({
+			...stream, id: 'soak-2', resumedAfter: '0', seal: 'i-1-0',
+		})],
+	}, undefined],
+	['an upstream that gets more than its limit', {
+		calls: Array.from({length: 30}, (_, index) => call({id: `soak-${index}`, seal: 'i-0-0'})),
+		runs: Array.from({length: 30}, (_, index) => run({id: `soak-${index}`, target: `/read/soak-${index}`, at: 40_000 + (index * 100)})),
+		limits: [{
+			upstream: 'i-0', perS: 2, from: 30_000, until: 60_000,
+		}],
+	}, 'limit'],
+	['an upstream that gets its limit', {
+		calls: Array.from({length: 10}, (_, index) => call({id: `soak-${index}`, seal: 'i-0-0'})),
+		runs: Array.from({length: 10}, (_, index) => run({id: `soak-${index}`, target: `/read/soak-${index}`, at: 40_000 + (index * 100)})),
+		limits: [{
+			upstream: 'i-0', perS: 2, from: 30_000, until: 60_000,
+		}],
+	}, undefined],
 	['a run that no caller requested', {runs: [run(), run({id: 'soak-9'})]}, 'unasked'],
 	['a request under another workspace', {runs: [run({workspace: 'walled'})]}, 'unasked'],
 	['an API key that was forwarded to an upstream', {runs: [run({hasKey: true})]}, 'unasked'],
--- a/test/soak/find-violations.ts
+++ b/test/soak/find-violations.ts
@@ -20,6 +20,11 @@
 const maxSendsAfterCrashes = 3;
 const crashesToKnowPart = 5;
 const minSoundCalls = 20;
+const msPerS = 1000;
+/** Bound on the requests to an upstream that states a limit. */
+const limitWindowMs = 4000;
+const limitFactor = 1.5;
+const limitSlack = 5;
 
 type Check = (history: SoakHistory, runsOf: ReadonlyMap<string, readonly UpstreamRun[]>) => readonly string[];
 
@@ -43,7 +48,7 @@
 		return [];
 	}
 
-	const expected = buildExpectedChunks(call.id, call.target).join('');
+	const expected = buildExpectedChunks(call.resumed?.begunBy ?? call.id, call.target).slice(call.resumed ? call.resumed.after + 1 : 0).join('');
 	const isRight = call.isWhole ? call.text === expected : expected.startsWith(call.text);
 	const isSealed = (runsOf.get(call.id) ?? []).some(run => run.seal === call.seal);
 	return isRight && isSealed ? [] : [`mixed: ${call.id} got ${JSON.stringify(call.text.slice(0, 200))} with seal ${call.seal}`];
@@ -169,16 +174,56 @@
 	.filter(call => isOwed(call, calmFrom) && !(call.status === 200 && call.isWhole))
 	.map(call => `calm: ${call.id} at ${call.host} ended with status ${call.status}`);
 
+/** Returns the software version that began a stream; `undefined` if none of its events reached the caller. */
+function findBegunVersion({id, text}: Call, runsOf: ReadonlyMap<string, readonly UpstreamRun[]>): string | undefined {
+	return text.includes('id: 0\n') ? runsOf.get(id)?.findLast(run => run.resumedAfter === undefined)?.version : undefined;
+}
+
+const findMixedVersions: Check = ({calls}, runsOf) => {
+	const byId = new Map(calls.map(call => [call.id, call]));
+	return calls.flatMap(call => {
+		const first = byId.get(call.resumed?.begunBy ?? call.id);
+		const version = first && findBegunVersion(first, runsOf);
+		const others = (runsOf.get(call.id) ?? []).filter(run => run.resumedAfter !== undefined && run.version !== version);
+		return version !== undefined && others.length > 0 ? [`order: ${call.id} went on at ${others[0]!.version}, ${first!.id} began at ${version}`] : [];
+	});
+};
+
+/** Requests to an upstream that states a limit, sent by hosts that nothing disturbed since it began, or the upstream of late. */
+const findLimitExcess: Check = history => {
+	const hosts = new Map(history.calls.map(call => [call.id, call.host]));
+	return history.limits.flatMap(({upstream, perS, from, until}) => {
+		const counted = history.runs.filter(run => run.upstream === upstream && run.at >= from + timeBoundsMs.contact && run.at < until
+			&& isUndisturbed(history, [`host ${hosts.get(run.id)}`], from, run.at)
+			&& isUndisturbed(history, [`upstream ${upstream}`], run.at - timeBoundsMs.contact, run.at));
+		const busiest = Math.max(0, ...counted.map(({at}) => counted.filter(run => run.at >= at && run.at < at + limitWindowMs).length));
+		const allowed = (limitFactor * perS * limitWindowMs / msPerS) + limitSlack;
+		return busiest > allowed
+			? [`limit: ${upstream} got ${busiest} requests in ${limitWindowMs} ms with a limit of ${perS} a second; allowed ${Math.floor(allowed)}`]
+			: [];
+	});
+};
+
 const findUnexpectedExits: Check = ({exits}) => exits.map(host => `exit: ${host} exited unexpectedly`);
 
 /** Guarantees that hold however slow the machine is. */
-const untimedChecks: readonly Check[] = [findRepeatedBookings, findRefusedRuns, findMixedResponses, findUnrequestedRuns, findRetryBudgetExcess, findDuplicateFencingTokens, findUnexpectedExits];
+const untimedChecks: readonly Check[] = [
+	findRepeatedBookings,
+	findRefusedRuns,
+	findMixedResponses,
+	findUnrequestedRuns,
+	findMixedVersions,
+	findRetryBudgetExcess,
+	findDuplicateFencingTokens,
+	findUnexpectedExits,
+];
 /** Guarantees with a time bound, which hold only if the machine is not overloaded. */
 const timedChecks: readonly Check[] = [
 	findRunsAfterDrain,
 	findCrashingRequestsSentAgain,
 	findCrashingPartsSentAgain,
 	findSoundRequestsLost,
+	findLimitExcess,
 	findStaleConfigurationUse,
 	findLostResponses,
 	findStaleWeights,
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -8,7 +8,7 @@
 import {type Fault} from './fault.js';
 import {findViolations} from './find-violations.js';
 import {
-	type Call, type OperatorChange, type FaultInterval, type SoakHistory, type RecordedOrder, type UpstreamRun,
+	type Call, type OperatorChange, type FaultInterval, type SoakHistory, type RecordedOrder, type StatedLimitInterval, type UpstreamRun,
 } from './soak-history.js';
 import {planFaults} from './plan-faults.js';
 import {startSoakCluster} from './start-soak-cluster.js';
@@ -18,6 +18,9 @@
 /** Requests in flight when the callers stop complete within this time. */
 const completionMs = 7500;
 const requestsPerSecond = 80;
+const minLimitMs = 5000;
+const maxLimitMs = 9000;
+const maxLimitPerS = 6;
 
 /** Result of a soak. */
 type SoakResult = {
@@ -53,6 +56,8 @@
 	const calls: Call[] = [];
 	const runs: UpstreamRun[] = [];
 	const orders: RecordedOrder[] = [];
+	const limits: StatedLimitInterval[] = [];
+	const limitRandom = createSeededRandom(seed + 2);
 	const disturbances: FaultInterval[] = [];
 	const changes: OperatorChange[] = [];
 	const exits: string[] = [];
@@ -80,10 +85,27 @@
 		end?.();
 	};
 
+	/** An upstream states a limit now and then; with a random sequence of its own, so that the faults of a seed stay the same. */
+	const stateLimits = async (): Promise<void> => {
+		const until = performance.now() + durationMs - undisturbedMs;
+		while (performance.now() + maxLimitMs < until) {
+			const {upstream} = cluster.upstreams[Math.floor(limitRandom() * cluster.upstreams.length)]!;
+			const perS = Math.round(limitRandom() * maxLimitPerS * 10) / 10;
+			const from = performance.now();
+			upstream.limit = perS;
+			await sleep(minLimitMs + (limitRandom() * (maxLimitMs - minLimitMs)));
+			upstream.limit = undefined;
+			limits.push({
+				upstream: upstream.id, perS, from, until: performance.now(),
+			});
+			await sleep(limitRandom() * minLimitMs);
+		}
+	};
+
 	try {
 		const callers = createSoakCallers(cluster.hosts.map(({host}) => host), requestsPerSecond, random, call => calls.push(call));
 		await waitUntil('all hosts to be ready', () => callers.countReadyHosts() === cluster.hosts.length);
-		await Promise.all(faults.map(async fault => injectFault(fault)));
+		await Promise.all([stateLimits(), ...faults.map(async fault => injectFault(fault))]);
 		callers.stopCrashing();
 		const calmFrom = Math.max(performance.now(), ...disturbances.map(({until}) => until));
 		await sleep(calmFrom - performance.now() + undisturbedMs);
@@ -91,7 +113,7 @@
 		await sleep(completionMs);
 		callers.stop();
 		const history: SoakHistory = {
-			calls, runs, orders, disturbances, changes, exits, calmFrom, endedAt: performance.now(),
+			calls, runs, orders, limits, disturbances, changes, exits, calmFrom, endedAt: performance.now(),
 			weights: {named: context.desiredWeightsVersion, held: cluster.upstreams.map(({upstream}) => upstream.weights())},
 		};
 		const violations = findViolations(history, checksTimeBounds);
--- a/test/soak/soak-history.ts
+++ b/test/soak/soak-history.ts
@@ -1,5 +1,5 @@
 /** Kinds of requests that the soak's callers send. */
-export type CallKind = 'read' | 'book' | 'ask' | 'extra' | 'crash' | 'part' | 'sound';
+export type CallKind = 'read' | 'book' | 'ask' | 'extra' | 'crash' | 'part' | 'sound' | 'resume';
 
 /** A request as its caller observed it. All times of a history are in milliseconds of the same clock. */
 export type Call = {
@@ -17,6 +17,8 @@
 	readonly text: string;
 	/** Whether the response is complete according to its framing. */
 	readonly isWhole: boolean;
+	/** The stream that the caller takes up: the call that brought its first event, and the last event that it got. */
+	readonly resumed?: {readonly begunBy: string; readonly after: number} | undefined;
 	/** Whether the caller disconnected before the response was complete. */
 	readonly hasLeft: boolean;
 };
@@ -34,6 +36,16 @@
 	/** Id of the event after which the stream was resumed. */
 	readonly resumedAfter: string | undefined;
 	readonly seal: string;
+	/** Software version of the upstream. */
+	readonly version: string;
+};
+
+/** A limit on requests a second that an upstream stated for a time. */
+export type StatedLimitInterval = {
+	readonly upstream: string;
+	readonly perS: number;
+	readonly from: number;
+	readonly until: number;
 };
 
 /** An order that an engine received. */
@@ -66,6 +78,7 @@
 	readonly calls: readonly Call[];
 	readonly runs: readonly UpstreamRun[];
 	readonly orders: readonly RecordedOrder[];
+	readonly limits: readonly StatedLimitInterval[];
 	readonly disturbances: readonly FaultInterval[];
 	readonly changes: readonly OperatorChange[];
 	/** Names of the hosts whose process exited unexpectedly. */
--- a/test/soak/start-soak-cluster.ts
+++ b/test/soak/start-soak-cluster.ts
@@ -68,7 +68,8 @@
 
 	const addUpstream = async (): Promise<void> => {
 		const id = `i-${addedUpstreams++}`;
-		const upstream = await createSoakUpstream(id, random, {
+		const softwareVersion = `v${Math.ceil(addedUpstreams / upstreamCount)}`;
+		const upstream = await createSoakUpstream(id, softwareVersion, random, {
 			onRun, onOrder, onCrash() {
 				onCrash(id, crashDownMs);
 				link.crash(crashDownMs, registerStart);
@@ -87,7 +88,7 @@
 		upstreams.push({upstream, link});
 		stopFunctions.push(upstream.stop, link.stop);
 		store.put('servers', id, platformObjects.upstream(link.address, {
-			zone: domains[addedUpstreams % domains.length], models: [{name: 'm', version: 1, adapters: []}], born: Date.now(),
+			version: softwareVersion, zone: domains[addedUpstreams % domains.length], models: [{name: 'm', version: 1, adapters: []}], born: Date.now(),
 		}));
 	};
 
