Log which links to upstreams a host believes lost

Change: one line when connections to an upstream begin to fail, one with the time when it responds again.

--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -52,6 +52,8 @@
 	avoidUntil: number;
 	/** Moving average of failed requests, from 0 to 1. */
 	failureShare: number;
+	/** Since when connections to it fail; `undefined` while the last one was opened. */
+	unreachableSince: number | undefined;
 	/** What it says of itself. */
 	readonly announcements: UpstreamAnnouncements;
 	/** Whether the upstream is no longer registered; its connections close after the last request. */
@@ -116,6 +118,7 @@
 			lastAnswerAt: now(),
 			avoidUntil: 0,
 			failureShare: 0,
+			unreachableSince: undefined,
 			announcements: createUpstreamAnnouncements(upstream),
 			isGone: false,
 		});
@@ -186,6 +189,15 @@
 		};
 	};
 
+	const recordContact = (entry: Entry): void => {
+		entry.lastAnswerAt = now();
+		reachability.recordContact(entry.upstream.domain, now());
+		if (entry.unreachableSince !== undefined) {
+			log.info({upstream: entry.upstream.id, service: entry.upstream.service, lostForMs: Math.round(now() - entry.unreachableSince)}, 'link to upstream back');
+			entry.unreachableSince = undefined;
+		}
+	};
+
 	const recordHeadLatency = (service: string, tookMs: number): void => {
 		const mean = headLatencyMs.get(service) ?? initialHeadLatencyMs;
 		headLatencyMs.set(service, mean + (headLatencyWeight * (tookMs - mean)));
@@ -225,8 +237,7 @@
 			onHead(head) {
 				hasFailed = head.status >= firstFailureStatus && !head.isNotRun;
 				recordAnswered();
-				entry.lastAnswerAt = now();
-				reachability.recordContact(entry.upstream.domain, now());
+				recordContact(entry);
 				recordAnnouncement(entry, head, waitStart.since);
 				recordHeadLatency(entry.upstream.service, now() - waitStart.since);
 				listener.onHead(head);
@@ -284,6 +295,11 @@
 		recordConnectFailure(id) {
 			const entry = entries.get(id);
 			if (entry) {
+				if (entry.unreachableSince === undefined) {
+					entry.unreachableSince = now();
+					log.warn({upstream: id, service: entry.upstream.service, inFlight: entry.inFlight}, 'link to upstream lost');
+				}
+
 				reachability.recordConnectFailure(entry.upstream.domain, id, now());
 			}
 		},
