--- a/test/support/start-test-gateway.ts
+++ b/test/support/start-test-gateway.ts
@@ -1,4 +1,5 @@
-import {adapter} from '../../platform/adapter.js';
+import {adapter as platformAdapter} from '../../platform/adapter.js';
+import {type GatewayAdapter} from '../../src/forwarding/gateway-adapter.js';
 import {gatewaySettingsSchema} from '../../src/settings/gateway-settings-schema.js';
 import {startGateway} from '../../src/start-gateway.js';
 import {findTestPorts} from './find-test-ports.js';
@@ -11,10 +12,11 @@
 	readonly callers: string;
 	readonly readiness: string;
 	readonly peers: string;
+	readonly reports: string;
 };
 
 /** Starts a gateway host on free ports. */
-export async function startTestGateway(objectStore: string, overrides: Record<string, unknown> = {}): Promise<TestGateway> {
+export async function startTestGateway(objectStore: string, overrides: Record<string, unknown> = {}, adapter: GatewayAdapter = platformAdapter): Promise<TestGateway> {
 	const [callers, readiness, peers, reports, metricsPort] = await findTestPorts(portsPerHost);
 	const settings = gatewaySettingsSchema.parse({
 		name: `host-${callers}`,
@@ -30,6 +32,6 @@
 	});
 	const gateway = await startGateway(settings, adapter);
 	return {
-		...gateway, callers: settings.callers, readiness: settings.readiness, peers: settings.peers,
+		...gateway, callers: settings.callers, readiness: settings.readiness, peers: settings.peers, reports: settings.reports,
 	};
 }
