--- a/src/decide/forwarding/decide-retry.ts
+++ b/src/decide/forwarding/decide-retry.ts
@@ -13,6 +13,8 @@
 	readonly runs: number;
 	/** All sends, including those that upstreams reported as not run. */
 	readonly sends: number;
+	/** Times that no connection could be opened, so that nothing was sent. */
+	readonly unsent: number;
 	/** Whether any byte of a response has been sent to the caller. */
 	readonly hasBegun: boolean;
 	/** Whether this stream can be resumed now: no event has been delivered, or the id of the last one is known. */
@@ -21,6 +23,8 @@
 
 /** Limit on the sends of one request; more would only add load when all upstreams are full. */
 const maxSends = 5;
+/** Limit on failed connections of one request; each marks its upstream as out of reach. */
+const maxUnsent = 16;
 
 function mayRepeat({kind, isResumable, canResume, hasBegun}: RequestProgress): boolean {
 	if (kind === 'idempotent') {
@@ -40,7 +44,7 @@
 	}
 
 	if (outcome.kind === 'not-run') {
-		return progress.sends < maxSends ? 'send-again' : 'close';
+		return progress.sends < maxSends && progress.unsent < maxUnsent ? 'send-again' : 'close';
 	}
 
 	if (mayRepeat(progress) && progress.runs < progress.maxAttempts && progress.sends < maxSends) {
--- a/src/decide/forwarding/upstream-view.ts
+++ b/src/decide/forwarding/upstream-view.ts
@@ -13,7 +13,9 @@
 	readonly heldTokens: number;
 	/** Whether requests have waited unusually long and the upstream has answered none meanwhile. */
 	readonly isUnresponsive: boolean;
-	/** Whether the upstream is passed over for a while, after recent failures or because its failure domain is partitioned. */
+	/** Whether this host can reach the upstream, as far as known. */
+	readonly isReachable: boolean;
+	/** Whether the upstream is passed over for a while, after recent failures. */
 	readonly isEjected: boolean;
 	/** Share of recent requests that failed, from 0 to 1. */
 	readonly failureShare: number;
--- a/src/forwarding/admitted-request.ts
+++ b/src/forwarding/admitted-request.ts
@@ -15,4 +15,6 @@
 	/** Aborted when the caller disconnects before the response is complete. */
 	readonly signal: AbortSignal;
 	readonly answer: CallerResponse;
+	/** Whether another host has handed the request on to this one, which then hands it on to nobody. */
+	readonly isRelayed: boolean;
 };
--- /dev/null
+++ b/src/forwarding/create-attempt-signal.ts
@@ -0,0 +1,36 @@
+import {type AdmittedRequest} from './admitted-request.js';
+
+/** Ends an attempt to send a request. */
+type AttemptSignal = {
+	readonly signal: AbortSignal;
+	readonly abort: (reason: string) => void;
+	/** Clears the timer and the listener. */
+	readonly dispose: () => void;
+};
+
+/** Creates the signal that ends an attempt once time is over or the caller has disconnected. */
+export function createAttemptSignal({route, signal}: Pick<AdmittedRequest, 'route' | 'signal'>, leftMs: number): AttemptSignal {
+	const controller = new AbortController();
+	const abort = (reason: string): void => {
+		controller.abort(new Error(reason));
+	};
+
+	const onCallerGone = (): void => {
+		abort('the caller disconnected');
+	};
+
+	// A request that may not be repeated runs to its end after its caller has disconnected, so that its outcome is definite.
+	if (route.kind !== 'once') {
+		signal.addEventListener('abort', onCallerGone, {once: true});
+	}
+
+	const timer = setTimeout(abort, leftMs, 'time is over');
+	return {
+		signal: controller.signal,
+		abort,
+		dispose() {
+			clearTimeout(timer);
+			signal.removeEventListener('abort', onCallerGone);
+		},
+	};
+}
--- a/src/forwarding/create-caller-response.ts
+++ b/src/forwarding/create-caller-response.ts
@@ -1,6 +1,7 @@
 import {type ServerResponse} from 'node:http';
 import {errorStatuses} from '../errors/error-statuses.js';
 import {createRefusalBody} from '../errors/refusal-body.js';
+import {type Refusal} from '../errors/refusal.js';
 import {type CallerResponse} from './caller-response.js';
 
 const msPerS = 1000;
@@ -10,10 +11,10 @@
 /**
 Creates the response to a caller.
 
-@param requestIdHeaders - Alternating names and values of the headers by which an error response names its request.
+@param createRefusalHeaders - Returns alternating names and values of the headers of an error response, besides those of every refusal.
 @param isLastOnConnection - Whether the response carries `Connection: close`.
 */
-export function createCallerResponse(res: ServerResponse, requestIdHeaders: readonly string[], isLastOnConnection: () => boolean): CallerResponse {
+export function createCallerResponse(res: ServerResponse, createRefusalHeaders: (refusal: Refusal) => readonly string[], isLastOnConnection: () => boolean): CallerResponse {
 	let hasSentHead = false;
 	/** Chunks a body of unknown length, so that the caller detects when it is cut short. */
 	const getFramingHeaders = (status: number, headers: readonly string[]): readonly string[] => {
@@ -59,7 +60,7 @@
 				? ['Retry-After', (refusal.retryAfterMs / msPerS).toFixed(2)]
 				: [];
 			begin(status, [
-				'Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...requestIdHeaders, ...retryAfter,
+				'Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...createRefusalHeaders(refusal), ...retryAfter,
 			]);
 			res.end(body);
 		},
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -1,3 +1,4 @@
+import {setImmediate} from 'node:timers/promises';
 import {decideAdmission} from '../decide/forwarding/decide-admission.js';
 import {chooseWeightedService} from '../decide/forwarding/choose-weighted-service.js';
 import {createFinalRefusal} from '../decide/forwarding/create-final-refusal.js';
@@ -8,6 +9,8 @@
 import {type SlidingWindowRetryBudget} from '../decide/retries/sliding-window-retry-budget.js';
 import {log} from '../observe/log.js';
 import {type PoisonRequestDetector} from '../poison/poison-request-detector.js';
+import {type RelayClient} from '../relay/relay-client.js';
+import {type KnownHost} from '../reports/known-host.js';
 import {type StreamVersions} from '../streams/stream-versions.js';
 import {createSseEventSplitter} from '../streams/create-sse-event-splitter.js';
 import {type AdmittedRequest} from './admitted-request.js';
@@ -30,12 +33,13 @@
 const minTimeLeftMs = 20;
 /** Ejection time of an upstream that rejected a request without running it. */
 const rejectionEjectMs = 250;
-/** Ejection time of an upstream that could not be reached. */
-const connectFailureEjectMs = 1500;
 /** Ejection time of an upstream whose response broke off or was invalid. */
 const brokenResponseEjectMs = 300;
+/** Other hosts that one request is handed on to, one after the other. */
+const maxHelpers = 3;
 /** Longest `Retry-After` of a refused request that crashes upstreams. */
 const condemnedRetryAfterMs = 60_000;
+const overloadedStatus = 429;
 const refusalDetails = {
 	request: 'this request crashed the upstreams that ran it',
 	parts: 'parts of this prompt crashed the upstreams that ran them',
@@ -51,6 +55,11 @@
 	readonly getUrgentObjectiveMs: (route: Route, service: string) => number | undefined;
 	/** Chooses an upstream of a service, and which KV cache the request fetches and saves there. */
 	readonly place: (admitted: AdmittedRequest, progress: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>) => Placement | undefined;
+	/** Returns whether the link to an upstream works; checks it first if it has carried nothing for a while. */
+	readonly verifyLink: (upstreamId: string) => Promise<boolean>;
+	readonly relay: Pick<RelayClient, 'chooseHelper' | 'recordRefusal'>;
+	/** Hands a request on to another host once. */
+	readonly sendRelayed: (admitted: AdmittedRequest, progress: ForwardingProgress, helper: KnownHost) => Promise<SendOutcome>;
 	/** The software versions that began streams. */
 	readonly streams: Pick<StreamVersions, 'recordBegin' | 'findRequired'>;
 	/** Returns whether an upstream's limit on requests leaves room for this one now. */
@@ -61,17 +70,21 @@
 	readonly onEnd: (admitted: AdmittedRequest, result: string, tookMs: number) => void;
 };
 
-/** The upstream to send to, or the reason why the request is not sent. */
-type PlacementResult = {readonly placement: Placement} | {readonly reason: FailureReason; readonly retryAfterMs?: number | 'never'};
+/** The upstream to send to, the host to hand the request on to, or the reason why the request is not sent. */
+type PlacementResult = {readonly placement: Placement} | {readonly helper: KnownHost} | {readonly reason: FailureReason; readonly retryAfterMs?: number | 'never'};
 
 function createProgress({route, endsAt}: AdmittedRequest, service: string): ForwardingProgress {
 	return {
 		service,
 		triedUpstreams: new Set(),
+		triedHelpers: new Set(),
 		endsAt,
 		splitter: route.kind === 'stream' ? createSseEventSplitter(route.isResumable) : undefined,
 		softwareVersion: undefined,
+		isVersionUnknown: false,
 		sends: 0,
+		unsent: 0,
+		isRetryPaid: false,
 		runs: 0,
 		ran: 'no',
 		lastReason: 'no upstream takes requests of this route',
@@ -87,7 +100,13 @@
 }
 
 function recordSend(progress: ForwardingProgress, outcome: SendOutcome): void {
-	progress.sends++;
+	if (outcome.kind === 'not-run' && !outcome.head) {
+		progress.unsent++;
+	} else {
+		progress.sends++;
+		progress.isRetryPaid = false;
+	}
+
 	progress.lastReason = describeOutcome(outcome);
 	if (outcome.kind === 'failed-answer') {
 		progress.ran = 'yes';
@@ -102,7 +121,7 @@
 
 /** Creates the function that forwards a caller's request, retries it where that is safe, and sends the final response. */
 export function createForwarder(options: ForwarderOptions): (admitted: AdmittedRequest) => Promise<void> {
-	const {registry, crashes, getRetryBudget, getLatencyModel, getUrgentObjectiveMs, place, acquirePermit, streams, encode, now, random, onEnd} = options;
+	const {registry, crashes, getRetryBudget, getLatencyModel, getUrgentObjectiveMs, place, acquirePermit, verifyLink, relay, sendRelayed, streams, encode, now, random, onEnd} = options;
 	const send = createSender({
 		registry, getLatencyModel, encode, recordBegin: streams.recordBegin, now,
 	});
@@ -148,39 +167,52 @@
 
 		if (outcome.kind === 'broken') {
 			registry.ejectUntil(upstreamId, now() + brokenResponseEjectMs);
-		} else if (!outcome.head) {
-			registry.ejectUntil(upstreamId, now() + connectFailureEjectMs);
-			registry.recordConnectFailure(upstreamId);
-		} else if (outcome.head.status === 421 && outcome.head.weightVersion !== undefined && model !== undefined) {
+		} else if (outcome.head?.status === 421 && outcome.head.weightVersion !== undefined && model !== undefined) {
 			registry.recordWeights(upstreamId, model, outcome.head.weightVersion);
-		} else {
+		} else if (outcome.head) {
 			registry.ejectUntil(upstreamId, now() + rejectionEjectMs);
 		}
 	};
 
 	/**
-	Finds the version at which a stream that its caller takes up must go on.
+	Finds the version at which a stream must go on that its caller takes up, or that another host began for this request.
 
 	@returns Whether it may go on; not if the version matters and is not known.
 	*/
 	const requireVersion = async ({request, route, endsAt}: AdmittedRequest, progress: ForwardingProgress): Promise<boolean> => {
-		if (route.kind !== 'stream' || request.resumeAfter === undefined) {
+		const begunBy = progress.isVersionUnknown ? request.begunBy ?? request.id : request.begunBy;
+		if (route.kind !== 'stream' || (request.resumeAfter === undefined && !progress.isVersionUnknown)) {
 			return true;
 		}
 
-		const required = await streams.findRequired(progress.service, request.begunBy, request.id!, endsAt);
+		const required = await streams.findRequired(progress.service, begunBy, request.id!, endsAt);
 		if (required.kind === 'unknown') {
 			progress.lastReason = 'the software version that began the stream is not known';
 			return false;
 		}
 
 		progress.softwareVersion = required.kind === 'one' ? required.version : undefined;
+		progress.isVersionUnknown = false;
 		return true;
 	};
 
-	/** Returns the reason for a request that no upstream may be sent now. */
-	const describeNoUpstream = (progress: ForwardingProgress): PlacementResult => {
+	const findHelper = ({isRelayed}: AdmittedRequest, {service, triedHelpers}: ForwardingProgress): KnownHost | undefined =>
+		isRelayed || triedHelpers.size >= maxHelpers ? undefined : relay.chooseHelper(service, triedHelpers);
+
+	/** Returns where a request goes that no upstream may be sent from here now: to another host if upstreams can't be reached, or nowhere. */
+	const leaveUnplaced = (admitted: AdmittedRequest, progress: ForwardingProgress): PlacementResult => {
 		const {service, softwareVersion} = progress;
+		const reach = registry.getReach(service, softwareVersion);
+		const helper = reach.reachable < reach.upstreams ? findHelper(admitted, progress) : undefined;
+		if (helper) {
+			return {helper};
+		}
+
+		if (reach.upstreams > 0 && reach.reachable === 0) {
+			progress.lastReason = `none of ${reach.upstreams} upstreams can be reached; ${progress.lastReason}`;
+			return {reason: 'no-upstream'};
+		}
+
 		const closedForMs = registry.closedForMs(service, now(), softwareVersion);
 		if (closedForMs === undefined && softwareVersion !== undefined) {
 			progress.lastReason = `no upstream of version ${softwareVersion}, which began the stream`;
@@ -210,7 +242,7 @@
 
 		const placement = place(admitted, progress);
 		if (!placement) {
-			return describeNoUpstream(progress);
+			return leaveUnplaced(admitted, progress);
 		}
 
 		const {firstByteMs, isQueueing} = placement;
@@ -219,6 +251,12 @@
 			urgentObjectiveMs: getUrgentObjectiveMs(route, progress.service), draw: random(),
 		});
 		if (progress.runs === 0 && !admission.isAdmitted) {
+			const reach = registry.getReach(progress.service, progress.softwareVersion);
+			const helper = reach.reachable * 2 < reach.upstreams ? findHelper(admitted, progress) : undefined;
+			if (helper) {
+				return {helper};
+			}
+
 			progress.lastReason = `first byte expected in ${Math.round(firstByteMs)} ms, too late for the objective of ${route.objectiveMs} ms`;
 			return {reason: 'overloaded', retryAfterMs: admission.retryAfterMs};
 		}
@@ -227,12 +265,23 @@
 			return findPlacement(admitted, progress);
 		}
 
-		if (progress.sends > 0 && !getRetryBudget(progress.service).tryWithdraw(now())) {
+		return {placement};
+	};
+
+	/** Finds where a request goes next. Sending it again takes from the retry budget. */
+	const findNext = async (admitted: AdmittedRequest, progress: ForwardingProgress): Promise<PlacementResult> => {
+		const result = await findPlacement(admitted, progress);
+		if ('reason' in result || progress.sends === 0 || progress.isRetryPaid) {
+			return result;
+		}
+
+		if (!getRetryBudget(progress.service).tryWithdraw(now())) {
 			progress.lastReason = `${progress.lastReason}; the retry budget is spent`;
 			return {reason: 'upstream-failed'};
 		}
 
-		return {placement};
+		progress.isRetryPaid = true;
+		return result;
 	};
 
 	const decideNext = ({route, answer}: AdmittedRequest, progress: ForwardingProgress, outcome: SendOutcome): RetryDecision => decideRetry(outcome, {
@@ -241,6 +290,7 @@
 		maxAttempts: route.maxAttempts,
 		runs: progress.runs,
 		sends: progress.sends,
+		unsent: progress.unsent,
 		hasBegun: answer.isHeadSent(),
 		canResume: progress.splitter?.canResume() ?? false,
 	});
@@ -251,9 +301,63 @@
 		answer.end();
 	};
 
+	/** Follows a send without a final response. @returns Whether the final response has been sent now; if not, the request is to be sent again. */
+	const settleFailure = (admitted: AdmittedRequest, progress: ForwardingProgress, outcome: SendOutcome): boolean => {
+		if (admitted.signal.aborted) {
+			abortResponse(admitted, progress);
+			return true;
+		}
+
+		const decision = decideNext(admitted, progress, outcome);
+		if (decision === 'send-again') {
+			progress.splitter?.reset();
+			return false;
+		}
+
+		if (decision === 'deliver-failure' && outcome.kind === 'failed-answer') {
+			deliverFailure(admitted, outcome);
+			recordEnd(admitted, progress, `upstream-${outcome.head.status}`);
+			return true;
+		}
+
+		refuseRequest(admitted, progress, progress.endsAt - now() < minTimeLeftMs ? 'time-over' : 'upstream-failed');
+		return true;
+	};
+
+	/** @returns Whether the final response has been sent; if not, the request is to be sent again. */
+	const attemptRelay = async (admitted: AdmittedRequest, progress: ForwardingProgress, helper: KnownHost): Promise<boolean> => {
+		const outcome = await sendRelayed(admitted, progress, helper);
+		recordSend(progress, outcome);
+		progress.triedHelpers.add(helper.host);
+		if (outcome.kind === 'answered') {
+			recordEnd(admitted, progress, 'answered', outcome.received);
+			return true;
+		}
+
+		progress.isVersionUnknown = progress.softwareVersion === undefined && progress.splitter?.lastEventId() !== undefined;
+		const status = 'head' in outcome ? outcome.head?.status : undefined;
+		log.info({
+			requestId: admitted.request.id!, helper: helper.host, outcome: outcome.kind, status, detail: progress.lastReason, begun: admitted.answer.isHeadSent(),
+		}, 'send failed');
+		if (outcome.kind === 'not-run' && status === overloadedStatus) {
+			refuseRequest(admitted, progress, 'overloaded', outcome.head?.retryAfterMs);
+			return true;
+		}
+
+		if (outcome.kind === 'not-run' && !outcome.isGivenUp) {
+			relay.recordRefusal(helper.host);
+		}
+
+		return settleFailure(admitted, progress, outcome);
+	};
+
 	/** @returns Whether the final response has been sent; if not, the request is to be sent again. */
 	const attemptSend = async (admitted: AdmittedRequest, progress: ForwardingProgress, placement: Placement): Promise<boolean> => {
 		const {request, route} = admitted;
+		if (route.kind === 'once' && !await verifyLink(placement.upstream.id)) {
+			return false;
+		}
+
 		log.info({
 			requestId: request.id!, route: route.name, service: progress.service, upstream: placement.upstream.id, softwareVersion: placement.upstream.softwareVersion,
 			resumeAfter: progress.splitter?.lastEventId() ?? request.resumeAfter, begunBy: request.begunBy,
@@ -282,25 +386,7 @@
 			isGivenUp: outcome.kind !== 'failed-answer' && outcome.isGivenUp, begun: admitted.answer.isHeadSent(),
 			...(outcome.kind === 'broken' ? outcome.received : undefined),
 		}, 'send failed');
-		if (admitted.signal.aborted) {
-			abortResponse(admitted, progress);
-			return true;
-		}
-
-		const decision = decideNext(admitted, progress, outcome);
-		if (decision === 'send-again') {
-			progress.splitter?.reset();
-			return false;
-		}
-
-		if (decision === 'deliver-failure' && outcome.kind === 'failed-answer') {
-			deliverFailure(admitted, outcome);
-			recordEnd(admitted, progress, `upstream-${outcome.head.status}`);
-			return true;
-		}
-
-		refuseRequest(admitted, progress, progress.endsAt - now() < minTimeLeftMs ? 'time-over' : 'upstream-failed');
-		return true;
+		return settleFailure(admitted, progress, outcome);
 	};
 
 	return async admitted => {
@@ -312,19 +398,27 @@
 			return;
 		}
 
-		getRetryBudget(service).deposit(now());
-		if (!await requireVersion(admitted, progress)) {
-			refuseRequest(admitted, progress, 'no-upstream', 'never');
-			return;
+		if (!admitted.isRelayed) {
+			getRetryBudget(service).deposit(now());
 		}
 
-		for (;;) {
+		for (let isFirst = true; ; isFirst = false) {
+			if (!isFirst) {
+				// Where several connections have broken at once, all of them are known to be after this.
+				await setImmediate();
+			}
+
 			if (signal.aborted) {
 				abortResponse(admitted, progress);
 				return;
 			}
 
-			const result = await findPlacement(admitted, progress);
+			if ((isFirst || progress.isVersionUnknown) && !await requireVersion(admitted, progress)) {
+				refuseRequest(admitted, progress, 'no-upstream', 'never');
+				return;
+			}
+
+			const result = await findNext(admitted, progress);
 			if ('reason' in result) {
 				refuseRequest(admitted, progress, result.reason, result.retryAfterMs);
 				return;
@@ -335,7 +429,10 @@
 				continue;
 			}
 
-			if (await attemptSend(admitted, progress, result.placement)) {
+			const hasEnded = 'helper' in result
+				? await attemptRelay(admitted, progress, result.helper)
+				: await attemptSend(admitted, progress, result.placement);
+			if (hasEnded) {
 				return;
 			}
 		}
--- a/src/forwarding/create-gateway-caller-server.ts
+++ b/src/forwarding/create-gateway-caller-server.ts
@@ -31,8 +31,14 @@
 	/** Returns the configuration in use; `undefined` until this host has one. */
 	readonly state: () => IndexedConfiguration | undefined;
 	readonly decode: (req: IncomingMessage) => CallerRequest;
-	/** Returns name and value of the header by which a response names its request. */
-	readonly createRequestIdHeaders: (request: CallerRequest) => readonly string[];
+	/** Returns names and values of the headers by which a refusal names its request, and tells other hosts that it was not run. */
+	readonly createRefusalHeaders: (request: CallerRequest | undefined, refusal: Refusal) => readonly string[];
+	/** Whether the callers are other hosts that hand on requests. */
+	readonly isRelay: boolean;
+	/** Returns whether a connection from an IP address is accepted. */
+	readonly acceptsFrom: (ip: string) => boolean;
+	/** Further requests are refused at once. */
+	readonly maxInFlight: number;
 	readonly forward: (admitted: AdmittedRequest) => Promise<void>;
 	readonly now: () => number;
 	readonly onRefusal: (refusal: Refusal) => void;
@@ -65,7 +71,7 @@
 
 /** Starts the server for callers, which checks each request, reads its body and forwards it. */
 export async function createGatewayCallerServer(options: GatewayCallerServerOptions): Promise<GatewayCallerServer> {
-	const {address, state, decode, createRequestIdHeaders, forward, now, onRefusal} = options;
+	const {address, state, decode, createRefusalHeaders, isRelay, acceptsFrom, maxInFlight, forward, now, onRefusal} = options;
 	let draining: {readonly acceptAllUntil: number; readonly stopAt: number} | undefined;
 	let underWay = 0;
 	const busySockets = new Set<Socket>();
@@ -77,6 +83,10 @@
 			throw new Refusal('not-ready', 'this host has no configuration yet', 'no', notReadyRetryAfterMs);
 		}
 
+		if (underWay > maxInFlight) {
+			throw new Refusal('not-ready', `this host has ${maxInFlight} such requests under way`, 'no', notReadyRetryAfterMs);
+		}
+
 		const {limits} = current.configuration;
 		server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 		server.headersTimeout = limits.headerTimeoutMs;
@@ -108,7 +118,8 @@
 
 		await forward({
 			request, route, workspace, body, receivedAt, endsAt, signal: callerGone.signal,
-			answer: createCallerResponse(res, createRequestIdHeaders(request), () => draining !== undefined),
+			answer: createCallerResponse(res, refusal => createRefusalHeaders(request, refusal), () => draining !== undefined),
+			isRelayed: isRelay,
 		});
 	};
 
@@ -132,7 +143,7 @@
 			}, 'refused');
 			onRefusal(refusal);
 			// Closes the connection if part of the body is unread, so that it is not parsed as the next request.
-			createCallerResponse(res, request ? createRequestIdHeaders(request) : [], () => draining !== undefined || !req.complete).refuse(refusal);
+			createCallerResponse(res, ofRefusal => createRefusalHeaders(request, ofRefusal), () => draining !== undefined || !req.complete).refuse(refusal);
 		} finally {
 			underWay--;
 			busySockets.delete(socket);
@@ -149,6 +160,12 @@
 		void handle(req, res);
 	});
 	server.on('connection', socket => {
+		if (!acceptsFrom(socket.remoteAddress ?? '')) {
+			log.warn({address: socket.remoteAddress ?? '', isRelay}, 'connection from an unknown host closed');
+			socket.destroy();
+			return;
+		}
+
 		openSockets.add(socket);
 		socket.once('close', () => openSockets.delete(socket));
 	});
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -112,7 +112,7 @@
 		const engine = serviceOf(service)?.engine;
 		const parameters = getLatencyModel(service).parameters();
 		const available = registry.listAvailable(service, now(), priority)
-			.filter(view => view.closedForMs === 0 && (softwareVersion === undefined || view.upstream.softwareVersion === softwareVersion));
+			.filter(view => view.isReachable && view.closedForMs === 0 && (softwareVersion === undefined || view.upstream.softwareVersion === softwareVersion));
 		const untried = available.filter(view => !tried.has(view.upstream.id));
 		const views = untried.length > 0 ? untried : available;
 		const sharedPart = findSharedPart(prompt);
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -3,6 +3,7 @@
 import {type StreamVersions} from '../streams/stream-versions.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
+import {createAttemptSignal} from './create-attempt-signal.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type Placement} from './placement.js';
 import {sendOnce} from './send-once.js';
@@ -32,26 +33,19 @@
 		const {splitter, service} = progress;
 		const sentAt = now();
 		const leftMs = progress.endsAt - sentAt;
-		const controller = new AbortController();
-		const abortWith = (reason: string) => (): void => {
-			controller.abort(new Error(reason));
-		};
-
-		const onCallerGone = abortWith('the caller disconnected');
-		// A request that may not be repeated runs to its end after its caller has disconnected, so that its outcome is definite.
-		if (route.kind !== 'once') {
-			admitted.signal.addEventListener('abort', onCallerGone, {once: true});
-		}
-
-		const deadlineTimer = setTimeout(abortWith('time is over'), leftMs);
+		const attempt = createAttemptSignal(admitted, leftMs);
 		const canRetry = route.kind === 'idempotent' && progress.runs + 1 < route.maxAttempts;
-		const attemptTimer = canRetry ? setTimeout(abortWith('no answer within the time for one attempt'), leftMs * firstAttemptShare) : undefined;
+		const attemptTimer = canRetry ? setTimeout(attempt.abort, leftMs * firstAttemptShare, 'no answer within the time for one attempt') : undefined;
+		const mayRepeat = route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable);
+		const stopListening = mayRepeat && registry.onSilence(placement.upstream.id, () => {
+			attempt.abort('the link to the upstream is lost');
+		});
 		placement.recordSent();
 		try {
 			return await sendOnce({
 				requestId: request.id!,
 				answer,
-				signal: controller.signal,
+				signal: attempt.signal,
 				splitter,
 				isResumedByCaller: request.resumeAfter !== undefined,
 				send: listener => registry.send(placement.upstream.id, {
@@ -74,9 +68,12 @@
 				},
 			});
 		} finally {
-			clearTimeout(deadlineTimer);
+			attempt.dispose();
 			clearTimeout(attemptTimer);
-			admitted.signal.removeEventListener('abort', onCallerGone);
+			if (stopListening) {
+				stopListening();
+			}
+
 			getLatencyModel(service).recordResidence(now() - sentAt);
 		}
 	};
--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -1,8 +1,9 @@
 import {createUpstreamAnnouncements} from '../announcements/create-upstream-announcements.js';
 import {takeDueLimits} from '../announcements/take-due-limits.js';
 import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
+import {type LinkLoss} from '../links/link-loss.js';
+import {type UpstreamLinks} from '../links/upstream-links.js';
 import {log} from '../observe/log.js';
-import {createDomainReachability} from '../decide/forwarding/create-domain-reachability.js';
 import {createLoadTotals} from '../decide/forwarding/create-load-totals.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
 import {type UpstreamLoad} from '../reports/upstream-load.js';
@@ -32,11 +33,16 @@
 /** Share of lower-priority prompt tokens that still run ahead of a request, since engines don't interrupt a prefill chunk in progress. */
 const lowerPriorityShare = 0.25;
 
+/** Errors of connections that nothing responded to; after any other one, the address refused the connection. */
+const silentConnectErrors: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
+
 /** An upstream, its connections and this host's observations of it. */
 type Entry = {
 	upstream: Upstream;
 	/** Connection pool of the upstream. */
 	readonly link: UpstreamConnectionPool;
+	/** Called whenever the link is found silent. */
+	readonly silenceListeners: Set<() => void>;
 	/** Maximum number of connections that this host may open. */
 	readonly connections: number;
 	inFlight: number;
@@ -52,14 +58,21 @@
 	avoidUntil: number;
 	/** Moving average of failed requests, from 0 to 1. */
 	failureShare: number;
-	/** Since when connections to it fail; `undefined` while the last one was opened. */
-	unreachableSince: number | undefined;
 	/** What it says of itself. */
 	readonly announcements: UpstreamAnnouncements;
 	/** Whether the upstream is no longer registered; its connections close after the last request. */
 	isGone: boolean;
 };
 
+function describeLoss(error: Error & {code?: string}): LinkLoss {
+	return silentConnectErrors.has(error.code ?? '') ? 'silent' : 'refused';
+}
+
+/** Other ends of a connection, and bytes that are no response, have come over the link. */
+function isReset({code}: Error & {code?: string}): boolean {
+	return code === 'ECONNRESET' || code === 'EPIPE';
+}
+
 function addTokens(tokens: Map<number, number>, priority: number, added: number): void {
 	const total = (tokens.get(priority) ?? 0) + added;
 	if (total > 0) {
@@ -81,14 +94,15 @@
 	readonly link: (upstream: Upstream) => UpstreamConnectionPool;
 	/** Returns the number of connections that this host may open to each upstream of a service. */
 	readonly maxConnectionsFor: (service: string) => number;
+	/** Tells which upstreams can be reached. */
+	readonly links: UpstreamLinks;
 };
 
 /** Creates the registry of upstreams, with their connections and loads. */
-export function createUpstreamRegistry({now, link, maxConnectionsFor}: UpstreamRegistryOptions): UpstreamRegistry {
+export function createUpstreamRegistry({now, link, maxConnectionsFor, links}: UpstreamRegistryOptions): UpstreamRegistry {
 	const entries = new Map<string, Entry>();
 	const headLatencyMs = new Map<string, number>();
 	const remoteLoads = createLoadTotals();
-	const reachability = createDomainReachability();
 
 	const closeWhenIdle = (entry: Entry): void => {
 		if (entry.isGone && entry.inFlight === 0) {
@@ -98,6 +112,7 @@
 
 	const remove = (id: string, entry: Entry, reason: string): void => {
 		entries.delete(id);
+		links.remove(id);
 		entry.isGone = true;
 		closeWhenIdle(entry);
 		log.info({
@@ -107,9 +122,18 @@
 
 	const add = (upstream: Upstream): void => {
 		const connections = maxConnectionsFor(upstream.service);
+		const silenceListeners = new Set<() => void>();
+		const pool = link(upstream);
+		links.add(upstream, () => {
+			pool.closeIdle();
+			for (const listener of silenceListeners) {
+				listener();
+			}
+		});
 		entries.set(upstream.id, {
 			upstream,
-			link: link(upstream),
+			link: pool,
+			silenceListeners,
 			connections,
 			inFlight: 0,
 			waitingTokens: new Map(),
@@ -118,7 +142,6 @@
 			lastAnswerAt: now(),
 			avoidUntil: 0,
 			failureShare: 0,
-			unreachableSince: undefined,
 			announcements: createUpstreamAnnouncements(upstream),
 			isGone: false,
 		});
@@ -163,6 +186,8 @@
 		id: upstream.id, inFlight, heldTokens, waitingTokens: [...waitingTokens],
 	});
 
+	const isReachable = ({upstream, link: pool}: Entry): boolean => links.isReachable(upstream.id, pool.hasIdle());
+
 	const toView = (entry: Entry, at: number, priority: number): UpstreamView => {
 		const others = remoteLoads.of(entry.upstream.id, at);
 		let ahead = 0;
@@ -181,7 +206,8 @@
 			isQueueing: waiting > 0,
 			heldTokens: entry.heldTokens + (others?.heldTokens ?? 0),
 			isUnresponsive: isUnresponsive(entry, at),
-			isEjected: at < entry.avoidUntil || reachability.isPartitioned(entry.upstream.domain, at),
+			isReachable: isReachable(entry),
+			isEjected: at < entry.avoidUntil,
 			failureShare: entry.failureShare,
 			freeConnections: entry.connections - entry.inFlight,
 			requestsPerS: entry.announcements.requestsPerS(),
@@ -189,15 +215,6 @@
 		};
 	};
 
-	const recordContact = (entry: Entry): void => {
-		entry.lastAnswerAt = now();
-		reachability.recordContact(entry.upstream.domain, now());
-		if (entry.unreachableSince !== undefined) {
-			log.info({upstream: entry.upstream.id, service: entry.upstream.service, lostForMs: Math.round(now() - entry.unreachableSince)}, 'link to upstream back');
-			entry.unreachableSince = undefined;
-		}
-	};
-
 	const recordHeadLatency = (service: string, tookMs: number): void => {
 		const mean = headLatencyMs.get(service) ?? initialHeadLatencyMs;
 		headLatencyMs.set(service, mean + (headLatencyWeight * (tookMs - mean)));
@@ -213,6 +230,8 @@
 	const send = (id: string, request: UpstreamRequest, {waitingTokens, heldTokens, priority}: RequestCost, listener: ResponseListener): InFlightRequest => {
 		const entry = entries.get(id)!;
 		const waitStart = {since: now()};
+		const use = links.use(id);
+		let hasHead = false;
 		let hasFailed = false;
 		let isAborted = false;
 		entry.inFlight++;
@@ -227,6 +246,7 @@
 
 		const recordEnded = (failed: boolean): void => {
 			recordAnswered();
+			use.end();
 			entry.inFlight--;
 			entry.heldTokens -= heldTokens;
 			entry.failureShare += newestOutcomeWeight * ((failed ? 1 : 0) - entry.failureShare);
@@ -237,12 +257,17 @@
 			onHead(head) {
 				hasFailed = head.status >= firstFailureStatus && !head.isNotRun;
 				recordAnswered();
-				recordContact(entry);
+				hasHead = true;
+				entry.lastAnswerAt = now();
+				use.recordContact();
 				recordAnnouncement(entry, head, waitStart.since);
 				recordHeadLatency(entry.upstream.service, now() - waitStart.since);
 				listener.onHead(head);
 			},
-			onData: listener.onData,
+			onData(chunk) {
+				use.recordContact();
+				return listener.onData(chunk);
+			},
 			onEnd() {
 				const isComplete = listener.onEnd();
 				recordEnded(hasFailed || !isComplete);
@@ -250,6 +275,12 @@
 			},
 			onFail(error, wasSent) {
 				recordEnded(!isAborted);
+				if (!isAborted && !wasSent) {
+					links.recordConnectFailure(id, describeLoss(error));
+				} else if (!isAborted && !hasHead && isReset(error)) {
+					links.recordBroken(id);
+				}
+
 				listener.onFail(error, wasSent);
 			},
 		});
@@ -292,16 +323,26 @@
 				entry.avoidUntil = Math.max(entry.avoidUntil, untilMs);
 			}
 		},
-		recordConnectFailure(id) {
-			const entry = entries.get(id);
-			if (entry) {
-				if (entry.unreachableSince === undefined) {
-					entry.unreachableSince = now();
-					log.warn({upstream: id, service: entry.upstream.service, inFlight: entry.inFlight}, 'link to upstream lost');
-				}
-
-				reachability.recordConnectFailure(entry.upstream.domain, id, now());
+		onSilence(id, listener) {
+			const listeners = entries.get(id)?.silenceListeners;
+			listeners?.add(listener);
+			return () => {
+				listeners?.delete(listener);
+			};
+		},
+		getReach(service, softwareVersion) {
+			const usable = [...entries.values()].filter(({upstream}) =>
+				upstream.service === service && !upstream.isLeaving && (softwareVersion ?? upstream.softwareVersion) === upstream.softwareVersion);
+			return {upstreams: usable.length, reachable: usable.filter(entry => isReachable(entry)).length};
+		},
+		listLostServices() {
+			const services = new Map<string, boolean>();
+			for (const entry of entries.values()) {
+				const {service} = entry.upstream;
+				services.set(service, (services.get(service) ?? false) || isReachable(entry));
 			}
+
+			return [...services].filter(([, hasReachable]) => !hasReachable).map(([service]) => service);
 		},
 		recordWeights(id, model, version) {
 			const entry = entries.get(id);
@@ -327,7 +368,6 @@
 			.map(entry => toLoad(entry)),
 		recordRemoteLoads(source, loads, at) {
 			remoteLoads.replaceLoads(source, loads, at);
-			reachability.recordContact(source.domain, at);
 		},
 	};
 }
--- a/src/forwarding/engine-client.ts
+++ b/src/forwarding/engine-client.ts
@@ -15,6 +15,8 @@
 	readonly listKvParts: (address: string) => Promise<KvEventBatch>;
 	/** Frees parts unless the store has restarted since `epoch`; returns whether the store accepted the call. */
 	readonly freeKvParts: (address: string, epoch: number, parts: ReadonlyArray<{readonly scope: string; readonly part: string}>) => Promise<boolean>;
+	/** Whether anything responds to a GET request on a new connection within a time in milliseconds, whatever it is. Never throws. */
+	readonly ping: (address: string, target: string, timeoutMs: number) => Promise<boolean>;
 	/** Whether an address accepts connections. Never throws. */
 	readonly isUp: (address: string) => Promise<boolean>;
 	/** Closes all connections. */
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -6,6 +6,7 @@
 import {type CallerRequest} from './caller-request.js';
 import {type EngineClient} from './engine-client.js';
 import {type DesiredWeights} from './desired-weights.js';
+import {type RelayedRequestOptions} from './relayed-request-options.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 import {type UpstreamConnectionPool} from './upstream-connection-pool.js';
 import {type Upstream} from './upstream.js';
@@ -30,8 +31,11 @@
 	readonly decodeWeights: (value: unknown) => Pick<DesiredWeights, 'model' | 'version'> | undefined;
 	readonly decodeRequest: (req: IncomingMessage) => CallerRequest;
 	readonly encodeRequest: (request: CallerRequest, options: UpstreamRequestOptions) => string[];
+	readonly encodeRelayedRequest: (request: CallerRequest, options: RelayedRequestOptions) => string[];
 	/** Returns the name and value of the response header that carries the request's id; empty without an id. */
 	readonly createRequestIdHeaders: (request: CallerRequest) => readonly string[];
+	/** Names and values of the headers by which a host tells another one that it did not run a request. */
+	readonly notRunHeaders: readonly string[];
 	readonly openEngineClient: () => EngineClient;
 	readonly openConnectionPool: (address: string, onConnect: () => void) => UpstreamConnectionPool;
 };
--- a/src/forwarding/response-head.ts
+++ b/src/forwarding/response-head.ts
@@ -16,6 +16,8 @@
 	readonly upstreamId: string | undefined;
 	/** Weight version that the upstream served the request with; `undefined` when it states none. */
 	readonly weightVersion: number | undefined;
+	/** Time after which the request may be sent again, in milliseconds; `undefined` when the response states none. */
+	readonly retryAfterMs: number | undefined;
 	/** What the upstream says of itself. */
 	readonly announcement: Announcement;
 	readonly framing: ResponseFraming;
--- a/src/forwarding/service.ts
+++ b/src/forwarding/service.ts
@@ -3,6 +3,8 @@
 	readonly name: string;
 	/** Connections that an upstream accepts from all hosts together. */
 	readonly maxConnections: number;
+	/** Target of a GET request that tells whether an upstream is up; `undefined` where the configuration names none. */
+	readonly healthPath: string | undefined;
 	/** Set when the upstreams are model engines. */
 	readonly engine?: {
 		/** Requests that an engine runs at the same time. */
--- a/src/forwarding/upstream-registry.ts
+++ b/src/forwarding/upstream-registry.ts
@@ -27,8 +27,16 @@
 	readonly send: (id: string, request: UpstreamRequest, cost: RequestCost, listener: ResponseListener) => InFlightRequest;
 	/** Ejects an upstream from placement until `untilMs`. */
 	readonly ejectUntil: (id: string, untilMs: number) => void;
-	/** Records that an upstream could not be connected to. */
-	readonly recordConnectFailure: (id: string) => void;
+	/**
+	Calls `listener` whenever the link to an upstream is found silent.
+
+	@returns Function that removes the listener.
+	*/
+	readonly onSilence: (id: string, listener: () => void) => () => void;
+	/** Returns how many upstreams of a service, of one software version where it is given, are not leaving, and how many of them this host can reach. */
+	readonly getReach: (service: string, softwareVersion?: string) => {readonly upstreams: number; readonly reachable: number};
+	/** Lists the services that have upstreams of which this host can reach none. */
+	readonly listLostServices: () => readonly string[];
 	/** Records a weight version found on an upstream. */
 	readonly recordWeights: (id: string, model: string, version: number) => void;
 	/** Returns what an upstream says of itself; `undefined` when it is not registered. */
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -1,3 +1,4 @@
+import {type UpstreamOpinion} from '../poison/upstream-opinion.js';
 import {type PermitRequest} from '../announcements/permit-request.js';
 import {type PermitResult} from '../announcements/permit-result.js';
 import {type SlotRequest} from '../decide/grants/slot-request.js';
@@ -122,6 +123,8 @@
 	};
 	/** Asks for a permit to send one request to an upstream that states a limit. */
 	readonly 'gateway.permit': {readonly params: PermitRequest; readonly result: PermitResult};
+	/** Returns what the receiver can say of the upstream of this start. */
+	readonly 'gateway.upstreamUp': {readonly params: {readonly id: string; readonly startedAt?: number}; readonly result: {readonly opinion: UpstreamOpinion}};
 	/** Returns the software version that began a stream, `null` where the receiver does not know it. */
 	readonly 'gateway.streamVersion': {readonly params: {readonly id: string}; readonly result: {readonly version: string | null}};
 	/** Returns the receiver's decisions about a request. */
--- a/src/poison/create-crash-checker.ts
+++ b/src/poison/create-crash-checker.ts
@@ -3,6 +3,7 @@
 import {type Upstream} from '../forwarding/upstream.js';
 import {type UpstreamRegistry} from '../forwarding/upstream-registry.js';
 import {type CrashChecker} from './crash-checker.js';
+import {type UpstreamChecks} from './upstream-checks.js';
 import {type CrashCheckResult} from './crash-check-result.js';
 
 /** Delay of the probe after a response broke off; a crashed upstream refuses connections by then. */
@@ -15,13 +16,15 @@
 type CrashCheckerOptions = {
 	readonly engineClient: Pick<EngineClient, 'isUp'>;
 	readonly registry: Pick<UpstreamRegistry, 'get'>;
+	/** Asks other hosts whether an upstream is up. */
+	readonly askOthers: UpstreamChecks['askOthers'];
 };
 
 /**
 Creates the function that checks whether an upstream has crashed that ended a request without a response. A request that this host gave up
-says nothing about the address, which is not probed then.
+says nothing about the address, which is not probed then. An upstream that this host can't reach and others can has not crashed: the link is lost.
 */
-export function createCrashChecker({engineClient, registry}: CrashCheckerOptions): CrashChecker {
+export function createCrashChecker({engineClient, registry, askOthers}: CrashCheckerOptions): CrashChecker {
 	/** Probes in progress, by address: all requests that were in flight at an upstream share one. */
 	const probes = new Map<string, Promise<boolean>>();
 
@@ -62,6 +65,11 @@
 		}
 
 		await sleep(probeDelayMs);
-		return await probe(upstream.address) ? waitUntilGone(upstream) : 'down';
+		if (await probe(upstream.address)) {
+			return waitUntilGone(upstream);
+		}
+
+		const opinion = await askOthers(upstream);
+		return opinion === 'down' || opinion === 'nobody' ? 'down' : waitUntilGone(upstream);
 	};
 }
--- /dev/null
+++ b/src/relay/create-relay-sender.ts
@@ -0,0 +1,60 @@
+import {type AdmittedRequest} from '../forwarding/admitted-request.js';
+import {type CallerRequest} from '../forwarding/caller-request.js';
+import {createAttemptSignal} from '../forwarding/create-attempt-signal.js';
+import {type ForwardingProgress} from '../forwarding/forwarding-progress.js';
+import {type RelayedRequestOptions} from '../forwarding/relayed-request-options.js';
+import {sendOnce} from '../forwarding/send-once.js';
+import {type SendOutcome} from '../forwarding/send-outcome.js';
+import {log} from '../observe/log.js';
+import {type KnownHost} from '../reports/known-host.js';
+import {type RelayClient} from './relay-client.js';
+
+/** Dependencies of the relay sender. */
+type RelaySenderOptions = {
+	readonly relay: RelayClient;
+	/** Returns the headers of a request that another host places. */
+	readonly encodeRelayed: (request: CallerRequest, options: RelayedRequestOptions) => string[];
+	readonly now: () => number;
+};
+
+/** Creates the function that hands a request on to another host once, within the remaining time. */
+export function createRelaySender({relay, encodeRelayed, now}: RelaySenderOptions) {
+	return async (admitted: AdmittedRequest, progress: ForwardingProgress, helper: KnownHost): Promise<SendOutcome> => {
+		const {request, route, body, answer} = admitted;
+		const {splitter} = progress;
+		const leftMs = progress.endsAt - now();
+		const attempt = createAttemptSignal(admitted, leftMs);
+		const ownResume = splitter?.lastEventId();
+		log.info({
+			requestId: request.id!, route: route.name, service: progress.service, helper: helper.host, domain: helper.domain,
+			heardAgeMs: Math.round(now() - (helper.heardAt ?? 0)), sends: progress.sends, leftMs: Math.round(leftMs),
+		}, 'handed on to another host');
+		try {
+			return await sendOnce({
+				requestId: request.id!,
+				answer,
+				signal: attempt.signal,
+				splitter,
+				isResumedByCaller: request.resumeAfter !== undefined,
+				send: listener => relay.send(helper, {
+					method: request.method,
+					target: request.target,
+					headers: encodeRelayed(request, {
+						deadlineMs: leftMs,
+						resumeAfter: ownResume ?? request.resumeAfter,
+						begunBy: request.begunBy ?? (ownResume === undefined ? undefined : request.id),
+					}),
+					body,
+				}, listener),
+				onFirstEvent: () => undefined,
+				onDelivery({status}) {
+					log.info({
+						requestId: request.id!, helper: helper.host, status, afterMs: Math.round(now() - admitted.receivedAt),
+					}, 'answer begins');
+				},
+			});
+		} finally {
+			attempt.dispose();
+		}
+	};
+}
--- a/src/reports/create-host-registry.ts
+++ b/src/reports/create-host-registry.ts
@@ -92,7 +92,7 @@
 		},
 		recordStatus(status, heardAt) {
 			const {
-				host, domain, peers, reports, linkMbps, everyMs, isStoreLost,
+				host, domain, peers, reports, linkMbps, everyMs, isStoreLost, lostServices = [],
 			} = status;
 			const previous = known.get(host);
 			if (host === self.host || (previous?.heardAt ?? Number.NEGATIVE_INFINITY) > heardAt) {
@@ -104,7 +104,7 @@
 			}
 
 			known.set(host, {
-				host, domain, peers, reports, linkMbps, everyMs, isStoreLost, heardAt,
+				host, domain, peers, reports, linkMbps, everyMs, isStoreLost, lostServices, heardAt,
 			});
 		},
 		alive() {
--- a/src/reports/host-status.ts
+++ b/src/reports/host-status.ts
@@ -15,6 +15,8 @@
 	readonly everyMs: number;
 	/** Whether the store does not respond to the host. */
 	readonly isStoreLost: boolean;
+	/** Services of which the host can reach no upstream. Hosts of an earlier build state none. */
+	readonly lostServices?: readonly string[];
 	/** Time since the store last confirmed the newest desired weights, in milliseconds; `undefined` when it never did. */
 	readonly weightsAgeMs: number | undefined;
 };
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -2,7 +2,9 @@
 import {createPermitTask} from './announcements/create-permit-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
-import {createGatewayCallerServer} from './forwarding/create-gateway-caller-server.js';
+import {openRequestServers} from './forwarding/open-request-servers.js';
+import {parseAddress} from './http/parse-address.js';
+import {createUpstreamChecks} from './poison/create-upstream-checks.js';
 import {createKvReusePlanner} from './forwarding/create-kv-reuse-planner.js';
 import {createPoisonRequestDetector} from './poison/create-poison-request-detector.js';
 import {createCondemnedRequestList} from './poison/create-condemned-request-list.js';
@@ -29,12 +31,15 @@
 import {type LoadReport} from './reports/load-report.js';
 import {type StoredObject} from './object-store/stored-object.js';
 import {log} from './observe/log.js';
+import {createUpstreamLinks} from './links/create-upstream-links.js';
 import {createEpochCheckedStore} from './object-store/create-epoch-checked-store.js';
 import {createEpochTracker} from './object-store/create-epoch-tracker.js';
 import {createPeerClient} from './peers/create-peer-client.js';
 import {createPeerServer} from './peers/create-peer-server.js';
 import {compareGatewaySettings} from './settings/compare-gateway-settings.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
+import {createRelayClient} from './relay/create-relay-client.js';
+import {createRelaySender} from './relay/create-relay-sender.js';
 import {createStreamVersions} from './streams/create-stream-versions.js';
 import {createSuspendAwareClock} from './util/create-suspend-aware-clock.js';
 import {memoizeLast} from './util/memoize-last.js';
@@ -103,6 +108,7 @@
 			return {
 				loads: registry.loads(), loading, weights: rolloutTask.news(), limits: registry.takeDueLimits(now()), versions: streams.reviewVersions(), ...stateSync.status(),
 				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), ...crashes.news(),
+				lostServices: registry.listLostServices(),
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
 			};
 		},
@@ -132,8 +138,14 @@
 	const listOtherNames = (): readonly string[] => toNames(reportExchange.alive());
 	const countHosts = (): number => Math.max(minAssumedHosts, reportExchange.countHosts());
 
+	const links = createUpstreamLinks({
+		ping: async ({address, service}, timeoutMs) => engineClient.ping(address, storedState.findService(service)?.healthPath ?? '/', timeoutMs),
+		now,
+		random,
+	});
 	const registry = createUpstreamRegistry({
 		now,
+		links,
 		maxConnectionsFor: service => Math.max(minConnections, Math.floor((storedState.findService(service)?.maxConnections ?? 0) / countHosts())),
 		link: upstream => adapter.openConnectionPool(upstream.address, () => {
 			metrics.connections.inc({service: upstream.service});
@@ -152,8 +164,13 @@
 		}
 	};
 
+	const upstreamChecks = createUpstreamChecks({
+		engineClient, registry, links, alive: reportExchange.alive, call: peerClient.call, random,
+	});
 	const crashes = createPoisonRequestDetector({
-		checkUpstream: createCrashChecker({engineClient, registry}),
+		checkUpstream: createCrashChecker({
+			engineClient, registry, askOthers: upstreamChecks.askOthers,
+		}),
 		now,
 		onCondemn(digest, isOwn) {
 			condemnedRequestList.add(digest, isOwn ? 0 : condemnedByOtherDelayMs * (1 + random()));
@@ -234,6 +251,9 @@
 		windowMs: settings.bounds.retryWindowS * msPerS, hosts: countHosts,
 	}));
 	const getLatencyModel = memoize((_service: string) => createServiceLatencyModel());
+	const relay = createRelayClient({
+		domain, alive: reportExchange.alive, openPool: address => adapter.openConnectionPool(address, () => undefined), now, random,
+	});
 	const forward = createForwarder({
 		registry,
 		crashes,
@@ -251,6 +271,9 @@
 		}),
 		getLatencyModel,
 		acquirePermit: permits.acquire,
+		verifyLink: links.verify,
+		relay,
+		sendRelayed: createRelaySender({relay, encodeRelayed: adapter.encodeRelayedRequest, now}),
 		streams,
 		getUrgentObjectiveMs: storedState.findUrgentObjectiveMs,
 		encode: adapter.encodeRequest,
@@ -271,16 +294,17 @@
 			return {object: await ownLease.write(value, revision === 0 ? undefined : {epoch, revision}) ?? null};
 		},
 		'gateway.permit': async request => permits.answer(request),
+		'gateway.upstreamUp': async ({id, startedAt}) => ({opinion: await upstreamChecks.answer(id, startedAt)}),
 		'gateway.streamVersion': async ({id}) => ({version: streams.answer(id) ?? null}),
 		'gateway.kept': async ({store: storeName, known}) => kvStoreTracker.listEvents(storeName, known),
 	}, () => false);
 	await reportExchange.start();
-	const callers = await createGatewayCallerServer({
-		address: settings.callers,
+	const {callers, relayed, requests} = await openRequestServers({
+		settings,
+		adapter,
 		state: storedState.state,
-		decode: adapter.decodeRequest,
-		createRequestIdHeaders: adapter.createRequestIdHeaders,
 		forward,
+		isKnownHost: ip => reportExchange.listOthers().some(({peers}) => parseAddress(peers).host === ip),
 		now,
 		onRefusal(refusal) {
 			metrics.refusalsTotal.inc({kind: refusal.kind});
@@ -303,6 +327,9 @@
 			streams,
 			condemnedRequestList,
 			callers,
+			relayed,
+			relay,
+			links,
 			statusServers,
 		]) {
 			component.stop();
@@ -321,7 +348,7 @@
 			}
 
 			isDraining = true;
-			await drainGateway(name, callers, liveSettings.bounds.graceS * msPerS, now);
+			await drainGateway(name, requests, liveSettings.bounds.graceS * msPerS, now);
 			await stop();
 		},
 		stop,
--- a/test/decide/forwarding/refusals-and-retries.test.ts
+++ b/test/decide/forwarding/refusals-and-retries.test.ts
@@ -9,7 +9,7 @@
 
 const head = {
 	status: 500, requestId: 'r', isSigned: true, isNotRun: false, isEncoded: false, upstreamId: undefined, weightVersion: undefined, framing: 'length' as const,
-	isCloseAnnounced: false, announcement: {requestsPerS: undefined}, mediaType: undefined, headers: [],
+	isCloseAnnounced: false, retryAfterMs: undefined, announcement: {requestsPerS: undefined}, mediaType: undefined, headers: [],
 };
 const notRun: SendOutcome = {
 	kind: 'not-run', reason: '', head: undefined, isGivenUp: false,
@@ -37,7 +37,7 @@
 
 describe('the retry decision', () => {
 	const progress = {
-		kind: 'idempotent' as RouteKind, isResumable: false, maxAttempts: 2, runs: 1, sends: 1, hasBegun: false, canResume: true,
+		kind: 'idempotent' as RouteKind, isResumable: false, maxAttempts: 2, runs: 1, sends: 1, unsent: 0, hasBegun: false, canResume: true,
 	};
 
 	test.each([
@@ -49,6 +49,7 @@
 		['a request that may run only once and failed', failed, {kind: 'once'}, 'deliver-failure'],
 		['a request that may run only once and was not run', notRun, {kind: 'once', runs: 0}, 'send-again'],
 		['a request that was not run at its last allowed send', notRun, {runs: 0, sends: 5}, 'close'],
+		['a request that was not sent at its last allowed connection', notRun, {runs: 0, sends: 0, unsent: 16}, 'close'],
 		['a stream that can\'t be resumed', broken, {kind: 'stream'}, 'close'],
 		['a stream that can be resumed', broken, {kind: 'stream', isResumable: true, hasBegun: true}, 'send-again'],
 		['a stream whose last event id is unknown', broken, {
@@ -61,7 +62,7 @@
 	test('never repeats a request that may run only once and may have run', () => {
 		fc.assert(fc.property(
 			fc.record({
-				isResumable: fc.boolean(), maxAttempts: fc.integer({min: 1, max: 9}), runs: fc.nat(9), sends: fc.nat(9), hasBegun: fc.boolean(), canResume: fc.boolean(),
+				isResumable: fc.boolean(), maxAttempts: fc.integer({min: 1, max: 9}), runs: fc.nat(9), sends: fc.nat(9), unsent: fc.nat(20), hasBegun: fc.boolean(), canResume: fc.boolean(),
 			}),
 			fc.constantFrom(broken, failed),
 			(randomProgress, outcome) => decideRetry(outcome, {...randomProgress, kind: 'once'}) !== 'send-again',
--- a/test/links/hosts-cut-off-from-upstreams.test.ts
+++ b/test/links/hosts-cut-off-from-upstreams.test.ts
@@ -165,9 +165,9 @@
 		const during = sendSteadily([cutHost!], 3000);
 		await sleep(300);
 		if (how === 'stops') {
-			await helper!.gateway.stop();
+			await helper!.stop();
 		} else if (how === 'drains') {
-			void helper!.gateway.drain();
+			void helper!.stop(true);
 		} else {
 			await helper!.cut('silent');
 		}
--- a/test/poison/crashing-request-sent-again.test.ts
+++ b/test/poison/crashing-request-sent-again.test.ts
@@ -45,7 +45,12 @@
 /** Gives the upstream's address to another one `removeAfterMs` after each request, which gets no response. */
 function replaceOnRequest(upstream: UpstreamServer, firstId: string, removeAfterMs: number, onReceived: (socket: Socket) => void = () => undefined): void {
 	let id = firstId;
-	upstream.answer = (_, socket) => {
+	upstream.answer = (received, socket) => {
+		if (!received.target.endsWith('/poison')) {
+			sendSignedResponse(received, socket);
+			return;
+		}
+
 		crashed.push(id);
 		setTimeout(() => {
 			store.remove('servers', id);
--- a/test/soak/create-soak-upstream.ts
+++ b/test/soak/create-soak-upstream.ts
@@ -6,6 +6,8 @@
 import {crashMarks} from './crash-marks.js';
 import {type RecordedOrder, type UpstreamRun} from './soak-history.js';
 
+/** Path of health checks, as the configuration names it. */
+const healthPath = '/health';
 const maxWorkMs = 50;
 const eventMs = 15;
 const weightLoadMs = 300;
@@ -135,6 +137,11 @@
 	};
 
 	server.answer = (received, socket) => {
+		if (received.target === healthPath) {
+			socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
+			return;
+		}
+
 		const expected = received.headers.get('expect-instance');
 		if (expected !== undefined && expected !== id) {
 			socket.write(`HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
--- a/test/support/simulate-load.ts
+++ b/test/support/simulate-load.ts
@@ -124,7 +124,7 @@
 				id: String(engine), service: 's', address: '', domain: 'd', slots: 64, isLeaving: false, startedAt: undefined, softwareVersion: '', weights: new Map(),
 			},
 			inFlight: known.length, waitingTokens: tokens, isQueueing: waiting.length > 0, heldTokens: known.reduce((sum, job) => sum + job.kind.tokens, 0),
-			isUnresponsive: false, isEjected: false, failureShare: 0, freeConnections: 100, requestsPerS: undefined, closedForMs: 0,
+			isUnresponsive: false, isReachable: true, isEjected: false, failureShare: 0, freeConnections: 100, requestsPerS: undefined, closedForMs: 0,
 		};
 	};
 
--- a/test/support/start-linked-system.ts
+++ b/test/support/start-linked-system.ts
@@ -20,6 +20,8 @@
 	/** Cuts the links to all upstreams, or to those with the given indexes. */
 	readonly cut: (fault: LinkFault, upstreams?: readonly number[]) => Promise<void>;
 	readonly heal: () => Promise<void>;
+	/** Stops the host, at once or after a drain; later calls do nothing. */
+	readonly stop: (drains?: boolean) => Promise<void>;
 };
 
 /** Hosts and upstreams with a relay between each host and each upstream. */
@@ -48,6 +50,7 @@
 			const client = adapter.openEngineClient();
 			return {
 				...client,
+				ping: async (address, target, timeoutMs) => client.ping(toLink(address), target, timeoutMs),
 				isUp: async address => client.isUp(toLink(address)),
 			};
 		},
@@ -69,6 +72,7 @@
 		const links = await Promise.all(upstreams.map(async ({address}) => createLink(address)));
 		const byAddress = new Map(upstreams.map(({address}, index) => [address, links[index]!.address]));
 		const gateway = await startTestGateway(store.address, {domain}, createLinkedAdapter(address => byAddress.get(address) ?? address));
+		let stopped: Promise<void> | undefined;
 		return {
 			gateway,
 			domain,
@@ -79,6 +83,10 @@
 			async heal() {
 				await Promise.all(links.map(async link => link.heal()));
 			},
+			async stop(drains = false) {
+				stopped ??= drains ? gateway.drain() : gateway.stop();
+				await stopped;
+			},
 		};
 	}));
 	await waitUntilReady(...hosts.map(({gateway}) => gateway));
@@ -88,7 +96,7 @@
 		upstreams,
 		store,
 		async stop() {
-			await Promise.all(hosts.map(async ({gateway}) => gateway.stop()));
+			await Promise.all(hosts.map(async host => host.stop()));
 			store.stop();
 			for (const {links} of hosts) {
 				for (const link of links) {
