Keep to the slots of upstreams that state that they are brittle, as the sum over all hosts

What callers saw: brittle upstreams fell over 3 to 15 times in six seconds, with two allowed, and took their requests with them. Cause: nobody read the statement; the same class as the limit on requests. Change: the record of what an upstream says holds both numbers, reported and placed alike; one host for each upstream counts what is in flight there and grants its slots. What finds no slot goes to another upstream or is refused at once, with the time until one is due.

--- a/src/announcements/announcement.ts
+++ b/src/announcements/announcement.ts
@@ -2,4 +2,6 @@
 export type Announcement = {
 	/** Requests a second that it takes from all hosts together; `NaN` when it states something else, `undefined` when it states none. */
 	readonly requestsPerS: number | undefined;
+	/** Requests a second that it can turn away for want of room without falling over; `NaN` and `undefined` as above. */
+	readonly turnedAwayPerS: number | undefined;
 };
--- a/src/announcements/create-permit-task.ts
+++ b/src/announcements/create-permit-task.ts
@@ -1,8 +1,8 @@
-import {findPermitIssuer} from '../decide/announcements/find-permit-issuer.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
+import {createIssuerFinder} from './create-issuer-finder.js';
 import {createPermitIssuer} from './create-permit-issuer.js';
 import {type PermitRequest} from './permit-request.js';
 import {type PermitResult} from './permit-result.js';
@@ -48,17 +48,13 @@
 export function createPermitTask({self, upstreams, listHeard, alive, hasSettled, call, now, random}: PermitTaskOptions): PermitTask {
 	const issuer = createPermitIssuer(now, random);
 
-	const findIssuer = (upstream: Upstream) => {
-		const aliveNames = new Set(alive().map(({host}) => host));
-		const others = listHeard().map(({host, domain}) => ({host, domain, isAlive: aliveNames.has(host)}));
-		return findPermitIssuer(upstream, [...others, {...self, isAlive: true}]);
-	};
+	const findIssuer = createIssuerFinder({self, listHeard, alive});
 
 	const issue = ({host, limit, isCharge}: PermitRequest): PermitResult => {
 		const {id, startedAt, perS} = limit;
 		const upstream = upstreams.get(id);
 		const known = upstream?.startedAt === startedAt ? upstreams.announcements(id) : undefined;
-		const requestsPerS = known ? known.requestsPerS() : perS;
+		const requestsPerS = known ? known.limit.value() : perS;
 		if (requestsPerS === undefined) {
 			return {isGranted: true, retryAfterMs: 0};
 		}
@@ -92,12 +88,12 @@
 		async acquire(id, requestId) {
 			const upstream = upstreams.get(id);
 			const announcements = upstreams.announcements(id);
-			const requestsPerS = announcements?.requestsPerS();
+			const requestsPerS = announcements?.limit.value();
 			if (!upstream || requestsPerS === undefined) {
 				return true;
 			}
 
-			const {isGranted, retryAfterMs} = await ask(upstream, {host: self.host, limit: announcements!.toReported(now())!, isCharge: false});
+			const {isGranted, retryAfterMs} = await ask(upstream, {host: self.host, limit: announcements!.limit.toReported(now())!, isCharge: false});
 			if (!isGranted) {
 				announcements!.closeUntil(now() + retryAfterMs);
 				log.info({
@@ -110,12 +106,12 @@
 		charge(id) {
 			const upstream = upstreams.get(id);
 			const announcements = upstreams.announcements(id);
-			const requestsPerS = announcements?.requestsPerS();
+			const requestsPerS = announcements?.limit.value();
 			if (!upstream || requestsPerS === undefined) {
 				return 0;
 			}
 
-			void ask(upstream, {host: self.host, limit: announcements!.toReported(now())!, isCharge: true});
+			void ask(upstream, {host: self.host, limit: announcements!.limit.toReported(now())!, isCharge: true});
 			return Math.min(maxControlPauseMs, msPerS / requestsPerS);
 		},
 		answer(request) {
--- a/src/announcements/create-upstream-announcements.ts
+++ b/src/announcements/create-upstream-announcements.ts
@@ -1,109 +1,30 @@
-import {mergeStatedLimits} from '../decide/announcements/merge-stated-limits.js';
-import {toValidLimit} from '../decide/announcements/to-valid-limit.js';
-import {log} from '../observe/log.js';
-import {type Announcement} from './announcement.js';
-import {type StatedLimit} from './stated-limit.js';
+import {createStatedNumber} from './create-stated-number.js';
 import {type UpstreamAnnouncements} from './upstream-announcements.js';
 
-/** Error of the times that another host reports: its report travels, and a collector may hold it. */
-const reportErrorMs = 1000;
-/** A change is in every report for this long; then it is repeated, and for `endRepeatMs` where it is the end of a limit. */
-const newsMs = 2000;
-const repeatIntervalMs = 1000;
-const endRepeatMs = 10_000;
-
-/** Identity of one start of an upstream. */
-type UpstreamStart = {
-	readonly id: string;
-	readonly startedAt: number | undefined;
-};
-
 /** Creates the record of what one start of an upstream says of itself. */
-export function createUpstreamAnnouncements({id, startedAt}: UpstreamStart): UpstreamAnnouncements {
-	let known: StatedLimit | undefined;
-	/** Whether this host received the newest statement from the upstream itself. */
-	let isOwn = false;
-	let changedAt = Number.NEGATIVE_INFINITY;
-	let reportedAt = Number.NEGATIVE_INFINITY;
+export function createUpstreamAnnouncements(start: {readonly id: string; readonly startedAt: number | undefined}): UpstreamAnnouncements {
 	let closedUntil = Number.NEGATIVE_INFINITY;
-	/** The invalid number that was logged last. */
-	let invalid: number | undefined;
-
-	const merge = (stated: StatedLimit, isFromUpstream: boolean, source: string, now: number): void => {
-		const isLater = !known || stated.askedAt >= known.answeredAt + reportErrorMs;
-		if (!isFromUpstream && !isLater && stated.requestsPerS === known?.requestsPerS) {
-			// What others repeat says nothing new.
-			return;
-		}
-
-		const merged = known ? mergeStatedLimits(known, stated, isFromUpstream && isOwn ? 0 : reportErrorMs) : stated;
-		if (merged === known) {
-			return;
-		}
-
-		isOwn = isFromUpstream;
-		if (merged.requestsPerS !== known?.requestsPerS) {
-			changedAt = now;
-			closedUntil = Number.NEGATIVE_INFINITY;
-			log.info({
-				upstream: id, startedAt, requestsPerS: merged.requestsPerS, before: known?.requestsPerS, source, ageMs: Math.round(now - stated.answeredAt),
-			}, 'upstream states a limit');
-		}
-
-		known = merged;
-	};
-
-	const logInvalid = (requestsPerS: number | undefined, requestId: string | undefined): void => {
-		const isInvalid = requestsPerS !== undefined && toValidLimit(requestsPerS) === undefined;
-		if (isInvalid && !Object.is(requestsPerS, invalid)) {
-			log.warn({
-				upstream: id, startedAt, requestsPerS: String(requestsPerS), requestId,
-			}, 'upstream states an invalid limit, ignored');
-		}
-
-		invalid = isInvalid ? requestsPerS : undefined;
-	};
-
-	const isDue = (now: number): boolean => {
-		if (!known || !isOwn) {
-			return false;
-		}
-
-		const isKept = known.requestsPerS !== undefined || now - changedAt < endRepeatMs;
-		return now - changedAt < newsMs || (isKept && now - reportedAt >= repeatIntervalMs);
+	const reopen = (): void => {
+		closedUntil = Number.NEGATIVE_INFINITY;
 	};
 
+	const limit = createStatedNumber(start, 'limit', reopen);
+	const brittle = createStatedNumber(start, 'brittle', reopen);
+	const statements = {limit, brittle} as const;
 	return {
-		record({requestsPerS: stated}: Announcement, {askedAt, requestId, isSigned}, now) {
-			logInvalid(stated, requestId);
-			const requestsPerS = toValidLimit(stated);
-			// A limit ends with a response of the upstream itself, and there is nothing to end before the first one.
-			const mayEnd = known !== undefined && isSigned;
-			if (requestsPerS !== undefined || mayEnd) {
-				merge({requestsPerS, askedAt, answeredAt: now}, true, `request ${requestId}`, now);
-			}
+		record({requestsPerS, turnedAwayPerS}, announcedIn, now) {
+			limit.record(requestsPerS, announcedIn, now);
+			brittle.record(turnedAwayPerS, announcedIn, now);
 		},
-		recordReported({perS, askedAgeMs, answeredAgeMs}, source, now) {
-			const requestsPerS = toValidLimit(perS);
-			const mayEnd = known !== undefined;
-			if (requestsPerS !== undefined || mayEnd) {
-				merge({requestsPerS, askedAt: now - askedAgeMs, answeredAt: now - answeredAgeMs}, false, source, now);
-			}
+		recordReported(reported, source, now) {
+			statements[reported.kind ?? 'limit'].recordReported(reported, source, now);
 		},
-		requestsPerS: () => known?.requestsPerS,
+		statements: Object.values(statements),
+		limit,
+		brittle,
 		closeUntil(at) {
 			closedUntil = at;
 		},
-		closedForMs: now => known?.requestsPerS === undefined ? 0 : Math.max(0, closedUntil - now),
-		lastReportedAt: () => reportedAt,
-		isDue,
-		toReported(now) {
-			return known && {
-				id, startedAt, perS: known.requestsPerS, askedAgeMs: Math.round(now - known.askedAt), answeredAgeMs: Math.round(now - known.answeredAt),
-			};
-		},
-		recordReport(now) {
-			reportedAt = now;
-		},
+		closedForMs: now => limit.value() === undefined && brittle.value() === undefined ? 0 : Math.max(0, closedUntil - now),
 	};
 }
--- /dev/null
+++ b/src/announcements/room-request.ts
@@ -0,0 +1,14 @@
+import {type ReportedLimit} from './reported-limit.js';
+
+/** A host's request to send one request to a brittle upstream, or the end of one that it has sent. */
+export type RoomRequest = {
+	readonly host: string;
+	/** What the upstream states, as the host knows it. */
+	readonly statement: ReportedLimit;
+	/** Id of the grant. */
+	readonly grant: string;
+	/** Requests that the host has in flight there which the receiver has not granted. */
+	readonly ungranted: number;
+	/** Whether the request with the grant has ended. */
+	readonly isEnd: boolean;
+};
--- /dev/null
+++ b/src/decide/announcements/create-room-counter.ts
@@ -0,0 +1,76 @@
+import {type PermitResult} from '../../announcements/permit-result.js';
+
+/** A grant whose end nobody reports counts for this long. */
+const maxHoldMs = 60_000;
+/** What a host has in flight without a grant counts for this long after it said so. */
+const ungrantedValidMs = 1000;
+/** A counter that has just begun learns for this long what is in flight. */
+const learningMs = 300;
+/** What hosts report to have in flight counts for this long; later, what they said when they asked. */
+const reportedCountsMs = 2000;
+const initialHoldMs = 100;
+/** Weight of the newest time in the moving average of the time that a grant is held. */
+const holdWeight = 0.1;
+const minRetryAfterMs = 5;
+
+/** What a host asks for. */
+type RoomRequest = {
+	readonly host: string;
+	/** Id of the grant. */
+	readonly grant: string;
+	/** Requests that the host has in flight at the upstream without a grant of this counter. */
+	readonly ungranted: number;
+	/** Requests that the upstream runs at once, as far as this counter may grant them. */
+	readonly slots: number;
+	/** Requests in flight as hosts report them; counts while the counter learns. */
+	readonly reported: number;
+};
+
+/** Counts the requests in flight at one upstream. Times are in milliseconds. */
+type RoomCounter = {
+	/** Grants a request if a slot is free. */
+	readonly take: (request: RoomRequest, now: number) => PermitResult;
+	readonly release: (grant: string, now: number) => void;
+};
+
+/**
+Creates the counter of an upstream that must not be sent more than it has slots. Load pattern: many hosts that would all fill the same slot at
+the same moment, if each went by reports of the others' loads.
+*/
+export function createRoomCounter(random: () => number, startedAt: number): RoomCounter {
+	const grants = new Map<string, number>();
+	const ungranted = new Map<string, {readonly count: number; readonly at: number}>();
+	let holdMs = initialHoldMs;
+
+	const countUsed = (now: number): number => {
+		for (const [grant, at] of grants) {
+			if (now - at > maxHoldMs) {
+				grants.delete(grant);
+			}
+		}
+
+		const others = [...ungranted.values()].filter(({at}) => now - at <= ungrantedValidMs);
+		return grants.size + others.reduce((sum, {count}) => sum + count, 0);
+	};
+
+	return {
+		take({host, grant, ungranted: count, slots, reported}, now) {
+			ungranted.set(host, {count, at: now});
+			const isLearning = now - startedAt < learningMs;
+			if (!isLearning && Math.max(countUsed(now), now - startedAt < reportedCountsMs ? reported : 0) < slots) {
+				grants.set(grant, now);
+				return {isGranted: true, retryAfterMs: 0};
+			}
+
+			const dueMs = isLearning ? startedAt + learningMs - now : holdMs / Math.max(1, slots);
+			return {isGranted: false, retryAfterMs: Math.ceil(minRetryAfterMs + (dueMs * (0.5 + random())))};
+		},
+		release(grant, now) {
+			const at = grants.get(grant);
+			if (at !== undefined) {
+				grants.delete(grant);
+				holdMs += holdWeight * (now - at - holdMs);
+			}
+		},
+	};
+}
--- a/src/decide/announcements/merge-reported-limits.ts
+++ b/src/decide/announcements/merge-reported-limits.ts
@@ -11,13 +11,13 @@
 export function mergeReportedLimits(reported: readonly ReportedLimit[]): readonly ReportedLimit[] {
 	const merged = new Map<string, ReportedLimit>();
 	for (const limit of reported) {
-		const {id, startedAt} = limit;
-		const key = `${id}\n${startedAt}`;
+		const {id, startedAt, kind = 'limit'} = limit;
+		const key = `${id}\n${startedAt}\n${kind}`;
 		const known = merged.get(key);
 		const stated = known && mergeStatedLimits(toStated(known), toStated(limit), 0);
 		merged.set(key, stated
 			? {
-				id, startedAt, perS: stated.requestsPerS, askedAgeMs: -stated.askedAt, answeredAgeMs: -stated.answeredAt,
+				...limit, perS: stated.requestsPerS, askedAgeMs: -stated.askedAt, answeredAgeMs: -stated.answeredAt,
 			}
 			: limit);
 	}
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -8,6 +8,7 @@
 import {type ServiceLatencyModel} from '../decide/forwarding/service-latency-model.js';
 import {type SlidingWindowRetryBudget} from '../decide/retries/sliding-window-retry-budget.js';
 import {log} from '../observe/log.js';
+import {type RoomTask} from '../announcements/room-task.js';
 import {type PoisonRequestDetector} from '../poison/poison-request-detector.js';
 import {type RelayClient} from '../relay/relay-client.js';
 import {type KnownHost} from '../reports/known-host.js';
@@ -55,6 +56,8 @@
 	readonly getUrgentObjectiveMs: (route: Route, service: string) => number | undefined;
 	/** Chooses an upstream of a service, and which KV cache the request fetches and saves there. */
 	readonly place: (admitted: AdmittedRequest, progress: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>) => Placement | undefined;
+	/** Takes a slot of an upstream that states that it is brittle. */
+	readonly acquireRoom: RoomTask['acquire'];
 	/** Returns whether the link to an upstream works; checks it first if it has carried nothing for a while. */
 	readonly verifyLink: (upstreamId: string) => Promise<boolean>;
 	readonly relay: Pick<RelayClient, 'chooseHelper' | 'recordRefusal'>;
@@ -71,7 +74,13 @@
 };
 
 /** The upstream to send to, the host to hand the request on to, or the reason why the request is not sent. */
-type PlacementResult = {readonly placement: Placement} | {readonly helper: KnownHost} | {readonly reason: FailureReason; readonly retryAfterMs?: number | 'never'};
+type PlacementResult = {readonly placement: Placement; readonly releaseRoom: () => void} | {readonly helper: KnownHost} | {readonly reason: FailureReason; readonly retryAfterMs?: number | 'never'};
+
+function releaseRoom(result: PlacementResult): void {
+	if ('releaseRoom' in result) {
+		result.releaseRoom();
+	}
+}
 
 function createProgress({route, endsAt}: AdmittedRequest, service: string): ForwardingProgress {
 	return {
@@ -121,7 +130,7 @@
 
 /** Creates the function that forwards a caller's request, retries it where that is safe, and sends the final response. */
 export function createForwarder(options: ForwarderOptions): (admitted: AdmittedRequest) => Promise<void> {
-	const {registry, crashes, getRetryBudget, getLatencyModel, getUrgentObjectiveMs, place, acquirePermit, verifyLink, relay, sendRelayed, streams, encode, now, random, onEnd} = options;
+	const {registry, crashes, getRetryBudget, getLatencyModel, getUrgentObjectiveMs, place, acquirePermit, acquireRoom, verifyLink, relay, sendRelayed, streams, encode, now, random, onEnd} = options;
 	const send = createSender({
 		registry, getLatencyModel, encode, recordBegin: streams.recordBegin, now,
 	});
@@ -223,7 +232,7 @@
 			return {reason: 'no-upstream'};
 		}
 
-		progress.lastReason = 'the upstreams are at the limits that they state';
+		progress.lastReason = 'the upstreams are at the limits that they state, or have no free slot';
 		return {reason: 'overloaded', retryAfterMs: closedForMs + minReturnMs + (random() * retryAfterSpreadMs)};
 	};
 
@@ -261,11 +270,17 @@
 			return {reason: 'overloaded', retryAfterMs: admission.retryAfterMs};
 		}
 
+		const room = await acquireRoom(placement.upstream.id, admitted.request.id!);
+		if (!room.isGranted) {
+			return findPlacement(admitted, progress);
+		}
+
 		if (!await acquirePermit(placement.upstream.id, admitted.request.id!)) {
+			room.release();
 			return findPlacement(admitted, progress);
 		}
 
-		return {placement};
+		return {placement, releaseRoom: room.release};
 	};
 
 	/** Finds where a request goes next. Sending it again takes from the retry budget. */
@@ -276,6 +291,7 @@
 		}
 
 		if (!getRetryBudget(progress.service).tryWithdraw(now())) {
+			releaseRoom(result);
 			progress.lastReason = `${progress.lastReason}; the retry budget is spent`;
 			return {reason: 'upstream-failed'};
 		}
@@ -426,14 +442,19 @@
 
 			if (signal.aborted) {
 				// The caller disconnected while this host asked for a permit.
+				releaseRoom(result);
 				continue;
 			}
 
-			const hasEnded = 'helper' in result
-				? await attemptRelay(admitted, progress, result.helper)
-				: await attemptSend(admitted, progress, result.placement);
-			if (hasEnded) {
-				return;
+			try {
+				const hasEnded = 'helper' in result
+					? await attemptRelay(admitted, progress, result.helper)
+					: await attemptSend(admitted, progress, result.placement);
+				if (hasEnded) {
+					return;
+				}
+			} finally {
+				releaseRoom(result);
 			}
 		}
 	};
--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -210,7 +210,7 @@
 			isEjected: at < entry.avoidUntil,
 			failureShare: entry.failureShare,
 			freeConnections: entry.connections - entry.inFlight,
-			requestsPerS: entry.announcements.requestsPerS(),
+			requestsPerS: entry.announcements.limit.value(),
 			closedForMs: entry.announcements.closedForMs(at),
 		};
 	};
@@ -351,7 +351,7 @@
 			}
 		},
 		announcements: id => entries.get(id)?.announcements,
-		takeDueLimits: at => takeDueLimits([...entries.values()].map(entry => entry.announcements), at),
+		takeDueLimits: at => takeDueLimits([...entries.values()].flatMap(entry => entry.announcements.statements), at),
 		recordReportedLimits(source, limits, at) {
 			for (const limit of limits) {
 				const entry = entries.get(limit.id);
@@ -360,6 +360,7 @@
 				}
 			}
 		},
+		ownInFlight: id => entries.get(id)?.inFlight ?? 0,
 		inFlight: id => (entries.get(id)?.inFlight ?? 0) + (remoteLoads.of(id, now())?.inFlight ?? 0),
 		get: id => entries.get(id)?.upstream,
 		listAll: () => [...entries.values()].map(entry => entry.upstream),
--- a/src/forwarding/upstream-registry.ts
+++ b/src/forwarding/upstream-registry.ts
@@ -45,6 +45,8 @@
 	readonly takeDueLimits: (now: number) => readonly ReportedLimit[];
 	/** Records the limits that another host reported. */
 	readonly recordReportedLimits: (source: string, limits: readonly ReportedLimit[], now: number) => void;
+	/** Returns the requests of this host in flight at an upstream. */
+	readonly ownInFlight: (id: string) => number;
 	/** Returns the requests of all hosts in flight at an upstream, as far as known. */
 	readonly inFlight: (id: string) => number;
 	/** Returns the upstream with an id; `undefined` when it is not registered. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {createPermitTask} from './announcements/create-permit-task.js';
+import {createRoomTask} from './announcements/create-room-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
 import {openRequestServers} from './forwarding/open-request-servers.js';
@@ -154,6 +155,9 @@
 	const permits = createPermitTask({
 		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, hasSettled, call: peerClient.call, now, random,
 	});
+	const rooms = createRoomTask({
+		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, call: peerClient.call, now, random,
+	});
 	const streams = createStreamVersions({
 		listUpstreams: registry.listAll, listOthers: reportExchange.listOthers, alive: reportExchange.alive, call: peerClient.call,
 		tell: reportExchange.tellStreams, now,
@@ -271,6 +275,7 @@
 		}),
 		getLatencyModel,
 		acquirePermit: permits.acquire,
+		acquireRoom: rooms.acquire,
 		verifyLink: links.verify,
 		relay,
 		sendRelayed: createRelaySender({relay, encodeRelayed: adapter.encodeRelayedRequest, now}),
@@ -293,6 +298,7 @@
 			const {value, revision, epoch = epochs.current()} = write;
 			return {object: await ownLease.write(value, revision === 0 ? undefined : {epoch, revision}) ?? null};
 		},
+		'gateway.room': async request => rooms.answer(request),
 		'gateway.permit': async request => permits.answer(request),
 		'gateway.upstreamUp': async ({id, startedAt}) => ({opinion: await upstreamChecks.answer(id, startedAt)}),
 		'gateway.streamVersion': async ({id}) => ({version: streams.answer(id) ?? null}),
