Send nothing to an upstream while it rests, or once it says that it leaves

What callers saw: a request went round through upstreams that all turned it away; upstreams that had asked a host for 3 s of rest got up to 8 requests from it meanwhile. Cause: an upstream that turns a request away was passed over for 250 ms whatever it said, and used even so where no other was left. Class: what an upstream says of itself was not read. Change: the record of what an upstream says holds until when it rests, for this host alone, and that it leaves, which hosts report to each other and which holds for that start whatever the store's list says. Placement leaves out what rests, as what is at its limit; with all resting the caller is refused at once with the earliest end. Control calls state it too and are not sent during a rest. Times that are no number, zero or negative ask for nothing.

--- a/src/announcements/announcement.ts
+++ b/src/announcements/announcement.ts
@@ -4,4 +4,6 @@
 	readonly requestsPerS: number | undefined;
 	/** Requests a second that it can turn away for want of room without falling over; `NaN` and `undefined` as above. */
 	readonly turnedAwayPerS: number | undefined;
+	/** Whether it leaves. */
+	readonly isLeaving: boolean;
 };
--- a/src/announcements/create-stated-number.ts
+++ b/src/announcements/create-stated-number.ts
@@ -21,6 +21,7 @@
 /** What is logged of a kind of statement. */
 const messages: Readonly<Record<StatementKind, {readonly stated: string; readonly invalid: string}>> = {
 	limit: {stated: 'upstream states a limit', invalid: 'upstream states an invalid limit, ignored'},
+	leaving: {stated: 'upstream states that it leaves', invalid: 'upstream states in an invalid way that it leaves, ignored'},
 	brittle: {stated: 'upstream states that it is brittle', invalid: 'upstream states in an invalid way that it is brittle, ignored'},
 };
 
--- a/src/announcements/create-upstream-announcements.ts
+++ b/src/announcements/create-upstream-announcements.ts
@@ -1,3 +1,4 @@
+import {log} from '../observe/log.js';
 import {createStatedNumber} from './create-stated-number.js';
 import {type UpstreamAnnouncements} from './upstream-announcements.js';
 
@@ -10,9 +11,16 @@
 
 	const limit = createStatedNumber(start, 'limit', reopen);
 	const brittle = createStatedNumber(start, 'brittle', reopen);
-	const statements = {limit, brittle} as const;
+	/** Never ends: a start that leaves does not come back. */
+	const leaving = createStatedNumber(start, 'leaving', () => undefined);
+	const statements = {limit, brittle, leaving} as const;
+	let restsUntil = Number.NEGATIVE_INFINITY;
 	return {
-		record({requestsPerS, turnedAwayPerS}, announcedIn, now) {
+		record({requestsPerS, turnedAwayPerS, isLeaving}, announcedIn, now) {
+			if (isLeaving) {
+				leaving.record(0, announcedIn, now);
+			}
+
 			limit.record(requestsPerS, announcedIn, now);
 			brittle.record(turnedAwayPerS, announcedIn, now);
 		},
@@ -22,9 +30,20 @@
 		statements: Object.values(statements),
 		limit,
 		brittle,
+		isLeaving: () => leaving.value() !== undefined,
+		rest(until, requestId, now) {
+			restsUntil = until;
+			log.info({
+				upstream: start.id, startedAt: start.startedAt, restMs: Math.round(until - now), requestId,
+			}, 'upstream asks this host for rest');
+		},
+		restsForMs: now => Math.max(0, restsUntil - now),
 		closeUntil(at) {
 			closedUntil = at;
 		},
-		closedForMs: now => limit.value() === undefined && brittle.value() === undefined ? 0 : Math.max(0, closedUntil - now),
+		closedForMs(now) {
+			const closedMs = limit.value() === undefined && brittle.value() === undefined ? 0 : closedUntil - now;
+			return Math.max(0, closedMs, restsUntil - now);
+		},
 	};
 }
--- a/src/announcements/reported-limit.ts
+++ b/src/announcements/reported-limit.ts
@@ -5,7 +5,7 @@
 	/** Start of the upstream, in Unix milliseconds; left out where unknown. */
 	readonly startedAt?: number | undefined;
 	/** What the number states; left out for a limit on requests. */
-	readonly kind?: 'brittle';
+	readonly kind?: 'brittle' | 'leaving';
 	/** Requests a second; left out where the limit has ended. */
 	readonly perS?: number | undefined;
 	/** Time since the request was sent whose response stated it, in milliseconds. */
--- a/src/announcements/upstream-announcements.ts
+++ b/src/announcements/upstream-announcements.ts
@@ -15,6 +15,11 @@
 	readonly limit: Pick<StatedNumber, 'value' | 'toReported'>;
 	/** Requests a second that it can turn away without falling over. */
 	readonly brittle: Pick<StatedNumber, 'value' | 'toReported'>;
+	/** Whether it has said, to this host or another one, that it leaves. */
+	readonly isLeaving: () => boolean;
+	/** Records that the upstream wants nothing from this host until then. */
+	readonly rest: (until: number, requestId: string | undefined, now: number) => void;
+	readonly restsForMs: (now: number) => number;
 	/** Closes the upstream to this host while what it states stays as it is. */
 	readonly closeUntil: (at: number) => void;
 	/** Returns for how long the upstream is closed to this host; 0 when it may be sent to, or a permit be asked for. */
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -69,7 +69,7 @@
 
 	/** Lists the desired weights that some engine has not loaded, with all engines of the model. */
 	const listIncomplete = (): ReadonlyArray<{readonly target: DesiredWeights; readonly engines: readonly RolloutEngine[]}> => desiredWeights().flatMap(target => {
-		const upstreams = registry.listAll().filter(upstream => upstream.weights.has(target.model) && !upstream.isLeaving);
+		const upstreams = registry.listAll().filter(upstream => upstream.weights.has(target.model) && !upstream.isLeaving && !registry.announcements(upstream.id)?.isLeaving());
 		if (upstreams.every(upstream => upstream.weights.get(target.model)! >= target.version)) {
 			return [];
 		}
--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -20,6 +20,7 @@
 const newestOutcomeWeight = 0.1;
 const firstFailureStatus = 500;
 const misdirectedStatus = 421;
+const unavailableStatus = 503;
 /**
 An upstream is unresponsive when it has sent no response head for this time plus `unresponsiveFactor` times the mean head
 latency of its service, while a request waits for one.
@@ -221,12 +222,25 @@
 	};
 
 	/** A response with status 421 may come from another upstream at the address. */
-	const recordAnnouncement = (entry: Entry, {announcement, status, requestId, isSigned}: ResponseHead, askedAt: number): void => {
-		if (status !== misdirectedStatus) {
-			entry.announcements.record(announcement, {askedAt, requestId, isSigned}, now());
+	const recordAnnouncement = (entry: Entry, head: ResponseHead, askedAt: number): void => {
+		const {announcement, status, requestId, isSigned, retryAfterMs = 0} = head;
+		if (status === misdirectedStatus) {
+			return;
+		}
+
+		entry.announcements.record(announcement, {askedAt, requestId, isSigned}, now());
+		if (status === unavailableStatus && retryAfterMs > 0) {
+			entry.announcements.rest(now() + retryAfterMs, requestId, now());
 		}
 	};
 
+	const isLeaving = ({upstream, announcements}: Entry): boolean => upstream.isLeaving || announcements.isLeaving();
+
+	const isUsable = (entry: Entry, service: string, softwareVersion = entry.upstream.softwareVersion): boolean =>
+		entry.upstream.service === service && !isLeaving(entry) && softwareVersion === entry.upstream.softwareVersion;
+
+	const findByAddress = (address: string): Entry | undefined => [...entries.values()].find(({upstream}) => upstream.address === address);
+
 	const send = (id: string, request: UpstreamRequest, {waitingTokens, heldTokens, priority}: RequestCost, listener: ResponseListener): InFlightRequest => {
 		const entry = entries.get(id)!;
 		const waitStart = {since: now()};
@@ -307,11 +321,11 @@
 			}
 		},
 		listAvailable: (service, at, priority) => [...entries.values()]
-			.filter(entry => entry.upstream.service === service && !entry.upstream.isLeaving)
+			.filter(entry => entry.upstream.service === service && !isLeaving(entry))
 			.map(entry => toView(entry, at, priority)),
 		closedForMs(service, at, softwareVersion) {
 			const closed = [...entries.values()]
-				.filter(({upstream}) => upstream.service === service && !upstream.isLeaving && (softwareVersion ?? upstream.softwareVersion) === upstream.softwareVersion)
+				.filter(entry => isUsable(entry, service, softwareVersion))
 				.map(entry => entry.announcements.closedForMs(at))
 				.filter(closedForMs => closedForMs > 0);
 			return closed.length > 0 ? Math.min(...closed) : undefined;
@@ -331,8 +345,7 @@
 			};
 		},
 		getReach(service, softwareVersion) {
-			const usable = [...entries.values()].filter(({upstream}) =>
-				upstream.service === service && !upstream.isLeaving && (softwareVersion ?? upstream.softwareVersion) === upstream.softwareVersion);
+			const usable = [...entries.values()].filter(entry => isUsable(entry, service, softwareVersion));
 			return {upstreams: usable.length, reachable: usable.filter(entry => isReachable(entry)).length};
 		},
 		listLostServices() {
@@ -362,6 +375,13 @@
 		},
 		ownInFlight: id => entries.get(id)?.inFlight ?? 0,
 		inFlight: id => (entries.get(id)?.inFlight ?? 0) + (remoteLoads.of(id, now())?.inFlight ?? 0),
+		recordControlResponse(address, head, askedAt) {
+			const entry = findByAddress(address);
+			if (entry) {
+				recordAnnouncement(entry, head, askedAt);
+			}
+		},
+		restsForMs: address => findByAddress(address)?.announcements.restsForMs(now()) ?? 0,
 		get: id => entries.get(id)?.upstream,
 		listAll: () => [...entries.values()].map(entry => entry.upstream),
 		loads: () => [...entries.values()]
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -8,6 +8,7 @@
 import {type DesiredWeights} from './desired-weights.js';
 import {type RelayedRequestOptions} from './relayed-request-options.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
+import {type ResponseHead} from './response-head.js';
 import {type UpstreamConnectionPool} from './upstream-connection-pool.js';
 import {type Upstream} from './upstream.js';
 
@@ -36,6 +37,7 @@
 	readonly createRequestIdHeaders: (request: CallerRequest) => readonly string[];
 	/** Names and values of the headers by which a host tells another one that it did not run a request. */
 	readonly notRunHeaders: readonly string[];
-	readonly openEngineClient: () => EngineClient;
+	/** `onHead` is called with the head of each response, and when its request was sent in milliseconds of the monotonic clock. */
+	readonly openEngineClient: (onHead: (address: string, head: ResponseHead, askedAt: number) => void) => EngineClient;
 	readonly openConnectionPool: (address: string, onConnect: () => void) => UpstreamConnectionPool;
 };
--- a/src/forwarding/upstream-registry.ts
+++ b/src/forwarding/upstream-registry.ts
@@ -4,6 +4,7 @@
 import {type LoadReporter} from '../reports/load-reporter.js';
 import {type UpstreamLoad} from '../reports/upstream-load.js';
 import {type InFlightRequest} from './in-flight-request.js';
+import {type ResponseHead} from './response-head.js';
 import {type ResponseListener} from './response-listener.js';
 import {type UpstreamRequest} from './upstream-request.js';
 import {type Upstream} from './upstream.js';
@@ -49,6 +50,10 @@
 	readonly ownInFlight: (id: string) => number;
 	/** Returns the requests of all hosts in flight at an upstream, as far as known. */
 	readonly inFlight: (id: string) => number;
+	/** Records what the head of a response to a control call says of the upstream at an address. */
+	readonly recordControlResponse: (address: string, head: ResponseHead, askedAt: number) => void;
+	/** Returns for how long the upstream at an address wants nothing from this host, in milliseconds. */
+	readonly restsForMs: (address: string) => number;
 	/** Returns the upstream with an id; `undefined` when it is not registered. */
 	readonly get: (id: string) => Upstream | undefined;
 	/** Lists all registered upstreams, including leaving ones. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {respectRest} from './announcements/respect-rest.js';
 import {createPermitTask} from './announcements/create-permit-task.js';
 import {createRoomTask} from './announcements/create-room-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
@@ -91,7 +92,9 @@
 		},
 		recordEpoch: epochs.record,
 	}), epochs);
-	const engineClient = adapter.openEngineClient();
+	const engineClient = respectRest(adapter.openEngineClient((address, head, askedAt) => {
+		registry.recordControlResponse(address, head, askedAt);
+	}), address => registry.restsForMs(address));
 	const peerClient = createPeerClient(undefined, () => false, () => undefined);
 
 	const self = {
--- a/test/decide/forwarding/refusals-and-retries.test.ts
+++ b/test/decide/forwarding/refusals-and-retries.test.ts
@@ -9,7 +9,7 @@
 
 const head = {
 	status: 500, requestId: 'r', isSigned: true, isNotRun: false, isEncoded: false, upstreamId: undefined, weightVersion: undefined, framing: 'length' as const,
-	isCloseAnnounced: false, retryAfterMs: undefined, announcement: {requestsPerS: undefined, turnedAwayPerS: undefined}, mediaType: undefined, headers: [],
+	isCloseAnnounced: false, retryAfterMs: undefined, announcement: {requestsPerS: undefined, turnedAwayPerS: undefined, isLeaving: false}, mediaType: undefined, headers: [],
 };
 const notRun: SendOutcome = {
 	kind: 'not-run', reason: '', head: undefined, isGivenUp: false,
--- a/test/platform/endless-control-responses.test.ts
+++ b/test/platform/endless-control-responses.test.ts
@@ -23,7 +23,7 @@
 	server.stop();
 });
 
-const engines = createEngineClient();
+const engines = createEngineClient(() => undefined);
 const openStore = () => createObjectStore(server.address, {onCall: () => undefined, recordEpoch: () => 0});
 
 describe('a control response without end', () => {
--- a/test/support/start-linked-system.ts
+++ b/test/support/start-linked-system.ts
@@ -47,7 +47,7 @@
 		...adapter,
 		openConnectionPool: (address, onConnect) => adapter.openConnectionPool(toLink(address), onConnect),
 		openEngineClient() {
-			const client = adapter.openEngineClient();
+			const client = adapter.openEngineClient(() => undefined);
 			return {
 				...client,
 				ping: async (address, target, timeoutMs) => client.ping(toLink(address), target, timeoutMs),
