--- a/test/streams/stream-resumed-at-another-version.test.ts
+++ b/test/streams/stream-resumed-at-another-version.test.ts
@@ -1,4 +1,4 @@
-// Guards against docs/incidents/stream-resumed-at-another-version.md.
+// Guards against docs/incidents/stream-resumed-at-another-version.md and docs/incidents/streams-after-the-death-of-all-hosts.md.
 import {type Socket} from 'node:net';
 import {describe, expect, test} from 'vitest';
 import {sleep} from '../../src/util/sleep.js';
@@ -146,6 +146,22 @@
 	return gateways.at(-1)!;
 };
 
+/** Kills all hosts, lets `meanwhile` happen, and starts others. */
+const restartAll = (meanwhile: (system: System) => unknown) => async (system: System): Promise<TestGateway> => {
+	const {gateways, addHost} = system;
+	await Promise.all(gateways.splice(0).map(async gateway => gateway.stop()));
+	await meanwhile(system);
+	const [host] = await Promise.all(['domain-a', 'domain-b'].map(async domain => addHost(domain)));
+	await sleep(300);
+	return host!;
+};
+
+const removeFirstVersion = ({upstreams, store}: System): void => {
+	for (const {id} of upstreams.filter(({version}) => version === 'v1')) {
+		store.remove('servers', id);
+	}
+};
+
 const cases: ReadonlyArray<readonly [string, Partial<Case>]> = [
 	['at the same host', {change: async ({gateways}) => gateways[0]!}],
 	['at another host of the domain', {}],
@@ -218,6 +234,49 @@
 		},
 		expected: ({version}) => version === 'v1' ? 'is refused' : 'goes on',
 	}],
+	['after all hosts were killed', {change: restartAll(() => undefined)}],
+	['after all hosts were killed, and again', {
+		async change(system) {
+			await restartAll(() => undefined)(system);
+			await sleep(noticeMs);
+			return restartAll(() => undefined)(system);
+		},
+	}],
+	['after all hosts were killed and the version left meanwhile', {
+		change: restartAll(removeFirstVersion),
+		expected: ({version}) => version === 'v1' ? 'is refused' : 'goes on',
+	}],
+	['after the version left and then all hosts were killed', {
+		async change(system) {
+			removeFirstVersion(system);
+			await sleep(noticeMs);
+			return restartAll(() => undefined)(system);
+		},
+		expected: ({version}) => version === 'v1' ? 'is refused' : 'goes on',
+	}],
+	['after all hosts were killed, the version left and the store was down for a while', {
+		change: restartAll(async system => {
+			removeFirstVersion(system);
+			system.store.faults.isUnavailable = true;
+			setTimeout(() => {
+				system.store.faults.isUnavailable = false;
+			}, 1000);
+		}),
+		expected: ({version}) => version === 'v1' ? 'is refused' : 'goes on',
+	}],
+	['with one version, replaced by another one while all hosts were killed', {
+		versions: ['v1', 'v1'],
+		change: restartAll(async system => {
+			removeFirstVersion(system);
+			await system.addUpstream('v2');
+		}),
+		expected: () => 'is refused',
+	}],
+	['with one version, beside which another one came while all hosts were killed', {
+		versions: ['v1', 'v1'],
+		change: restartAll(async ({addUpstream}) => addUpstream('v2')),
+	}],
+	['with one version, after all hosts were killed', {versions: ['v1', 'v1'], change: restartAll(() => undefined)}],
 	['naming nothing', {name: () => undefined, expected: () => 'is refused'}],
 	['naming an attempt that no host knows', {name: () => 'unknown-attempt', expected: () => 'is refused'}],
 	['with one version, naming nothing', {versions: ['v1', 'v1'], name: () => undefined}],
