Streams go on, at the version that began them, after the death of all hosts

Cause: not knowing was taken for knowing that there is nothing to know: a host that had just started saw one version listed and let any upstream go on; which version began a stream lay with hosts only. A host that starts reads both before it answers for a stream that nobody knows; a stream of a service that had one version only until then is of that version; what the store does not tell is refused.

--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -21,6 +21,7 @@
 		readonly weights: string;
 		readonly hosts: string;
 		readonly leases: string;
+		readonly streams: string;
 		readonly condemnedRequests: string;
 	};
 	/** Opens the client of the platform's store. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -42,6 +42,7 @@
 import {type GatewaySettings} from './settings/gateway-settings.js';
 import {createRelayClient} from './relay/create-relay-client.js';
 import {createRelaySender} from './relay/create-relay-sender.js';
+import {createStreamArchive} from './streams/create-stream-archive.js';
 import {createStreamVersions} from './streams/create-stream-versions.js';
 import {createSuspendAwareClock} from './util/create-suspend-aware-clock.js';
 import {memoizeLast} from './util/memoize-last.js';
@@ -163,6 +164,9 @@
 	});
 	const streams = createStreamVersions({
 		listUpstreams: registry.listAll, listOthers: reportExchange.listOthers, alive: reportExchange.alive, call: peerClient.call,
+		openArchive: (retentionMs, onVersions) => createStreamArchive({
+			host: name, store, kind: kinds.streams, retentionMs, countHosts, random, onVersions,
+		}),
 		tell: reportExchange.tellStreams, now,
 	});
 	const ejectLoading = (loading: LoadReport['loading']): void => {
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -7,6 +7,8 @@
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {type RequiredVersion} from './required-version.js';
+import {type SeenVersion} from './seen-version.js';
+import {type StreamArchive} from './stream-archive.js';
 import {type StreamGroup} from './stream-group.js';
 import {type StreamVersions} from './stream-versions.js';
 
@@ -31,6 +33,8 @@
 	/** Returns those with a recent report. */
 	readonly alive: () => readonly KnownHost[];
 	readonly call: PeerRpc;
+	/** Opens what lies in the store; `onVersions` is called with the versions that it shows. */
+	readonly openArchive: (retentionMs: number, onVersions: (seen: readonly SeenVersion[]) => void) => StreamArchive;
 	/** Sends groups of streams to a host, as a datagram. */
 	readonly tell: (host: KnownHost, groups: readonly StreamGroup[]) => void;
 	/** Monotonic clock in milliseconds. */
@@ -41,7 +45,7 @@
 Creates the record of the software versions that began streams. Each host keeps those of its own streams; while a service has several versions, it
 tells each to a few other hosts, chosen by rendezvous hashing, so that it outlives this host. A host that doesn't know asks.
 */
-export function createStreamVersions({listUpstreams, listOthers, alive, call, tell, now}: StreamVersionsOptions): StreamVersions {
+export function createStreamVersions({listUpstreams, listOthers, alive, call, openArchive, tell, now}: StreamVersionsOptions): StreamVersions {
 	const index = createStreamIndex(retentionMs, maxStreams);
 	/** Versions listed here, and those that others report besides. */
 	const ownHistory = createVersionHistory(retentionMs);
@@ -51,6 +55,9 @@
 	let tellTimer: NodeJS.Timeout | undefined;
 	let reviewedAt = Number.NEGATIVE_INFINITY;
 	const mixedServices = new Set<string>();
+	const archive = openArchive(retentionMs, seen => {
+		recordSeen(seen);
+	});
 
 	const tellNext = (): void => {
 		tellTimer = undefined;
@@ -59,6 +66,10 @@
 			return record ? [{id, ...record}] : [];
 		});
 		const due = known.filter(({service}) => history.isMixed(service, now())).slice(0, maxToldAtOnce);
+		for (const {id, service, version} of due) {
+			archive.add(id, service, version);
+		}
+
 		const dueIds = new Set(due.map(({id}) => id));
 		untold = known.filter(({id}) => !dueIds.has(id)).map(({id}) => id);
 		const hosts = new Map(listOthers().map(host => [host.host, host]));
@@ -113,26 +124,55 @@
 		}
 	};
 
+	/** Asks other hosts, then the store. A stream of a service that had one version only until this host started is of that version. */
+	const findElsewhere = async (service: string, begunBy: string | undefined, timeoutMs: number): Promise<{readonly version: string; readonly from: string} | undefined> => {
+		if (begunBy === undefined) {
+			return undefined;
+		}
+
+		const asked = await ask(begunBy, timeoutMs);
+		if (asked) {
+			return asked;
+		}
+
+		const version = await archive.lookUp(begunBy) ?? archive.findOnlyVersion(service);
+		return version === undefined ? undefined : {version, from: 'store'};
+	};
+
 	const findRequired = async (service: string, begunBy: string | undefined, requestId: string, endsAt: number): Promise<RequiredVersion> => {
 		const known = begunBy === undefined ? undefined : index.lookUp(begunBy, now());
+		const leftMs = Math.min(askTimeoutMs, Math.max(1, endsAt - now()));
+		if (!known && !await archive.waitUntilRead(leftMs)) {
+			log.info({requestId, service, begunBy}, 'stream cannot go on, this host has just started and the store does not respond');
+			return {kind: 'unknown'};
+		}
+
 		if (!known && !history.isMixed(service, now())) {
 			return {kind: 'any'};
 		}
 
-		const mustAsk = begunBy !== undefined && known === undefined;
-		const asked = mustAsk ? await ask(begunBy, Math.min(askTimeoutMs, Math.max(1, endsAt - now()))) : undefined;
-		const version = known?.version ?? asked?.version;
+		const found = known ? {version: known.version, from: 'here'} : await findElsewhere(service, begunBy, leftMs);
 		log.info({
-			requestId, service, begunBy, version, from: asked?.from ?? 'here', ageMs: known && Math.round(now() - known.at),
-		}, version === undefined ? 'stream cannot go on, its version is unknown' : 'stream goes on at its version');
-		return version === undefined ? {kind: 'unknown'} : {kind: 'one', version};
+			requestId, service, begunBy, version: found?.version, from: found?.from, ageMs: known && Math.round(now() - known.at),
+		}, found ? 'stream goes on at its version' : 'stream cannot go on, its version is unknown');
+		return found ? {kind: 'one', version: found.version} : {kind: 'unknown'};
+	};
+
+	const recordSeen = (seen: readonly SeenVersion[]): void => {
+		for (const {service, version, ageMs} of seen) {
+			history.record(service, version, now() - ageMs);
+		}
 	};
 
 	const recordVersions = (upstreams: readonly Upstream[]): void => {
+		const listed = new Map<string, Set<string>>();
 		for (const {service, softwareVersion} of upstreams) {
+			listed.set(service, (listed.get(service) ?? new Set()).add(softwareVersion));
 			ownHistory.record(service, softwareVersion, now());
 			history.record(service, softwareVersion, now());
 		}
+
+		archive.recordListed(listed);
 	};
 
 	return {
@@ -167,16 +207,14 @@
 			return ownHistory.listMixed(now());
 		},
 		recordSeenVersions(seen) {
-			for (const {service, version, ageMs} of seen) {
-				history.record(service, version, now() - ageMs);
-			}
-
+			recordSeen(seen);
 			if (seen.some(({service}) => !mixedServices.has(service))) {
 				reviewMixed();
 			}
 		},
 		stop() {
 			clearTimeout(tellTimer);
+			archive.stop();
 		},
 	};
 }
--- /dev/null
+++ b/src/streams/served-versions.ts
@@ -0,0 +1,9 @@
+import {z} from 'zod';
+
+/** Schema of the software versions that serve, as they lie in the platform's store; `until`, in Unix milliseconds, is set once a version is no longer listed. */
+export const servedVersionsSchema = z.object({
+	versions: z.array(z.object({service: z.string(), version: z.string(), until: z.number().optional()})),
+});
+
+/** A software version of a service that serves, or has served. */
+export type ServedVersion = z.infer<typeof servedVersionsSchema>['versions'][number];
--- /dev/null
+++ b/src/streams/stream-archive.ts
@@ -0,0 +1,14 @@
+/** What lies in the platform's store of streams, so that it outlives all hosts. */
+export type StreamArchive = {
+	/** Adds a stream that this host has begun; written with others soon. */
+	readonly add: (id: string, service: string, version: string) => void;
+	/** Resolves once the store has been read since this host's start, at the latest after a time in milliseconds; returns whether it has. */
+	readonly waitUntilRead: (timeoutMs: number) => Promise<boolean>;
+	/** Reads the version that began a stream; `undefined` where the store does not tell. */
+	readonly lookUp: (id: string) => Promise<string | undefined>;
+	/** Returns the version of a service where it was the only one until this host started; `undefined` where there were several, or none is known. */
+	readonly findOnlyVersion: (service: string) => string | undefined;
+	/** Records which versions of each service are listed now. */
+	readonly recordListed: (listed: ReadonlyMap<string, ReadonlySet<string>>) => void;
+	readonly stop: () => void;
+};
