Probe links that are in doubt before a request is refused for them

Cause: two lost links and no byte from any upstream count as a cut, and links that are only in doubt were refused like lost ones.

--- a/src/forwarding/create-placement-finder.ts
+++ b/src/forwarding/create-placement-finder.ts
@@ -21,13 +21,13 @@
 
 /** Creates the function that finds where a request goes next: to an upstream, to another host, or nowhere. */
 export function createPlacementFinder({
-	registry, crashes, getRetryBudget, getUrgentObjectiveMs, place, acquirePermit, acquireRoom, relay, now, random,
+	registry, crashes, getRetryBudget, getUrgentObjectiveMs, place, acquirePermit, acquireRoom, confirmCutOff, relay, now, random,
 }: PlacementFinderOptions): (admitted: AdmittedRequest, progress: ForwardingProgress) => Promise<PlacementResult> {
 	const findHelper = ({isRelayed}: AdmittedRequest, {service, triedHelpers}: ForwardingProgress): KnownHost | undefined =>
 		isRelayed || triedHelpers.size >= maxHelpers ? undefined : relay.chooseHelper(service, triedHelpers);
 
 	/** Returns where a request goes that no upstream may be sent from here now: to another host if upstreams can't be reached, or nowhere. */
-	const leaveUnplaced = (admitted: AdmittedRequest, progress: ForwardingProgress): PlacementResult => {
+	const leaveUnplaced = async (admitted: AdmittedRequest, progress: ForwardingProgress): Promise<PlacementResult> => {
 		const {service, softwareVersion} = progress;
 		const reach = registry.getReach(service, softwareVersion);
 		const helper = reach.reachable < reach.upstreams ? findHelper(admitted, progress) : undefined;
@@ -36,6 +36,11 @@
 		}
 
 		if (reach.upstreams > 0 && reach.reachable === 0) {
+			await confirmCutOff();
+			if (registry.getReach(service, softwareVersion).reachable > 0) {
+				return findPlacement(admitted, progress);
+			}
+
 			progress.lastReason = `none of ${reach.upstreams} upstreams can be reached; ${progress.lastReason}`;
 			return {reason: 'no-upstream'};
 		}
--- a/src/forwarding/placement-finder-options.ts
+++ b/src/forwarding/placement-finder-options.ts
@@ -21,6 +21,8 @@
 	readonly acquirePermit: (upstreamId: string, requestId: string) => Promise<boolean>;
 	/** Takes a slot of an upstream that states that it is brittle. */
 	readonly acquireRoom: RoomTask['acquire'];
+	/** Probes links that are in doubt since others are lost. */
+	readonly confirmCutOff: () => Promise<boolean>;
 	readonly relay: Pick<RelayClient, 'chooseHelper'>;
 	readonly now: () => number;
 	readonly random: () => number;
--- a/src/links/create-upstream-links.ts
+++ b/src/links/create-upstream-links.ts
@@ -65,13 +65,13 @@
 		}
 	};
 
+	/** While all links of a failure domain seem lost, those that are not known to be are in doubt too. */
+	const isDoubtful = ({loss, upstream: {domain}}: Link): boolean => loss !== undefined || isCutOff() || reachability.isPartitioned(domain, now());
+
 	/** Several upstreams that have crashed at a quiet time look like a cut, until another one responds. */
 	const confirmCutOff = async (): Promise<boolean> => {
-		if (isCutOff()) {
-			const others = [...links.values()].filter(({loss}) => loss === undefined).slice(0, maxConfirmingProbes);
-			await Promise.all(others.map(async link => probe(link)));
-		}
-
+		const doubtful = [...links.values()].filter(link => link.loss === undefined && isDoubtful(link));
+		await Promise.all(doubtful.slice(0, maxConfirmingProbes).map(async link => probe(link)));
 		return isCutOff();
 	};
 
@@ -165,9 +165,6 @@
 		}
 	};
 
-	/** While all links of a failure domain seem lost, those that are not known to be are probed too. */
-	const isDoubtful = ({loss, upstream: {domain}}: Link): boolean => loss !== undefined || isCutOff() || reachability.isPartitioned(domain, now());
-
 	const probeLost = (): void => {
 		const isHealing = now() < healingUntil;
 		if (!isHealing && now() - lastProbeAt < probeIntervalMs) {
--- a/src/links/upstream-links.ts
+++ b/src/links/upstream-links.ts
@@ -26,7 +26,7 @@
 	@param hasIdleConnection - Whether an open connection to it is idle.
 	*/
 	readonly isReachable: (id: string, hasIdleConnection: boolean) => boolean;
-	/** Returns whether the links to all upstreams seem lost, after a probe of some that are not known to be. */
+	/** Probes some links that are in doubt since others are lost; returns whether all still seem lost. */
 	readonly confirmCutOff: () => Promise<boolean>;
 	/**
 	Checks a link that has carried nothing for a while, before a request is sent that can't be repeated.
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -284,6 +284,7 @@
 		acquirePermit: permits.acquire,
 		acquireRoom: rooms.acquire,
 		verifyLink: links.verify,
+		confirmCutOff: links.confirmCutOff,
 		relay,
 		sendRelayed: createRelaySender({relay, encodeRelayed: adapter.encodeRelayedRequest, now}),
 		streams,
