Admit a stream that is taken up as long as it can end in time

Cause: a stream that is taken up was refused when its next event would come later than the objective of the first one, which its caller has had. Change: it is admitted while it can end before its deadline.

--- a/src/forwarding/create-placement-finder.ts
+++ b/src/forwarding/create-placement-finder.ts
@@ -61,7 +61,7 @@
 
 	/** Chooses an upstream that may be sent the request; one whose limit leaves no room is closed meanwhile, and another one is chosen. */
 	const findPlacement = async (admitted: AdmittedRequest, progress: ForwardingProgress): Promise<PlacementResult> => {
-		const {route, receivedAt} = admitted;
+		const {request, route, receivedAt} = admitted;
 		if (progress.endsAt - now() < minTimeLeftMs) {
 			return {reason: 'time-over'};
 		}
@@ -78,9 +78,11 @@
 		}
 
 		const {firstByteMs, isQueueing} = placement;
+		// A stream that is taken up has had its first byte: it only has to end in time.
+		const isTakenUp = request.resumeAfter !== undefined;
 		const admission = decideAdmission({
-			firstByteMs, isQueueing, waitedMs: now() - receivedAt, objectiveMs: route.objectiveMs,
-			urgentObjectiveMs: getUrgentObjectiveMs(route, progress.service), draw: random(),
+			firstByteMs, isQueueing, waitedMs: now() - receivedAt, objectiveMs: isTakenUp ? progress.endsAt - receivedAt : route.objectiveMs,
+			urgentObjectiveMs: isTakenUp ? undefined : getUrgentObjectiveMs(route, progress.service), draw: random(),
 		});
 		if (progress.runs === 0 && !admission.isAdmitted) {
 			const reach = registry.getReach(progress.service, progress.softwareVersion);
