A link on which bytes arrive is not silent, whatever new connections do

Cause: found in reading: a connection attempt that timed out counted as a silent link, also while other connections to the upstream carried bytes, so that requests under way there were aborted and sent again. A full queue of new connections or a lost packet does that. Change: such a link counts as refusing new connections; open ones stay in use.

--- a/src/links/create-upstream-links.ts
+++ b/src/links/create-upstream-links.ts
@@ -16,6 +16,8 @@
 const maxHealingProbes = 8;
 /** Upstreams probed to confirm that all links are lost. */
 const maxConfirmingProbes = 3;
+/** An upstream that was heard within this time is not silent. */
+const liveMs = 600;
 /** A link that carried bytes within this time needs no check before a request that can't be repeated. */
 const recentContactMs = 1000;
 /** Key under which all upstreams together count as one failure domain. */
@@ -214,7 +216,8 @@
 		recordConnectFailure(id, loss) {
 			const link = links.get(id);
 			if (link) {
-				recordLoss(link, loss);
+				// While bytes arrive on other connections, the upstream is only slow to accept new ones.
+				recordLoss(link, now() - link.lastContactAt < liveMs ? 'refused' : loss);
 			}
 		},
 		recordBroken(id) {
