One export a file in src/streams; what counts as contact with a failure domain, as it is now

Cause: the type of a served version stood beside its schema, and a comment still named hosts' reports, which no longer count as contact with upstreams. Change: a type in a file of its own, one comment; no behaviour.

--- a/src/decide/forwarding/domain-reachability.ts
+++ b/src/decide/forwarding/domain-reachability.ts
@@ -1,6 +1,6 @@
 /** Tracks whether this host can reach other failure domains. Times are in milliseconds. */
 export type DomainReachability = {
-	/** Records that a report or a response arrived from a failure domain. */
+	/** Records that bytes of an upstream of the failure domain arrived. */
 	readonly recordContact: (domain: string, now: number) => void;
 	/** Records that a connection to an upstream of the failure domain failed. */
 	readonly recordConnectFailure: (domain: string, upstream: string, now: number) => void;
--- a/src/streams/create-stream-archive.ts
+++ b/src/streams/create-stream-archive.ts
@@ -6,7 +6,8 @@
 import {sleep} from '../util/sleep.js';
 import {archivedStreamsSchema} from './archived-streams.js';
 import {type SeenVersion} from './seen-version.js';
-import {type ServedVersion, servedVersionsSchema} from './served-versions.js';
+import {type ServedVersion} from './served-version.js';
+import {servedVersionsSchema} from './served-versions.js';
 import {type StreamArchive} from './stream-archive.js';
 
 /** Name of the object with the versions that serve; no host has it. */
--- a/src/streams/served-versions.ts
+++ b/src/streams/served-versions.ts
@@ -4,6 +4,3 @@
 export const servedVersionsSchema = z.object({
 	versions: z.array(z.object({service: z.string(), version: z.string(), until: z.number().optional()})),
 });
-
-/** A software version of a service that serves, or has served. */
-export type ServedVersion = z.infer<typeof servedVersionsSchema>['versions'][number];
