Test ports are claimed, so that two runs of the tests beside each other do not meet at one

Cause: a test took a port after it had found it free; between the two another run of the tests, whose workers have the same numbers and so the same ranges, could take it too. Three runs of test/announcements/limit-that-an-upstream-states.test.ts beside each other: 7 of 65 cases red in each, 5 to 6 of them with EADDRINUSE. Change: a port is claimed for the life of the process by a listener at another loopback address; one range for all. The same test now says which status and Retry-After a wrong refusal has; the check is as strict.

--- a/test/announcements/limit-that-an-upstream-states.test.ts
+++ b/test/announcements/limit-that-an-upstream-states.test.ts
@@ -184,7 +184,8 @@
 		} else {
 			const refused = result.responses.filter(({status}) => status !== 200);
 			expect(refused.length).toBeGreaterThan(0);
-			expect(refused.every(({status, headers}) => [429, 503].includes(status) && Number(headers.get('retry-after')) > 0)).toBe(true);
+			const isTrueRefusal = ({status, headers}: RawResponse): boolean => [429, 503].includes(status) && Number(headers.get('retry-after')) > 0;
+			expect(refused.filter(response => !isTrueRefusal(response)).map(({status, headers}) => [status, headers.get('retry-after')])).toEqual([]);
 		}
 	}
 }
--- a/test/support/find-test-ports.ts
+++ b/test/support/find-test-ports.ts
@@ -1,35 +1,51 @@
-import {createServer} from 'node:net';
+import {createServer, type Server} from 'node:net';
 import process from 'node:process';
 import {listen} from '../../src/http/listen.js';
 
+/** Below the ephemeral ports, so that no outgoing connection takes a port between the check and its use. */
 const firstPort = 10_000;
-const portsPerWorker = 2000;
+const portCount = 22_000;
+/** Where a port is claimed; tests listen on other addresses. */
+const claimHost = '127.0.0.2';
 
-const workerIndex = Number(process.env.VITEST_POOL_ID ?? '1') % 8;
-let nextOffset = (process.pid * 37) % portsPerWorker;
+/** Processes begin far from each other, so that they seldom meet at a port. */
+let nextOffset = (process.pid * 1009) % portCount;
 
-async function isFree(port: number): Promise<boolean> {
+async function tryListen(host: string, port: number): Promise<Server | undefined> {
 	const server = createServer();
 	try {
-		await listen(server as never, {host: '127.0.0.1', port});
-		return true;
+		await listen(server as never, {host, port});
+		return server;
 	} catch {
-		return false;
-	} finally {
 		server.close();
+		return undefined;
+	}
+}
+
+/** A claimed port is this process's until its end, also while nothing listens on it: another process of tests can't claim it. */
+async function claim(port: number): Promise<boolean> {
+	const claimed = await tryListen(claimHost, port);
+	if (!claimed) {
+		return false;
 	}
+
+	claimed.unref();
+	const probe = await tryListen('127.0.0.1', port);
+	probe?.close();
+	return probe !== undefined;
 }
 
-/**
-Returns `count` free ports. Each test worker uses a separate range below the ephemeral ports, so that no other worker or
-outgoing connection takes a port between the check and its use.
-*/
+/** Returns `count` free ports, which no other process of tests uses meanwhile. */
 export async function findTestPorts(count: number): Promise<readonly number[]> {
 	const ports: number[] = [];
-	while (ports.length < count) {
-		const port = firstPort + (workerIndex * portsPerWorker) + (nextOffset % portsPerWorker);
+	for (let tried = 0; ports.length < count; tried++) {
+		if (tried === portCount) {
+			throw new Error(`fewer than ${count} ports are free`);
+		}
+
+		const port = firstPort + (nextOffset % portCount);
 		nextOffset++;
-		if (await isFree(port)) {
+		if (await claim(port)) {
 			ports.push(port);
 		}
 	}
