A response whose head is sent is ended when the host fails, and nothing is sent to an upstream that has left meanwhile

Cause, found by reading: an upstream that left the list between its choice and the send (a wait for a permit, a slot, a probe) was looked up as if it were there. The error was answered with a second head, which threw once the first one had been sent: nobody ended the response, and the rejection that nobody handled ends a host's process. Class of fault: what was looked up before a wait was taken for granted after it. Change: the registry fails such a send as not sent, also for another start under the same id, at which a stream of another version would have gone on; an error after the head resets the connection.

--- a/src/forwarding/create-caller-response.ts
+++ b/src/forwarding/create-caller-response.ts
@@ -15,7 +15,7 @@
 @param isLastOnConnection - Whether the response carries `Connection: close`.
 */
 export function createCallerResponse(res: ServerResponse, createRefusalHeaders: (refusal: Refusal) => readonly string[], isLastOnConnection: () => boolean): CallerResponse {
-	let hasSentHead = false;
+	let hasSentHead = res.headersSent;
 	/** Chunks a body of unknown length, so that the caller detects when it is cut short. */
 	const getFramingHeaders = (status: number, headers: readonly string[]): readonly string[] => {
 		const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -48,7 +48,7 @@
 				signal: attempt.signal,
 				splitter,
 				isResumedByCaller: request.resumeAfter !== undefined,
-				send: listener => registry.send(placement.upstream.id, {
+				send: listener => registry.send(placement.upstream, {
 					method: request.method,
 					target: request.target,
 					headers: encode(request, {...placement.options, deadlineMs: leftMs, resumeAfter: splitter?.lastEventId() ?? request.resumeAfter}),
--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -9,6 +9,7 @@
 import {type UpstreamLoad} from '../reports/upstream-load.js';
 import {type RequestCost} from './request-cost.js';
 import {type UpstreamRegistry} from './upstream-registry.js';
+import {type PlacedUpstream} from './placed-upstream.js';
 import {type ResponseHead} from './response-head.js';
 import {type ResponseListener} from './response-listener.js';
 import {type InFlightRequest} from './in-flight-request.js';
@@ -241,8 +242,15 @@
 
 	const findByAddress = (address: string): Entry | undefined => [...entries.values()].find(({upstream}) => upstream.address === address);
 
-	const send = (id: string, request: UpstreamRequest, {waitingTokens, heldTokens, priority}: RequestCost, listener: ResponseListener): InFlightRequest => {
-		const entry = entries.get(id)!;
+	const send = ({id, startedAt}: PlacedUpstream, request: UpstreamRequest, {waitingTokens, heldTokens, priority}: RequestCost, listener: ResponseListener): InFlightRequest => {
+		const entry = entries.get(id);
+		if (!entry || entry.upstream.startedAt !== startedAt) {
+			queueMicrotask(() => {
+				listener.onFail(new Error('the upstream has left'), false);
+			});
+			return {abort: () => undefined, resume: () => undefined};
+		}
+
 		const waitStart = {since: now()};
 		const use = links.use(id);
 		let hasHead = false;
--- a/src/forwarding/upstream-registry.ts
+++ b/src/forwarding/upstream-registry.ts
@@ -5,6 +5,7 @@
 import {type UpstreamLoad} from '../reports/upstream-load.js';
 import {type InFlightRequest} from './in-flight-request.js';
 import {type ResponseHead} from './response-head.js';
+import {type PlacedUpstream} from './placed-upstream.js';
 import {type ResponseListener} from './response-listener.js';
 import {type UpstreamRequest} from './upstream-request.js';
 import {type Upstream} from './upstream.js';
@@ -24,8 +25,8 @@
 	is closed.
 	*/
 	readonly closedForMs: (service: string, now: number, softwareVersion?: string) => number | undefined;
-	/** Sends a request and counts it as in flight until it ends. */
-	readonly send: (id: string, request: UpstreamRequest, cost: RequestCost, listener: ResponseListener) => InFlightRequest;
+	/** Sends a request and counts it as in flight until it ends; it fails as not sent if the upstream has left or has started again. */
+	readonly send: (upstream: PlacedUpstream, request: UpstreamRequest, cost: RequestCost, listener: ResponseListener) => InFlightRequest;
 	/** Ejects an upstream from placement until `untilMs`. */
 	readonly ejectUntil: (id: string, untilMs: number) => void;
 	/**
