Begun streams whose write to the store failed are written again

Cause: the streams of a write were taken as written before it was answered; after a failure they were written only with the next stream that began. If none began before all hosts died, their callers could not go on. Change: streams leave the list of unwritten ones once the store has answered; the list is bounded while the store takes nothing.

--- a/src/streams/create-stream-archive.ts
+++ b/src/streams/create-stream-archive.ts
@@ -19,6 +19,8 @@
 const minWriteIntervalMs = 250;
 const writeIntervalPerHostMs = 20;
 const retryDelayMs = 500;
+/** Begun streams kept while the store does not take them. */
+const maxUnwritten = 20_000;
 /** The store is read again for a stream that nobody knows once this time has passed. */
 const readIntervalMs = 500;
 /** Hosts write a change of the versions after a random part of this time, unless another one has. */
@@ -55,7 +57,7 @@
 	let readAt = Number.NEGATIVE_INFINITY;
 	/** This host's slices in the store, by name. */
 	const own = new Map<string, {readonly at: number; readonly stored: StoredObject}>();
-	let slice: {readonly name: string; readonly at: number; readonly streams: Stream[]} | undefined;
+	let slice: {readonly name: string; readonly at: number; readonly streams: readonly Stream[]} | undefined;
 	let unwritten: Stream[] = [];
 	let isWriting = false;
 	let isWritingVersions = false;
@@ -119,10 +121,9 @@
 			slice = startSlice();
 		}
 
-		const {name, at, streams} = slice;
-		const added = unwritten;
-		unwritten = [];
-		streams.push(...added);
+		const {name, at} = slice;
+		const added = unwritten.length;
+		const streams = [...slice.streams, ...unwritten];
 		const groups = groupStreams(streams.map(stream => ({...stream, hosts: [name]}))).get(name) ?? [];
 		const known = own.get(name)?.stored;
 		try {
@@ -132,6 +133,8 @@
 			}
 
 			own.set(name, {at, stored});
+			slice = {name, at, streams};
+			unwritten = unwritten.slice(added);
 		} catch (error) {
 			// A write without an answer may have been made: the object's revision is not known any more.
 			const current = await store.read(kind, name);
@@ -150,7 +153,8 @@
 			try {
 				await writeSlice();
 			} catch (error) {
-				log.warn({unwritten: unwritten.length, error: String(error)}, 'begun streams could not be stored');
+				const dropped = unwritten.splice(0, Math.max(0, unwritten.length - maxUnwritten)).length;
+				log.warn({unwritten: unwritten.length, dropped, error: String(error)}, 'begun streams could not be stored');
 			}
 
 			await sleep(Math.max(minWriteIntervalMs, countHosts() * writeIntervalPerHostMs));
--- /dev/null
+++ b/test/streams/stream-archive.test.ts
@@ -0,0 +1,71 @@
+// Guards against docs/incidents/streams-after-the-death-of-all-hosts.md.
+import {describe, expect, test} from 'vitest';
+import {type StoredObject} from '../../src/object-store/stored-object.js';
+import {createStreamArchive} from '../../src/streams/create-stream-archive.js';
+import {sleep} from '../../src/util/sleep.js';
+
+/** Longer than the time between two writes. */
+const pauseMs = 400;
+
+/** Creates a store whose next writes fail or get no answer, as `faults` says of each. */
+function createStore(faults: Array<'fails' | 'is done, not answered' | undefined>) {
+	const objects = new Map<string, StoredObject>();
+	let revision = 0;
+	const write = async (name: string, value: unknown): Promise<StoredObject> => {
+		const fault = faults.shift();
+		if (fault === 'fails') {
+			throw new Error('no answer');
+		}
+
+		const stored = {name, value, revision: ++revision, epoch: 1} as unknown as StoredObject;
+		objects.set(name, stored);
+		if (fault !== undefined) {
+			throw new Error('no answer');
+		}
+
+		return stored;
+	};
+
+	return {
+		list: async () => ({objects: [...objects.values()]}) as never,
+		read: async (_kind: string, name: string) => objects.get(name),
+		create: async (_kind: string, name: string, value: unknown) => objects.has(name) ? undefined : write(name, value),
+		replace: async (_kind: string, name: string, value: unknown, known: {readonly revision: number}) =>
+			objects.get(name)?.revision === known.revision ? write(name, value) : undefined,
+	};
+}
+
+type Store = ReturnType<typeof createStore>;
+
+const openArchive = (store: Store, host: string) => createStreamArchive({
+	host, store: store as never, kind: 'streams', retentionMs: 60_000, countHosts: () => 1, random: () => 0, onVersions: () => undefined,
+});
+
+describe('begun streams are in the store', () => {
+	test.each([
+		['one write', [], [['a', 'b']]],
+		['two writes', [], [['a'], ['b']]],
+		['after a write that failed', ['fails'], [['a']]],
+		['after a write that was done and not answered', ['is done, not answered'], [['a']]],
+		['after writes that failed while others began', ['fails', 'is done, not answered', 'fails'], [['a'], ['b'], ['c']]],
+	] as const)('%s', async (_name, faults, batches) => {
+		const store = createStore([...faults]);
+		const writer = openArchive(store, 'host-1');
+		await writer.waitUntilRead(1000);
+		for (const ids of batches) {
+			for (const id of ids) {
+				writer.add(id, 'app', 'v1');
+			}
+
+			await sleep(pauseMs);
+		}
+
+		await sleep(pauseMs * faults.length);
+		writer.stop();
+		const reader = openArchive(store, 'host-2');
+		await reader.waitUntilRead(1000);
+		const ids = batches.flat();
+		expect(await Promise.all(ids.map(async id => reader.lookUp(id)))).toEqual(ids.map(() => 'v1'));
+		reader.stop();
+	});
+});
