A later, shorter Retry-After does not end the rest that an upstream asked for before

Cause: each 503 with Retry-After set the end of the rest anew. Change: the record keeps the latest end.

--- a/src/announcements/create-upstream-announcements.ts
+++ b/src/announcements/create-upstream-announcements.ts
@@ -32,7 +32,7 @@
 		brittle,
 		isLeaving: () => leaving.value() !== undefined,
 		rest(until, requestId, now) {
-			restsUntil = until;
+			restsUntil = Math.max(restsUntil, until);
 			log.info({
 				upstream: start.id, startedAt: start.startedAt, restMs: Math.round(until - now), requestId,
 			}, 'upstream asks this host for rest');
--- a/src/announcements/upstream-announcements.ts
+++ b/src/announcements/upstream-announcements.ts
@@ -17,7 +17,7 @@
 	readonly brittle: Pick<StatedNumber, 'value' | 'toReported'>;
 	/** Whether it has said, to this host or another one, that it leaves. */
 	readonly isLeaving: () => boolean;
-	/** Records that the upstream wants nothing from this host until then. */
+	/** Records that the upstream wants nothing from this host until then; what it asked for before holds too. */
 	readonly rest: (until: number, requestId: string | undefined, now: number) => void;
 	readonly restsForMs: (now: number) => number;
 	/** Closes the upstream to this host while what it states stays as it is. */
