Probes of links count against the limit that an upstream states

What was seen: test/announcements/limit-that-an-upstream-states.test.ts, "0.4 a second, stated in the head of a long stream": 8 requests of 7.2 allowed, in 2 of 9 runs beside other runs of the same file. Cause: an upstream that works on a stream is silent, so its link is probed about once a second since hosts watch their links; these probes were the only calls that took no permit and knew no pace. Change: a probe is charged as orders and reports are, and the next one waits for as long as the limit wants.

--- a/src/links/create-upstream-links.ts
+++ b/src/links/create-upstream-links.ts
@@ -40,6 +40,8 @@
 type UpstreamLinksOptions = {
 	/** Sends a request that needs no work to an upstream; returns whether any response arrives. Never throws. */
 	readonly ping: (upstream: Upstream, timeoutMs: number) => Promise<boolean>;
+	/** Counts a probe against the limit that an upstream states; returns the least time to the next one, in milliseconds. */
+	readonly chargeProbe: (upstream: Upstream) => number;
 	/** Monotonic clock in milliseconds. */
 	readonly now: () => number;
 	readonly random: () => number;
@@ -50,7 +52,7 @@
 still reach it. A link counts as lost if no connection can be opened, or if its upstream is silent and does not respond to a probe either; if
 several are lost and no upstream is heard, all are. Lost links are probed, a few a second, and no caller's request is sent there meanwhile.
 */
-export function createUpstreamLinks({ping, now, random}: UpstreamLinksOptions): UpstreamLinks {
+export function createUpstreamLinks({ping, chargeProbe, now, random}: UpstreamLinksOptions): UpstreamLinks {
 	const links = new Map<string, Link>();
 	const reachability = createDomainReachability();
 	let lastContactAt = now();
@@ -101,7 +103,7 @@
 		const {id, domain, service} = link.upstream;
 		reachability.recordConnectFailure(domain, id, now());
 		reachability.recordConnectFailure(allDomains, id, now());
-		link.nextProbeAt = now() + (upstreamProbeIntervalMs * (0.5 + random()));
+		link.nextProbeAt = Math.max(link.nextProbeAt, now() + (upstreamProbeIntervalMs * (0.5 + random())));
 		if (link.loss !== loss) {
 			link.lostAt = link.loss === undefined ? now() : link.lostAt;
 			link.loss = loss;
@@ -122,7 +124,7 @@
 
 	const runProbe = async (link: Link): Promise<boolean> => {
 		const startedAt = now();
-		link.nextProbeAt = startedAt + (upstreamProbeIntervalMs * (0.5 + random()));
+		link.nextProbeAt = startedAt + Math.max(chargeProbe(link.upstream), upstreamProbeIntervalMs * (0.5 + random()));
 		const isUp = await ping(link.upstream, probeTimeoutMs);
 		if (links.get(link.upstream.id) !== link) {
 			return isUp;
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -145,6 +145,7 @@
 
 	const links = createUpstreamLinks({
 		ping: async ({address, service}, timeoutMs) => engineClient.ping(address, storedState.findService(service)?.healthPath ?? '/', timeoutMs),
+		chargeProbe: ({id}) => permits.charge(id),
 		now,
 		random,
 	});
--- a/test/links/upstream-links.test.ts
+++ b/test/links/upstream-links.test.ts
@@ -1,4 +1,6 @@
-import {describe, expect, test} from 'vitest';
+import {
+	afterEach, beforeEach, describe, expect, test, vi,
+} from 'vitest';
 import {createUpstreamLinks} from '../../src/links/create-upstream-links.js';
 import {type Upstream} from '../../src/forwarding/upstream.js';
 
@@ -14,7 +16,9 @@
 	] as const)('%s', (_name, loss, sinceContactMs, expected) => {
 		let time = 0;
 		let silent = 0;
-		const links = createUpstreamLinks({ping: async () => true, now: () => time, random: () => 0});
+		const links = createUpstreamLinks({
+			ping: async () => true, chargeProbe: () => 0, now: () => time, random: () => 0,
+		});
 		links.add(createUpstream('i-0'), () => {
 			silent++;
 		});
@@ -29,3 +33,47 @@
 		expect(links.isReachable('i-0', true)).toBe(expected === 0);
 	});
 });
+
+describe('an upstream that is silent while it works on a stream', () => {
+	const stepMs = 100;
+	const streamMs = 12_000;
+
+	beforeEach(() => {
+		vi.useFakeTimers();
+	});
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
+	test.each([
+		['states no limit', 0, 5, 12],
+		['takes 0.4 requests a second', 2500, 3, 5],
+		['takes one request in five seconds', 5000, 2, 3],
+	])('is probed no more often than it takes requests: it %s', async (_name, pauseMs, least, most) => {
+		let time = 0;
+		let probes = 0;
+		let charged = 0;
+		const links = createUpstreamLinks({
+			async ping() {
+				probes++;
+				return true;
+			},
+			chargeProbe() {
+				charged++;
+				return pauseMs;
+			},
+			now: () => time,
+			random: () => 0.5,
+		});
+		links.add(createUpstream('i-0'), () => undefined);
+		links.use('i-0');
+		for (; time < streamMs; time += stepMs) {
+			await vi.advanceTimersByTimeAsync(stepMs);
+		}
+
+		links.stop();
+		expect(probes).toBeGreaterThanOrEqual(least);
+		expect(probes).toBeLessThanOrEqual(most);
+		expect(charged).toBe(probes);
+	});
+});
