Condemned parts of prompts are tried again by one request now and then

Cause: a refusal took away the evidence that would end it. Change: 15 s, 60 s and 240 s after the crashes one host, chosen by rendezvous hashing of parts and turn, sends one request with the parts. If it completes, the parts are cleared at all hosts; if not, one more upstream has crashed, three at the most in ten minutes. The cause is looked for once a send, not once for each upstream that is considered.

--- a/src/decide/poison/crash-cause-tracker.ts
+++ b/src/decide/poison/crash-cause-tracker.ts
@@ -18,8 +18,12 @@
 	readonly addCondemnedRequest: (digest: string, until: number) => void;
 	/** Adds parts that other hosts have condemned. */
 	readonly addCondemnedParts: (condemned: CondemnedParts) => void;
-	/** Returns why a request is not to be sent; `undefined` when it may be. */
-	readonly findCause: (request: CrashedRequest, now: number) => RefusalCause | undefined;
+	/**
+	Returns why a request is not to be sent; `undefined` when it may be, also once in a while to try condemned parts.
+
+	@param hasTurn - Returns whether it is this host's turn to try condemned parts, given the name of the turn.
+	*/
+	readonly findCause: (request: CrashedRequest, now: number, hasTurn: (turn: string) => boolean) => RefusalCause | undefined;
 	/** Returns what has been condemned since the last call, to be shared with hosts that start later. */
 	readonly takeNewlyCondemned: (now: number) => {readonly digests: readonly string[]; readonly parts: readonly CondemnedParts[]};
 	/** Returns whether there is nothing to compare a request with. */
--- a/src/decide/poison/create-crash-cause-tracker.ts
+++ b/src/decide/poison/create-crash-cause-tracker.ts
@@ -3,6 +3,7 @@
 import {type CrashCauseTracker} from './crash-cause-tracker.js';
 import {type CrashedRequest} from './crashed-request.js';
 import {createPartSuspicions} from './create-part-suspicions.js';
+import {createPartTrials} from './create-part-trials.js';
 import {type PartSuspicion} from './part-suspicion.js';
 import {poisonLimits} from './poison-limits.js';
 
@@ -47,6 +48,7 @@
 	const events = new Map<string, CrashEvent>();
 	const requests = new Map<string, RequestRecord>();
 	const suspicions = createPartSuspicions();
+	const trials = createPartTrials();
 	let condemnedParts: readonly CondemnedParts[] = [];
 	const unsettled = new Set<CrashEvent>();
 	let newDigests: string[] = [];
@@ -249,7 +251,7 @@
 				condemnParts(condemned);
 			}
 		},
-		findCause(request, now) {
+		findCause(request, now, hasTurn) {
 			settle(now);
 			const record = requests.get(request.digest);
 			if (record && isRefused(record, now)) {
@@ -259,7 +261,11 @@
 			}
 
 			const condemned = condemnedParts.find(known => known.until > now && coversParts(known, request));
-			return condemned && {
+			if (!condemned || trials.take(condemned, now, hasTurn)) {
+				return undefined;
+			}
+
+			return {
 				kind: 'parts', parts: condemned.parts, upstreams: condemned.upstreams, until: condemned.until,
 			};
 		},
--- a/src/forwarding/create-placement-finder.ts
+++ b/src/forwarding/create-placement-finder.ts
@@ -66,12 +66,6 @@
 			return {reason: 'time-over'};
 		}
 
-		const cause = crashes.findCause(admitted);
-		if (cause) {
-			progress.lastReason = refusalDetails[cause.kind];
-			return {reason: 'no-upstream', retryAfterMs: Math.min(condemnedRetryAfterMs, cause.until - now())};
-		}
-
 		const placement = place(admitted, progress);
 		if (!placement) {
 			return leaveUnplaced(admitted, progress);
@@ -108,8 +102,15 @@
 		return {placement, releaseRoom: room.release};
 	};
 
-	/** Sending a request again takes from the retry budget. */
+	/** Refuses requests that crash upstreams. Sending a request again takes from the retry budget. */
 	return async (admitted: AdmittedRequest, progress: ForwardingProgress): Promise<PlacementResult> => {
+		const isInTime = progress.endsAt - now() >= minTimeLeftMs;
+		const cause = isInTime ? crashes.findCause(admitted) : undefined;
+		if (cause) {
+			progress.lastReason = refusalDetails[cause.kind];
+			return {reason: 'no-upstream', retryAfterMs: Math.min(condemnedRetryAfterMs, cause.until - now())};
+		}
+
 		const result = await findPlacement(admitted, progress);
 		if ('reason' in result || progress.sends === 0 || progress.isRetryPaid) {
 			return result;
--- a/src/poison/create-poison-request-detector.ts
+++ b/src/poison/create-poison-request-detector.ts
@@ -26,6 +26,8 @@
 type PoisonRequestDetectorOptions = {
 	readonly checkUpstream: CrashChecker;
 	readonly now: () => number;
+	/** Returns whether it is this host's turn to try condemned parts, given the name of the turn. */
+	readonly hasTurn: (turn: string) => boolean;
 	/** Called when this host condemns a request; `isOwn`: after a crash that it has seen itself. */
 	readonly onCondemn: (digest: string, isOwn: boolean) => void;
 	/** Called when this host condemns parts of prompts; `until` is in Unix milliseconds. */
@@ -50,7 +52,7 @@
 
 /** Creates the detector. A crash counts only if a check finds that the upstream has ended; each start of an upstream counts once for a request. */
 export function createPoisonRequestDetector({
-	checkUpstream, now, onCondemn, onCondemnParts, isUnlisted, listUnlistedParts,
+	checkUpstream, now, hasTurn, onCondemn, onCondemnParts, isUnlisted, listUnlistedParts,
 }: PoisonRequestDetectorOptions): PoisonRequestDetector {
 	const tracker = createCrashCauseTracker();
 	const completedParts = createCompletedParts();
@@ -100,7 +102,7 @@
 		const isCounted = tracker.recordCrash({upstream, startedAt}, request, now());
 		log.warn({
 			digest, upstream, startedAt, parts: traits.parts, workspace: traits.workspace, isCounted,
-			condemned: tracker.findCause(request, now()) !== undefined, seenHere: isOwn,
+			condemned: tracker.findCause(request, now(), () => false) !== undefined, seenHere: isOwn,
 		}, 'request crashed an upstream');
 	};
 
@@ -143,7 +145,7 @@
 			}
 
 			const request = describe(admitted);
-			const cause = tracker.findCause(request, now());
+			const cause = tracker.findCause(request, now(), hasTurn);
 			if (cause) {
 				log.info({
 					requestId: admitted.request.id ?? '', digest: request.digest, cause: cause.kind, parts: cause.parts, upstreams: cause.upstreams,
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -4,6 +4,7 @@
 import {createRoomTask} from './announcements/create-room-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
+import {findOwner} from './decide/membership/find-owner.js';
 import {openRequestServers} from './forwarding/open-request-servers.js';
 import {parseAddress} from './http/parse-address.js';
 import {createUpstreamChecks} from './poison/create-upstream-checks.js';
@@ -184,6 +185,7 @@
 			engineClient, registry, askOthers: upstreamChecks.askOthers,
 		}),
 		now,
+		hasTurn: turn => findOwner([name, ...listOtherNames()], turn) === name,
 		onCondemn(digest, isOwn) {
 			condemnedRequestList.add(digest, isOwn ? 0 : condemnedByOtherDelayMs * (1 + random()));
 		},
