Brittle upstreams: a request for a slot that is overtaken does not cancel later grants of its host

Five requests were in flight at an upstream with four slots. Cause: each request for a slot names the grants that its host holds, so that lost returns are noticed. Where two requests of a host overtake each other, as they do when its event loop has stood still, the later grant was not in the list of the earlier one, and was forgotten. Change: grants are numbered; a request forgets only earlier ones.

--- a/src/announcements/create-room-task.ts
+++ b/src/announcements/create-room-task.ts
@@ -50,8 +50,9 @@
 	/** By upstream and start. */
 	const counters = new Map<string, ReturnType<typeof createRoomCounter>>();
 	/** Grants that this host holds or asks for, by upstream and counting host. */
-	const held = new Map<string, Set<string>>();
-	let granted = 0;
+	const held = new Map<string, Set<number>>();
+	/** Number of the next grant; those of an earlier run of this host are lower. */
+	let nextGrant = Date.now();
 
 	const findCounter = (key: string): ReturnType<typeof createRoomCounter> => {
 		const known = counters.get(key);
@@ -71,7 +72,7 @@
 	const issue = ({host, statement: {id, startedAt}, grant, held: heldByHost, ungranted, isEnd}: RoomRequest): PermitResult => {
 		const counter = findCounter(`${id}\n${startedAt}`);
 		if (isEnd) {
-			counter.release(grant, now());
+			counter.release(host, grant, now());
 			return {isGranted: true, retryAfterMs: 0};
 		}
 
@@ -111,8 +112,8 @@
 			const {host} = findIssuer(upstream);
 			const key = `${id}\n${upstream.startedAt}\n${host}`;
 			const statement = announcements!.brittle.toReported(now())!;
-			const grant = `${self.host}-${granted++}`;
-			const grants = held.get(key) ?? new Set<string>();
+			const grant = nextGrant++;
+			const grants = held.get(key) ?? new Set<number>();
 			const heldBefore = grants.size;
 			grants.add(grant);
 			held.set(key, grants);
--- a/src/decide/announcements/create-room-counter.ts
+++ b/src/decide/announcements/create-room-counter.ts
@@ -16,10 +16,10 @@
 /** What a host asks for. */
 type RoomRequest = {
 	readonly host: string;
-	/** Id of the grant. */
-	readonly grant: string;
-	/** Ids of all grants that the host holds; the end of others was not heard. */
-	readonly held: readonly string[];
+	/** Number of the grant at this host; later ones have higher numbers. */
+	readonly grant: number;
+	/** Numbers of all grants that the host holds; the end of others was not heard. */
+	readonly held: readonly number[];
 	/** Requests that the host has in flight at the upstream without a grant of this counter. */
 	readonly ungranted: number;
 	/** Requests that the upstream runs at once, as far as this counter may grant them. */
@@ -32,7 +32,7 @@
 type RoomCounter = {
 	/** Grants a request if a slot is free. */
 	readonly take: (request: RoomRequest, now: number) => PermitResult;
-	readonly release: (grant: string, now: number) => void;
+	readonly release: (host: string, grant: number, now: number) => void;
 	/** Forgets the grants of hosts that are gone. */
 	readonly forgetGone: (isGone: (host: string) => boolean) => void;
 };
@@ -42,14 +42,17 @@
 the same moment, if each went by reports of the others' loads.
 */
 export function createRoomCounter(random: () => number, startedAt: number): RoomCounter {
-	const grants = new Map<string, {readonly host: string; readonly at: number}>();
+	/** By host and number. */
+	const grants = new Map<string, {readonly host: string; readonly grant: number; readonly at: number}>();
 	const ungranted = new Map<string, {readonly count: number; readonly at: number}>();
 	let holdMs = initialHoldMs;
 
+	const toKey = (host: string, grant: number): string => `${host}\n${grant}`;
+
 	const countUsed = (now: number): number => {
-		for (const [grant, {at}] of grants) {
+		for (const [key, {at}] of grants) {
 			if (now - at > maxHoldMs) {
-				grants.delete(grant);
+				grants.delete(key);
 			}
 		}
 
@@ -57,10 +60,10 @@
 		return grants.size + others.reduce((sum, {count}) => sum + count, 0);
 	};
 
-	const forget = (isForgotten: (host: string, grant: string) => boolean): void => {
-		for (const [grant, {host}] of grants) {
+	const forget = (isForgotten: (host: string, grant: number) => boolean): void => {
+		for (const [key, {host, grant}] of grants) {
 			if (isForgotten(host, grant)) {
-				grants.delete(grant);
+				grants.delete(key);
 			}
 		}
 	};
@@ -68,21 +71,23 @@
 	return {
 		forgetGone: forget,
 		take({host, grant, held, ungranted: count, slots, reported}, now) {
-			forget((ofHost, id) => ofHost === host && !held.includes(id));
+			// Requests overtake each other: what the host took after it sent this one is not in the list.
+			forget((ofHost, known) => ofHost === host && known < grant && !held.includes(known));
 			ungranted.set(host, {count, at: now});
 			const isLearning = now - startedAt < learningMs;
 			if (!isLearning && Math.max(countUsed(now), now - startedAt < reportedCountsMs ? reported : 0) < slots) {
-				grants.set(grant, {host, at: now});
+				grants.set(toKey(host, grant), {host, grant, at: now});
 				return {isGranted: true, retryAfterMs: 0};
 			}
 
 			const dueMs = isLearning ? startedAt + learningMs - now : holdMs / Math.max(1, slots);
 			return {isGranted: false, retryAfterMs: Math.ceil(minRetryAfterMs + (dueMs * (0.5 + random())))};
 		},
-		release(grant, now) {
-			const known = grants.get(grant);
+		release(host, grant, now) {
+			const key = toKey(host, grant);
+			const known = grants.get(key);
 			if (known) {
-				grants.delete(grant);
+				grants.delete(key);
 				holdMs += holdWeight * (now - known.at - holdMs);
 			}
 		},
