--- a/src/decide/poison/poison-limits.ts
+++ b/src/decide/poison/poison-limits.ts
@@ -11,7 +11,7 @@
 	crashesToConfirmRequest: 3,
 	crashesToCondemnParts: 3,
 	/** Times after the last crash at which one request with condemned parts is sent all the same. */
-	trialDelaysMs: [15_000, 60_000, 240_000],
+	trialDelaysMs: [15_000, 30_000, 240_000],
 	/** Least time between two crashes that count for a part; crashes together have a cause of their own. */
 	separationMs: 250,
 	maxEvents: 256,
--- a/src/poison/create-poison-request-detector.ts
+++ b/src/poison/create-poison-request-detector.ts
@@ -145,7 +145,14 @@
 			}
 
 			const request = describe(admitted);
-			const cause = tracker.findCause(request, now(), hasTurn);
+			const cause = tracker.findCause(request, now(), turn => {
+				const isOwn = hasTurn(turn);
+				if (isOwn) {
+					log.info({requestId: admitted.request.id ?? '', digest: request.digest, parts: request.parts}, 'request is sent to try condemned parts');
+				}
+
+				return isOwn;
+			});
 			if (cause) {
 				log.info({
 					requestId: admitted.request.id ?? '', digest: request.digest, cause: cause.kind, parts: cause.parts, upstreams: cause.upstreams,
