--- a/src/announcements/create-permit-task.ts
+++ b/src/announcements/create-permit-task.ts
@@ -95,7 +95,7 @@
 
 			const {isGranted, retryAfterMs} = await ask(upstream, {host: self.host, limit: announcements!.limit.toReported(now())!, isCharge: false});
 			if (!isGranted) {
-				announcements!.closeUntil(now() + retryAfterMs);
+				announcements!.closeUntil('limit', now() + retryAfterMs);
 				log.info({
 					requestId, upstream: id, requestsPerS, retryAfterMs,
 				}, 'upstream is at its limit');
--- a/src/announcements/create-room-task.ts
+++ b/src/announcements/create-room-task.ts
@@ -129,6 +129,7 @@
 			});
 			const release = (): void => {
 				giveBack();
+				announcements!.reopen('brittle');
 				void ask(host, {
 					host: self.host, statement, grant, held: [], ungranted: 0, isEnd: true,
 				});
@@ -136,7 +137,7 @@
 
 			if (!isGranted) {
 				giveBack();
-				announcements!.closeUntil(now() + retryAfterMs);
+				announcements!.closeUntil('brittle', now() + retryAfterMs);
 				log.info({
 					requestId, upstream: id, turnedAwayPerS, retryAfterMs, issuer: host,
 				}, 'brittle upstream has no free slot');
--- a/src/announcements/create-stated-number.ts
+++ b/src/announcements/create-stated-number.ts
@@ -1,12 +1,11 @@
 import {mergeStatedLimits} from '../decide/announcements/merge-stated-limits.js';
 import {toValidLimit} from '../decide/announcements/to-valid-limit.js';
 import {log} from '../observe/log.js';
+import {reportErrorMs} from './report-error-ms.js';
 import {type StatedLimit} from './stated-limit.js';
 import {type StatedNumber} from './stated-number.js';
 import {type StatementKind} from './statement-kind.js';
 
-/** Error of the times that another host reports: its report travels, and a collector may hold it. */
-const reportErrorMs = 1000;
 /** A change is in every report for this long; then it is repeated, and for `endRepeatMs` where it is the end of a limit. */
 const newsMs = 2000;
 const repeatIntervalMs = 1000;
@@ -107,5 +106,8 @@
 		recordReport(now) {
 			reportedAt = now;
 		},
+		repeat() {
+			reportedAt = Number.NEGATIVE_INFINITY;
+		},
 	};
 }
--- a/src/announcements/stated-number.ts
+++ b/src/announcements/stated-number.ts
@@ -16,4 +16,6 @@
 	readonly toReported: (now: number) => ReportedLimit | undefined;
 	/** Records that a report states it. */
 	readonly recordReport: (now: number) => void;
+	/** Lets the next report state it again, for a host that has not heard it. */
+	readonly repeat: () => void;
 };
--- a/src/forwarding/create-upstream-registry.ts
+++ b/src/forwarding/create-upstream-registry.ts
@@ -122,6 +122,18 @@
 		}, 'upstream left');
 	};
 
+	/** Upstreams of a service become brittle together; a new start has said nothing yet. */
+	const createAnnouncements = (upstream: Upstream): UpstreamAnnouncements => {
+		const announcements = createUpstreamAnnouncements(upstream);
+		const stated = [...entries.values()].filter(entry => entry.upstream.service === upstream.service).map(entry => entry.announcements.brittle.value());
+		const turnedAwayPerS = stated.find(value => value !== undefined);
+		if (turnedAwayPerS !== undefined) {
+			announcements.assumeBrittle(turnedAwayPerS, now());
+		}
+
+		return announcements;
+	};
+
 	const add = (upstream: Upstream): void => {
 		const connections = maxConnectionsFor(upstream.service);
 		const silenceListeners = new Set<() => void>();
@@ -144,7 +156,7 @@
 			lastAnswerAt: now(),
 			avoidUntil: 0,
 			failureShare: 0,
-			announcements: createUpstreamAnnouncements(upstream),
+			announcements: createAnnouncements(upstream),
 			isGone: false,
 		});
 		log.info({
@@ -372,6 +384,11 @@
 			}
 		},
 		announcements: id => entries.get(id)?.announcements,
+		repeatStatements() {
+			for (const each of [...entries.values()].flatMap(entry => entry.announcements.statements)) {
+				each.repeat();
+			}
+		},
 		takeDueLimits: at => takeDueLimits([...entries.values()].flatMap(entry => entry.announcements.statements), at),
 		recordReportedLimits(source, limits, at) {
 			for (const limit of limits) {
--- a/src/reports/create-host-registry.ts
+++ b/src/reports/create-host-registry.ts
@@ -31,11 +31,13 @@
 	readonly kind: string;
 	/** Returns the newest epoch of the store. */
 	readonly getEpoch: () => number;
+	/** Called when a host is heard for the first time, or again. */
+	readonly onHeard: () => void;
 	readonly now: () => number;
 };
 
 /** Registers this host in the object store, lists the other hosts from there, and tracks which of them report. */
-export function createHostRegistry({self, store, kind, getEpoch, now}: HostRegistryOptions): HostRegistry {
+export function createHostRegistry({self, store, kind, getEpoch, onHeard, now}: HostRegistryOptions): HostRegistry {
 	const known = new Map<string, KnownHost>();
 	let hasStopped = false;
 	let aliveHosts: readonly KnownHost[] = [];
@@ -101,6 +103,7 @@
 
 			if (!previous || !isAlive(previous)) {
 				log.info({peer: host, address: peers}, 'peer heard');
+				onHeard();
 			}
 
 			known.set(host, {
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -31,6 +31,8 @@
 	readonly kind: string;
 	/** Returns the newest epoch of the store. */
 	readonly getEpoch: () => number;
+	/** Called when a host is heard for the first time, or again. */
+	readonly onHeard: () => void;
 	readonly now: () => number;
 	readonly makeReport: ReportFactory;
 	/** Called with the status that another host reported. */
@@ -44,10 +46,10 @@
 
 /** Registers this host in the object store, lists the other hosts from there, and exchanges reports with them. */
 export function createHostReportExchange({
-	self, store, kind, getEpoch, now, makeReport, onStatus, onLoads, onKvStoreUpdate, onStreams,
+	self, store, kind, getEpoch, onHeard, now, makeReport, onStatus, onLoads, onKvStoreUpdate, onStreams,
 }: HostReportExchangeOptions): HostReportExchange {
 	const registry = createHostRegistry({
-		self, store, kind, getEpoch, now,
+		self, store, kind, getEpoch, onHeard, now,
 	});
 	const countHosts = (): number => registry.countKnown() + 1;
 
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -107,6 +107,9 @@
 		store,
 		kind: kinds.hosts,
 		getEpoch: epochs.current,
+		onHeard() {
+			registry.repeatStatements();
+		},
 		now,
 		makeReport() {
 			const loading = rolloutTask.loading();
--- a/test/announcements/upstream-announcements.test.ts
+++ b/test/announcements/upstream-announcements.test.ts
@@ -35,6 +35,30 @@
 			expect(announcements.closedForMs(now)).toBe(expected);
 		}), {seed: 32, numRuns: 300});
 	});
+
+	test.each([
+		['for rest', 0, 0, 3000],
+		['for rest, and is at its limit for longer', 5000, 0, 5000],
+		['for rest, and has no free slot for longer', 0, 5000, 5000],
+		['for rest, and is at its limit for less', 1000, 0, 3000],
+	])('is closed for the longest of all reasons: %s', (_name, limitMs, brittleMs, expected) => {
+		const announcements = createUpstreamAnnouncements({id: 'i-0', startedAt: 1});
+		const stated = {requestsPerS: 2, turnedAwayPerS: 1, isLeaving: false};
+		announcements.record(stated, {askedAt: 0, requestId: 'r', isSigned: true}, 0);
+		announcements.closeUntil('limit', limitMs);
+		announcements.closeUntil('brittle', brittleMs);
+		announcements.rest(3000, 'r', 0);
+		expect(announcements.closedForMs(0)).toBe(expected);
+	});
+
+	test('rests on when a slot of it becomes free or its statements change', () => {
+		const announcements = createUpstreamAnnouncements({id: 'i-0', startedAt: 1});
+		announcements.rest(3000, 'r', 0);
+		announcements.reopen('brittle');
+		announcements.record({requestsPerS: 2, turnedAwayPerS: 1, isLeaving: false}, {askedAt: 0, requestId: 'r', isSigned: true}, 0);
+		announcements.record({requestsPerS: undefined, turnedAwayPerS: undefined, isLeaving: false}, {askedAt: 10, requestId: 'r', isSigned: true}, 20);
+		expect(announcements.closedForMs(1000)).toBe(2000);
+	});
 });
 
 describe('an upstream that says that it leaves', () => {
@@ -62,3 +86,19 @@
 		}), {seed: 32, numRuns: 300});
 	});
 });
+
+describe('a new start of an upstream whose service is brittle', () => {
+	test.each([
+		['until it has answered', undefined, 1],
+		['no longer once it answers and states nothing', {turnedAwayPerS: undefined}, undefined],
+		['as it states itself', {turnedAwayPerS: 16}, 16],
+	] as const)('is taken to be brittle %s', (_name, answer, expected) => {
+		const announcements = createUpstreamAnnouncements({id: 'i-0', startedAt: 2});
+		announcements.assumeBrittle(1, 10_000);
+		if (answer) {
+			announcements.record({requestsPerS: undefined, isLeaving: false, ...answer}, {askedAt: 10_001, requestId: 'r', isSigned: true}, 10_020);
+		}
+
+		expect(announcements.brittle.value()).toBe(expected);
+	});
+});
--- a/test/forwarding/upstream-registry.test.ts
+++ b/test/forwarding/upstream-registry.test.ts
@@ -11,7 +11,9 @@
 /** Creates a registry that counts what is sent. */
 function createRegistry() {
 	let sent = 0;
-	const links = createUpstreamLinks({ping: async () => true, chargeProbe: () => 0, now: () => 0, random: () => 0});
+	const links = createUpstreamLinks({
+		ping: async () => true, chargeProbe: () => 0, now: () => 0, random: () => 0,
+	});
 	links.stop();
 	const registry = createUpstreamRegistry({
 		now: () => 0,
