--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -21,7 +21,7 @@
 import {recordSend} from './record-send.js';
 import {releaseRoom} from './release-room.js';
 import {type SendOutcome} from './send-outcome.js';
-import {type UpstreamRegistry} from './upstream-registry.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 
 /** Ejection time of an upstream that rejected a request without running it. */
--- a/src/forwarding/create-kv-reuse-planner.ts
+++ b/src/forwarding/create-kv-reuse-planner.ts
@@ -10,7 +10,7 @@
 import {type KvStoreTracker} from './kv-store-tracker.js';
 import {type DesiredWeights} from './desired-weights.js';
 import {type Service} from './service.js';
-import {type UpstreamRegistry} from './upstream-registry.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type Upstream} from './upstream.js';
 import {type Workspace} from './workspace.js';
 import {type KvReusePlanner} from './kv-reuse-planner.js';
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -16,7 +16,7 @@
 import {type Placement} from './placement.js';
 import {type Prompt} from './prompt.js';
 import {type Service} from './service.js';
-import {type UpstreamRegistry} from './upstream-registry.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type Upstream} from './upstream.js';
 
 const highestPriority = 0;
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -6,7 +6,7 @@
 import {type EngineReport} from './engine-report.js';
 import {type DesiredWeights} from './desired-weights.js';
 import {type RolloutLease} from './rollout-lease.js';
-import {type UpstreamRegistry} from './upstream-registry.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 
 /** Interval of the task while there are engines to update. */
 const activeStepMs = 120;
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -9,7 +9,7 @@
 import {sendOnce} from './send-once.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 import {type SendOutcome} from './send-outcome.js';
-import {type UpstreamRegistry} from './upstream-registry.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 
 /** Share of the remaining time after which an idempotent request without a response is sent to another upstream. */
 const firstAttemptShare = 0.45;
--- a/src/forwarding/placement-finder-options.ts
+++ b/src/forwarding/placement-finder-options.ts
@@ -6,7 +6,7 @@
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type Placement} from './placement.js';
 import {type Route} from './route.js';
-import {type UpstreamRegistry} from './upstream-registry.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 
 /** Dependencies of the placement finder. */
 export type PlacementFinderOptions = {
--- a/src/poison/create-crash-checker.ts
+++ b/src/poison/create-crash-checker.ts
@@ -1,7 +1,7 @@
 import {sleep} from '../util/sleep.js';
 import {type EngineClient} from '../forwarding/engine-client.js';
 import {type Upstream} from '../forwarding/upstream.js';
-import {type UpstreamRegistry} from '../forwarding/upstream-registry.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type CrashChecker} from './crash-checker.js';
 import {type UpstreamChecks} from './upstream-checks.js';
 import {type CrashCheckResult} from './crash-check-result.js';
--- a/src/poison/create-upstream-checks.ts
+++ b/src/poison/create-upstream-checks.ts
@@ -1,6 +1,6 @@
 import {type EngineClient} from '../forwarding/engine-client.js';
 import {type Upstream} from '../forwarding/upstream.js';
-import {type UpstreamRegistry} from '../forwarding/upstream-registry.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type UpstreamLinks} from '../links/upstream-links.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
--- /dev/null
+++ b/src/registry/create-upstream-registry.ts
@@ -0,0 +1,228 @@
+import {createUpstreamAnnouncements} from '../announcements/create-upstream-announcements.js';
+import {takeDueLimits} from '../announcements/take-due-limits.js';
+import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
+import {createLoadTotals} from '../decide/forwarding/create-load-totals.js';
+import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
+import {type UpstreamConnectionPool} from '../forwarding/upstream-connection-pool.js';
+import {type Upstream} from '../forwarding/upstream.js';
+import {type UpstreamLinks} from '../links/upstream-links.js';
+import {log} from '../observe/log.js';
+import {type UpstreamLoad} from '../reports/upstream-load.js';
+import {createHeadLatencies} from './create-head-latencies.js';
+import {createUpstreamSender} from './create-upstream-sender.js';
+import {recordAnnouncement} from './record-announcement.js';
+import {toUpstreamView} from './to-upstream-view.js';
+import {type UpstreamEntry} from './upstream-entry.js';
+import {type UpstreamRegistry} from './upstream-registry.js';
+
+/** Merges weight versions: the registration may lag behind the versions learned from the upstream itself, and versions never decrease. */
+function mergeWeights(existing: ReadonlyMap<string, number>, registered: ReadonlyMap<string, number>): ReadonlyMap<string, number> {
+	return new Map([...registered].map(([model, version]) => [model, Math.max(version, existing.get(model) ?? 0)]));
+}
+
+/** Dependencies of the upstream registry. */
+type UpstreamRegistryOptions = {
+	readonly now: () => number;
+	/** Creates the connection pool of an upstream. */
+	readonly link: (upstream: Upstream) => UpstreamConnectionPool;
+	/** Returns the number of connections that this host may open to each upstream of a service. */
+	readonly maxConnectionsFor: (service: string) => number;
+	/** Tells which upstreams can be reached. */
+	readonly links: UpstreamLinks;
+};
+
+/** Creates the registry of upstreams, with their connections and loads. */
+export function createUpstreamRegistry({now, link, maxConnectionsFor, links}: UpstreamRegistryOptions): UpstreamRegistry {
+	const entries = new Map<string, UpstreamEntry>();
+	const headLatencies = createHeadLatencies();
+	const remoteLoads = createLoadTotals();
+
+	const closeWhenIdle = (entry: UpstreamEntry): void => {
+		if (entry.isGone && entry.inFlight === 0) {
+			entry.link.close();
+		}
+	};
+
+	const remove = (id: string, entry: UpstreamEntry, reason: string): void => {
+		entries.delete(id);
+		links.remove(id);
+		entry.isGone = true;
+		closeWhenIdle(entry);
+		log.info({
+			upstream: id, service: entry.upstream.service, inFlight: entry.inFlight, reason,
+		}, 'upstream left');
+	};
+
+	/** Upstreams of a service become brittle together; a new start has said nothing yet. */
+	const createAnnouncements = (upstream: Upstream): UpstreamAnnouncements => {
+		const announcements = createUpstreamAnnouncements(upstream);
+		const stated = [...entries.values()].filter(entry => entry.upstream.service === upstream.service).map(entry => entry.announcements.brittle.value());
+		const turnedAwayPerS = stated.find(value => value !== undefined);
+		if (turnedAwayPerS !== undefined) {
+			announcements.assumeBrittle(turnedAwayPerS, now());
+		}
+
+		return announcements;
+	};
+
+	const add = (upstream: Upstream): void => {
+		const connections = maxConnectionsFor(upstream.service);
+		const silenceListeners = new Set<() => void>();
+		const pool = link(upstream);
+		links.add(upstream, () => {
+			pool.closeIdle();
+			for (const listener of silenceListeners) {
+				listener();
+			}
+		});
+		entries.set(upstream.id, {
+			upstream,
+			link: pool,
+			silenceListeners,
+			connections,
+			inFlight: 0,
+			waitingTokens: new Map(),
+			heldTokens: 0,
+			waiting: new Set(),
+			lastAnswerAt: now(),
+			avoidUntil: 0,
+			failureShare: 0,
+			announcements: createAnnouncements(upstream),
+			isGone: false,
+		});
+		log.info({
+			upstream: upstream.id, service: upstream.service, address: upstream.address, domain: upstream.domain,
+		}, 'upstream joined');
+	};
+
+	const update = (upstream: Upstream): void => {
+		const known = entries.get(upstream.id);
+		if (known && (known.upstream.address !== upstream.address || known.upstream.startedAt !== upstream.startedAt)) {
+			remove(upstream.id, known, 'started again');
+			add(upstream);
+			return;
+		}
+
+		if (!known) {
+			add(upstream);
+			return;
+		}
+
+		if (upstream.isLeaving && !known.upstream.isLeaving) {
+			log.info({upstream: upstream.id, service: upstream.service, inFlight: known.inFlight}, 'upstream is leaving');
+		}
+
+		// A start that leaves does not come back; an older copy of the store may not know that it leaves.
+		const isLeaving = upstream.isLeaving || (known.upstream.isLeaving && upstream.startedAt !== undefined);
+		known.upstream = {...upstream, isLeaving, weights: mergeWeights(known.upstream.weights, upstream.weights)};
+	};
+
+	const toLoad = ({upstream, inFlight, waitingTokens, heldTokens}: UpstreamEntry): UpstreamLoad => ({
+		id: upstream.id, inFlight, heldTokens, waitingTokens: [...waitingTokens],
+	});
+
+	const isReachable = ({upstream, link: pool}: UpstreamEntry): boolean => links.isReachable(upstream.id, pool.hasIdle());
+
+	const isLeaving = ({upstream, announcements}: UpstreamEntry): boolean => upstream.isLeaving || announcements.isLeaving();
+
+	const isUsable = (entry: UpstreamEntry, service: string, softwareVersion = entry.upstream.softwareVersion): boolean =>
+		entry.upstream.service === service && !isLeaving(entry) && softwareVersion === entry.upstream.softwareVersion;
+
+	const findByAddress = (address: string): UpstreamEntry | undefined => [...entries.values()].find(({upstream}) => upstream.address === address);
+
+	const toView = (entry: UpstreamEntry, at: number, priority: number): UpstreamView => toUpstreamView(entry, at, {
+		others: remoteLoads.of(entry.upstream.id, at), isReachable: isReachable(entry), meanHeadLatencyMs: headLatencies.mean(entry.upstream.service), priority,
+	});
+
+	return {
+		updateUpstreams(upstreams) {
+			const listed = new Map(upstreams.map(upstream => [upstream.id, upstream]));
+			for (const [id, entry] of entries) {
+				if (!listed.has(id)) {
+					remove(id, entry, 'no longer registered');
+				}
+			}
+
+			for (const upstream of listed.values()) {
+				update(upstream);
+			}
+		},
+		listAvailable: (service, at, priority) => [...entries.values()]
+			.filter(entry => entry.upstream.service === service && !isLeaving(entry))
+			.map(entry => toView(entry, at, priority)),
+		closedForMs(service, at, softwareVersion) {
+			const closed = [...entries.values()]
+				.filter(entry => isUsable(entry, service, softwareVersion))
+				.map(entry => entry.announcements.closedForMs(at))
+				.filter(closedForMs => closedForMs > 0);
+			return closed.length > 0 ? Math.min(...closed) : undefined;
+		},
+		send: createUpstreamSender({
+			entries, links, headLatencies, closeWhenIdle, now,
+		}),
+		ejectUntil(id, untilMs) {
+			const entry = entries.get(id);
+			if (entry) {
+				entry.avoidUntil = Math.max(entry.avoidUntil, untilMs);
+			}
+		},
+		onSilence(id, listener) {
+			const listeners = entries.get(id)?.silenceListeners;
+			listeners?.add(listener);
+			return () => {
+				listeners?.delete(listener);
+			};
+		},
+		getReach(service, softwareVersion) {
+			const usable = [...entries.values()].filter(entry => isUsable(entry, service, softwareVersion));
+			return {upstreams: usable.length, reachable: usable.filter(entry => isReachable(entry)).length};
+		},
+		listLostServices() {
+			const services = new Map<string, boolean>();
+			for (const entry of entries.values()) {
+				const {service} = entry.upstream;
+				services.set(service, (services.get(service) ?? false) || isReachable(entry));
+			}
+
+			return [...services].filter(([, hasReachable]) => !hasReachable).map(([service]) => service);
+		},
+		recordWeights(id, model, version) {
+			const entry = entries.get(id);
+			if (entry && (entry.upstream.weights.get(model) ?? 0) < version) {
+				entry.upstream = {...entry.upstream, weights: new Map([...entry.upstream.weights, [model, version]])};
+			}
+		},
+		announcements: id => entries.get(id)?.announcements,
+		repeatStatements() {
+			for (const each of [...entries.values()].flatMap(entry => entry.announcements.statements)) {
+				each.repeat();
+			}
+		},
+		takeDueLimits: at => takeDueLimits([...entries.values()].flatMap(entry => entry.announcements.statements), at),
+		recordReportedLimits(source, limits, at) {
+			for (const limit of limits) {
+				const entry = entries.get(limit.id);
+				if (entry && entry.upstream.startedAt === limit.startedAt) {
+					entry.announcements.recordReported(limit, source, at);
+				}
+			}
+		},
+		ownInFlight: id => entries.get(id)?.inFlight ?? 0,
+		inFlight: id => (entries.get(id)?.inFlight ?? 0) + (remoteLoads.of(id, now())?.inFlight ?? 0),
+		recordControlResponse(address, head, askedAt) {
+			const entry = findByAddress(address);
+			if (entry) {
+				recordAnnouncement(entry, head, askedAt, now());
+			}
+		},
+		restsForMs: address => findByAddress(address)?.announcements.restsForMs(now()) ?? 0,
+		get: id => entries.get(id)?.upstream,
+		listAll: () => [...entries.values()].map(entry => entry.upstream),
+		loads: () => [...entries.values()]
+			.filter(entry => entry.inFlight > 0)
+			.map(entry => toLoad(entry)),
+		recordRemoteLoads(source, loads, at) {
+			remoteLoads.replaceLoads(source, loads, at);
+		},
+	};
+}
--- /dev/null
+++ b/src/registry/create-upstream-sender.ts
@@ -0,0 +1,113 @@
+import {type InFlightRequest} from '../forwarding/in-flight-request.js';
+import {type PlacedUpstream} from '../forwarding/placed-upstream.js';
+import {type RequestCost} from '../forwarding/request-cost.js';
+import {type ResponseListener} from '../forwarding/response-listener.js';
+import {type UpstreamRequest} from '../forwarding/upstream-request.js';
+import {type LinkLoss} from '../links/link-loss.js';
+import {type UpstreamLinks} from '../links/upstream-links.js';
+import {addTokens} from './add-tokens.js';
+import {type createHeadLatencies} from './create-head-latencies.js';
+import {recordAnnouncement} from './record-announcement.js';
+import {type UpstreamEntry} from './upstream-entry.js';
+
+/** Weight of the newest outcome in the moving average of failures. */
+const newestOutcomeWeight = 0.1;
+const firstFailureStatus = 500;
+
+/** Errors of connections that nothing responded to; after any other one, the address refused the connection. */
+const silentConnectErrors: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
+
+/** Dependencies of the sender. */
+type UpstreamSenderOptions = {
+	readonly entries: ReadonlyMap<string, UpstreamEntry>;
+	readonly links: Pick<UpstreamLinks, 'use' | 'recordConnectFailure' | 'recordBroken'>;
+	readonly headLatencies: ReturnType<typeof createHeadLatencies>;
+	/** Closes the connections of an upstream that has left, unless a request is in flight there. */
+	readonly closeWhenIdle: (entry: UpstreamEntry) => void;
+	readonly now: () => number;
+};
+
+function describeLoss(error: Error & {code?: string}): LinkLoss {
+	return silentConnectErrors.has(error.code ?? '') ? 'silent' : 'refused';
+}
+
+/** Other ends of a connection, and bytes that are no response, have come over the link. */
+function isReset({code}: Error & {code?: string}): boolean {
+	return code === 'ECONNRESET' || code === 'EPIPE';
+}
+
+/** Creates the function that sends a request to the upstream it was placed at, and counts it as in flight until it ends. */
+export function createUpstreamSender({entries, links, headLatencies, closeWhenIdle, now}: UpstreamSenderOptions) {
+	return ({id, startedAt}: PlacedUpstream, request: UpstreamRequest, {waitingTokens, heldTokens, priority}: RequestCost, listener: ResponseListener): InFlightRequest => {
+		const entry = entries.get(id);
+		if (!entry || entry.upstream.startedAt !== startedAt) {
+			queueMicrotask(() => {
+				listener.onFail(new Error('the upstream has left'), false);
+			});
+			return {abort: () => undefined, resume: () => undefined};
+		}
+
+		const waitStart = {since: now()};
+		const use = links.use(id);
+		let hasHead = false;
+		let hasFailed = false;
+		let isAborted = false;
+		entry.inFlight++;
+		addTokens(entry.waitingTokens, priority, waitingTokens);
+		entry.heldTokens += heldTokens;
+		entry.waiting.add(waitStart);
+		const recordAnswered = (): void => {
+			if (entry.waiting.delete(waitStart)) {
+				addTokens(entry.waitingTokens, priority, -waitingTokens);
+			}
+		};
+
+		const recordEnded = (failed: boolean): void => {
+			recordAnswered();
+			use.end();
+			entry.inFlight--;
+			entry.heldTokens -= heldTokens;
+			entry.failureShare += newestOutcomeWeight * ((failed ? 1 : 0) - entry.failureShare);
+			closeWhenIdle(entry);
+		};
+
+		const running = entry.link.send(request, {
+			onHead(head) {
+				hasFailed = head.status >= firstFailureStatus && !head.isNotRun;
+				recordAnswered();
+				hasHead = true;
+				entry.lastAnswerAt = now();
+				use.recordContact();
+				recordAnnouncement(entry, head, waitStart.since, now());
+				headLatencies.record(entry.upstream.service, now() - waitStart.since);
+				listener.onHead(head);
+			},
+			onData(chunk) {
+				use.recordContact();
+				return listener.onData(chunk);
+			},
+			onEnd() {
+				const isComplete = listener.onEnd();
+				recordEnded(hasFailed || !isComplete);
+				return isComplete;
+			},
+			onFail(error, wasSent) {
+				recordEnded(!isAborted);
+				if (!isAborted && !wasSent) {
+					links.recordConnectFailure(id, describeLoss(error));
+				} else if (!isAborted && !hasHead && isReset(error)) {
+					links.recordBroken(id);
+				}
+
+				listener.onFail(error, wasSent);
+			},
+		});
+		return {
+			abort(reason, isFault) {
+				isAborted = !isFault;
+				running.abort(reason, isFault);
+			},
+			resume: running.resume,
+		};
+	};
+}
--- /dev/null
+++ b/src/registry/to-upstream-view.ts
@@ -0,0 +1,50 @@
+import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
+import {isUnresponsive} from './is-unresponsive.js';
+import {type UpstreamEntry} from './upstream-entry.js';
+
+/** Share of lower-priority prompt tokens that still run ahead of a request, since engines don't interrupt a prefill chunk in progress. */
+const lowerPriorityShare = 0.25;
+
+/** The load that other hosts put on an upstream. */
+type RemoteLoad = {
+	readonly inFlight: number;
+	readonly heldTokens: number;
+	readonly waitingTokens: ReadonlyMap<number, number>;
+};
+
+/** What else a view rests on. */
+type ViewOptions = {
+	readonly others: RemoteLoad | undefined;
+	readonly isReachable: boolean;
+	/** Mean time to a response head of the service, in milliseconds. */
+	readonly meanHeadLatencyMs: number;
+	/** Priority of the request that is to be placed. */
+	readonly priority: number;
+};
+
+/** Returns the state of an upstream for a request of a priority. */
+export function toUpstreamView(entry: UpstreamEntry, now: number, {others, isReachable, meanHeadLatencyMs, priority}: ViewOptions): UpstreamView {
+	let ahead = 0;
+	let waiting = 0;
+	for (const tokensOf of others ? [entry.waitingTokens, others.waitingTokens] : [entry.waitingTokens]) {
+		for (const [ofPriority, tokens] of tokensOf) {
+			waiting += tokens;
+			ahead += ofPriority <= priority ? tokens : tokens * lowerPriorityShare;
+		}
+	}
+
+	return {
+		upstream: entry.upstream,
+		inFlight: entry.inFlight + (others?.inFlight ?? 0),
+		waitingTokens: ahead,
+		isQueueing: waiting > 0,
+		heldTokens: entry.heldTokens + (others?.heldTokens ?? 0),
+		isUnresponsive: isUnresponsive(entry, meanHeadLatencyMs, now),
+		isReachable,
+		isEjected: now < entry.avoidUntil,
+		failureShare: entry.failureShare,
+		freeConnections: entry.connections - entry.inFlight,
+		requestsPerS: entry.announcements.limit.value(),
+		closedForMs: entry.announcements.closedForMs(now),
+	};
+}
--- a/src/forwarding/upstream-registry.ts
+++ b/src/registry/upstream-registry.ts
@@ -3,13 +3,13 @@
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
 import {type LoadReporter} from '../reports/load-reporter.js';
 import {type UpstreamLoad} from '../reports/upstream-load.js';
-import {type InFlightRequest} from './in-flight-request.js';
-import {type ResponseHead} from './response-head.js';
-import {type PlacedUpstream} from './placed-upstream.js';
-import {type ResponseListener} from './response-listener.js';
-import {type UpstreamRequest} from './upstream-request.js';
-import {type Upstream} from './upstream.js';
-import {type RequestCost} from './request-cost.js';
+import {type InFlightRequest} from '../forwarding/in-flight-request.js';
+import {type ResponseHead} from '../forwarding/response-head.js';
+import {type PlacedUpstream} from '../forwarding/placed-upstream.js';
+import {type ResponseListener} from '../forwarding/response-listener.js';
+import {type UpstreamRequest} from '../forwarding/upstream-request.js';
+import {type Upstream} from '../forwarding/upstream.js';
+import {type RequestCost} from '../forwarding/request-cost.js';
 
 /** Registry of the upstreams, with their state as known to this host and the connections to them. */
 export type UpstreamRegistry = {
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -28,7 +28,7 @@
 import {createWatchPolicy} from './object-store/create-watch-policy.js';
 import {drainGateway} from './forwarding/drain-gateway.js';
 import {createStoredState} from './object-store/create-stored-state.js';
-import {createUpstreamRegistry} from './forwarding/create-upstream-registry.js';
+import {createUpstreamRegistry} from './registry/create-upstream-registry.js';
 import {type GatewayAdapter} from './forwarding/gateway-adapter.js';
 import {type KnownHost} from './reports/known-host.js';
 import {type LoadReport} from './reports/load-report.js';
--- a/test/forwarding/upstream-registry.test.ts
+++ b/test/registry/upstream-registry.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, test} from 'vitest';
-import {createUpstreamRegistry} from '../../src/forwarding/create-upstream-registry.js';
+import {createUpstreamRegistry} from '../../src/registry/create-upstream-registry.js';
 import {type ResponseListener} from '../../src/forwarding/response-listener.js';
 import {type Upstream} from '../../src/forwarding/upstream.js';
 import {createUpstreamLinks} from '../../src/links/create-upstream-links.js';
--- a/test/streams/stream-archive.test.ts
+++ b/test/streams/stream-archive.test.ts
@@ -17,7 +17,9 @@
 			throw new Error('no answer');
 		}
 
-		const stored = {name, value, revision: ++revision, epoch: 1} as unknown as StoredObject;
+		const stored = {
+			name, value, revision: ++revision, epoch: 1,
+		} as unknown as StoredObject;
 		objects.set(name, stored);
 		if (fault !== undefined) {
 			throw new Error('no answer');
@@ -38,7 +40,7 @@
 type Store = ReturnType<typeof createStore>;
 
 const openArchive = (store: Store, host: string) => createStreamArchive({
-	host, store: store as never, kind: 'streams', retentionMs: 60_000, countHosts: () => 1, random: () => 0, onVersions: () => undefined,
+	host, store, kind: 'streams', retentionMs: 60_000, countHosts: () => 1, random: () => 0, onVersions: () => undefined,
 });
 
 describe('begun streams are in the store', () => {
