--- /dev/null
+++ b/src/peers/create-gateway-methods.ts
@@ -0,0 +1,44 @@
+import {type PermitTask} from '../announcements/permit-task.js';
+import {type RoomTask} from '../announcements/room-task.js';
+import {type KvStoreTracker} from '../forwarding/kv-store-tracker.js';
+import {type createStateSync} from '../object-store/create-state-sync.js';
+import {type LeaseStore} from '../object-store/lease-store.js';
+import {type UpstreamChecks} from '../poison/upstream-checks.js';
+import {type StreamVersions} from '../streams/stream-versions.js';
+import {type PeerHandlers} from './peer-handlers.js';
+
+/** The tasks of a gateway host that answer other hosts. */
+type GatewayTasks = {
+	readonly stateSync: Pick<ReturnType<typeof createStateSync>, 'answer'>;
+	/** The lease of roll-outs in the store; other hosts reach it through this one. */
+	readonly ownLease: Pick<LeaseStore, 'read' | 'write'>;
+	/** Returns the newest epoch of the store. */
+	readonly currentEpoch: () => number;
+	readonly rooms: Pick<RoomTask, 'answer'>;
+	readonly permits: Pick<PermitTask, 'answer'>;
+	readonly upstreamChecks: Pick<UpstreamChecks, 'answer'>;
+	readonly streams: Pick<StreamVersions, 'answer'>;
+	readonly kvStoreTracker: Pick<KvStoreTracker, 'listEvents'>;
+};
+
+/** Creates the methods by which the other hosts ask a gateway host. */
+export function createGatewayMethods({
+	stateSync, ownLease, currentEpoch, rooms, permits, upstreamChecks, streams, kvStoreTracker,
+}: GatewayTasks): Partial<PeerHandlers> {
+	return {
+		'gateway.state': async query => ({states: stateSync.answer(query)}),
+		async 'gateway.lease'({write}) {
+			if (!write) {
+				return {object: await ownLease.read() ?? null};
+			}
+
+			const {value, revision, epoch = currentEpoch()} = write;
+			return {object: await ownLease.write(value, revision === 0 ? undefined : {epoch, revision}) ?? null};
+		},
+		'gateway.room': async request => rooms.answer(request),
+		'gateway.permit': async request => permits.answer(request),
+		'gateway.upstreamUp': async ({id, startedAt}) => ({opinion: await upstreamChecks.answer(id, startedAt)}),
+		'gateway.streamVersion': async ({id}) => ({version: streams.answer(id) ?? null}),
+		'gateway.kept': async ({store, known}) => kvStoreTracker.listEvents(store, known),
+	};
+}
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -38,6 +38,7 @@
 import {createEpochCheckedStore} from './object-store/create-epoch-checked-store.js';
 import {createEpochTracker} from './object-store/create-epoch-tracker.js';
 import {createPeerClient} from './peers/create-peer-client.js';
+import {createGatewayMethods} from './peers/create-gateway-methods.js';
 import {createPeerServer} from './peers/create-peer-server.js';
 import {compareGatewaySettings} from './settings/compare-gateway-settings.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
@@ -302,22 +303,9 @@
 		},
 	});
 
-	const peerServer = await createPeerServer(settings.peers, undefined, {
-		'gateway.state': async query => ({states: stateSync.answer(query)}),
-		async 'gateway.lease'({write}) {
-			if (!write) {
-				return {object: await ownLease.read() ?? null};
-			}
-
-			const {value, revision, epoch = epochs.current()} = write;
-			return {object: await ownLease.write(value, revision === 0 ? undefined : {epoch, revision}) ?? null};
-		},
-		'gateway.room': async request => rooms.answer(request),
-		'gateway.permit': async request => permits.answer(request),
-		'gateway.upstreamUp': async ({id, startedAt}) => ({opinion: await upstreamChecks.answer(id, startedAt)}),
-		'gateway.streamVersion': async ({id}) => ({version: streams.answer(id) ?? null}),
-		'gateway.kept': async ({store: storeName, known}) => kvStoreTracker.listEvents(storeName, known),
-	}, () => false);
+	const peerServer = await createPeerServer(settings.peers, undefined, createGatewayMethods({
+		stateSync, ownLease, currentEpoch: epochs.current, rooms, permits, upstreamChecks, streams, kvStoreTracker,
+	}), () => false);
 	await reportExchange.start();
 	const {callers, relayed, requests} = await openRequestServers({
 		settings,
