Brittle upstreams: grants of a host that has not been heard yet are kept

Cause: the counting host forgot the grants of hosts that do not report, and took one that had just started, and asked before its first report, for gone: the next request got its slot too. Seen in the requests of a play of hosts that start: five in flight at an upstream with four slots. Change: grants are forgotten two seconds after they were given at the earliest. Result: a case of test/decide/announcements/room-counter.test.ts (red without the change, since the second host was granted the slot).

--- a/src/announcements/create-room-task.ts
+++ b/src/announcements/create-room-task.ts
@@ -78,7 +78,7 @@
 
 		const upstream = upstreams.get(id);
 		const aliveNames = new Set([self.host, host, ...alive().map(peer => peer.host)]);
-		counter.forgetGone(name => !aliveNames.has(name));
+		counter.forgetGone(name => !aliveNames.has(name), now());
 		const share = upstream ? findIssuer(upstream).share : 1;
 		const slots = Math.max(1, Math.floor((upstream?.slots ?? 1) * share));
 		return counter.take({
--- a/src/decide/announcements/create-room-counter.ts
+++ b/src/decide/announcements/create-room-counter.ts
@@ -12,6 +12,8 @@
 /** Weight of the newest time in the moving average of the time that a grant is held. */
 const holdWeight = 0.1;
 const minRetryAfterMs = 5;
+/** A host that asks has been heard by the others after this long. */
+const unheardMs = 2000;
 
 /** What a host asks for. */
 type RoomRequest = {
@@ -33,8 +35,8 @@
 	/** Grants a request if a slot is free. */
 	readonly take: (request: RoomRequest, now: number) => PermitResult;
 	readonly release: (host: string, grant: number, now: number) => void;
-	/** Forgets the grants of hosts that are gone. */
-	readonly forgetGone: (isGone: (host: string) => boolean) => void;
+	/** Forgets the grants of hosts that are gone, other than those of hosts that have just started and may not have been heard yet. */
+	readonly forgetGone: (isGone: (host: string) => boolean, now: number) => void;
 };
 
 /**
@@ -60,16 +62,18 @@
 		return grants.size + others.reduce((sum, {count}) => sum + count, 0);
 	};
 
-	const forget = (isForgotten: (host: string, grant: number) => boolean): void => {
-		for (const [key, {host, grant}] of grants) {
-			if (isForgotten(host, grant)) {
+	const forget = (isForgotten: (host: string, grant: number, at: number) => boolean): void => {
+		for (const [key, {host, grant, at}] of grants) {
+			if (isForgotten(host, grant, at)) {
 				grants.delete(key);
 			}
 		}
 	};
 
 	return {
-		forgetGone: forget,
+		forgetGone(isGone, now) {
+			forget((host, _grant, at) => isGone(host) && now - at > unheardMs);
+		},
 		take({host, grant, held, ungranted: count, slots, reported}, now) {
 			// Requests overtake each other: what the host took after it sent this one is not in the list.
 			forget((ofHost, known) => ofHost === host && known < grant && !held.includes(known));
--- a/test/decide/announcements/room-counter.test.ts
+++ b/test/decide/announcements/room-counter.test.ts
@@ -110,3 +110,16 @@
 		}), {seed: 32, numRuns: 60});
 	});
 });
+
+test.each([
+	['a host that has just asked and was not heard yet', 500, false],
+	['a host that has not been heard for long', 5000, true],
+])('the grants of %s count, or not', (_name, afterMs, isFree) => {
+	const counter = createRoomCounter(() => 0, 0);
+	const request = {
+		host: 'host-0', grant: 1, held: [1], ungranted: 0, slots: 1, reported: 0,
+	};
+	expect(counter.take(request, learnedMs).isGranted).toBe(true);
+	counter.forgetGone(host => host === 'host-0', learnedMs + afterMs);
+	expect(counter.take({...request, host: 'host-1'}, learnedMs + afterMs).isGranted).toBe(isFree);
+});
