A host that starts asks the others what upstreams state before it is ready

Cause: a host was ready as soon as it had a configuration and upstreams. Until a report of the others came, about 100 ms later, it sent to brittle upstreams as to any other; with N = 1 two such requests make one fall over. The repetition of statements to a host that is heard is too late for that.

--- a/src/peers/create-gateway-methods.ts
+++ b/src/peers/create-gateway-methods.ts
@@ -1,4 +1,5 @@
 import {type PermitTask} from '../announcements/permit-task.js';
+import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type RoomTask} from '../announcements/room-task.js';
 import {type KvStoreTracker} from '../forwarding/kv-store-tracker.js';
 import {type createStateSync} from '../object-store/create-state-sync.js';
@@ -14,6 +15,8 @@
 	readonly ownLease: Pick<LeaseStore, 'read' | 'write'>;
 	/** Returns the newest epoch of the store. */
 	readonly currentEpoch: () => number;
+	/** Returns what upstreams say of themselves. */
+	readonly listStatements: () => readonly ReportedLimit[];
 	readonly rooms: Pick<RoomTask, 'answer'>;
 	readonly permits: Pick<PermitTask, 'answer'>;
 	readonly upstreamChecks: Pick<UpstreamChecks, 'answer'>;
@@ -23,7 +26,7 @@
 
 /** Creates the methods by which the other hosts ask a gateway host. */
 export function createGatewayMethods({
-	stateSync, ownLease, currentEpoch, rooms, permits, upstreamChecks, streams, kvStoreTracker,
+	stateSync, ownLease, currentEpoch, listStatements, rooms, permits, upstreamChecks, streams, kvStoreTracker,
 }: GatewayTasks): Partial<PeerHandlers> {
 	return {
 		'gateway.state': async query => ({states: stateSync.answer(query)}),
@@ -35,6 +38,7 @@
 			const {value, revision, epoch = currentEpoch()} = write;
 			return {object: await ownLease.write(value, revision === 0 ? undefined : {epoch, revision}) ?? null};
 		},
+		'gateway.statements': async () => ({statements: listStatements()}),
 		'gateway.room': async request => rooms.answer(request),
 		'gateway.permit': async request => permits.answer(request),
 		'gateway.upstreamUp': async ({id, startedAt}) => ({opinion: await upstreamChecks.answer(id, startedAt)}),
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -1,6 +1,7 @@
 import {type UpstreamOpinion} from '../poison/upstream-opinion.js';
 import {type PermitRequest} from '../announcements/permit-request.js';
 import {type PermitResult} from '../announcements/permit-result.js';
+import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type RoomRequest} from '../announcements/room-request.js';
 import {type SlotRequest} from '../decide/grants/slot-request.js';
 import {type SlotResponse} from '../decide/grants/slot-response.js';
@@ -125,6 +126,7 @@
 	/** Asks for a permit to send one request to an upstream that states a limit. */
 	readonly 'gateway.permit': {readonly params: PermitRequest; readonly result: PermitResult};
 	/** Asks for a slot of a brittle upstream for one request, or gives it back. */
+	readonly 'gateway.statements': {readonly params: Readonly<Record<string, never>>; readonly result: {readonly statements: readonly ReportedLimit[]}};
 	readonly 'gateway.room': {readonly params: RoomRequest; readonly result: PermitResult};
 	/** Returns what the receiver can say of the upstream of this start. */
 	readonly 'gateway.upstreamUp': {readonly params: {readonly id: string; readonly startedAt?: number}; readonly result: {readonly opinion: UpstreamOpinion}};
--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -193,6 +193,7 @@
 			}
 		},
 		announcements: id => entries.get(id)?.announcements,
+		listStatements: at => [...entries.values()].flatMap(entry => entry.announcements.statements).flatMap(each => each.toReported(at) ?? []),
 		repeatStatements() {
 			for (const each of [...entries.values()].flatMap(entry => entry.announcements.statements)) {
 				each.repeat();
--- a/src/registry/upstream-registry.ts
+++ b/src/registry/upstream-registry.ts
@@ -43,6 +43,8 @@
 	readonly recordWeights: (id: string, model: string, version: number) => void;
 	/** Returns what an upstream says of itself; `undefined` when it is not registered. */
 	readonly announcements: (id: string) => UpstreamAnnouncements | undefined;
+	/** Returns all that upstreams say of themselves, as far as known to this host. */
+	readonly listStatements: (now: number) => readonly ReportedLimit[];
 	/** Lets the next reports to other hosts state all that upstreams say of themselves. */
 	readonly repeatStatements: () => void;
 	/** Returns the limits that the next report to other hosts states, and records that it does. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {respectRest} from './announcements/respect-rest.js';
 import {createPermitTask} from './announcements/create-permit-task.js';
+import {createStatementLearner} from './announcements/create-statement-learner.js';
 import {createRoomTask} from './announcements/create-room-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
@@ -162,6 +163,14 @@
 			metrics.connections.inc({service: upstream.service});
 		}),
 	});
+	const statementLearner = createStatementLearner({
+		listHosts: reportExchange.refreshAndList,
+		call: peerClient.call,
+		record(host, statements) {
+			registry.recordReportedLimits(host, statements, now());
+		},
+		random,
+	});
 	const permits = createPermitTask({
 		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, hasSettled, call: peerClient.call, now, random,
 	});
@@ -211,6 +220,9 @@
 		onUpstreamsChange(upstreams) {
 			registry.updateUpstreams(upstreams);
 			streams.recordUpstreams(upstreams);
+			if (upstreams.length > 0) {
+				statementLearner.start();
+			}
 		},
 	}, suspendAwareNow);
 	const applyWeights = (objects: readonly StoredObject[], confirmedAt: number | undefined): void => {
@@ -304,7 +316,7 @@
 	});
 
 	const peerServer = await createPeerServer(settings.peers, undefined, createGatewayMethods({
-		stateSync, ownLease, currentEpoch: epochs.current, rooms, permits, upstreamChecks, streams, kvStoreTracker,
+		stateSync, ownLease, currentEpoch: epochs.current, listStatements: () => registry.listStatements(now()), rooms, permits, upstreamChecks, streams, kvStoreTracker,
 	}), () => false);
 	await reportExchange.start();
 	const {callers, relayed, requests} = await openRequestServers({
@@ -318,7 +330,7 @@
 			metrics.refusalsTotal.inc({kind: refusal.kind});
 		},
 	});
-	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0;
+	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0 && statementLearner.hasLearned();
 	const statusServers = await openStatusServers({
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
 		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
