Soak and tests play hosts that are cut off from upstreams, rest and announced leaving

Checks: served at the cut host against the others, requests during rest; each with cases that must and must not be reported.

--- a/test/links/hosts-cut-off-from-upstreams.test.ts
+++ b/test/links/hosts-cut-off-from-upstreams.test.ts
@@ -181,6 +181,62 @@
 		}
 	});
 
+	test.each(['silent', 'reset'] as const)('goes on with streams that callers take up there, links %s', async fault => {
+		const system = await startLinkedSystem({domains, respond});
+		const [cutHost] = system.hosts;
+		await cutHost!.cut(fault);
+		await sleep(contactMs);
+		const responses = await Promise.all([0, 1, 2, 3].map(async index => sendRawRequest(cutHost!.gateway.callers, buildRawRequest({
+			target: '/ask/x', id: `second-${index}`, deadlineMs: 2500, headers: `Last-Event-Id: 1\r\nResumes: first-${index}\r\n`,
+		}))));
+		await system.stop();
+		expect(responses.map(({status, isWhole, body}) => [status, isWhole, [...body.matchAll(/id: (\d)/gv)].map(([, id]) => id)])).toEqual(responses.map(() => [200, true, ['2', '3']]));
+	});
+
+	test('keeps an upstream at rest that has asked its helper for it', async () => {
+		const restMs = 3000;
+		let askedAt = Number.POSITIVE_INFINITY;
+		const system = await startLinkedSystem({domains: ['domain-a', 'domain-a'], respond});
+		const {hosts, upstreams} = system;
+		const arrivals: number[] = [];
+		await hosts[0]!.cut('reset');
+		await sendSteadily([hosts[0]!], contactMs);
+		upstreams[0]!.answer = (received, socket) => {
+			if (askedAt === Number.POSITIVE_INFINITY && received.target !== '/health') {
+				askedAt = performance.now();
+				socket.write(`HTTP/1.1 503 Full\r\nRequest-Id: ${received.headers.get('request-id')}\r\nNot-Executed: full\r\nRetry-After: ${restMs / 1000}\r\nContent-Length: 0\r\n\r\n`);
+			} else {
+				arrivals.push(performance.now());
+				respond(received, socket);
+			}
+		};
+
+		const played = await sendSteadily([hosts[0]!, hosts[0]!, hosts[0]!], restMs - 200);
+		await system.stop();
+		expect(askedAt).toBeLessThan(Number.POSITIVE_INFINITY);
+		expect(arrivals.filter(at => at > askedAt + 500 && at < askedAt + restMs).length).toBeLessThanOrEqual(2);
+		expect(getServedShare(played)).toBeGreaterThanOrEqual(minShare);
+	});
+
+	test('serves while the cuts of several hosts overlap', async () => {
+		const system = await startLinkedSystem({domains, respond});
+		const {hosts} = system;
+		await hosts[0]!.cut('silent');
+		await sleep(1500);
+		await hosts[1]!.cut('reset');
+		await sendSteadily(hosts, contactMs);
+		const both = await sendSteadily(hosts, 1500);
+		await hosts[0]!.heal();
+		await hosts[2]!.cut('reset');
+		await sendSteadily(hosts, contactMs);
+		const later = await sendSteadily(hosts, 1500);
+		await system.stop();
+		for (const host of hosts) {
+			expect(getServedShare(both.filter(each => each.host === host))).toBeGreaterThanOrEqual(minShare);
+			expect(getServedShare(later.filter(each => each.host === host))).toBeGreaterThanOrEqual(minShare);
+		}
+	});
+
 	test('ends the work at the upstream when a caller leaves', async () => {
 		const system = await startLinkedSystem({
 			domains, respond() {
--- a/test/soak/create-soak-host.ts
+++ b/test/soak/create-soak-host.ts
@@ -16,6 +16,8 @@
 	readonly callers: string;
 	readonly readiness: string;
 	readonly sendSignal: (name: NodeJS.Signals) => void;
+	/** Returns the id of its process. */
+	readonly pid: () => number;
 	/** Writes the settings file with the given changes. */
 	readonly writeSettings: (overrides: Record<string, unknown>) => void;
 	readonly stop: () => void;
@@ -67,6 +69,7 @@
 		name,
 		callers: settings.callers as string,
 		readiness: settings.readiness as string,
+		pid: () => child.pid ?? 0,
 		sendSignal(signal) {
 			isExitExpected ||= signal === 'SIGTERM' || signal === 'SIGKILL';
 			if (isUp || !handledSignals.has(signal)) {
--- a/test/soak/create-soak-upstream.ts
+++ b/test/soak/create-soak-upstream.ts
@@ -23,6 +23,10 @@
 	broken: number;
 	/** Limit on requests a second that it states in its responses. */
 	limit: number | undefined;
+	/** Whether it states in its responses that it leaves. */
+	isLeaving: boolean;
+	/** Seconds of rest that it asks for in its next response to a request, which it does not run. */
+	nextRestS: number | undefined;
 	readonly weights: () => number;
 	readonly stop: () => void;
 };
@@ -33,10 +37,12 @@
 	readonly onOrder: (order: RecordedOrder) => void;
 	/** Called when it runs a request that crashes upstreams. */
 	readonly onCrash: () => void;
+	/** Called when it turns a request away and asks for rest. */
+	readonly onRest: (rest: {readonly id: string; readonly restS: number; readonly at: number}) => void;
 };
 
 /** Starts an upstream; `random` selects the responses that it truncates. */
-export async function createSoakUpstream(id: string, softwareVersion: string, random: () => number, {onRun, onOrder, onCrash}: SoakUpstreamCallbacks): Promise<SoakUpstream> {
+export async function createSoakUpstream(id: string, softwareVersion: string, random: () => number, {onRun, onOrder, onCrash, onRest}: SoakUpstreamCallbacks): Promise<SoakUpstream> {
 	const server = await createUpstreamServer();
 	let version = 1;
 	let isBusy = false;
@@ -75,6 +81,14 @@
 	};
 
 	const stateLimit = (): string => upstream.limit === undefined ? '' : `Server-Limit: ${upstream.limit}\r\n`;
+	const stateAll = (): string => `${stateLimit()}${upstream.isLeaving ? 'Server-Leaving: 1\r\n' : ''}`;
+
+	const askForRest = ({headers}: ReceivedRequest, socket: Socket, restS: number): void => {
+		const id = headers.get('request-id') ?? '';
+		upstream.nextRestS = undefined;
+		onRest({id, restS, at: performance.now()});
+		socket.write(`HTTP/1.1 503 Full\r\nRequest-Id: ${id}\r\nNot-Executed: full\r\nRetry-After: ${restS}\r\n${stateAll()}Content-Length: 0\r\n\r\n`);
+	};
 
 	const run = async ({headers, target, body}: ReceivedRequest, socket: Socket): Promise<void> => {
 		const requestId = headers.get('request-id') ?? '';
@@ -94,7 +108,7 @@
 		await sleep(hashTo48Bits(`${requestId}${id}`) % maxWorkMs);
 		const chunks = buildExpectedChunks(headers.get('resumes') ?? requestId, target).slice(resumedAfter === undefined ? 0 : Number(resumedAfter) + 1);
 		const isCloseDelimited = hashTo48Bits(`framing-${requestId}`) % closeDelimitedEvery === 0;
-		const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: ${seal}\r\n${stateLimit()}`;
+		const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: ${seal}\r\n${stateAll()}`;
 		if (!target.startsWith('/ask/')) {
 			const text = chunks.join('');
 			const framing = isCloseDelimited ? '' : `Content-Length: ${Buffer.byteLength(text)}\r\n`;
@@ -149,13 +163,15 @@
 			sendJson(socket, '200 OK', {models: [{name: 'm', version}], busy: isBusy, seq: acceptedOrders});
 		} else if (received.target === '/v1/order') {
 			handleOrder(socket, received.body.toString());
-		} else {
+		} else if (upstream.nextRestS === undefined) {
 			void run(received, socket);
+		} else {
+			askForRest(received, socket, upstream.nextRestS);
 		}
 	};
 
 	const upstream: SoakUpstream = {
-		id, address: server.address, broken: 0, limit: undefined, weights: () => version, stop: server.stop,
+		id, address: server.address, broken: 0, limit: undefined, isLeaving: false, nextRestS: undefined, weights: () => version, stop: server.stop,
 	};
 	return upstream;
 }
--- a/test/soak/create-tcp-proxy.ts
+++ b/test/soak/create-tcp-proxy.ts
@@ -17,9 +17,18 @@
 	readonly countConnections: () => number;
 	/** Stops forwarding on all open connections permanently; new connections work. */
 	readonly blackholeConnections: () => void;
+	/** Cuts off the clients with some local ports until the returned function is called. */
+	readonly cutOff: (cut: ClientCut) => () => void;
 	readonly stop: () => void;
 };
 
+/** How some clients are cut off: their connections hang or are reset, and so are new ones. */
+type ClientCut = {
+	/** Returns the local ports of such clients. */
+	readonly listPorts: () => ReadonlySet<number>;
+	readonly how: 'silent' | 'reset';
+};
+
 /** One direction of a connection. */
 type Pipe = {
 	readonly target: Socket;
@@ -40,6 +49,8 @@
 		isInboundBlocked: false, isOutboundBlocked: false, delayMs: 0, refusesConnections: false,
 	};
 	const openConnections = new Map<Socket, OpenConnection>();
+	const cuts = new Set<ClientCut>();
+	const findCut = ({remotePort = 0}: Socket): ClientCut | undefined => [...cuts].find(({listPorts}) => listPorts().has(remotePort));
 	const {host, port: targetPort} = parseAddress(target);
 
 	const flush = ({target: to, isBlocked, waiting}: Pipe): void => {
@@ -72,7 +83,8 @@
 	};
 
 	const server = createServer({allowHalfOpen: true, noDelay: true}, clientSocket => {
-		if (state.refusesConnections) {
+		const cut = findCut(clientSocket);
+		if (state.refusesConnections || cut?.how === 'reset') {
 			clientSocket.resetAndDestroy();
 			return;
 		}
@@ -92,7 +104,7 @@
 				createPipe(targetSocket, clientSocket, () => entry.isBlackholed || state.isOutboundBlocked),
 			],
 			end,
-			isBlackholed: false,
+			isBlackholed: cut !== undefined,
 		};
 		openConnections.set(clientSocket, entry);
 		for (const socket of [clientSocket, targetSocket]) {
@@ -152,6 +164,25 @@
 				entry.isBlackholed = true;
 			}
 		},
+		cutOff(cut) {
+			cuts.add(cut);
+			const ports = cut.listPorts();
+			for (const [socket, entry] of openConnections) {
+				if (!ports.has(socket.remotePort ?? 0)) {
+					continue;
+				}
+
+				if (cut.how === 'reset') {
+					entry.end();
+				} else {
+					entry.isBlackholed = true;
+				}
+			}
+
+			return () => {
+				cuts.delete(cut);
+			};
+		},
 		stop() {
 			hasStopped = true;
 			clearInterval(timer);
--- a/test/soak/fault-effects.ts
+++ b/test/soak/fault-effects.ts
@@ -79,6 +79,7 @@
 	void cluster.addUpstream().then(async () => {
 		const entry = cluster.store.get('servers', id)!.spec as Record<string, unknown>;
 		cluster.store.put('servers', id, {...entry, state: 'draining'});
+		leaving!.upstream.isLeaving = true;
 		onChange({kind: 'leaving', what: id, at: performance.now()});
 		await sleep(drainMs);
 		cluster.store.remove('servers', id);
--- a/test/soak/find-violations.test.ts
+++ b/test/soak/find-violations.test.ts
@@ -19,9 +19,11 @@
 });
 
 const history = (changed: Partial<SoakHistory> = {}): SoakHistory => ({
-	calls: [call()], runs: [run()], orders: [], limits: [], disturbances: [], changes: [], exits: [], weights: {named: 1, held: [1]}, calmFrom: 20_000, endedAt: 60_000, ...changed,
+	calls: [call()], runs: [run()], orders: [], limits: [], rests: [], cuts: [], disturbances: [], changes: [], exits: [],
+	weights: {named: 1, held: [1]}, calmFrom: 20_000, endedAt: 60_000, ...changed,
 });
 
+const range = (count: number): readonly number[] => Array.from({length: count}, (_, index) => index);
 const booking = {id: 'soak-1', target: '/book/soak-1', body: 'b'};
 const stream = {id: 'soak-1', target: '/ask/soak-1', body: 'b'};
 const pieces = buildExpectedChunks('soak-1', '/ask/soak-1');
@@ -65,6 +67,24 @@
 			...stream, id: 'soak-2', resumedAfter: '0', seal: 'i-1-0',
 		})],
 	}, undefined],
+	['an upstream that gets three requests of a host that it asked for rest', {
+		rests: [{
+			upstream: 'i-0', id: 'soak-1', restS: 3, at: 40_000,
+		}], runs: [0, 1, 2].map(index => run({id: 'soak-1', at: 41_000 + index, resumedAfter: String(index)})),
+		calls: [call({target: '/read/soak-1'})],
+	}, 'rest'],
+	['an upstream that gets two requests of a host that it asked for rest', {
+		rests: [{
+			upstream: 'i-0', id: 'soak-1', restS: 3, at: 40_000,
+		}], runs: [0, 1].map(index => run({id: 'soak-1', at: 41_000 + index})),
+	}, undefined],
+	...[['as often as the others', 200, undefined], ['not at all', 503, 'recover']].map(([name, status, found]) => [`a host that is cut off from upstreams and serves ${String(name)}`, {
+		cuts: [{host: 'host-1', from: 35_000, until: 41_000}], calmFrom: 30_000,
+		calls: [call({id: 'soak-later', sentAt: 45_000}), ...['host-0', 'host-1'].flatMap(host => range(25).map(index => call({
+			id: `soak-${host}-${index}`, host, status: host === 'host-1' ? Number(status) : 200,
+		})))],
+		runs: [run({id: 'soak-later', target: '/read/soak-later'}), ...['host-0', 'host-1'].flatMap(host => range(25).map(index => run({id: `soak-${host}-${index}`, target: `/read/soak-${host}-${index}`})))],
+	}, found] as [string, Partial<SoakHistory>, string | undefined]),
 	['an upstream that gets more than its limit', {
 		calls: Array.from({length: 30}, (_, index) => call({id: `soak-${index}`, seal: 'i-0-0'})),
 		runs: Array.from({length: 30}, (_, index) => run({id: `soak-${index}`, target: `/read/soak-${index}`, at: 40_000 + (index * 100)})),
--- a/test/soak/find-violations.ts
+++ b/test/soak/find-violations.ts
@@ -25,6 +25,14 @@
 const limitWindowMs = 4000;
 const limitFactor = 1.5;
 const limitSlack = 5;
+/** Requests that may reach an upstream from a host while it rests from it, from a time after it asked on. */
+const maxDuringRest = 2;
+const restNoticeMs = 500;
+/** Bounds on what callers of a host get that is cut off from upstreams, against the others. */
+const minCutShare = 2 / 3;
+const maxCutFailures = 10;
+const maxCutFailureShare = 0.02;
+const minCutCalls = 20;
 
 type Check = (history: SoakHistory, runsOf: ReadonlyMap<string, readonly UpstreamRun[]>) => readonly string[];
 
@@ -84,7 +92,7 @@
 const findLostResponses: Check = (history, runsOf) => {
 	const upstreams = [...new Set(history.runs.map(run => `upstream ${run.upstream}`))];
 	return history.calls.filter(call => !call.isWhole && !call.hasLeft && runsOf.has(call.id)
-		&& isUndisturbed(history, ['store', `host ${call.host}`, ...upstreams], call.sentAt - timeBoundsMs.contact, call.endedAt))
+		&& isUndisturbed(history, ['store', `host ${call.host}`, `links of ${call.host}`, ...upstreams], call.sentAt - timeBoundsMs.contact, call.endedAt))
 		.map(call => `lost: ${call.id} at ${call.host} ended with status ${call.status} and ${call.text.length} bytes`);
 };
 
@@ -204,6 +212,32 @@
 	});
 };
 
+/** Requests of a host, which nothing disturbed meanwhile, to an upstream that has asked it for rest. */
+const findRestExcess: Check = history => {
+	const hosts = new Map(history.calls.map(call => [call.id, call.host]));
+	return history.rests.flatMap(({upstream, id, restS, at}) => {
+		const host = hosts.get(id);
+		const until = at + (restS * msPerS);
+		const isUp = isUndisturbed(history, [`host ${host}`, `links of ${host}`, `upstream ${upstream}`], at, until);
+		const during = history.runs.filter(run => run.upstream === upstream && hosts.get(run.id) === host && run.at > at + restNoticeMs && run.at < until);
+		return isUp && during.length > maxDuringRest ? [`rest: ${upstream} asked ${host} for ${restS} s and ran ${during.length} of its requests meanwhile`] : [];
+	});
+};
+
+/** Hosts that are cut off from upstreams, and whose callers are served worse than those of others. */
+const findUnservedCuts: Check = history => history.cuts.flatMap(({host, from, until}) => {
+	const judged = history.calls.filter(call => ['read', 'book', 'ask'].includes(call.kind) && call.sentAt > from + timeBoundsMs.contact && call.sentAt < until
+		&& isUndisturbed(history, ['store', `host ${call.host}`], call.sentAt - timeBoundsMs.contact, call.endedAt));
+	const getServed = (calls: readonly Call[]): number => calls.filter(call => call.status === 200).length / calls.length;
+	const own = judged.filter(call => call.host === host);
+	const others = judged.filter(call => call.host !== host);
+	const failures = own.filter(call => call.status !== 200).length;
+	return own.length >= minCutCalls && others.length >= minCutCalls && getServed(own) < minCutShare * getServed(others)
+		&& failures > maxCutFailures + (maxCutFailureShare * own.length)
+		? [`recover: ${host}, cut off from all upstreams, served ${Math.round(getServed(own) * own.length)} of ${own.length}, the others ${Math.round(getServed(others) * 100)} %`]
+		: [];
+});
+
 const findUnexpectedExits: Check = ({exits}) => exits.map(host => `exit: ${host} exited unexpectedly`);
 
 /** Guarantees that hold however slow the machine is. */
@@ -224,6 +258,8 @@
 	findCrashingPartsSentAgain,
 	findSoundRequestsLost,
 	findLimitExcess,
+	findRestExcess,
+	findUnservedCuts,
 	findStaleConfigurationUse,
 	findLostResponses,
 	findStaleWeights,
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -6,9 +6,10 @@
 import {faultEffects, type FaultContext} from './fault-effects.js';
 import {createSoakCallers} from './create-soak-callers.js';
 import {type Fault} from './fault.js';
+import {findLocalPorts} from './find-local-ports.js';
 import {findViolations} from './find-violations.js';
 import {
-	type Call, type OperatorChange, type FaultInterval, type SoakHistory, type RecordedOrder, type StatedLimitInterval, type UpstreamRun,
+	type AskedRest, type Call, type OperatorChange, type FaultInterval, type LinkCut, type SoakHistory, type RecordedOrder, type StatedLimitInterval, type UpstreamRun,
 } from './soak-history.js';
 import {planFaults} from './plan-faults.js';
 import {startSoakCluster} from './start-soak-cluster.js';
@@ -21,6 +22,11 @@
 const minLimitMs = 5000;
 const maxLimitMs = 9000;
 const maxLimitPerS = 6;
+const minRestS = 1;
+const maxRestS = 4;
+const maxRestGapMs = 4000;
+const cutMs = 6000;
+const maxCutGapMs = 5000;
 
 /** Result of a soak. */
 type SoakResult = {
@@ -58,6 +64,10 @@
 	const orders: RecordedOrder[] = [];
 	const limits: StatedLimitInterval[] = [];
 	const limitRandom = createSeededRandom(seed + 2);
+	const rests: AskedRest[] = [];
+	const restRandom = createSeededRandom(seed + 3);
+	const cuts: LinkCut[] = [];
+	const cutRandom = createSeededRandom(seed + 4);
 	const disturbances: FaultInterval[] = [];
 	const changes: OperatorChange[] = [];
 	const exits: string[] = [];
@@ -65,6 +75,7 @@
 		folder, hostCount, random,
 		onRun: run => runs.push(run),
 		onOrder: order => orders.push(order),
+		onRest: rest => rests.push(rest),
 		onUnexpectedExit: host => exits.push(host),
 		onCrash: (upstream, downMs) => disturbances.push({
 			scope: `upstream ${upstream}`, kind: 'upstream crashes', from: performance.now(), until: performance.now() + downMs,
@@ -102,10 +113,42 @@
 		}
 	};
 
+	/** An upstream asks one host for rest now and then. */
+	const askForRest = async (): Promise<void> => {
+		const until = performance.now() + durationMs - undisturbedMs;
+		while (performance.now() < until) {
+			const {upstream} = cluster.upstreams[Math.floor(restRandom() * cluster.upstreams.length)]!;
+			upstream.nextRestS = Math.round((minRestS + (restRandom() * (maxRestS - minRestS))) * 10) / 10;
+			await sleep(restRandom() * maxRestGapMs);
+			upstream.nextRestS = undefined;
+		}
+	};
+
+	/** A host is cut off from all upstreams for some seconds now and then. */
+	const cutHosts = async (): Promise<void> => {
+		const until = performance.now() + durationMs - undisturbedMs;
+		while (performance.now() + cutMs + maxCutGapMs < until) {
+			await sleep(cutRandom() * maxCutGapMs);
+			const {host} = cluster.hosts[Math.floor(cutRandom() * cluster.hosts.length)]!;
+			const how = cutRandom() < 0.5 ? 'silent' : 'reset';
+			const from = performance.now();
+			const heals = cluster.upstreams.map(({link}) => link.cutOff({listPorts: () => findLocalPorts(host.pid()), how}));
+			await sleep(cutMs);
+			for (const heal of heals) {
+				heal();
+			}
+
+			cuts.push({host: host.name, from, until: performance.now()});
+			disturbances.push({
+				scope: `links of ${host.name}`, kind: 'host is cut off from upstreams', from, until: performance.now(),
+			});
+		}
+	};
+
 	try {
 		const callers = createSoakCallers(cluster.hosts.map(({host}) => host), requestsPerSecond, random, call => calls.push(call));
 		await waitUntil('all hosts to be ready', () => callers.countReadyHosts() === cluster.hosts.length);
-		await Promise.all([stateLimits(), ...faults.map(async fault => injectFault(fault))]);
+		await Promise.all([stateLimits(), askForRest(), cutHosts(), ...faults.map(async fault => injectFault(fault))]);
 		callers.stopCrashing();
 		const calmFrom = Math.max(performance.now(), ...disturbances.map(({until}) => until));
 		await sleep(calmFrom - performance.now() + undisturbedMs);
@@ -113,7 +156,7 @@
 		await sleep(completionMs);
 		callers.stop();
 		const history: SoakHistory = {
-			calls, runs, orders, limits, disturbances, changes, exits, calmFrom, endedAt: performance.now(),
+			calls, runs, orders, limits, rests, cuts, disturbances, changes, exits, calmFrom, endedAt: performance.now(),
 			weights: {named: context.desiredWeightsVersion, held: cluster.upstreams.map(({upstream}) => upstream.weights())},
 		};
 		const violations = findViolations(history, checksTimeBounds);
--- a/test/soak/soak-history.ts
+++ b/test/soak/soak-history.ts
@@ -48,6 +48,22 @@
 	readonly until: number;
 };
 
+/** A request that an upstream turned away, asking its host for rest. */
+export type AskedRest = {
+	readonly upstream: string;
+	/** Id of the request. */
+	readonly id: string;
+	readonly restS: number;
+	readonly at: number;
+};
+
+/** A time in which a host was cut off from all upstreams. */
+export type LinkCut = {
+	readonly host: string;
+	readonly from: number;
+	readonly until: number;
+};
+
 /** An order that an engine received. */
 export type RecordedOrder = {
 	readonly upstream: string;
@@ -79,6 +95,8 @@
 	readonly runs: readonly UpstreamRun[];
 	readonly orders: readonly RecordedOrder[];
 	readonly limits: readonly StatedLimitInterval[];
+	readonly rests: readonly AskedRest[];
+	readonly cuts: readonly LinkCut[];
 	readonly disturbances: readonly FaultInterval[];
 	readonly changes: readonly OperatorChange[];
 	/** Names of the hosts whose process exited unexpectedly. */
--- a/test/soak/start-soak-cluster.ts
+++ b/test/soak/start-soak-cluster.ts
@@ -5,7 +5,7 @@
 import {createSoakHost, type SoakHost} from './create-soak-host.js';
 import {createSoakUpstream, type SoakUpstream} from './create-soak-upstream.js';
 import {createTcpProxy, type TcpProxy} from './create-tcp-proxy.js';
-import {type RecordedOrder, type UpstreamRun} from './soak-history.js';
+import {type AskedRest, type RecordedOrder, type UpstreamRun} from './soak-history.js';
 
 const upstreamCount = 5;
 const domains = ['domain-a', 'domain-b'] as const;
@@ -46,12 +46,14 @@
 	readonly onRun: (run: UpstreamRun) => void;
 	readonly onOrder: (order: RecordedOrder) => void;
 	readonly onUnexpectedExit: (host: string) => void;
+	/** Called when an upstream has turned a request away and asked for rest. */
+	readonly onRest: (rest: AskedRest) => void;
 	/** Called when a request has crashed an upstream, which is down for `downMs`. */
 	readonly onCrash: (upstream: string, downMs: number) => void;
 };
 
 /** Starts a cluster of hosts and five upstreams in two failure domains. */
-export async function startSoakCluster({folder, hostCount, random, onRun, onOrder, onUnexpectedExit, onCrash}: SoakClusterOptions): Promise<SoakCluster> {
+export async function startSoakCluster({folder, hostCount, random, onRun, onOrder, onUnexpectedExit, onRest, onCrash}: SoakClusterOptions): Promise<SoakCluster> {
 	const advertisedAddresses = new Map<string, string>();
 	const store = await createObjectStoreServer(text => text.replaceAll(/127\.0\.0\.1:\d+/gv, address => advertisedAddresses.get(address) ?? address));
 	const upstreams: UpstreamWithProxy[] = [];
@@ -70,7 +72,9 @@
 		const id = `i-${addedUpstreams++}`;
 		const softwareVersion = `v${Math.ceil(addedUpstreams / upstreamCount)}`;
 		const upstream = await createSoakUpstream(id, softwareVersion, random, {
-			onRun, onOrder, onCrash() {
+			onRun, onOrder, onRest(rest) {
+				onRest({upstream: id, ...rest});
+			}, onCrash() {
 				onCrash(id, crashDownMs);
 				link.crash(crashDownMs, registerStart);
 			},
