--- a/test/soak/start-soak-cluster.ts
+++ b/test/soak/start-soak-cluster.ts
@@ -140,13 +140,15 @@
 		const [callers, readiness, peers, reports, peersProxy, relayPort, storeProxy, metricsPort] = ports.map(port => `127.0.0.1:${port}`);
 		const toStore = await createTcpProxy(ports[6]!, store.address);
 		const toHost = await createTcpProxy(ports[4]!, peers!);
+		/** Requests that hosts hand on to each other come over TCP to the address of reports. */
+		const toRelayed = await createTcpProxy(ports[5]!, reports!);
 		const relay = await createReportRelay(ports[5]!, reports!, toHost.state, advertisedAddresses);
 		advertisedAddresses.set(peers!, peersProxy!).set(reports!, relayPort!);
 		const host = createSoakHost({
 			name: `host-${index}`, domain: domains[index % domains.length], region: 'region-a', callers, readiness, peers, reports,
 			metricsPort: Number(metricsPort!.split(':')[1]), objectStore: storeProxy,
 		}, folder, onUnexpectedExit);
-		stopFunctions.push(host.stop, toStore.stop, toHost.stop, relay.stop);
+		stopFunctions.push(host.stop, toStore.stop, toHost.stop, toRelayed.stop, relay.stop);
 		return {host, toStore, toHost};
 	};
 
