--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -8,6 +8,7 @@
 import {type RelayClient} from '../relay/relay-client.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type StreamVersions} from '../streams/stream-versions.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
 import {createForwardingProgress} from './create-forwarding-progress.js';
@@ -21,7 +22,6 @@
 import {recordSend} from './record-send.js';
 import {releaseRoom} from './release-room.js';
 import {type SendOutcome} from './send-outcome.js';
-import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 
 /** Ejection time of an upstream that rejected a request without running it. */
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -8,6 +8,7 @@
 import {computeStaleWeightsPenalty} from '../decide/forwarding/compute-stale-weights-penalty.js';
 import {findOwner} from '../decide/membership/find-owner.js';
 import {memoize} from '../util/memoize.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type KvReusePlan} from './kv-reuse-plan.js';
@@ -16,7 +17,6 @@
 import {type Placement} from './placement.js';
 import {type Prompt} from './prompt.js';
 import {type Service} from './service.js';
-import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type Upstream} from './upstream.js';
 
 const highestPriority = 0;
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -2,11 +2,11 @@
 import {type RolloutEngine} from '../decide/orders/rollout-engine.js';
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type EngineClient} from './engine-client.js';
 import {type EngineReport} from './engine-report.js';
 import {type DesiredWeights} from './desired-weights.js';
 import {type RolloutLease} from './rollout-lease.js';
-import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 
 /** Interval of the task while there are engines to update. */
 const activeStepMs = 120;
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -1,6 +1,7 @@
 import {type ServiceLatencyModel} from '../decide/forwarding/service-latency-model.js';
 import {log} from '../observe/log.js';
 import {type StreamVersions} from '../streams/stream-versions.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
 import {createAttemptSignal} from './create-attempt-signal.js';
@@ -9,7 +10,6 @@
 import {sendOnce} from './send-once.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 import {type SendOutcome} from './send-outcome.js';
-import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 
 /** Share of the remaining time after which an idempotent request without a response is sent to another upstream. */
 const firstAttemptShare = 0.45;
--- a/src/forwarding/placement-finder-options.ts
+++ b/src/forwarding/placement-finder-options.ts
@@ -2,11 +2,11 @@
 import {type SlidingWindowRetryBudget} from '../decide/retries/sliding-window-retry-budget.js';
 import {type PoisonRequestDetector} from '../poison/poison-request-detector.js';
 import {type RelayClient} from '../relay/relay-client.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type Placement} from './placement.js';
 import {type Route} from './route.js';
-import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 
 /** Dependencies of the placement finder. */
 export type PlacementFinderOptions = {
