A request with a header name that is not allowed is refused, and says nothing of links

The HTTP client refused to send it; since hosts watch their links every send that failed before a connection counted as a lost link, so one caller's request cut the host off from all upstreams. Class of fault: what is wrong with a request was taken for a state of what lies behind it. Change: header names are checked before anything else of a request is used; only errors of connections count against a link.

--- a/src/forwarding/create-gateway-caller-server.ts
+++ b/src/forwarding/create-gateway-caller-server.ts
@@ -20,6 +20,7 @@
 const maxParserHeaderBytes = 64 * 1024;
 /** Separator and line end of one header: `: ` and CRLF. */
 const headerOverheadBytes = 4;
+const headerName = /^(?:[\w!#$%'*+\-.^`\|~]|&)+$/v;
 const connectionCheckIntervalMs = 500;
 const idleCheckIntervalMs = 50;
 /** Idle connections stay open for this long past the configured time, so that a request already sent still finds its connection open. */
@@ -69,6 +70,11 @@
 	return req.rawHeaders.reduce((sum, text) => sum + text.length, 0) + (headerOverheadBytes * req.rawHeaders.length / 2);
 }
 
+/** Some versions of Node.js accept a space before the colon. */
+function hasValidHeaderNames({rawHeaders}: IncomingMessage): boolean {
+	return rawHeaders.every((text, index) => index % 2 === 1 || headerName.test(text));
+}
+
 /** Starts the server for callers, which checks each request, reads its body and forwards it. */
 export async function createGatewayCallerServer(options: GatewayCallerServerOptions): Promise<GatewayCallerServer> {
 	const {address, state, decode, createRefusalHeaders, isRelay, acceptsFrom, maxInFlight, forward, now, onRefusal} = options;
@@ -94,6 +100,10 @@
 			throw new Refusal('header-too-large', `the request head exceeds ${limits.headerBytes} bytes`, 'no');
 		}
 
+		if (!hasValidHeaderNames(req)) {
+			throw new Refusal('bad-request', 'a header name has characters that are not allowed', 'no');
+		}
+
 		const {route, workspace} = authorizeRequest(request, current);
 		const endsAt = receivedAt + Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
 		if (draining && receivedAt > draining.acceptAllUntil && endsAt > draining.stopAt) {
--- a/src/registry/create-upstream-sender.ts
+++ b/src/registry/create-upstream-sender.ts
@@ -31,6 +31,11 @@
 	return silentConnectErrors.has(error.code ?? '') ? 'silent' : 'refused';
 }
 
+/** Errors that the HTTP client finds in a request before it opens a connection say nothing of the link. */
+function isConnectError({code = ''}: Error & {code?: string}): boolean {
+	return code === 'UND_ERR_CONNECT_TIMEOUT' || code === 'UND_ERR_SOCKET' || (code.startsWith('E') && !code.startsWith('ERR_'));
+}
+
 /** Other ends of a connection, and bytes that are no response, have come over the link. */
 function isReset({code}: Error & {code?: string}): boolean {
 	return code === 'ECONNRESET' || code === 'EPIPE';
@@ -93,9 +98,9 @@
 			},
 			onFail(error, wasSent) {
 				recordEnded(!isAborted);
-				if (!isAborted && !wasSent) {
+				if (!isAborted && !wasSent && isConnectError(error)) {
 					links.recordConnectFailure(id, describeLoss(error));
-				} else if (!isAborted && !hasHead && isReset(error)) {
+				} else if (!isAborted && wasSent && !hasHead && isReset(error)) {
 					links.recordBroken(id);
 				}
 
--- a/test/registry/upstream-registry.test.ts
+++ b/test/registry/upstream-registry.test.ts
@@ -59,3 +59,43 @@
 		expect(failures).toEqual(expected === 1 ? [] : [['the upstream has left', false]]);
 	});
 });
+
+describe('a request that could not be sent', () => {
+	test.each([
+		['ECONNREFUSED', false],
+		['ECONNRESET', false],
+		['UND_ERR_CONNECT_TIMEOUT', false],
+		['UND_ERR_INVALID_ARG', true],
+		['ERR_INVALID_CHAR', true],
+		['UND_ERR_DESTROYED', true],
+	])('shows that the link is lost only if no connection could be opened: %s', async (code, isReachable) => {
+		const links = createUpstreamLinks({
+			ping: async () => true, chargeProbe: () => 0, now: () => 0, random: () => 0,
+		});
+		links.stop();
+		const registry = createUpstreamRegistry({
+			now: () => 0,
+			links,
+			maxConnectionsFor: () => 4,
+			link: () => ({
+				send(_request, listener) {
+					queueMicrotask(() => {
+						listener.onFail(Object.assign(new Error('not sent'), {code}), false);
+					});
+					return {abort: () => undefined, resume: () => undefined};
+				},
+				hasIdle: () => false,
+				closeIdle: () => undefined,
+				close: () => undefined,
+			}),
+		});
+		registry.updateUpstreams([placed]);
+		registry.send(placed, {
+			method: 'GET', target: '/', headers: [], body: undefined,
+		}, {waitingTokens: 0, heldTokens: 0, priority: 0}, {
+			onHead: () => undefined, onData: () => true, onEnd: () => true, onFail: () => undefined,
+		});
+		await Promise.resolve();
+		expect(registry.listAvailable('app', 0, 0)[0]!.isReachable).toBe(isReachable);
+	});
+});
