Tests of the registry share one set-up

Cause: three copies of a registry with one upstream and stubbed links, two of them in one file. Change: test/support/create-test-registry.ts; no expectation or case changed.

--- a/test/announcements/control-calls-of-a-resting-upstream.test.ts
+++ b/test/announcements/control-calls-of-a-resting-upstream.test.ts
@@ -3,14 +3,8 @@
 import {respectRest} from '../../src/announcements/respect-rest.js';
 import {type EngineClient} from '../../src/forwarding/engine-client.js';
 import {type ResponseHead} from '../../src/forwarding/response-head.js';
-import {type Upstream} from '../../src/forwarding/upstream.js';
 import {type WeightUpdateOrder} from '../../src/forwarding/weight-update-order.js';
-import {createUpstreamLinks} from '../../src/links/create-upstream-links.js';
-import {createUpstreamRegistry} from '../../src/registry/create-upstream-registry.js';
-
-const upstream: Upstream = {
-	id: 'i-0', service: 'app', address: '127.0.0.1:1', domain: 'domain-a', slots: 1, isLeaving: false, startedAt: 1, softwareVersion: 'v1', weights: new Map(),
-};
+import {createTestRegistry, testUpstream as upstream} from '../support/create-test-registry.js';
 
 const head: ResponseHead = {
 	status: 503, requestId: undefined, isSigned: false, isNotRun: true, isEncoded: false, upstreamId: undefined, weightVersion: undefined, retryAfterMs: 3000,
@@ -21,19 +15,7 @@
 function createSystem() {
 	let time = 0;
 	const calls: string[] = [];
-	const links = createUpstreamLinks({
-		ping: async () => true, chargeProbe: () => 0, now: () => time, random: () => 0,
-	});
-	links.stop();
-	const registry = createUpstreamRegistry({
-		now: () => time,
-		links,
-		maxConnectionsFor: () => 4,
-		link: () => ({
-			send: () => ({abort: () => undefined, resume: () => undefined}), hasIdle: () => false, closeIdle: () => undefined, close: () => undefined,
-		}),
-	});
-	registry.updateUpstreams([upstream]);
+	const registry = createTestRegistry(() => ({abort: () => undefined, resume: () => undefined}), () => time);
 	const record = (name: string) => async (): Promise<never> => {
 		calls.push(name);
 		return undefined as never;
--- a/test/registry/upstream-registry.test.ts
+++ b/test/registry/upstream-registry.test.ts
@@ -1,37 +1,8 @@
 import {describe, expect, test} from 'vitest';
-import {createUpstreamRegistry} from '../../src/registry/create-upstream-registry.js';
 import {type ResponseListener} from '../../src/forwarding/response-listener.js';
-import {type Upstream} from '../../src/forwarding/upstream.js';
-import {createUpstreamLinks} from '../../src/links/create-upstream-links.js';
+import {createTestRegistry, testUpstream as placed} from '../support/create-test-registry.js';
 
-const placed: Upstream = {
-	id: 'i-0', service: 'app', address: '127.0.0.1:1', domain: 'domain-a', slots: 1, isLeaving: false, startedAt: 1, softwareVersion: 'v1', weights: new Map(),
-};
-
-/** Creates a registry that counts what is sent. */
-function createRegistry() {
-	let sent = 0;
-	const links = createUpstreamLinks({
-		ping: async () => true, chargeProbe: () => 0, now: () => 0, random: () => 0,
-	});
-	links.stop();
-	const registry = createUpstreamRegistry({
-		now: () => 0,
-		links,
-		maxConnectionsFor: () => 4,
-		link: () => ({
-			send() {
-				sent++;
-				return {abort: () => undefined, resume: () => undefined};
-			},
-			hasIdle: () => false,
-			closeIdle: () => undefined,
-			close: () => undefined,
-		}),
-	});
-	registry.updateUpstreams([placed]);
-	return {registry, countSent: () => sent};
-}
+const running = {abort: () => undefined, resume: () => undefined} as const;
 
 describe('a request that was placed at an upstream', () => {
 	test.each([
@@ -40,7 +11,11 @@
 		['gone', [], 0],
 		['started again under its id', [{...placed, startedAt: 2, softwareVersion: 'v2'}], 0],
 	] as const)('is sent only if the upstream is the same one by then: %s', async (_name, upstreams, expected) => {
-		const {registry, countSent} = createRegistry();
+		let sent = 0;
+		const registry = createTestRegistry(() => {
+			sent++;
+			return running;
+		});
 		registry.updateUpstreams(upstreams);
 		const failures: Array<readonly [string, boolean]> = [];
 		const listener: ResponseListener = {
@@ -55,7 +30,7 @@
 			method: 'GET', target: '/', headers: [], body: undefined,
 		}, {waitingTokens: 0, heldTokens: 0, priority: 0}, listener);
 		await Promise.resolve();
-		expect(countSent()).toBe(expected);
+		expect(sent).toBe(expected);
 		expect(failures).toEqual(expected === 1 ? [] : [['the upstream has left', false]]);
 	});
 });
@@ -69,27 +44,12 @@
 		['ERR_INVALID_CHAR', true],
 		['UND_ERR_DESTROYED', true],
 	])('shows that the link is lost only if no connection could be opened: %s', async (code, isReachable) => {
-		const links = createUpstreamLinks({
-			ping: async () => true, chargeProbe: () => 0, now: () => 0, random: () => 0,
-		});
-		links.stop();
-		const registry = createUpstreamRegistry({
-			now: () => 0,
-			links,
-			maxConnectionsFor: () => 4,
-			link: () => ({
-				send(_request, listener) {
-					queueMicrotask(() => {
-						listener.onFail(Object.assign(new Error('not sent'), {code}), false);
-					});
-					return {abort: () => undefined, resume: () => undefined};
-				},
-				hasIdle: () => false,
-				closeIdle: () => undefined,
-				close: () => undefined,
-			}),
+		const registry = createTestRegistry((_request, listener) => {
+			queueMicrotask(() => {
+				listener.onFail(Object.assign(new Error('not sent'), {code}), false);
+			});
+			return running;
 		});
-		registry.updateUpstreams([placed]);
 		registry.send(placed, {
 			method: 'GET', target: '/', headers: [], body: undefined,
 		}, {waitingTokens: 0, heldTokens: 0, priority: 0}, {
