A refusal counts for the attempt that it answers, not for any with the same id

Cause: an upstream that writes an earlier refusal once more on a kept connection was believed. An attempt that comes back to the same upstream on the same connection bears the same id, a refusal without an id names nobody, and a part of a refusal before an answer ran into that answer's head (status 421 of the copy, id of the answer). Requests that may run once then ran at two upstreams, or were answered 503 although they had run. On the product's own wire a run took any 409 or 503 of a kept connection for its own.

Change: each connection remembers the ids that were refused on it, and carries none of them again; after a refusal without an id it carries only requests that may be repeated. It is closed after 64 refusals with an id. A head into which another one has run (a second Request-Id, or the beginning of a response in a value or in the text after the status) is unusable. A run at an engine of the product's own wire has a connection of its own.

--- a/src/decide/forwarding/classify-response.ts
+++ b/src/decide/forwarding/classify-response.ts
@@ -5,10 +5,14 @@
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /**
-Classifies an upstream's response to the request with `requestId`. Fault pattern: responses that arrive late, belong to another request or
-are corrupted.
+Classifies an upstream's response to the request with `requestId`. Fault pattern: responses that arrive late or in part, belong to another
+request or are corrupted.
 */
 export function classifyResponse(head: ResponseHead, requestId: string | undefined): ResponseClass {
+	if (head.isMerged) {
+		return 'unusable';
+	}
+
 	if (head.isNotRun) {
 		return head.requestId === undefined || head.requestId === requestId ? 'not-run' : 'unusable';
 	}
--- /dev/null
+++ b/src/decide/forwarding/create-refusal-history.ts
@@ -0,0 +1,41 @@
+import {type UpstreamRequest} from '../../forwarding/upstream-request.js';
+
+/** After this many refusals with an id, a connection is closed rather than remember more of them. */
+const maxRefusedIds = 64;
+
+/** The refusals that one connection has carried. */
+export type RefusalHistory = {
+	/** Records a response which states that its request was not run. */
+	readonly record: (requestId: string | undefined) => void;
+	/** Returns whether a refusal of a request that is sent now could be told from a copy of an earlier one, or need not be. */
+	readonly canCarry: (request: Pick<UpstreamRequest, 'id' | 'mayRepeat'>) => boolean;
+	/** Returns whether the connection carries no further request. */
+	readonly isSpent: () => boolean;
+	/** Forgets the refusals of a connection that has ended. */
+	readonly clear: () => void;
+};
+
+/**
+Creates the history of a connection's refusals. Fault pattern: an upstream writes an earlier refusal once more on a kept connection. A
+refusal proves that a request was not run only if the connection has not carried one before that could be its copy: with the same id, or
+without any.
+*/
+export function createRefusalHistory(): RefusalHistory {
+	const refusedIds = new Set<string>();
+	let hasUnnamed = false;
+	return {
+		record(requestId) {
+			if (requestId === undefined) {
+				hasUnnamed = true;
+			} else {
+				refusedIds.add(requestId);
+			}
+		},
+		canCarry: ({id, mayRepeat}) => !refusedIds.has(id) && (mayRepeat || !hasUnnamed),
+		isSpent: () => refusedIds.size >= maxRefusedIds,
+		clear() {
+			refusedIds.clear();
+			hasUnnamed = false;
+		},
+	};
+}
--- a/src/forwarding/response-head.ts
+++ b/src/forwarding/response-head.ts
@@ -10,6 +10,8 @@
 	readonly isSigned: boolean;
 	/** Whether the upstream states that it did not run the request. */
 	readonly isNotRun: boolean;
+	/** Whether two heads have run into one: a part of another response came before this one. */
+	readonly isMerged: boolean;
 	/** Whether the body has a content encoding; upstreams never send one, so the response comes from elsewhere. */
 	readonly isEncoded: boolean;
 	/** Id of the responding upstream; set when another upstream than the expected one responds. */
--- a/src/relay/create-relay-sender.ts
+++ b/src/relay/create-relay-sender.ts
@@ -37,6 +37,8 @@
 				splitter,
 				isResumedByCaller: request.resumeAfter !== undefined,
 				send: listener => relay.send(helper, {
+					id: request.id!,
+					mayRepeat: false,
 					method: request.method,
 					target: request.target,
 					headers: encodeRelayed(request, {
--- a/src/upstreams/create-http-engine.ts
+++ b/src/upstreams/create-http-engine.ts
@@ -1,4 +1,4 @@
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import {UpstreamResponseError} from '../errors/upstream-response-error.js';
 import {callJson} from '../http/call-json.js';
 import {type CacheEvents} from './cache-events.js';
@@ -12,6 +12,8 @@
 const callTimeoutMs = 2000;
 const transferTimeoutMs = 15_000;
 const orderTimeoutMs = 30_000;
+/** Each run has a connection of its own: a refusal there can't be a copy of an earlier one, and proves that this run did not begin. */
+const runAgent = new Agent({pipelining: 0});
 
 /** An event of an engine's stream, as on the wire. */
 type WireEvent = {
@@ -75,6 +77,7 @@
 	let isComplete = false;
 	try {
 		const {statusCode, body} = await request(`${url}/v1/completions`, {
+			dispatcher: runAgent,
 			method: 'POST',
 			headers: {'content-type': 'application/json', 'x-request-id': engineRequest.requestId},
 			body: JSON.stringify({
--- a/test/announcements/control-calls-of-a-resting-upstream.test.ts
+++ b/test/announcements/control-calls-of-a-resting-upstream.test.ts
@@ -7,7 +7,7 @@
 import {createTestRegistry, testUpstream as upstream} from '../support/create-test-registry.js';
 
 const head: ResponseHead = {
-	status: 503, requestId: undefined, isSigned: false, isNotRun: true, isEncoded: false, upstreamId: undefined, weightVersion: undefined, retryAfterMs: 3000,
+	status: 503, requestId: undefined, isSigned: false, isNotRun: true, isMerged: false, isEncoded: false, upstreamId: undefined, weightVersion: undefined, retryAfterMs: 3000,
 	announcement: {requestsPerS: undefined, turnedAwayPerS: undefined, isLeaving: false},
 	framing: 'length', isCloseAnnounced: false, mediaType: undefined, headers: [],
 };
--- a/test/decide/forwarding/refusals-and-retries.test.ts
+++ b/test/decide/forwarding/refusals-and-retries.test.ts
@@ -8,7 +8,7 @@
 import {type SendOutcome} from '../../../src/forwarding/send-outcome.js';
 
 const head = {
-	status: 500, requestId: 'r', isSigned: true, isNotRun: false, isEncoded: false, upstreamId: undefined, weightVersion: undefined, framing: 'length' as const,
+	status: 500, requestId: 'r', isSigned: true, isNotRun: false, isMerged: false, isEncoded: false, upstreamId: undefined, weightVersion: undefined, framing: 'length' as const,
 	isCloseAnnounced: false, retryAfterMs: undefined, announcement: {requestsPerS: undefined, turnedAwayPerS: undefined, isLeaving: false}, mediaType: undefined, headers: [],
 };
 const notRun: SendOutcome = {
