An odd entry among those of upstreams, hosts, cache stores or the lease is left out, and logged once with its fault

Cause: a port of 70000 or an address of 999.1.1.1 passed as an upstream, and requests failed there; a null among the registered hosts ended the listing of hosts for good, and one without an address was kept as a host; a lease of any shape was believed; each invalid entry of ten thousand had a line of its own.

Change: addresses are checked when they are decoded (upstreams, registered hosts, KV cache stores); slots, weight versions and starts are whole numbers in their range; the lease is decoded, and one that names no holder counts as held by an unknown one with a token above those known. One log names an entry and the field at fault, once, for a hundred entries of a kind. Entries are decoded once for each revision, not three times for each change of the list.

--- a/src/forwarding/create-rollout-lease.ts
+++ b/src/forwarding/create-rollout-lease.ts
@@ -1,9 +1,12 @@
+import {type z} from 'zod';
 import {createLease} from '../decide/orders/create-lease.js';
 import {type Lease} from '../decide/orders/lease.js';
 import {getOwnerRank} from '../decide/membership/get-owner-rank.js';
 import {log} from '../observe/log.js';
 import {type StorePosition} from '../object-store/store-position.js';
 import {type LeaseStore} from '../object-store/lease-store.js';
+import {describeFault} from '../util/describe-fault.js';
+import {leaseValueSchema} from './lease-value.js';
 import {type RolloutLease} from './rollout-lease.js';
 
 /** Share of the lease time, from each renewal, in which the holder may send orders. */
@@ -24,20 +27,7 @@
 const maxLostTokens = 1000;
 
 /** Value of the lease object in the store. */
-type LeaseValue = {
-	/** Name of the holder's host. */
-	readonly holder: string;
-	/** Id of the holder's process; distinguishes two runs of one host. */
-	readonly run: string;
-	/** Fencing token, which grows with each change of holder. */
-	readonly token: number;
-	/** Whether the holder has released the lease, which it does no sooner than the lease time after its last order. */
-	readonly isReleased: boolean;
-	/** Number of the holder's writes; without it a renewal would write an unchanged value, which keeps the object's revision. */
-	readonly renewals: number;
-	/** Epoch of the store in which the lease was written; absent when it was written by an earlier build. */
-	readonly epoch?: number;
-};
+type LeaseValue = Readonly<z.infer<typeof leaseValueSchema>>;
 
 /** Dependencies of the roll-out lease. */
 type RolloutLeaseOptions = {
@@ -119,12 +109,25 @@
 	/** How many epochs ago the lease was written. */
 	const countMissedEpochs = (): number => epoch.number - (latestValue?.epoch ?? 0);
 
+	/** A value that names no holder counts as one of unknown holder, whose token is above those known. */
+	const decode = (value: unknown): LeaseValue => {
+		const parsed = leaseValueSchema.safeParse(value);
+		if (parsed.success) {
+			return parsed.data;
+		}
+
+		log.warn({fault: describeFault(parsed.error)}, 'lease cannot be decoded, its holder is unknown');
+		return {
+			holder: '', run: '', token: lease.latestFencingToken() + maxLostTokens, isReleased: false, renewals: 0, epoch: epoch.number,
+		};
+	};
+
 	const observe = async (): Promise<void> => {
 		const object = await store.read();
 		observedAt = now();
 		updateEpoch();
 		position = object;
-		latestValue = object?.value as LeaseValue | undefined;
+		latestValue = object && decode(object.value);
 		lease.observe(object?.revision ?? 0, latestValue?.token ?? 0, observedAt);
 	};
 
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -29,7 +29,8 @@
 	/** Path at which the load balancer checks whether this host accepts new connections. */
 	readonly readinessPath: string;
 	readonly decodeConfiguration: (value: unknown) => Configuration | undefined;
-	readonly decodeUpstream: (object: StoredObject) => Upstream | undefined;
+	/** `onFault` is called with the field at fault of an entry that is invalid. */
+	readonly decodeUpstream: (object: StoredObject, onFault?: (fault: string) => void) => Upstream | undefined;
 	readonly decodeWeights: (value: unknown) => Pick<DesiredWeights, 'model' | 'version'> | undefined;
 	readonly decodeRequest: (req: IncomingMessage) => CallerRequest;
 	readonly encodeRequest: (request: CallerRequest, options: UpstreamRequestOptions) => string[];
--- a/src/object-store/create-stored-state.ts
+++ b/src/object-store/create-stored-state.ts
@@ -7,6 +7,7 @@
 import {type Route} from '../forwarding/route.js';
 import {type Service} from '../forwarding/service.js';
 import {type Upstream} from '../forwarding/upstream.js';
+import {createInvalidEntryLog} from './create-invalid-entry-log.js';
 import {type StoredObject} from './stored-object.js';
 import {indexConfiguration} from './index-configuration.js';
 import {type IndexedConfiguration} from './indexed-configuration.js';
@@ -53,17 +54,20 @@
 	{onServicesChange, onUpstreamsChange}: StoredStateListener,
 	now: () => number,
 ): StoredState {
-	const {decodeUpstream} = adapter;
 	const decodeConfiguration = memoizeWeakly(adapter.decodeConfiguration);
 	const decodeWeights = memoizeWeakly(adapter.decodeWeights);
 	let state: IndexedConfiguration | undefined;
 	let services: ReadonlyMap<string, Service> = new Map();
 	const weights = new Map<string, DesiredWeights>();
 	const history: DesiredWeights[] = [];
-	const ignoredEntries = new Set<string>();
-	const getStart = (value: unknown): number | undefined => decodeUpstream({
+	const logInvalidWeights = createInvalidEntryLog('weights');
+	const logInvalid = createInvalidEntryLog('upstreams');
+	const decodeUpstream = memoizeWeakly((object: StoredObject) => adapter.decodeUpstream(object, fault => {
+		logInvalid(object.name, fault);
+	}));
+	const getStart = memoizeWeakly((value: unknown) => adapter.decodeUpstream({
 		name: '', epoch: 0, revision: 0, value,
-	})?.startedAt;
+	})?.startedAt);
 	const filterRemoved = createRemovedEntryFilter({isSameStart: (a, b) => getStart(a) === getStart(b), now});
 
 	return {
@@ -88,9 +92,6 @@
 				const upstream = decodeUpstream(object);
 				if (upstream) {
 					upstreams.push(upstream);
-				} else if (!ignoredEntries.has(object.name)) {
-					ignoredEntries.add(object.name);
-					log.warn({entry: object.name, revision: object.revision}, 'upstream entry cannot be decoded, ignored');
 				}
 			}
 
@@ -103,7 +104,7 @@
 			for (const {value, name: entry, revision} of objects) {
 				const decoded = decodeWeights(value);
 				if (!decoded) {
-					log.warn({entry, revision}, 'desired weights cannot be decoded, ignored');
+					logInvalidWeights(entry, 'not the weights of a model');
 				} else if (decoded.version > (weights.get(decoded.model)?.version ?? 0)) {
 					const desired = {
 						...decoded, contentVersion, learnedAt: now(), supersededAt: estimateSupersededAt(now(), confirmedAt),
--- a/src/reports/create-host-registry.ts
+++ b/src/reports/create-host-registry.ts
@@ -1,6 +1,8 @@
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
 import {type ObjectStore} from '../object-store/object-store.js';
+import {createInvalidEntryLog} from '../object-store/create-invalid-entry-log.js';
+import {decodeRegistration, type Registration} from './decode-registration.js';
 import {type HostRegistry} from './host-registry.js';
 import {type HostStatus} from './host-status.js';
 import {type KnownHost} from './known-host.js';
@@ -20,9 +22,6 @@
 /** Hosts that have sent no report for this long are removed. */
 const expireAfterMs = 60_000;
 
-/** The registration of a host in the object store. */
-type Registration = Pick<HostStatus, 'host' | 'domain' | 'peers' | 'reports' | 'linkMbps'>;
-
 /** Options of `createHostRegistry`. */
 type HostRegistryOptions = {
 	readonly self: Registration;
@@ -39,6 +38,7 @@
 /** Registers this host in the object store, lists the other hosts from there, and tracks which of them report. */
 export function createHostRegistry({self, store, kind, getEpoch, onHeard, now}: HostRegistryOptions): HostRegistry {
 	const known = new Map<string, KnownHost>();
+	const logInvalid = createInvalidEntryLog(kind);
 	let hasStopped = false;
 	let aliveHosts: readonly KnownHost[] = [];
 	let aliveListedAt = Number.NEGATIVE_INFINITY;
@@ -59,9 +59,11 @@
 
 	const listHosts = async (): Promise<void> => {
 		const {objects} = await store.list(kind);
-		for (const {value} of objects) {
-			const entry = value as Registration;
-			if (entry.host !== self.host && !known.has(entry.host)) {
+		for (const {name, value} of objects) {
+			const entry = decodeRegistration(value, fault => {
+				logInvalid(name, fault);
+			});
+			if (entry && entry.host !== self.host && !known.has(entry.host)) {
 				known.set(entry.host, {
 					...entry, heardAt: undefined, everyMs: 0, isStoreLost: false,
 				});
--- a/src/util/memoize-weakly.ts
+++ b/src/util/memoize-weakly.ts
@@ -1,5 +1,5 @@
 /** Wraps `compute` so that it runs once for each object for as long as that is in use. Results for other arguments are not kept. */
-export function memoizeWeakly<R>(compute: (argument: unknown) => R): (argument: unknown) => R {
+export function memoizeWeakly<A, R>(compute: (argument: A) => R): (argument: A) => R {
 	const results = new WeakMap<object, {readonly result: R}>();
 	return argument => {
 		if (typeof argument !== 'object' || argument === null) {
