What hosts do periodically costs the same in a fleet of any size, and shares its wake-ups; a start loads less

The list of hosts was a new object every 100 ms, so that places in the order of owners (each KV store x each host, each kind of objects x each host, the collector) were computed anew ten times a second, and each task had timers of its own. A start laid out the help text of the command line and loaded HTTP/2, fetch, WebSocket and the text comparison of assertions.

Change: a host's record stays the same object while only its times change, and so do the lists; ranks are kept until a list changes. Periodic tasks run at multiples of their interval, together; one that fails is logged and runs on. Log lines are written every 100 ms. The deployed bundle holds the part of undici that hosts use.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -45,6 +45,13 @@
 		keepNames: true,
 		// Hosts render no plots.
 		external: ['vega', 'vega-lite'],
+		alias: {
+			...commonOptions.alias,
+			undici: './scripts/deploy/undici.cjs',
+			'node:http2': './scripts/deploy/http2.cjs',
+			assert: './scripts/deploy/assert.cjs',
+			'node:assert': './scripts/deploy/assert.cjs',
+		},
 	});
 	copyFileSync('scripts/load-cached.cjs', `${outdir}/hemlockpier.cjs`);
 	writeFileSync(`${outdir}/unreachable.jsonc`, JSON.stringify(codeCacheRunSettings));
--- a/src/commands/gateway.ts
+++ b/src/commands/gateway.ts
@@ -19,7 +19,7 @@
 };
 
 /** Time for the last log lines to be written before the process exits. */
-const logFlushMs = 60;
+const logFlushMs = 250;
 
 /** Runs one host in front of registered upstreams until SIGTERM or SIGINT; SIGHUP reloads the settings. */
 export const gatewayCommand: CommandModule<unknown, GatewayArguments> = {
--- a/src/decide/collecting/create-collector-selector.ts
+++ b/src/decide/collecting/create-collector-selector.ts
@@ -30,6 +30,8 @@
 	const lastReportAt = new Map<string, number>();
 	const exclusions = new Map<string, Exclusion>();
 	let current = self.host;
+	/** Candidates of the last choice, while none of them was excluded. */
+	let rankedCandidates: readonly HostBandwidth[] | undefined;
 	let chosenAt = Number.NEGATIVE_INFINITY;
 
 	const excludeUnresponsive = (now: number): void => {
@@ -45,6 +47,11 @@
 	return {
 		choose(candidates, now) {
 			excludeUnresponsive(now);
+			if (candidates === rankedCandidates && exclusions.size === 0) {
+				return current;
+			}
+
+			rankedCandidates = exclusions.size === 0 ? candidates : undefined;
 			const eligible = candidates.filter(({host}) => now >= (exclusions.get(host)?.until ?? now));
 			const [best] = rankOwnersByBandwidth([...eligible, self], domain);
 			if (best !== current) {
--- a/src/forwarding/create-free-stale-kv-task.ts
+++ b/src/forwarding/create-free-stale-kv-task.ts
@@ -1,7 +1,7 @@
 import {canFreeStaleKv} from '../decide/kv-cache/can-free-stale-kv.js';
 import {parseScope} from '../decide/kv-cache/parse-scope.js';
 import {log} from '../observe/log.js';
-import {sleep} from '../util/sleep.js';
+import {sleepUntilTick} from '../util/sleep-until-tick.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type HostStatus} from '../reports/host-status.js';
 import {type KvStore} from './kv-store.js';
@@ -91,7 +91,7 @@
 
 	const runPeriodically = async (): Promise<void> => {
 		while (!hasStopped) {
-			await sleep(intervalMs);
+			await sleepUntilTick(intervalMs);
 			try {
 				await freeStaleParts();
 			} catch (error) {
--- a/src/forwarding/create-kv-store-tracker.ts
+++ b/src/forwarding/create-kv-store-tracker.ts
@@ -5,6 +5,7 @@
 import {getOwnerRankByBandwidth} from '../decide/membership/get-owner-rank-by-bandwidth.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
+import {every} from '../util/every.js';
 import {memoizeLast} from '../util/memoize-last.js';
 import {memoize} from '../util/memoize.js';
 import {sleep} from '../util/sleep.js';
@@ -80,13 +81,13 @@
 	};
 
 	/** One timer serves all stores, since a host of a large deployment tracks dozens of them. */
-	const timer = setInterval(() => {
+	const stopPolling = every(timerIntervalMs, 'polls of KV stores', () => {
 		for (const entry of trackedStores.values()) {
 			if (!entry.isPolling && now() >= entry.nextPollAt && shouldPoll(entry)) {
 				void pollOnce(entry);
 			}
 		}
-	}, timerIntervalMs);
+	});
 
 	const pickLocalPeerAddress = (): string | undefined => {
 		const sameDomainHosts = others().filter(host => host.domain === self.domain);
@@ -224,7 +225,7 @@
 		},
 		isBeingSaved: (scope, part) => [...trackedStores.values()].some(({pendingSaves}) => pendingSaves.has(scope, part, now())),
 		stop() {
-			clearInterval(timer);
+			stopPolling();
 		},
 	};
 }
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -1,6 +1,7 @@
 import {planRollout} from '../decide/orders/plan-rollout.js';
 import {type RolloutEngine} from '../decide/orders/rollout-engine.js';
 import {log} from '../observe/log.js';
+import {sleepUntilTick} from '../util/sleep-until-tick.js';
 import {sleep} from '../util/sleep.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type EngineClient} from './engine-client.js';
@@ -191,7 +192,7 @@
 				await sleep(idleStepMs);
 			}
 
-			await sleep(workSince === undefined ? idleStepMs : activeStepMs);
+			await (workSince === undefined ? sleepUntilTick(idleStepMs) : sleep(activeStepMs));
 		}
 	};
 
--- a/src/links/create-upstream-links.ts
+++ b/src/links/create-upstream-links.ts
@@ -2,6 +2,7 @@
 import {findSuspectedLinks} from '../decide/links/find-suspected-links.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {log} from '../observe/log.js';
+import {every} from '../util/every.js';
 import {type LinkLoss} from './link-loss.js';
 import {type UpstreamLinks} from './upstream-links.js';
 
@@ -182,11 +183,11 @@
 		}
 	};
 
-	const timer = setInterval(() => {
+	const stopChecking = every(checkIntervalMs, 'checks of links', () => {
 		probeSuspected();
 		probeLost();
 		logCutOff();
-	}, checkIntervalMs);
+	});
 
 	return {
 		add(upstream, onSilent) {
@@ -242,7 +243,7 @@
 			return !link || now() - Math.max(link.lastContactAt, lastContactAt) < recentContactMs || probe(link);
 		},
 		stop() {
-			clearInterval(timer);
+			stopChecking();
 		},
 	};
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -57,6 +57,11 @@
 		parser.command(command);
 	}
 
+	if (hostCommands.has(name) && !process.argv.includes('--help')) {
+		// The text is laid out at each start otherwise, also where nobody asks for it.
+		parser.help(false);
+	}
+
 	await parser.parseAsync();
 }
 
--- a/src/object-store/create-object-watcher.ts
+++ b/src/object-store/create-object-watcher.ts
@@ -1,6 +1,8 @@
 import {comparePositions} from '../decide/object-store/compare-positions.js';
 import {keepNewestVersions} from '../decide/object-store/keep-newest-versions.js';
 import {log} from '../observe/log.js';
+import {every} from '../util/every.js';
+import {sleepUntilTick} from '../util/sleep-until-tick.js';
 import {sleep} from '../util/sleep.js';
 import {type KindSnapshot} from './kind-snapshot.js';
 import {type ObjectWatcher} from './object-watcher.js';
@@ -11,7 +13,7 @@
 const maxRetryDelayMs = 1000;
 const retryJitter = 0.5;
 /** Time between two checks whether this host should watch the store again. */
-const idleCheckIntervalMs = 250;
+const idleCheckIntervalMs = 300;
 /** How long a failure to reach the store is still reported while this host doesn't watch it. */
 const unreachableStatusTtlMs = 5000;
 /**
@@ -24,7 +26,7 @@
 const probeWaitMs = 1;
 
 /** How often a waiting watch checks whether it should have waited less. */
-const waitCheckIntervalMs = 250;
+const waitCheckIntervalMs = 300;
 
 /** Options of `createObjectWatcher`. */
 type ObjectWatcherOptions = {
@@ -101,12 +103,12 @@
 	const watchWithin = async (from: KindSnapshot, longestMs: number): Promise<Awaited<ReturnType<ObjectStore['watch']>> | 'waited-enough'> => {
 		const startedAt = now();
 		const shortened = new AbortController();
-		const timer = setInterval(() => {
+		const stopChecking = every(waitCheckIntervalMs, 'waits of watches', () => {
 			const allowedMs = waitMs();
 			if (allowedMs < longestMs && now() - startedAt > allowedMs) {
 				shortened.abort();
 			}
-		}, waitCheckIntervalMs);
+		});
 		try {
 			return await store.watch(kind, from, longestMs, shortened.signal);
 		} catch (error) {
@@ -116,7 +118,7 @@
 
 			throw error;
 		} finally {
-			clearInterval(timer);
+			stopChecking();
 		}
 	};
 
@@ -163,7 +165,7 @@
 			if (current && !isWatching()) {
 				// A failure that is too old no longer says whether the store can be reached.
 				isUnreachable &&= now() - lastFailureAt < unreachableStatusTtlMs;
-				await sleep(idleCheckIntervalMs);
+				await sleepUntilTick(idleCheckIntervalMs);
 				continue;
 			}
 
--- a/src/object-store/create-state-sync.ts
+++ b/src/object-store/create-state-sync.ts
@@ -1,6 +1,7 @@
 import {comparePositions} from '../decide/object-store/compare-positions.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
+import {sleepUntilTick} from '../util/sleep-until-tick.js';
 import {sleep} from '../util/sleep.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type HostStatus} from '../reports/host-status.js';
@@ -162,7 +163,7 @@
 
 	const pullWhilePartitioned = async (): Promise<void> => {
 		while (!hasStopped) {
-			await sleep(partitionCheckMs);
+			await sleepUntilTick(partitionCheckMs);
 			const peers = alive().map(peer => peer.peers);
 			const addresses = peers.length > 0 ? peers : seeds();
 			if (isPartitioned() && addresses.length > 0) {
--- a/src/object-store/create-watch-policy.ts
+++ b/src/object-store/create-watch-policy.ts
@@ -1,6 +1,8 @@
 import {getOwnerRank} from '../decide/membership/get-owner-rank.js';
 import {type GatewayAdapter} from '../forwarding/gateway-adapter.js';
 import {type KnownHost} from '../reports/known-host.js';
+import {memoizeLast} from '../util/memoize-last.js';
+import {memoize} from '../util/memoize.js';
 
 /** Longest wait of a watch call on a few hosts; limits how long a dead connection can hide a change from all. */
 const shortWatchMs = 700;
@@ -41,14 +43,17 @@
 	const shortWaitsMs: Readonly<Record<string, number>> = {
 		[kinds.configuration]: shortWatchMs, [kinds.upstreams]: shortWatchMs, [kinds.weights]: shortWeightsWatchMs,
 	};
-	const listReachingStore = (): readonly KnownHost[] => alive().filter(peer => !peer.isStoreLost);
-	const getRank = (peers: readonly KnownHost[], kind: string): number => getOwnerRank(self.host, peers.map(peer => peer.host), kind);
+	const rankAmong = (peers: readonly KnownHost[]): ((kind: string) => number) => memoize(kind => getOwnerRank(self.host, peers.map(peer => peer.host), kind));
+	const createRanks = memoizeLast((peers: readonly KnownHost[]) => {
+		const reachingStore = peers.filter(peer => !peer.isStoreLost);
+		return {inDomain: rankAmong(reachingStore.filter(peer => peer.domain === self.domain)), ofAll: rankAmong(reachingStore)};
+	});
 
 	return {
-		isWatching: kind => hasSettled() && getRank(listReachingStore().filter(peer => peer.domain === self.domain), kind) < watchersPerDomain,
+		isWatching: kind => hasSettled() && createRanks(alive()).inDomain(kind) < watchersPerDomain,
 		waitMs(kind) {
 			const shortWaitMs = shortWaitsMs[kind];
-			return shortWaitMs !== undefined && getRank(listReachingStore(), kind) < shortWatchHosts ? shortWaitMs : longWatchMs;
+			return shortWaitMs !== undefined && createRanks(alive()).ofAll(kind) < shortWatchHosts ? shortWaitMs : longWatchMs;
 		},
 		partitionedAfterMs: longWatchMs + watchTimeoutMarginMs,
 	};
--- a/src/observe/create-bounded-writer.ts
+++ b/src/observe/create-bounded-writer.ts
@@ -1,8 +1,9 @@
 import {write as writeFile} from 'node:fs';
+import {getTickDelayMs} from '../util/get-tick-delay-ms.js';
 
 /** Lines beyond this many in the buffer are dropped. */
 const maxBufferedLines = 4000;
-const batchIntervalMs = 20;
+const batchIntervalMs = 100;
 
 /**
 Creates a writer of log lines that never blocks: lines are written in batches in the background. While the reader
@@ -45,7 +46,7 @@
 
 	const scheduleFlush = (): void => {
 		if (!isWriting && timer === undefined && lines.length > 0) {
-			timer = setTimeout(flush, batchIntervalMs);
+			timer = setTimeout(flush, getTickDelayMs(performance.now(), batchIntervalMs));
 		}
 	};
 
--- a/src/reports/create-collecting-report-sender.ts
+++ b/src/reports/create-collecting-report-sender.ts
@@ -10,6 +10,7 @@
 import {type HostStatus} from './host-status.js';
 import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
 import {type KnownHost} from './known-host.js';
+import {memoizeLast} from '../util/memoize-last.js';
 
 /**
 Interval at which the status of an unchanged host is repeated within its failure domain; shorter than for other domains, since the
@@ -47,6 +48,16 @@
 	const remoteDueFilter = createDueStatusFilter(remoteMembersIntervalMs);
 	/** The host that last sent a domain report, by failure domain. */
 	const remoteCollectors = new Map<string, {readonly host: string; readonly at: number}>();
+	const listLocal = memoizeLast((hosts: readonly KnownHost[]) => hosts.filter(host => host.domain === self.domain));
+	/** Hosts of the other failure domains, by domain. */
+	const groupRemote = memoizeLast((hosts: readonly KnownHost[]) => {
+		const groups = new Map<string, KnownHost[]>();
+		for (const host of hosts.filter(({domain}) => domain !== self.domain)) {
+			groups.set(host.domain, [...groups.get(host.domain) ?? [], host]);
+		}
+
+		return groups;
+	});
 	let pendingReports: readonly PendingDomainReport[] = [];
 	let pendingKvUpdates: readonly KvStoreUpdate[] = [];
 	let collector = self.host;
@@ -61,16 +72,11 @@
 	};
 
 	/** Returns the address of the collector of each other failure domain; while it is unknown, the hosts of the domain take turns. */
-	const listRemoteCollectors = (): readonly string[] => {
-		const remoteHosts = registry.listKnown().filter(host => host.domain !== self.domain);
-		const domains = new Set(remoteHosts.map(host => host.domain));
-		return [...domains].map(domain => {
-			const hosts = remoteHosts.filter(host => host.domain === domain);
-			const source = remoteCollectors.get(domain);
-			const known = source && now() - source.at < remoteCollectorTimeoutMs ? hosts.find(host => host.host === source.host) : undefined;
-			return (known ?? hosts[turn % hosts.length]!).reports;
-		});
-	};
+	const listRemoteCollectors = (): readonly string[] => [...groupRemote(registry.listKnown())].map(([domain, hosts]) => {
+		const source = remoteCollectors.get(domain);
+		const known = source && now() - source.at < remoteCollectorTimeoutMs ? hosts.find(host => host.host === source.host) : undefined;
+		return (known ?? hosts[turn % hosts.length]!).reports;
+	});
 
 	const createDomainReport = (everyMs: number, news: DomainReport['news'], members: DomainReport['members']): DomainReport => ({
 		source: {host: self.host, domain: self.domain, everyMs}, news, members,
@@ -113,7 +119,7 @@
 	return {
 		send(report) {
 			turn++;
-			const localHosts = registry.listKnown().filter(host => host.domain === self.domain);
+			const localHosts = listLocal(registry.listKnown());
 			updateCollector(localHosts);
 			const own = {...report, everyMs: reportMs};
 			if (collector === self.host) {
--- a/src/reports/create-host-registry.ts
+++ b/src/reports/create-host-registry.ts
@@ -22,6 +22,19 @@
 /** Hosts that have sent no report for this long are removed. */
 const expireAfterMs = 60_000;
 
+/** A host whose times are kept up to date in place, so that lists of hosts stay the same while only times change. */
+type HostEntry = KnownHost & {heardAt: number | undefined};
+
+function isSameList<T>(a: readonly T[], b: readonly T[]): boolean {
+	return a.length === b.length && a.every((item, index) => item === b[index]);
+}
+
+/** Returns whether two descriptions of a host differ in nothing but when it was heard. */
+function isSameHost(a: KnownHost, b: Omit<KnownHost, 'heardAt'>): boolean {
+	return a.domain === b.domain && a.peers === b.peers && a.reports === b.reports && a.linkMbps === b.linkMbps && a.everyMs === b.everyMs
+		&& a.isStoreLost === b.isStoreLost && isSameList(a.lostServices ?? [], b.lostServices ?? []);
+}
+
 /** Options of `createHostRegistry`. */
 type HostRegistryOptions = {
 	readonly self: Registration;
@@ -37,12 +50,23 @@
 
 /** Registers this host in the object store, lists the other hosts from there, and tracks which of them report. */
 export function createHostRegistry({self, store, kind, getEpoch, onHeard, now}: HostRegistryOptions): HostRegistry {
-	const known = new Map<string, KnownHost>();
+	const known = new Map<string, HostEntry>();
+	let knownHosts: readonly KnownHost[] | undefined;
 	const logInvalid = createInvalidEntryLog(kind);
 	let hasStopped = false;
 	let aliveHosts: readonly KnownHost[] = [];
 	let aliveListedAt = Number.NEGATIVE_INFINITY;
 
+	const setHost = (entry: HostEntry): void => {
+		known.set(entry.host, entry);
+		knownHosts = undefined;
+	};
+
+	const listKnown = (): readonly KnownHost[] => {
+		knownHosts ??= [...known.values()];
+		return knownHosts;
+	};
+
 	const isAlive = ({heardAt, everyMs}: KnownHost): boolean =>
 		heardAt !== undefined && now() - heardAt < Math.max(minUnresponsiveMs, everyMs * unresponsiveIntervals);
 
@@ -64,7 +88,7 @@
 				logInvalid(name, fault);
 			});
 			if (entry && entry.host !== self.host && !known.has(entry.host)) {
-				known.set(entry.host, {
+				setHost({
 					...entry, heardAt: undefined, everyMs: 0, isStoreLost: false,
 				});
 			}
@@ -108,28 +132,35 @@
 				onHeard();
 			}
 
-			known.set(host, {
-				host, domain, peers, reports, linkMbps, everyMs, isStoreLost, lostServices, heardAt,
-			});
+			const described = {
+				host, domain, peers, reports, linkMbps, everyMs, isStoreLost, lostServices,
+			};
+			if (previous?.heardAt !== undefined && isSameHost(previous, described)) {
+				previous.heardAt = heardAt;
+			} else {
+				setHost({...described, heardAt});
+			}
 		},
 		alive() {
 			if (now() - aliveListedAt >= aliveListTtlMs) {
 				aliveListedAt = now();
-				aliveHosts = [...known.values()].filter(entry => isAlive(entry));
+				const hosts = listKnown().filter(entry => isAlive(entry));
+				aliveHosts = isSameList(hosts, aliveHosts) ? aliveHosts : hosts;
 			}
 
 			return aliveHosts;
 		},
-		listKnown: () => [...known.values()],
+		listKnown,
 		countKnown: () => known.size,
 		async refreshAndList() {
 			await listHosts();
-			return [...known.values()];
+			return listKnown();
 		},
 		removeExpired() {
 			for (const [name, {heardAt}] of known) {
 				if (heardAt !== undefined && now() - heardAt > expireAfterMs) {
 					known.delete(name);
+					knownHosts = undefined;
 				}
 			}
 		},
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -1,4 +1,5 @@
 import {log} from '../observe/log.js';
+import {every} from '../util/every.js';
 import {type ObjectStore} from '../object-store/object-store.js';
 import {type StreamGroup} from '../streams/stream-group.js';
 import {createCollectingReportSender} from './create-collecting-report-sender.js';
@@ -94,7 +95,7 @@
 		self, socket, registry, now, reportMs,
 	});
 	let sender: ReportSender = direct;
-	let timer: NodeJS.Timeout | undefined;
+	let stopSending = (): void => undefined;
 
 	const sendReport = (): void => {
 		registry.removeExpired();
@@ -111,7 +112,7 @@
 		async start() {
 			await socket.open();
 			registry.start();
-			timer = setInterval(sendReport, reportMs);
+			stopSending = every(reportMs, 'reports to other hosts', sendReport);
 		},
 		alive: registry.alive,
 		listHeard: () => registry.listKnown().filter(({heardAt}) => heardAt !== undefined),
@@ -126,7 +127,7 @@
 			sender.sendKvUpdate(update);
 		},
 		stop() {
-			clearInterval(timer);
+			stopSending();
 			registry.stop();
 			socket.close();
 		},
--- a/src/reports/host-registry.ts
+++ b/src/reports/host-registry.ts
@@ -7,9 +7,9 @@
 	readonly start: () => void;
 	/** Records the status of a host as received at `heardAt`. */
 	readonly recordStatus: (status: HostStatus, heardAt: number) => void;
-	/** Returns the hosts with a recent status. */
+	/** Returns the hosts with a recent status; the same list while they are the same. */
 	readonly alive: () => readonly KnownHost[];
-	/** Returns all other hosts known from the store or a report. */
+	/** Returns all other hosts known from the store or a report; the same list while they are the same. */
 	readonly listKnown: () => readonly KnownHost[];
 	/** Returns the number of hosts that `listKnown` lists. */
 	readonly countKnown: () => number;
