A host that stops as planned stores the streams that it has begun before it ends

Cause: begun streams are written to the store every 250 ms, and every 20 ms x hosts in larger fleets (3.9 s at 195 hosts); a planned stop ended without the last of these writes, so that streams begun shortly before it could not go on once all hosts were replaced.

Change: at the end of a drain a host tells and writes what is left, without pauses, for 300 ms at most of the grace period.

--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -52,6 +52,8 @@
 import {memoize} from './util/memoize.js';
 
 const msPerS = 1000;
+/** Time in which a stopping host stores the streams that it has begun; within what the drain leaves of the grace period. */
+const maxFlushMs = 300;
 /** An engine is ejected for this long after each report that it is loading weights. */
 const loadingEjectMs = 400;
 /**
@@ -369,6 +371,7 @@
 
 			isDraining = true;
 			await drainGateway(name, requests, liveSettings.bounds.graceS * msPerS, now);
+			await streams.flush(maxFlushMs);
 			await stop();
 		},
 		stop,
--- a/src/streams/create-stream-archive.ts
+++ b/src/streams/create-stream-archive.ts
@@ -19,6 +19,8 @@
 const minWriteIntervalMs = 250;
 const writeIntervalPerHostMs = 20;
 const retryDelayMs = 500;
+/** Time between two writes of a host that stops. */
+const flushIntervalMs = 50;
 /** Begun streams kept while the store does not take them. */
 const maxUnwritten = 20_000;
 /** The store is read again for a stream that nobody knows once this time has passed. */
@@ -60,6 +62,9 @@
 	let slice: {readonly name: string; readonly at: number; readonly streams: readonly Stream[]} | undefined;
 	let unwritten: Stream[] = [];
 	let isWriting = false;
+	/** Aborted when this host stops: writes no longer wait for others to join them. */
+	const flushing = new AbortController();
+	let written = Promise.resolve();
 	let isWritingVersions = false;
 	let hasStopped = false;
 
@@ -157,7 +162,7 @@
 				log.warn({unwritten: unwritten.length, dropped, error: String(error)}, 'begun streams could not be stored');
 			}
 
-			await sleep(Math.max(minWriteIntervalMs, countHosts() * writeIntervalPerHostMs));
+			await sleep(flushing.signal.aborted ? flushIntervalMs : Math.max(minWriteIntervalMs, countHosts() * writeIntervalPerHostMs), flushing.signal.aborted ? undefined : flushing.signal);
 		}
 
 		isWriting = false;
@@ -203,7 +208,7 @@
 		add(id, service, version) {
 			unwritten.push({id, service, version});
 			if (!isWriting) {
-				void writeStreams();
+				written = writeStreams();
 			}
 		},
 		async waitUntilRead(timeoutMs) {
@@ -234,6 +239,11 @@
 				void writeVersions();
 			}
 		},
+		async flush(timeoutMs) {
+			flushing.abort();
+			await Promise.race([written, sleep(timeoutMs)]);
+			log.info({unwritten: unwritten.length}, 'begun streams stored before the stop');
+		},
 		stop() {
 			hasStopped = true;
 		},
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -212,6 +212,11 @@
 				reviewMixed();
 			}
 		},
+		async flush(timeoutMs) {
+			clearTimeout(tellTimer);
+			tellNext();
+			await archive.flush(timeoutMs);
+		},
 		stop() {
 			clearTimeout(tellTimer);
 			archive.stop();
--- a/src/streams/stream-archive.ts
+++ b/src/streams/stream-archive.ts
@@ -10,5 +10,7 @@
 	readonly findOnlyVersion: (service: string) => string | undefined;
 	/** Records which versions of each service are listed now. */
 	readonly recordListed: (listed: ReadonlyMap<string, ReadonlySet<string>>) => void;
+	/** Writes without pauses what is not in the store yet; resolves once it is there, at the latest after a time in milliseconds. */
+	readonly flush: (timeoutMs: number) => Promise<void>;
 	readonly stop: () => void;
 };
--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -23,5 +23,7 @@
 	readonly reviewVersions: () => readonly SeenVersion[];
 	/** Records the versions that another host has seen. */
 	readonly recordSeenVersions: (seen: readonly SeenVersion[]) => void;
+	/** Tells and stores what others don't know yet, before this host stops; resolves at the latest after a time in milliseconds. */
+	readonly flush: (timeoutMs: number) => Promise<void>;
 	readonly stop: () => void;
 };
--- a/test/streams/stream-archive.test.ts
+++ b/test/streams/stream-archive.test.ts
@@ -39,8 +39,8 @@
 
 type Store = ReturnType<typeof createStore>;
 
-const openArchive = (store: Store, host: string) => createStreamArchive({
-	host, store, kind: 'streams', retentionMs: 60_000, countHosts: () => 1, random: () => 0, onVersions: () => undefined,
+const openArchive = (store: Store, host: string, hosts = 1) => createStreamArchive({
+	host, store, kind: 'streams', retentionMs: 60_000, countHosts: () => hosts, random: () => 0, onVersions: () => undefined,
 });
 
 describe('begun streams are in the store', () => {
@@ -71,3 +71,42 @@
 		reader.stop();
 	});
 });
+
+describe('a host that stops', () => {
+	test.each([
+		['nothing to write', 195, [], []],
+		['the first streams', 195, ['a'], []],
+		['streams that came just after a write', 195, ['a'], ['b', 'c']],
+		['streams that came just after a write, in a small fleet', 2, ['a'], ['b']],
+	] as const)('has stored the streams that it began: %s', async (_name, hosts, first, later) => {
+		const store = createStore([]);
+		const writer = openArchive(store, 'host-1', hosts);
+		await writer.waitUntilRead(1000);
+		for (const id of first) {
+			writer.add(id, 'app', 'v1');
+		}
+
+		await sleep(20);
+		for (const id of later) {
+			writer.add(id, 'app', 'v1');
+		}
+
+		await writer.flush(1000);
+		writer.stop();
+		const reader = openArchive(store, 'host-2');
+		await reader.waitUntilRead(1000);
+		const ids = [...first, ...later];
+		expect(await Promise.all(ids.map(async id => reader.lookUp(id)))).toEqual(ids.map(() => 'v1'));
+		reader.stop();
+	});
+
+	test('stops in time where the store takes nothing', async () => {
+		const store = createStore(Array.from({length: 200}, () => 'fails' as const));
+		const writer = openArchive(store, 'host-1');
+		await writer.waitUntilRead(1000);
+		writer.add('a', 'app', 'v1');
+		await writer.flush(50);
+		writer.stop();
+		expect(await openArchive(store, 'host-2').lookUp('a')).toBeUndefined();
+	});
+});
--- a/test/streams/stream-resumed-at-another-version.test.ts
+++ b/test/streams/stream-resumed-at-another-version.test.ts
@@ -319,6 +319,35 @@
 	});
 });
 
+describe.concurrent('many streams that have just begun when all hosts are stopped as planned and replaced', () => {
+	const manyStreams = 24;
+
+	/** Stops all hosts and starts two others. */
+	const replacements: ReadonlyArray<readonly [string, (system: System) => Promise<readonly TestGateway[]>]> = [
+		['once the old ones have ended', async ({gateways, addHost}) => {
+			await Promise.all(gateways.splice(0).map(async gateway => gateway.drain()));
+			return Promise.all(['domain-a', 'domain-b'].map(async domain => addHost(domain)));
+		}],
+		['while the old ones end', async ({gateways, addHost}) => {
+			const drains = gateways.splice(0).map(async gateway => gateway.drain());
+			const hosts = await Promise.all(['domain-a', 'domain-b'].map(async domain => addHost(domain)));
+			await Promise.all(drains);
+			return hosts;
+		}],
+	];
+
+	test.each(replacements)('all go on at the version that began them: %s', async (_name, replace) => {
+		const system = await startSystem(['domain-a', 'domain-b'], both);
+		const old = [...system.gateways];
+		const begun = await Promise.all(Array.from({length: manyStreams}, async (_, index) => begin(old[index % old.length]!, `first-${index}`)));
+		const hosts = await replace(system);
+		const resumed = await Promise.all(begun.map(async (stream, index) => ({stream, response: await resume(hosts[index % hosts.length]!, `second-${index}`, stream.id)})));
+		await system.stop();
+		expect(resumed.flatMap(({stream, response}) => listVersions(response.text).filter(version => version !== stream.version))).toEqual([]);
+		expect(resumed.filter(({response}) => response.status === 200)).toHaveLength(manyStreams);
+	});
+});
+
 describe.concurrent('streams of a service with several software versions, that break off at their upstream', () => {
 	test.each([
 		['several upstreams of each version', ['v1', 'v2', 'v1', 'v2', 'v2', 'v1'] as const, 'whole'],
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -14,7 +14,7 @@
 
 /** A store that tells nothing. */
 const emptyArchive: StreamArchive = {
-	add: () => undefined, waitUntilRead: async () => true, lookUp: async () => undefined, findOnlyVersion: () => undefined, recordListed: () => undefined, stop: () => undefined,
+	add: () => undefined, waitUntilRead: async () => true, lookUp: async () => undefined, findOnlyVersion: () => undefined, recordListed: () => undefined, flush: async () => undefined, stop: () => undefined,
 };
 
 const reportMs = 100;
