The code cache of the deployed bundle holds the functions of a host at work

Cause: the cache was written by a host that had no store, so that a host compiled the functions of placement, forwarding, reports, KV cache and roll-out when it first used them; a host of a large fleet sees five requests a second, and pays for that for most of its life.

Change: the build rehearses: a host of the bundle runs for some seconds in front of stand-ins (a store, three engines, a KV cache store, a second host, twenty silent ones), gets 80 requests of all kinds, a configuration, weights and a planned stop, and then writes its cache.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -28,11 +28,8 @@
 /** Flags that hosts run with, as in deploy/system.toml; V8 rejects a code cache that was created under different flags. */
 const hostFlags = ['--max-old-space-size=96', '--max-semi-space-size=4'];
 
-/** Settings for the run that fills the code cache: the host listens on free ports, and its object store is unreachable. */
-const codeCacheRunSettings = {
-	name: 'compiled', domain: 'none', region: 'none', metricsPort: 0, objectStore: '127.0.0.1:9',
-	...Object.fromEntries(['callers', 'readiness', 'peers', 'reports'].map(name => [name, '127.0.0.1:0'])),
-};
+/** A build without a code cache runs too. */
+const rehearsalLimitMs = 60_000;
 
 async function bundleForDeploy(outdir) {
 	mkdirSync(outdir, {recursive: true});
@@ -54,8 +51,7 @@
 		},
 	});
 	copyFileSync('scripts/load-cached.cjs', `${outdir}/hemlockpier.cjs`);
-	writeFileSync(`${outdir}/unreachable.jsonc`, JSON.stringify(codeCacheRunSettings));
-	spawnSync(process.execPath, [...hostFlags, `${outdir}/hemlockpier.cjs`, '--write-code-cache', 'gateway', '--settings', `${outdir}/unreachable.jsonc`], {stdio: 'ignore'});
+	spawnSync(process.execPath, ['scripts/deploy/rehearse.js', outdir, ...hostFlags], {stdio: 'inherit', timeout: rehearsalLimitMs});
 }
 
 async function bundleForLocalUse() {
