A malformed message or an unexpected error ends no host

Cause: a report with a field of another type was taken into the sums of its failure domain, and the next tick threw: the process ended (seen on: uncaught TypeErrors after 1,500 messages with odd fields).

Change: a datagram is checked field by field before anything is taken from it, and left out with the field's name in the log. What a report says of services out of reach is computed every 300 ms, and connectors are shared by the connections of a process.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -26,7 +26,7 @@
 	define: {'import.meta.url': 'importMetaUrl'},
 };
 /** Flags that hosts run with, as in deploy/system.toml; V8 rejects a code cache that was created under different flags. */
-const hostFlags = ['--no-flush-bytecode', '--max-old-space-size=96', '--max-semi-space-size=4'];
+const hostFlags = ['--no-flush-bytecode', '--max-old-space-size=96', '--min-semi-space-size=4', '--max-semi-space-size=4'];
 
 /** A build without a code cache runs too. */
 const rehearsalLimitMs = 60_000;
--- a/src/commands/gateway.ts
+++ b/src/commands/gateway.ts
@@ -3,6 +3,7 @@
 import {adapter} from '../../platform/adapter.js';
 import {UsageError} from '../errors/usage-error.js';
 import {createBoundedWriter} from '../observe/create-bounded-writer.js';
+import {createUnexpectedErrorHandler} from '../observe/create-unexpected-error-handler.js';
 import {log} from '../observe/log.js';
 import {setLogOutput} from '../observe/set-log-output.js';
 import {gatewaySettingsSchema} from '../settings/gateway-settings-schema.js';
@@ -37,27 +38,26 @@
 
 		setLogOutput(createBoundedWriter(process.stdout.fd));
 		const gateway = await startGateway(readSettingsFile<GatewaySettings>(file, gatewaySettingsSchema), adapter);
-		const drainAndExit = async (): Promise<void> => {
+		const drainAndExit = async (exitCode: number): Promise<void> => {
 			await gateway.drain();
 			setTimeout(() => {
-				process.exit(0);
+				process.exit(exitCode);
 			}, logFlushMs);
 		};
 
-		const fail = (error: unknown): void => {
-			log.fatal({error: String((error as Error | undefined)?.stack ?? error)}, 'unexpected error, stopping the host');
-			setTimeout(() => {
-				process.exit(1);
-			}, logFlushMs);
-		};
-
-		process.on('uncaughtException', fail);
-		process.on('unhandledRejection', fail);
+		const handleError = createUnexpectedErrorHandler({
+			now: () => performance.now(),
+			stop() {
+				void drainAndExit(1);
+			},
+		});
+		process.on('uncaughtException', handleError);
+		process.on('unhandledRejection', handleError);
 		process.on('SIGTERM', () => {
-			void drainAndExit();
+			void drainAndExit(0);
 		});
 		process.on('SIGINT', () => {
-			void drainAndExit();
+			void drainAndExit(0);
 		});
 		const watch = createSettingsWatch({
 			file,
--- a/src/http/create-connection-observer.ts
+++ b/src/http/create-connection-observer.ts
@@ -1,5 +1,6 @@
 import {type Socket} from 'node:net';
 import {buildConnector} from 'undici';
+import {memoize} from '../util/memoize.js';
 
 /** What is known of the connection that an HTTP client opened last. The HTTP library reports some failed connections as the end of a response. */
 type ConnectionObserver = {
@@ -11,6 +12,7 @@
 	readonly detectReset: () => Promise<boolean>;
 };
 
+const createConnector = memoize(timeoutMs => buildConnector({timeout: Number(timeoutMs), allowHalfOpen: true}));
 const emptyChunk = Buffer.alloc(0);
 
 /**
@@ -26,7 +28,7 @@
 
 /** Creates an observer of the connections of one HTTP client; calls `onConnect` with each connection opened. */
 export function createConnectionObserver(connectTimeoutMs: number, onConnect: (socket: Socket) => void = () => undefined): ConnectionObserver {
-	const connect = buildConnector({timeout: connectTimeoutMs, allowHalfOpen: true});
+	const connect = createConnector(String(connectTimeoutMs));
 	let hasFailed = false;
 	let resetAtEnd: Promise<boolean> | undefined;
 
--- a/src/reports/create-collecting-report-sender.ts
+++ b/src/reports/create-collecting-report-sender.ts
@@ -2,15 +2,15 @@
 import {createDueStatusFilter} from '../decide/collecting/create-due-status-filter.js';
 import {createLoadAggregator} from '../decide/collecting/create-load-aggregator.js';
 import {log} from '../observe/log.js';
+import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
+import {memoizeLast} from '../util/memoize-last.js';
 import {type CollectingReportSender} from './collecting-report-sender.js';
 import {type DomainReport} from './domain-report.js';
 import {type HostMessage} from './host-message.js';
 import {type HostRegistry} from './host-registry.js';
 import {type HostSocket} from './host-socket.js';
 import {type HostStatus} from './host-status.js';
-import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
 import {type KnownHost} from './known-host.js';
-import {memoizeLast} from '../util/memoize-last.js';
 
 /**
 Interval at which the status of an unchanged host is repeated within its failure domain; shorter than for other domains, since the
--- a/src/reports/decode-host-message.ts
+++ b/src/reports/decode-host-message.ts
@@ -1,4 +1,5 @@
 import {decodeLoads} from './decode-loads.js';
+import {findMessageFault} from './find-message-fault.js';
 import {type DomainReport} from './domain-report.js';
 import {type HostMessage} from './host-message.js';
 import {type HostReport} from './host-report.js';
@@ -19,9 +20,16 @@
 Decodes a datagram between hosts.
 
 @throws {SyntaxError} When the datagram is not JSON.
+@throws {TypeError} When a part of it has another shape than hosts send.
 */
 export function decodeHostMessage(bytes: Buffer): HostMessage {
-	const {report, sums, ...rest} = JSON.parse(bytes.toString()) as WireMessage;
+	const parsed: unknown = JSON.parse(bytes.toString());
+	const fault = findMessageFault(parsed);
+	if (fault !== undefined) {
+		throw new TypeError(`malformed: ${fault}`);
+	}
+
+	const {report, sums, ...rest} = parsed as WireMessage;
 	return {
 		...rest,
 		report: report && {...unstated, ...report, loads: decodeLoads(report.loads)},
--- a/src/reports/host-message.ts
+++ b/src/reports/host-message.ts
@@ -1,7 +1,7 @@
 import {type StreamGroup} from '../streams/stream-group.js';
+import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
 import {type DomainReport} from './domain-report.js';
 import {type HostReport} from './host-report.js';
-import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
 
 /** A datagram between hosts. */
 export type HostMessage = {
--- a/src/reports/report-sender.ts
+++ b/src/reports/report-sender.ts
@@ -1,5 +1,5 @@
-import {type HostReport} from './host-report.js';
 import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
+import {type HostReport} from './host-report.js';
 
 /** Sends this host's reports to other hosts. */
 export type ReportSender = {
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -50,10 +50,13 @@
 import {createSuspendAwareClock} from './util/create-suspend-aware-clock.js';
 import {memoizeLast} from './util/memoize-last.js';
 import {memoize} from './util/memoize.js';
+import {refreshEvery} from './util/refresh-every.js';
 
 const msPerS = 1000;
 /** Time in which a stopping host stores the streams that it has begun; within what the drain leaves of the grace period. */
 const maxFlushMs = 300;
+/** Reports state anew this often which services this host can't reach. */
+const lostServicesMs = 300;
 /** An engine is ejected for this long after each report that it is loading weights. */
 const loadingEjectMs = 400;
 /**
@@ -121,7 +124,7 @@
 			return {
 				loads: registry.loads(), loading, weights: rolloutTask.news(), limits: registry.takeDueLimits(now()), versions: streams.reviewVersions(), ...stateSync.status(),
 				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), ...crashes.news(),
-				lostServices: registry.listLostServices(),
+				lostServices: listLostServices(),
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
 			};
 		},
@@ -157,6 +160,7 @@
 		now,
 		random,
 	});
+	const listLostServices = refreshEvery(lostServicesMs, now, () => registry.listLostServices());
 	const registry = createUpstreamRegistry({
 		now,
 		links,
