Metrics hold the processor time by job and the calls of the store by kind and operation

Cause: what a host of a large fleet spends its time and its store calls on could only be found with a changed build. Change: one run in sixteen of placement, of making and taking in reports, of KV updates and of changes of stored objects is measured, beside the process as a whole; calls of the store are counted by kind of objects and operation.

--- a/src/forwarding/create-gateway-metrics.ts
+++ b/src/forwarding/create-gateway-metrics.ts
@@ -20,7 +20,10 @@
 			name: 'hemlockpier_refusals_total', help: 'Requests refused before they were placed, by error kind', labelNames: ['kind'], registers,
 		}),
 		platformCallsTotal: new Counter({
-			name: 'hemlockpier_platform_calls_total', help: 'Calls of the platform by method', labelNames: ['method'], registers,
+			name: 'hemlockpier_platform_calls_total', help: 'Calls of the platform by method, kind of objects and what they are for', labelNames: ['method', 'kind', 'operation'], registers,
+		}),
+		cpuSeconds: new Counter({
+			name: 'hemlockpier_cpu_seconds_total', help: 'Processor time by job, from a sample of its runs; all is that of the process', labelNames: ['job'], registers,
 		}),
 		connections: new Counter({
 			name: 'hemlockpier_upstream_connections_total', help: 'Connections opened to upstreams', labelNames: ['service'], registers,
--- a/src/forwarding/open-status-servers.ts
+++ b/src/forwarding/open-status-servers.ts
@@ -1,7 +1,10 @@
 import {parseAddress} from '../http/parse-address.js';
+import {readCpuUs} from '../observe/read-cpu-us.js';
 import {type createGatewayMetrics} from './create-gateway-metrics.js';
 import {createStatusServer} from './create-status-server.js';
 
+const usPerS = 1e6;
+
 /** What the status servers show. */
 type StatusServersOptions = {
 	/** Address of the readiness check, `IP:PORT`. */
@@ -27,6 +30,8 @@
 		path: '/metrics',
 		async answer() {
 			metrics.underWay.set(underWay());
+			metrics.cpuSeconds.remove({job: 'all'});
+			metrics.cpuSeconds.inc({job: 'all'}, readCpuUs() / usPerS);
 			return {status: 200, text: await metrics.registry.metrics()};
 		},
 	}]);
--- a/src/object-store/store-hooks.ts
+++ b/src/object-store/store-hooks.ts
@@ -1,9 +1,10 @@
 import {type EpochTracker} from './epoch-tracker.js';
+import {type StoreCall} from './store-call.js';
 
 /** Functions that the client of the platform's store calls. */
 export type StoreHooks = {
-	/** Called with the HTTP method of each call, for metrics. */
-	readonly onCall: (method: string) => void;
+	/** Called before each call, for metrics. */
+	readonly onCall: (call: StoreCall) => void;
 	/** Called with the epoch that each response states. */
 	readonly recordEpoch: EpochTracker['record'];
 };
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -34,6 +34,8 @@
 import {type KnownHost} from './reports/known-host.js';
 import {type LoadReport} from './reports/load-report.js';
 import {type StoredObject} from './object-store/stored-object.js';
+import {createCpuMeter} from './observe/create-cpu-meter.js';
+import {readCpuUs} from './observe/read-cpu-us.js';
 import {log} from './observe/log.js';
 import {createUpstreamLinks} from './links/create-upstream-links.js';
 import {createEpochCheckedStore} from './object-store/create-epoch-checked-store.js';
@@ -90,14 +92,20 @@
 	const suspendAwareNow = createSuspendAwareClock(now, Date.now);
 	const {random} = Math;
 	const metrics = createGatewayMetrics();
+	const meter = createCpuMeter({
+		readCpuUs,
+		add(job, seconds) {
+			metrics.cpuSeconds.inc({job}, seconds);
+		},
+	});
 	const startedAt = suspendAwareNow();
 	const hasSettled = (): boolean => suspendAwareNow() - startedAt >= settleMs;
 	let isDraining = false;
 
 	const epochs = createEpochTracker(suspendAwareNow);
 	const store = createEpochCheckedStore(adapter.openStore(settings.objectStore, {
-		onCall(method) {
-			metrics.platformCallsTotal.inc({method});
+		onCall(call) {
+			metrics.platformCallsTotal.inc(call);
 		},
 		recordEpoch: epochs.record,
 	}), epochs);
@@ -118,7 +126,7 @@
 			registry.repeatStatements();
 		},
 		now,
-		makeReport() {
+		makeReport: meter('making reports', () => {
 			const loading = rolloutTask.loading();
 			ejectLoading(loading);
 			return {
@@ -127,8 +135,8 @@
 				lostServices: listLostServices(),
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
 			};
-		},
-		onLoads(source, report) {
+		}),
+		onLoads: meter('taking in loads', (source, report) => {
 			registry.recordRemoteLoads(source, report.loads, now());
 			registry.recordReportedLimits(source.host, report.limits ?? [], now());
 			streams.recordSeenVersions(report.versions ?? []);
@@ -138,14 +146,14 @@
 			}
 
 			crashes.addFindings(report);
-		},
-		onStatus(status) {
+		}),
+		onStatus: meter('taking in statuses', status => {
 			stateSync.compareStatus(status);
 			freeStaleKvTask.recordStatus(status);
-		},
-		onKvStoreUpdate(update) {
+		}),
+		onKvStoreUpdate: meter('taking in KV updates', update => {
 			kvStoreTracker.applyUpdate(update);
-		},
+		}),
 		onStreams(groups) {
 			streams.receive(groups);
 		},
@@ -243,8 +251,8 @@
 		{kind: kinds.configuration, onChange: storedState.applyConfiguration, getVersion: storedState.getConfigurationVersion},
 		{kind: kinds.upstreams, onChange: storedState.applyUpstreams},
 		{kind: kinds.weights, onChange: applyWeights, getVersion: storedState.getWeightsVersion},
-	].map(({kind, ...watched}) => createObjectWatcher({
-		kind, store, now: suspendAwareNow, random, ...watched,
+	].map(({kind, onChange, ...watched}) => createObjectWatcher({
+		kind, store, now: suspendAwareNow, random, ...watched, onChange: meter('taking in stored objects', onChange),
 		waitMs: () => watchPolicy.waitMs(kind),
 		isWatching: () => watchPolicy.isWatching(kind),
 	}));
@@ -296,7 +304,7 @@
 		getRetryBudget,
 		now,
 		random,
-		place: createRequestPlacer({
+		place: meter('placement', createRequestPlacer({
 			domain, registry, serviceOf: storedState.findService, getLatencyModel,
 			findNewerWeights: storedState.findNewerWeights, versionMs: () => liveSettings.bounds.versionMs, now, suspendAwareNow, random,
 			others: () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()}),
@@ -304,7 +312,7 @@
 				registry, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
 				weightsConfirmedAt: stateSync.weightsConfirmedAt, now: suspendAwareNow,
 			}),
-		}),
+		})),
 		getLatencyModel,
 		acquirePermit: permits.acquire,
 		acquireRoom: rooms.acquire,
--- a/test/support/start-test-gateway.ts
+++ b/test/support/start-test-gateway.ts
@@ -13,6 +13,8 @@
 	readonly readiness: string;
 	readonly peers: string;
 	readonly reports: string;
+	/** Address of `/metrics`. */
+	readonly metrics: string;
 };
 
 /** Starts a gateway host on free ports. */
@@ -33,5 +35,6 @@
 	const gateway = await startGateway(settings, adapter);
 	return {
 		...gateway, callers: settings.callers, readiness: settings.readiness, peers: settings.peers, reports: settings.reports,
+		metrics: `127.0.0.1:${metricsPort}`,
 	};
 }
