A plan of KV transfers asks only the stores that a prompt concerns

Cause: for each prompt and each of six or more engines, all stores (21 on the large fleet) were described for each failure domain and asked for each part, twice. Change: once for each prompt and weight version the stores are chosen that hold one of its shared parts, and for each other part the first one with room; plans ask these.

--- a/src/forwarding/create-kv-reuse-planner.ts
+++ b/src/forwarding/create-kv-reuse-planner.ts
@@ -4,6 +4,7 @@
 import {type KvScope} from '../decide/kv-cache/kv-scope.js';
 import {formatPartKey} from '../decide/kv-cache/format-part-key.js';
 import {formatScope} from '../decide/kv-cache/format-scope.js';
+import {selectRelevantStores} from '../decide/kv-cache/select-relevant-stores.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
 import {memoize} from '../util/memoize.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
@@ -42,8 +43,8 @@
 
 /** Ranks the stores for a shared part in the same order on every host, so that hosts that save it concurrently choose the same store. */
 function rankStores(stores: readonly KvStore[], part: string): readonly KvStore[] {
-	const names = rankOwners(stores.map(store => store.name), part);
-	return names.map(name => stores.find(store => store.name === name)!);
+	const byName = new Map(stores.map(store => [store.name, store]));
+	return rankOwners([...byName.keys()], part).map(name => byName.get(name)!);
 }
 
 /** Creates the function that plans, for each upstream, which KV cache a request fetches and saves. */
@@ -90,13 +91,14 @@
 			const scope = createScope(prompt.model, Number(version), workspace);
 			const scopeText = formatScope(scope);
 			const engines = new Map(sharedParts.map(({id}) => [id, lastEngineByPart.get(formatPartKey(scopeText, id))] as const));
+			const relevant = selectRelevantStores(stores.map(store => ({store, has: (part: string) => store.partIndex.has(scopeText, part), canSave: store.canSave})), sharedParts);
 			return {
-				scope, text: scopeText, engines, lastEngines: new Set(engines.values()),
+				scope, text: scopeText, engines, lastEngines: new Set(engines.values()), stores: relevant.map(({store}) => store),
 			};
 		});
 		const getStoreViews = memoize((_key: string, domain: string, version: string) => {
-			const {scope, text} = getScope(version);
-			return stores.map(store => toStoreView(store, scope, text, engine, domain));
+			const {scope, text, stores: relevant} = getScope(version);
+			return relevant.map(store => toStoreView(store, scope, text, engine, domain));
 		});
 
 		return {
