--- a/src/forwarding/create-kv-store-tracker.ts
+++ b/src/forwarding/create-kv-store-tracker.ts
@@ -68,9 +68,9 @@
 	const createRankLookup = memoizeLast((hosts: readonly KnownHost[]) => memoize((store: string) => getOwnerRankByBandwidth(self, hosts, store)));
 	const getRank = (store: string): number => createRankLookup(others())(store);
 
-	const shouldPoll = (entry: TrackedKvStore): boolean => {
+	const shouldPoll = (entry: TrackedKvStore, at: number): boolean => {
 		const rank = getRank(entry.kept.name);
-		return (rank === 0 && hasSettled()) || now() - entry.lastUpdateAt > takeoverDelayMs + (rank * takeoverDelayPerRankMs);
+		return (rank === 0 && hasSettled()) || at - entry.lastUpdateAt > takeoverDelayMs + (rank * takeoverDelayPerRankMs);
 	};
 
 	const pollOnce = async (entry: TrackedKvStore): Promise<void> => {
@@ -82,8 +82,9 @@
 
 	/** One timer serves all stores, since a host of a large deployment tracks dozens of them. */
 	const stopPolling = every(timerIntervalMs, 'polls of KV stores', () => {
+		const at = now();
 		for (const entry of trackedStores.values()) {
-			if (!entry.isPolling && now() >= entry.nextPollAt && shouldPoll(entry)) {
+			if (!entry.isPolling && at >= entry.nextPollAt && shouldPoll(entry, at)) {
 				void pollOnce(entry);
 			}
 		}
--- a/src/object-store/create-state-sync.ts
+++ b/src/object-store/create-state-sync.ts
@@ -19,6 +19,9 @@
 /** Requests for a change are spread over this time per live host, so that the first hosts that have it are not overloaded. */
 const spreadMsPerHost = 12;
 const maxSpreadMs = 500;
+/** Changes that follow each other within this time for each live host are requested together. */
+const batchMsPerHost = 3;
+const maxBatchMs = 600;
 
 /** Dependencies of the state sync. */
 type StateSyncOptions = {
@@ -143,7 +146,8 @@
 	/** Pulls from one peer after another until none has newer state. */
 	const catchUp = async (): Promise<void> => {
 		isPulling = true;
-		await sleep(watchGraceMs + (random() * Math.min(maxSpreadMs, spreadMsPerHost * alive().length)));
+		const hosts = alive().length;
+		await sleep(watchGraceMs + Math.min(maxBatchMs, batchMsPerHost * hosts) + (random() * Math.min(maxSpreadMs, spreadMsPerHost * hosts)));
 		for (let address = pickAhead(); address !== undefined && !hasStopped; address = pickAhead()) {
 			aheadPeers.delete(address);
 			await pull(address);
