--- a/test/soak/create-soak-upstream.ts
+++ b/test/soak/create-soak-upstream.ts
@@ -13,13 +13,15 @@
 const weightLoadMs = 300;
 /** One response of this many has neither a length nor chunks and ends with its connection. */
 const closeDelimitedEvery = 3;
+/** While it truncates responses, one request of this many is refused when it comes first. */
+const refusedEvery = 6;
 const encodeChunk = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 
 /** An upstream that records the requests it runs. */
 export type SoakUpstream = {
 	readonly id: string;
 	readonly address: string;
-	/** Share of the responses that it truncates, from 0 to 1. */
+	/** Share of the responses that it truncates, from 0 to 1; above 0 it also refuses some requests at first, and writes each refusal once more. */
 	broken: number;
 	/** Limit on requests a second that it states in its responses. */
 	limit: number | undefined;
@@ -49,6 +51,9 @@
 	let acceptedOrders = 0;
 	let highestFencingToken = 0;
 	let runCount = 0;
+	const refusedIds = new Set<string>();
+	/** The last refusal on a connection, until the next request comes on it. */
+	const refusals = new Map<Socket, string>();
 
 	const sendJson = (socket: Socket, status: string, body: unknown): void => {
 		const text = JSON.stringify(body);
@@ -90,6 +95,25 @@
 		socket.write(`HTTP/1.1 503 Full\r\nRequest-Id: ${id}\r\nNot-Executed: full\r\nRetry-After: ${restS}\r\n${stateAll()}Content-Length: 0\r\n\r\n`);
 	};
 
+	const isRefused = (requestId: string): boolean =>
+		upstream.broken > 0 && !refusedIds.has(requestId) && hashTo48Bits(`refused-${requestId}-${id}`) % refusedEvery === 0;
+
+	const refuse = (requestId: string, socket: Socket): void => {
+		const text = `HTTP/1.1 503 Full\r\nRequest-Id: ${requestId}\r\nNot-Executed: full\r\n${stateAll()}Content-Length: 0\r\n\r\n`;
+		refusedIds.add(requestId);
+		refusals.set(socket, text);
+		socket.write(text);
+	};
+
+	/** Writes the last refusal of a connection once more as the next request arrives on it. */
+	const repeatRefusal = (socket: Socket): void => {
+		const text = refusals.get(socket);
+		if (text !== undefined) {
+			refusals.delete(socket);
+			socket.write(text);
+		}
+	};
+
 	const run = async ({headers, target, body}: ReceivedRequest, socket: Socket): Promise<void> => {
 		const requestId = headers.get('request-id') ?? '';
 		const resumedAfter = headers.get('last-event-id');
@@ -156,6 +180,8 @@
 			return;
 		}
 
+		const requestId = received.headers.get('request-id') ?? '';
+		repeatRefusal(socket);
 		const expected = received.headers.get('expect-instance');
 		if (expected !== undefined && expected !== id) {
 			socket.write(`HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
@@ -163,10 +189,12 @@
 			sendJson(socket, '200 OK', {models: [{name: 'm', version}], busy: isBusy, seq: acceptedOrders});
 		} else if (received.target === '/v1/order') {
 			handleOrder(socket, received.body.toString());
-		} else if (upstream.nextRestS === undefined) {
-			void run(received, socket);
-		} else {
+		} else if (upstream.nextRestS !== undefined) {
 			askForRest(received, socket, upstream.nextRestS);
+		} else if (isRefused(requestId)) {
+			refuse(requestId, socket);
+		} else {
+			void run(received, socket);
 		}
 	};
 
