--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -162,7 +162,7 @@
 		log.info({
 			requestId: request.id!, route: route.name, service: progress.service, upstream: placement.upstream.id, softwareVersion: placement.upstream.softwareVersion,
 			resumeAfter: progress.splitter?.lastEventId() ?? request.resumeAfter, begunBy: request.begunBy,
-			sends: progress.sends, inFlight: placement.inFlight,
+			sends: progress.sends, runs: progress.runs, maxAttempts: route.maxAttempts, isRelayed: admitted.isRelayed, inFlight: placement.inFlight,
 			missingTokens: placement.missingTokens, fetchedTokens: placement.fetchedTokens, isHome: placement.isHome,
 			firstByteMs: Math.round(placement.firstByteMs), unseenMs: Math.round(placement.unseenMs),
 			leftMs: Math.round(progress.endsAt - now()),
--- a/src/forwarding/create-request-reporter.ts
+++ b/src/forwarding/create-request-reporter.ts
@@ -40,7 +40,7 @@
 		const tookMs = now() - admitted.receivedAt;
 		log.info({
 			requestId: admitted.request.id!, route: admitted.route.name, service: progress.service, kind: refusal.kind,
-			ran: refusal.ran, sends: progress.sends,
+			ran: refusal.ran, sends: progress.sends, runs: progress.runs,
 			detail: progress.lastReason, retryAfterMs: retryAfterMs === 'never' ? undefined : Math.round(retryAfterMs), tookMs: Math.round(tookMs), begun: admitted.answer.isHeadSent(),
 		}, 'refused');
 		admitted.answer.refuse(refusal);
@@ -51,7 +51,7 @@
 		const tookMs = now() - admitted.receivedAt;
 		log.info({
 			requestId: admitted.request.id!, route: admitted.route.name, service: progress.service, result,
-			sends: progress.sends, tookMs: Math.round(tookMs), ...received,
+			sends: progress.sends, runs: progress.runs, tookMs: Math.round(tookMs), ...received,
 		}, 'ended');
 		onEnd(admitted, result, tookMs);
 	};
--- a/src/relay/create-relay-sender.ts
+++ b/src/relay/create-relay-sender.ts
@@ -27,7 +27,7 @@
 		const ownResume = splitter?.lastEventId();
 		log.info({
 			requestId: request.id!, route: route.name, service: progress.service, helper: helper.host, domain: helper.domain,
-			heardAgeMs: Math.round(now() - (helper.heardAt ?? 0)), sends: progress.sends, leftMs: Math.round(leftMs),
+			heardAgeMs: Math.round(now() - (helper.heardAt ?? 0)), sends: progress.sends, runs: progress.runs, leftMs: Math.round(leftMs),
 		}, 'handed on to another host');
 		try {
 			return await sendOnce({
--- a/test/support/start-linked-system.ts
+++ b/test/support/start-linked-system.ts
@@ -40,6 +40,8 @@
 	readonly respond?: (received: ReceivedRequest, socket: Socket) => void;
 	/** Fields of the configuration that differ from the default. */
 	readonly configuration?: Record<string, unknown>;
+	/** Limits in the settings of each host that differ from the default. */
+	readonly bounds?: Record<string, number>;
 };
 
 function createLinkedAdapter(toLink: (address: string) => string): GatewayAdapter {
@@ -58,7 +60,7 @@
 }
 
 /** Starts a store, upstreams and hosts. */
-export async function startLinkedSystem({domains, upstreams: count = 3, respond, configuration = {}}: LinkedSystemOptions): Promise<LinkedSystem> {
+export async function startLinkedSystem({domains, upstreams: count = 3, respond, configuration = {}, bounds = {}}: LinkedSystemOptions): Promise<LinkedSystem> {
 	const store = await createObjectStoreServer();
 	const defaults = platformObjects.configuration(1);
 	store.put('config', 'main', {...defaults, services: defaults.services.map(service => ({...service, max_conns: 4000})), ...configuration});
@@ -71,7 +73,7 @@
 	const hosts = await Promise.all(domains.map(async (domain): Promise<LinkedHost> => {
 		const links = await Promise.all(upstreams.map(async ({address}) => createLink(address)));
 		const byAddress = new Map(upstreams.map(({address}, index) => [address, links[index]!.address]));
-		const gateway = await startTestGateway(store.address, {domain}, createLinkedAdapter(address => byAddress.get(address) ?? address));
+		const gateway = await startTestGateway(store.address, {domain, bounds}, createLinkedAdapter(address => byAddress.get(address) ?? address));
 		let stopped: Promise<void> | undefined;
 		return {
 			gateway,
