The attempts of a request are counted over all hosts that it passes

What callers saw: requests of hosts that were cut off from upstreams ran at three or four upstreams where their route allows two (BUDGET). Class: a bound of the whole request that one host keeps in its own memory. Change: a request that is handed on carries what is spent (runs, sends, connections that failed, upstreams that may have had it) and the limits for the other host; the answer's head states what is spent then. A send counts as a run from its beginning. One run is granted at a time, since a grant whose use is not stated counts as spent. The repeat is paid for once, by the host that hands it on. Hosts state that they count; a request that may have run is not handed on to one that doesn't. The headers of callers are not believed.

--- a/src/decide/forwarding/decide-retry.ts
+++ b/src/decide/forwarding/decide-retry.ts
@@ -1,3 +1,4 @@
+import {type AttemptCounts} from '../attempts/attempt-counts.js';
 import {type RouteKind} from '../../forwarding/route-kind.js';
 import {type SendOutcome} from '../../forwarding/send-outcome.js';
 import {type RetryDecision} from './retry-decision.js';
@@ -7,25 +8,15 @@
 	readonly kind: RouteKind;
 	/** Whether the route allows a broken stream to be resumed at another upstream. */
 	readonly isResumable: boolean;
-	/** Limit on `runs`, from the route. */
-	readonly maxAttempts: number;
-	/** Sends after which the request may have run. */
-	readonly runs: number;
-	/** All sends, including those that upstreams reported as not run. */
-	readonly sends: number;
-	/** Times that no connection could be opened, so that nothing was sent. */
-	readonly unsent: number;
+	/** What has been spent of its attempts, over all hosts. */
+	readonly spent: AttemptCounts;
+	readonly limits: AttemptCounts;
 	/** Whether any byte of a response has been sent to the caller. */
 	readonly hasBegun: boolean;
 	/** Whether this stream can be resumed now: no event has been delivered, or the id of the last one is known. */
 	readonly canResume: boolean;
 };
 
-/** Limit on the sends of one request; more would only add load when all upstreams are full. */
-const maxSends = 5;
-/** Limit on failed connections of one request; each marks its upstream as out of reach. */
-const maxUnsent = 16;
-
 function mayRepeat({kind, isResumable, canResume, hasBegun}: RequestProgress): boolean {
 	if (kind === 'idempotent') {
 		return !hasBegun;
@@ -43,11 +34,13 @@
 		return 'close';
 	}
 
+	const {spent, limits} = progress;
+	const hasSendsLeft = spent.runs < limits.runs && spent.sends < limits.sends;
 	if (outcome.kind === 'not-run') {
-		return progress.sends < maxSends && progress.unsent < maxUnsent ? 'send-again' : 'close';
+		return hasSendsLeft && spent.unsent < limits.unsent ? 'send-again' : 'close';
 	}
 
-	if (mayRepeat(progress) && progress.runs < progress.maxAttempts && progress.sends < maxSends) {
+	if (mayRepeat(progress) && hasSendsLeft) {
 		return 'send-again';
 	}
 
--- a/src/decide/relay/choose-helper.ts
+++ b/src/decide/relay/choose-helper.ts
@@ -4,6 +4,8 @@
 	readonly domain: string;
 	/** Requests that this host has under way there. */
 	readonly inFlight: number;
+	/** Whether it is chosen only where there is no other. */
+	readonly isAvoided: boolean;
 };
 
 /** A host of another failure domain is chosen once those of this one carry so many requests more. */
@@ -14,7 +16,8 @@
 all its requests at once.
 */
 export function chooseHelper<T>(candidates: ReadonlyArray<HelperCandidate<T>>, domain: string, random: () => number): T | undefined {
-	const scored = candidates.map(candidate => ({
+	const remaining = candidates.some(({isAvoided}) => !isAvoided) ? candidates.filter(({isAvoided}) => !isAvoided) : candidates;
+	const scored = remaining.map(candidate => ({
 		candidate, score: candidate.inFlight + (candidate.domain === domain ? 0 : remotePenalty) + random(),
 	}));
 	return scored.toSorted((a, b) => a.score - b.score)[0]?.candidate.host;
--- a/src/forwarding/admitted-request.ts
+++ b/src/forwarding/admitted-request.ts
@@ -1,3 +1,4 @@
+import {type AttemptTracker} from './attempt-tracker.js';
 import {type CallerResponse} from './caller-response.js';
 import {type CallerRequest} from './caller-request.js';
 import {type Route} from './route.js';
@@ -17,4 +18,6 @@
 	readonly answer: CallerResponse;
 	/** Whether another host has handed the request on to this one, which then hands it on to nobody. */
 	readonly isRelayed: boolean;
+	/** What has been spent of the request's attempts, over all hosts that it has passed. */
+	readonly attempts: AttemptTracker;
 };
--- a/src/forwarding/caller-request.ts
+++ b/src/forwarding/caller-request.ts
@@ -1,3 +1,4 @@
+import {type StatedAttempts} from '../decide/attempts/stated-attempts.js';
 import {type Prompt} from './prompt.js';
 
 /** The decoded head of a caller's request. */
@@ -15,6 +16,8 @@
 	readonly resumeAfter: string | undefined;
 	/** Id of the request whose response brought the first event of the stream that the caller takes up; `undefined` where it names none. */
 	readonly begunBy: string | undefined;
+	/** What the request states of attempts spent; true only of requests that other hosts hand on. */
+	readonly attempts: StatedAttempts | undefined;
 	readonly prompt: Prompt | undefined;
 	/** Headers forwarded to the upstream unchanged, as alternating names and values. */
 	readonly headers: readonly string[];
--- a/src/forwarding/create-attempt-signal.ts
+++ b/src/forwarding/create-attempt-signal.ts
@@ -1,12 +1,5 @@
 import {type AdmittedRequest} from './admitted-request.js';
-
-/** Ends an attempt to send a request. */
-type AttemptSignal = {
-	readonly signal: AbortSignal;
-	readonly abort: (reason: string) => void;
-	/** Clears the timer and the listener. */
-	readonly dispose: () => void;
-};
+import {type AttemptSignal} from './attempt-signal.js';
 
 /** Creates the signal that ends an attempt once time is over or the caller has disconnected. */
 export function createAttemptSignal({route, signal}: Pick<AdmittedRequest, 'route' | 'signal'>, leftMs: number): AttemptSignal {
--- a/src/forwarding/create-caller-response.ts
+++ b/src/forwarding/create-caller-response.ts
@@ -13,8 +13,14 @@
 
 @param createRefusalHeaders - Returns alternating names and values of the headers of an error response, besides those of every refusal.
 @param isLastOnConnection - Whether the response carries `Connection: close`.
+@param createHeaders - Returns alternating names and values of further headers of each response.
 */
-export function createCallerResponse(res: ServerResponse, createRefusalHeaders: (refusal: Refusal) => readonly string[], isLastOnConnection: () => boolean): CallerResponse {
+export function createCallerResponse(
+	res: ServerResponse,
+	createRefusalHeaders: (refusal: Refusal) => readonly string[],
+	isLastOnConnection: () => boolean,
+	createHeaders: () => readonly string[] = () => [],
+): CallerResponse {
 	let hasSentHead = res.headersSent;
 	/** Chunks a body of unknown length, so that the caller detects when it is cut short. */
 	const getFramingHeaders = (status: number, headers: readonly string[]): readonly string[] => {
@@ -26,7 +32,7 @@
 	const begin = (status: number, headers: readonly string[]): void => {
 		hasSentHead = true;
 		const connectionHeaders = isLastOnConnection() ? ['Connection', 'close'] : [];
-		res.writeHead(status, [...headers, ...getFramingHeaders(status, headers), ...connectionHeaders]);
+		res.writeHead(status, [...headers, ...getFramingHeaders(status, headers), ...connectionHeaders, ...createHeaders()]);
 	};
 
 	/** Resets the connection: the caller could take a regular close for the end of a body of unknown length. */
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -15,6 +15,7 @@
 import {createPlacementFinder} from './create-placement-finder.js';
 import {createRequestReporter} from './create-request-reporter.js';
 import {createSender} from './create-sender.js';
+import {describeAttempts} from './describe-attempts.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {minTimeLeftMs} from './min-time-left-ms.js';
 import {type PlacementFinderOptions} from './placement-finder-options.js';
@@ -95,10 +96,8 @@
 	const decideNext = ({route, answer}: AdmittedRequest, progress: ForwardingProgress, outcome: SendOutcome): RetryDecision => decideRetry(outcome, {
 		kind: route.kind,
 		isResumable: route.isResumable,
-		maxAttempts: route.maxAttempts,
-		runs: progress.runs,
-		sends: progress.sends,
-		unsent: progress.unsent,
+		spent: progress.attempts.spent(),
+		limits: progress.attempts.limits,
 		hasBegun: answer.isHeadSent(),
 		canResume: progress.splitter?.canResume() ?? false,
 	});
@@ -127,9 +126,11 @@
 
 	/** @returns Whether the final response has been sent; if not, the request is to be sent again. */
 	const attemptRelay = async (admitted: AdmittedRequest, progress: ForwardingProgress, helper: KnownHost): Promise<boolean> => {
+		const {sends} = progress.attempts.spent();
 		const outcome = await sendRelayed(admitted, progress, helper);
 		recordSend(progress, outcome);
-		progress.triedHelpers.add(helper.host);
+		const isIdle = outcome.kind === 'not-run' && progress.attempts.spent().sends === sends;
+		(isIdle ? progress.idleHelpers : progress.usedHelpers).add(helper.host);
 		if (outcome.kind === 'answered') {
 			reporter.recordEnd(admitted, progress, 'answered', outcome.received);
 			return true;
@@ -139,13 +140,14 @@
 		const status = 'head' in outcome ? outcome.head?.status : undefined;
 		log.info({
 			requestId: admitted.request.id!, helper: helper.host, outcome: outcome.kind, status, detail: progress.lastReason, begun: admitted.answer.isHeadSent(),
+			...describeAttempts(progress),
 		}, 'send failed');
 		if (outcome.kind === 'not-run' && status === overloadedStatus) {
 			reporter.refuse(admitted, progress, 'overloaded', outcome.head?.retryAfterMs);
 			return true;
 		}
 
-		if (outcome.kind === 'not-run' && !outcome.isGivenUp) {
+		if (isIdle && !outcome.isGivenUp) {
 			relay.recordRefusal(helper.host);
 		}
 
@@ -162,13 +164,15 @@
 		log.info({
 			requestId: request.id!, route: route.name, service: progress.service, upstream: placement.upstream.id, softwareVersion: placement.upstream.softwareVersion,
 			resumeAfter: progress.splitter?.lastEventId() ?? request.resumeAfter, begunBy: request.begunBy,
-			sends: progress.sends, runs: progress.runs, maxAttempts: route.maxAttempts, isRelayed: admitted.isRelayed, inFlight: placement.inFlight,
+			...describeAttempts(progress), maxAttempts: route.maxAttempts, isRelayed: admitted.isRelayed, inFlight: placement.inFlight,
 			missingTokens: placement.missingTokens, fetchedTokens: placement.fetchedTokens, isHome: placement.isHome,
 			firstByteMs: Math.round(placement.firstByteMs), unseenMs: Math.round(placement.unseenMs),
 			leftMs: Math.round(progress.endsAt - now()),
 		}, 'placed');
 		const sentAt = now();
+		progress.attempts.begin(placement.upstream.id);
 		const outcome = await send(admitted, progress, placement);
+		progress.attempts.settle(outcome);
 		recordSend(progress, outcome);
 		if (outcome.kind === 'answered') {
 			crashes.recordSuccess(admitted);
@@ -183,7 +187,7 @@
 		recordFailedAttempt(outcome, placement.upstream.id, request.prompt?.model);
 		progress.triedUpstreams.add(placement.upstream.id);
 		log.info({
-			requestId: request.id!, upstream: placement.upstream.id, outcome: outcome.kind, detail: progress.lastReason, runs: progress.runs,
+			requestId: request.id!, upstream: placement.upstream.id, outcome: outcome.kind, detail: progress.lastReason, ...describeAttempts(progress),
 			isGivenUp: outcome.kind !== 'failed-answer' && outcome.isGivenUp, begun: admitted.answer.isHeadSent(),
 			...(outcome.kind === 'broken' ? outcome.received : undefined),
 		}, 'send failed');
--- a/src/forwarding/create-gateway-caller-server.ts
+++ b/src/forwarding/create-gateway-caller-server.ts
@@ -1,6 +1,8 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
+import {limitAttempts} from '../decide/attempts/limit-attempts.js';
+import {type SpentAttempts} from '../decide/attempts/spent-attempts.js';
 import {authorizeRequest} from '../decide/forwarding/authorize-request.js';
 import {Refusal} from '../errors/refusal.js';
 import {listen} from '../http/listen.js';
@@ -10,6 +12,7 @@
 import {type IndexedConfiguration} from '../object-store/indexed-configuration.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
+import {createAttemptTracker} from './create-attempt-tracker.js';
 import {createCallerResponse} from './create-caller-response.js';
 import {readRequestBody} from './read-request-body.js';
 
@@ -21,6 +24,8 @@
 /** Separator and line end of one header: `: ` and CRLF. */
 const headerOverheadBytes = 4;
 const headerName = /^(?:[\w!#$%'*+\-.^`\|~]|&)+$/v;
+/** Room for what another host adds to the head of a request that it hands on. */
+const relayHeaderBytes = 4096;
 const connectionCheckIntervalMs = 500;
 const idleCheckIntervalMs = 50;
 /** Idle connections stay open for this long past the configured time, so that a request already sent still finds its connection open. */
@@ -36,6 +41,8 @@
 	readonly createRefusalHeaders: (request: CallerRequest | undefined, refusal: Refusal) => readonly string[];
 	/** Whether the callers are other hosts that hand on requests. */
 	readonly isRelay: boolean;
+	/** Returns names and values of the headers that tell another host what has been spent of a request's attempts. */
+	readonly encodeSpentAttempts: (spent: SpentAttempts) => readonly string[];
 	/** Returns whether a connection from an IP address is accepted. */
 	readonly acceptsFrom: (ip: string) => boolean;
 	/** Further requests are refused at once. */
@@ -77,12 +84,16 @@
 
 /** Starts the server for callers, which checks each request, reads its body and forwards it. */
 export async function createGatewayCallerServer(options: GatewayCallerServerOptions): Promise<GatewayCallerServer> {
-	const {address, state, decode, createRefusalHeaders, isRelay, acceptsFrom, maxInFlight, forward, now, onRefusal} = options;
+	const {address, state, decode, createRefusalHeaders, isRelay, encodeSpentAttempts, acceptsFrom, maxInFlight, forward, now, onRefusal} = options;
 	let draining: {readonly acceptAllUntil: number; readonly stopAt: number} | undefined;
 	let underWay = 0;
 	const busySockets = new Set<Socket>();
 	const openSockets = new Set<Socket>();
 
+	/** A host of an earlier build, which states no attempts, would pass the headers on to its caller. */
+	const createAttemptHeaders = (request: CallerRequest | undefined, spent: SpentAttempts | undefined): readonly string[] =>
+		isRelay && request?.attempts && spent ? encodeSpentAttempts(spent) : [];
+
 	const checkAndForward = async (req: IncomingMessage, res: ServerResponse, request: CallerRequest, receivedAt: number): Promise<void> => {
 		const current = state();
 		if (!current) {
@@ -96,7 +107,7 @@
 		const {limits} = current.configuration;
 		server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 		server.headersTimeout = limits.headerTimeoutMs;
-		if (countHeaderBytes(req) > limits.headerBytes) {
+		if (countHeaderBytes(req) > limits.headerBytes + (isRelay ? relayHeaderBytes : 0)) {
 			throw new Refusal('header-too-large', `the request head exceeds ${limits.headerBytes} bytes`, 'no');
 		}
 
@@ -126,10 +137,17 @@
 			return;
 		}
 
+		const attempts = createAttemptTracker(limitAttempts({maxAttempts: route.maxAttempts, isRelayed: isRelay, stated: request.attempts}));
 		await forward({
 			request, route, workspace, body, receivedAt, endsAt, signal: callerGone.signal,
-			answer: createCallerResponse(res, refusal => createRefusalHeaders(request, refusal), () => draining !== undefined),
+			answer: createCallerResponse(
+				res,
+				refusal => createRefusalHeaders(request, refusal),
+				() => draining !== undefined,
+				() => createAttemptHeaders(request, attempts.spent()),
+			),
 			isRelayed: isRelay,
+			attempts,
 		});
 	};
 
@@ -153,7 +171,12 @@
 			}, 'refused');
 			onRefusal(refusal);
 			// Closes the connection if part of the body is unread, so that it is not parsed as the next request.
-			createCallerResponse(res, ofRefusal => createRefusalHeaders(request, ofRefusal), () => draining !== undefined || !req.complete).refuse(refusal);
+			createCallerResponse(
+				res,
+				ofRefusal => createRefusalHeaders(request, ofRefusal),
+				() => draining !== undefined || !req.complete,
+				() => createAttemptHeaders(request, request?.attempts?.spent),
+			).refuse(refusal);
 		} finally {
 			underWay--;
 			busySockets.delete(socket);
--- a/src/forwarding/create-placement-finder.ts
+++ b/src/forwarding/create-placement-finder.ts
@@ -10,8 +10,8 @@
 
 /** Added to the time after which an upstream's limit leaves room. */
 const minReturnMs = 20;
-/** Other hosts that one request is handed on to, one after the other. */
-const maxHelpers = 3;
+/** Other hosts that are asked in vain for one request. */
+const maxIdleHelpers = 3;
 /** Longest `Retry-After` of a refused request that crashes upstreams. */
 const condemnedRetryAfterMs = 60_000;
 const refusalDetails = {
@@ -23,8 +23,10 @@
 export function createPlacementFinder({
 	registry, crashes, getRetryBudget, getUrgentObjectiveMs, place, acquirePermit, acquireRoom, confirmCutOff, relay, now, random,
 }: PlacementFinderOptions): (admitted: AdmittedRequest, progress: ForwardingProgress) => Promise<PlacementResult> {
-	const findHelper = ({isRelayed}: AdmittedRequest, {service, triedHelpers}: ForwardingProgress): KnownHost | undefined =>
-		isRelayed || triedHelpers.size >= maxHelpers ? undefined : relay.chooseHelper(service, triedHelpers);
+	const findHelper = ({isRelayed}: AdmittedRequest, {service, idleHelpers, usedHelpers, attempts}: ForwardingProgress): KnownHost | undefined =>
+		isRelayed || idleHelpers.size >= maxIdleHelpers
+			? undefined
+			: relay.chooseHelper(service, {excluded: idleHelpers, avoided: usedHelpers, hasRun: attempts.spent().runs > 0});
 
 	/** Returns where a request goes that no upstream may be sent from here now: to another host if upstreams can't be reached, or nowhere. */
 	const leaveUnplaced = async (admitted: AdmittedRequest, progress: ForwardingProgress): Promise<PlacementResult> => {
@@ -78,7 +80,7 @@
 			firstByteMs, isQueueing, waitedMs: now() - receivedAt, objectiveMs: isTakenUp ? progress.endsAt - receivedAt : route.objectiveMs,
 			urgentObjectiveMs: isTakenUp ? undefined : getUrgentObjectiveMs(route, progress.service), draw: random(),
 		});
-		if (progress.runs === 0 && !admission.isAdmitted) {
+		if (progress.attempts.spent().runs === 0 && !admission.isAdmitted) {
 			const reach = registry.getReach(progress.service, progress.softwareVersion);
 			const helper = reach.reachable * 2 < reach.upstreams ? findHelper(admitted, progress) : undefined;
 			if (helper) {
@@ -112,7 +114,8 @@
 		}
 
 		const result = await findPlacement(admitted, progress);
-		if ('reason' in result || progress.sends === 0 || progress.isRetryPaid) {
+		const {sends} = progress.attempts.spent();
+		if ('reason' in result || sends <= progress.paidSends) {
 			return result;
 		}
 
@@ -122,7 +125,7 @@
 			return {reason: 'upstream-failed'};
 		}
 
-		progress.isRetryPaid = true;
+		progress.paidSends = sends;
 		return result;
 	};
 }
--- a/src/forwarding/create-request-reporter.ts
+++ b/src/forwarding/create-request-reporter.ts
@@ -2,6 +2,7 @@
 import {type FailureReason} from '../decide/forwarding/failure-reason.js';
 import {log} from '../observe/log.js';
 import {type AdmittedRequest} from './admitted-request.js';
+import {describeAttempts} from './describe-attempts.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type ReceivedResponse} from './received-response.js';
 import {retryAfterSpread} from './retry-after-spread.js';
@@ -40,7 +41,7 @@
 		const tookMs = now() - admitted.receivedAt;
 		log.info({
 			requestId: admitted.request.id!, route: admitted.route.name, service: progress.service, kind: refusal.kind,
-			ran: refusal.ran, sends: progress.sends, runs: progress.runs,
+			ran: refusal.ran, ...describeAttempts(progress),
 			detail: progress.lastReason, retryAfterMs: retryAfterMs === 'never' ? undefined : Math.round(retryAfterMs), tookMs: Math.round(tookMs), begun: admitted.answer.isHeadSent(),
 		}, 'refused');
 		admitted.answer.refuse(refusal);
@@ -51,7 +52,7 @@
 		const tookMs = now() - admitted.receivedAt;
 		log.info({
 			requestId: admitted.request.id!, route: admitted.route.name, service: progress.service, result,
-			sends: progress.sends, runs: progress.runs, tookMs: Math.round(tookMs), ...received,
+			...describeAttempts(progress), tookMs: Math.round(tookMs), ...received,
 		}, 'ended');
 		onEnd(admitted, result, tookMs);
 	};
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -8,12 +8,10 @@
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type Placement} from './placement.js';
 import {sendOnce} from './send-once.js';
+import {startAttemptTimer} from './start-attempt-timer.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 import {type SendOutcome} from './send-outcome.js';
 
-/** Share of the remaining time after which an idempotent request without a response is sent to another upstream. */
-const firstAttemptShare = 0.45;
-
 /** Dependencies of the sender. */
 type SenderOptions = {
 	readonly registry: UpstreamRegistry;
@@ -34,8 +32,7 @@
 		const sentAt = now();
 		const leftMs = progress.endsAt - sentAt;
 		const attempt = createAttemptSignal(admitted, leftMs);
-		const canRetry = route.kind === 'idempotent' && progress.runs + 1 < route.maxAttempts;
-		const attemptTimer = canRetry ? setTimeout(attempt.abort, leftMs * firstAttemptShare, 'no answer within the time for one attempt') : undefined;
+		const stopAttemptTimer = startAttemptTimer(admitted, attempt, leftMs);
 		const mayRepeat = route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable);
 		const stopListening = mayRepeat && registry.onSilence(placement.upstream.id, () => {
 			attempt.abort('the link to the upstream is lost');
@@ -61,7 +58,7 @@
 					recordBegin(request.id!, service, progress.softwareVersion);
 				},
 				onDelivery({status}) {
-					clearTimeout(attemptTimer);
+					stopAttemptTimer();
 					getLatencyModel(service).recordFirstByte(placement.firstByteMs, now() - sentAt);
 					log.info({
 						requestId: request.id!, upstream: placement.upstream.id, softwareVersion: placement.upstream.softwareVersion, status,
@@ -71,7 +68,7 @@
 			});
 		} finally {
 			attempt.dispose();
-			clearTimeout(attemptTimer);
+			stopAttemptTimer();
 			if (stopListening) {
 				stopListening();
 			}
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -3,6 +3,7 @@
 import {type ObjectStore} from '../object-store/object-store.js';
 import {type StoreHooks} from '../object-store/store-hooks.js';
 import {type StoredObject} from '../object-store/stored-object.js';
+import {type SpentAttempts} from '../decide/attempts/spent-attempts.js';
 import {type CallerRequest} from './caller-request.js';
 import {type EngineClient} from './engine-client.js';
 import {type DesiredWeights} from './desired-weights.js';
@@ -35,6 +36,8 @@
 	readonly decodeRequest: (req: IncomingMessage) => CallerRequest;
 	readonly encodeRequest: (request: CallerRequest, options: UpstreamRequestOptions) => string[];
 	readonly encodeRelayedRequest: (request: CallerRequest, options: RelayedRequestOptions) => string[];
+	/** Returns names and values of the response headers by which a host tells another one what has been spent of a request's attempts. */
+	readonly encodeSpentAttempts: (spent: SpentAttempts) => readonly string[];
 	/** Returns the name and value of the response header that carries the request's id; empty without an id. */
 	readonly createRequestIdHeaders: (request: CallerRequest) => readonly string[];
 	/** Names and values of the headers by which a host tells another one that it did not run a request. */
--- a/src/forwarding/open-request-servers.ts
+++ b/src/forwarding/open-request-servers.ts
@@ -12,7 +12,7 @@
 /** Options of `openRequestServers`. */
 type RequestServersOptions = {
 	readonly settings: Pick<GatewaySettings, 'callers' | 'reports'>;
-	readonly adapter: Pick<GatewayAdapter, 'decodeRequest' | 'createRequestIdHeaders' | 'notRunHeaders'>;
+	readonly adapter: Pick<GatewayAdapter, 'decodeRequest' | 'createRequestIdHeaders' | 'notRunHeaders' | 'encodeSpentAttempts'>;
 	readonly state: () => IndexedConfiguration | undefined;
 	readonly forward: (admitted: AdmittedRequest) => Promise<void>;
 	/** Returns whether an IP address is that of another host of the system. */
@@ -25,7 +25,7 @@
 export async function openRequestServers({settings, adapter, state, forward, isKnownHost, now, onRefusal}: RequestServersOptions) {
 	const createIdHeaders = (request: CallerRequest | undefined): readonly string[] => request ? adapter.createRequestIdHeaders(request) : [];
 	const shared = {
-		state, decode: adapter.decodeRequest, forward, now, onRefusal,
+		state, decode: adapter.decodeRequest, encodeSpentAttempts: adapter.encodeSpentAttempts, forward, now, onRefusal,
 	};
 	const callers = await createGatewayCallerServer({
 		...shared, address: settings.callers, createRefusalHeaders: createIdHeaders, isRelay: false, acceptsFrom: () => true, maxInFlight: Number.POSITIVE_INFINITY,
--- a/src/forwarding/response-head.ts
+++ b/src/forwarding/response-head.ts
@@ -1,3 +1,4 @@
+import {type SpentAttempts} from '../decide/attempts/spent-attempts.js';
 import {type Announcement} from '../announcements/announcement.js';
 import {type ResponseFraming} from '../http/response-framing.js';
 
@@ -20,6 +21,8 @@
 	readonly weightVersion: number | undefined;
 	/** Time after which the request may be sent again, in milliseconds; `undefined` when the response states none. */
 	readonly retryAfterMs: number | undefined;
+	/** What another host that handled the request states of attempts spent; `undefined` in the response of an upstream or of an earlier build. */
+	readonly spent?: SpentAttempts | undefined;
 	/** What the upstream says of itself. */
 	readonly announcement: Announcement;
 	readonly framing: ResponseFraming;
--- a/src/relay/create-relay-client.ts
+++ b/src/relay/create-relay-client.ts
@@ -54,14 +54,16 @@
 	};
 
 	return {
-		chooseHelper(service, excluded) {
+		chooseHelper(service, {excluded, avoided, hasRun}) {
 			const hosts = alive();
 			removeGone(hosts);
 			const candidates = hosts
-				.filter(({host, lostServices = []}) => !excluded.has(host) && !lostServices.includes(service))
+				.filter(({host, lostServices = [], countsAttempts}) => !excluded.has(host) && !lostServices.includes(service) && (!hasRun || countsAttempts === true))
 				.map(host => ({host, domain: host.domain, helper: helpers.get(host.reports)}))
 				.filter(({helper}) => !helper || (helper.inFlight < maxInFlight && helper.passedOverUntil <= now()));
-			return chooseHelper(candidates.map(({host, domain: ofHost, helper}) => ({host, domain: ofHost, inFlight: helper?.inFlight ?? 0})), domain, random);
+			return chooseHelper(candidates.map(({host, domain: ofHost, helper}) => ({
+				host, domain: ofHost, inFlight: helper?.inFlight ?? 0, isAvoided: avoided.has(host.host),
+			})), domain, random);
 		},
 		send({reports}, request, listener) {
 			const helper = findHelper(reports);
--- a/src/reports/host-status.ts
+++ b/src/reports/host-status.ts
@@ -17,6 +17,8 @@
 	readonly isStoreLost: boolean;
 	/** Services of which the host can reach no upstream. Hosts of an earlier build state none. */
 	readonly lostServices?: readonly string[];
+	/** Whether the host counts the attempts of requests that others hand on to it. Hosts of an earlier build don't. */
+	readonly countsAttempts?: boolean;
 	/** Time since the store last confirmed the newest desired weights, in milliseconds; `undefined` when it never did. */
 	readonly weightsAgeMs: number | undefined;
 };
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -133,6 +133,7 @@
 				loads: registry.loads(), loading, weights: rolloutTask.news(), limits: registry.takeDueLimits(now()), versions: streams.reviewVersions(), ...stateSync.status(),
 				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), ...crashes.news(),
 				lostServices: listLostServices(),
+				countsAttempts: true,
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
 			};
 		}),
--- a/test/decide/forwarding/refusals-and-retries.test.ts
+++ b/test/decide/forwarding/refusals-and-retries.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
+import {limitAttempts} from '../../../src/decide/attempts/limit-attempts.js';
 import {createFinalRefusal} from '../../../src/decide/forwarding/create-final-refusal.js';
 import {decideRetry} from '../../../src/decide/forwarding/decide-retry.js';
 import {createSlidingWindowRetryBudget} from '../../../src/decide/retries/create-sliding-window-retry-budget.js';
@@ -39,6 +40,9 @@
 	const progress = {
 		kind: 'idempotent' as RouteKind, isResumable: false, maxAttempts: 2, runs: 1, sends: 1, unsent: 0, hasBegun: false, canResume: true,
 	};
+	const decide = (outcome: SendOutcome, {maxAttempts, runs, sends, unsent, ...rest}: typeof progress) => decideRetry(outcome, {
+		...rest, spent: {runs, sends, unsent}, limits: limitAttempts({maxAttempts, isRelayed: false, stated: undefined}).limits,
+	});
 
 	test.each([
 		['an idempotent request without a whole response', broken, {}, 'send-again'],
@@ -56,7 +60,7 @@
 			kind: 'stream', isResumable: true, hasBegun: true, canResume: false,
 		}, 'close'],
 	] as const)('after %s', (_, outcome, changed, expected) => {
-		expect(decideRetry(outcome, {...progress, ...changed})).toBe(expected);
+		expect(decide(outcome, {...progress, ...changed})).toBe(expected);
 	});
 
 	test('never repeats a request that may run only once and may have run', () => {
@@ -65,7 +69,7 @@
 				isResumable: fc.boolean(), maxAttempts: fc.integer({min: 1, max: 9}), runs: fc.nat(9), sends: fc.nat(9), unsent: fc.nat(20), hasBegun: fc.boolean(), canResume: fc.boolean(),
 			}),
 			fc.constantFrom(broken, failed),
-			(randomProgress, outcome) => decideRetry(outcome, {...randomProgress, kind: 'once'}) !== 'send-again',
+			(randomProgress, outcome) => decide(outcome, {...randomProgress, kind: 'once'}) !== 'send-again',
 		), {seed: 2});
 	});
 });
--- a/test/support/start-linked-system.ts
+++ b/test/support/start-linked-system.ts
@@ -42,6 +42,8 @@
 	readonly configuration?: Record<string, unknown>;
 	/** Limits in the settings of each host that differ from the default. */
 	readonly bounds?: Record<string, number>;
+	/** Calls of the platform's adapter that differ from the default. */
+	readonly changed?: Partial<GatewayAdapter>;
 };
 
 function createLinkedAdapter(toLink: (address: string) => string): GatewayAdapter {
@@ -60,7 +62,7 @@
 }
 
 /** Starts a store, upstreams and hosts. */
-export async function startLinkedSystem({domains, upstreams: count = 3, respond, configuration = {}, bounds = {}}: LinkedSystemOptions): Promise<LinkedSystem> {
+export async function startLinkedSystem({domains, upstreams: count = 3, respond, configuration = {}, bounds = {}, changed = {}}: LinkedSystemOptions): Promise<LinkedSystem> {
 	const store = await createObjectStoreServer();
 	const defaults = platformObjects.configuration(1);
 	store.put('config', 'main', {...defaults, services: defaults.services.map(service => ({...service, max_conns: 4000})), ...configuration});
@@ -73,7 +75,7 @@
 	const hosts = await Promise.all(domains.map(async (domain): Promise<LinkedHost> => {
 		const links = await Promise.all(upstreams.map(async ({address}) => createLink(address)));
 		const byAddress = new Map(upstreams.map(({address}, index) => [address, links[index]!.address]));
-		const gateway = await startTestGateway(store.address, {domain, bounds}, createLinkedAdapter(address => byAddress.get(address) ?? address));
+		const gateway = await startTestGateway(store.address, {domain, bounds}, {...createLinkedAdapter(address => byAddress.get(address) ?? address), ...changed});
 		let stopped: Promise<void> | undefined;
 		return {
 			gateway,
