--- a/test/links/bounds-over-several-hosts.test.ts
+++ b/test/links/bounds-over-several-hosts.test.ts
@@ -15,6 +15,8 @@
 const deadlineMs = 2000;
 /** Limit on the sends of one request, over all hosts. */
 const maxSends = 5;
+/** Longer than a check for a crash and the next report to the other hosts. */
+const reportWaitMs = 600;
 const retryRatio = 0.2;
 const retrySlack = 24;
 /** By this much the stated deadline may end after the caller's. */
@@ -158,6 +160,37 @@
 		expect(stated).toEqual(stated.toSorted((a, b) => b - a));
 	});
 
+	test.each(['/read/poison', '/book/poison', '/ask/poison'])('that crashes the upstreams that run it is refused after its second crash: %s', async target => {
+		let crashes = 0;
+		const cut = await startCutSystem((received, socket) => {
+			if (received.target !== target) {
+				sendSignedResponse(received, socket);
+				return;
+			}
+
+			crashes++;
+			const crashed = cut.arrivals.get(received.headers.get('request-id')!)!.at(-1)!.upstream;
+			setImmediate(() => {
+				cut.system.upstreams[crashed]!.stop();
+				// The relays would accept connections in its place.
+				void Promise.all(cut.system.hosts.map(async host => host.cut('reset', [crashed])));
+			});
+		});
+		const responses: RawResponse[] = [];
+		for (let index = 0; index < 5; index++) {
+			responses.push(await cut.send({
+				target, method: 'POST', body: 'p', deadlineMs: 1500,
+			}));
+			await sleep(reportWaitMs);
+		}
+
+		const sound = await cut.send();
+		await cut.system.stop();
+		expect(crashes).toBe(2);
+		expect(responses.at(-1)!.status).toBe(503);
+		expect(sound.status).toBe(200);
+	});
+
 	test.each(['/read/x', '/book/x'])('passes with a head as long as the configuration allows: %s', async target => {
 		const cut = await startCutSystem(sendSignedResponse);
 		const response = await cut.send({target, method: target === '/book/x' ? 'POST' : 'GET', headers: `X-Long: ${'a'.repeat(8192 - 260)}\r\n`});
