--- a/test/soak/create-soak-upstream.ts
+++ b/test/soak/create-soak-upstream.ts
@@ -15,6 +15,7 @@
 const closeDelimitedEvery = 3;
 /** While it truncates responses, one request of this many is refused when it comes first. */
 const refusedEvery = 6;
+const percent = 100;
 const encodeChunk = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 
 /** An upstream that records the requests it runs. */
@@ -23,6 +24,8 @@
 	readonly address: string;
 	/** Share of the responses that it truncates, from 0 to 1; above 0 it also refuses some requests at first, and writes each refusal once more. */
 	broken: number;
+	/** Percentage of the plain requests that it runs and then answers with status 500. */
+	failingPercent: number;
 	/** Limit on requests a second that it states in its responses. */
 	limit: number | undefined;
 	/** Whether it states in its responses that it leaves. */
@@ -129,11 +132,17 @@
 		}
 
 		const isBroken = random() < upstream.broken;
+		const isFailing = hashTo48Bits(`failing-${requestId}-${id}`) % percent < upstream.failingPercent;
 		await sleep(hashTo48Bits(`${requestId}${id}`) % maxWorkMs);
 		const chunks = buildExpectedChunks(headers.get('resumes') ?? requestId, target).slice(resumedAfter === undefined ? 0 : Number(resumedAfter) + 1);
 		const isCloseDelimited = hashTo48Bits(`framing-${requestId}`) % closeDelimitedEvery === 0;
 		const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: ${seal}\r\n${stateAll()}`;
 		if (!target.startsWith('/ask/')) {
+			if (isFailing && !isCrashing) {
+				socket.write(`HTTP/1.1 500 Failed\r\nRequest-Id: ${requestId}\r\nResponse-Seal: ${seal}\r\nContent-Length: 0\r\n\r\n`);
+				return;
+			}
+
 			const text = chunks.join('');
 			const framing = isCloseDelimited ? '' : `Content-Length: ${Buffer.byteLength(text)}\r\n`;
 			socket.write(`${head}${framing}\r\n${isBroken || isCrashing ? text.slice(0, text.length / 2) : text}`);
@@ -199,7 +208,7 @@
 	};
 
 	const upstream: SoakUpstream = {
-		id, address: server.address, broken: 0, limit: undefined, isLeaving: false, nextRestS: undefined, weights: () => version, stop: server.stop,
+		id, address: server.address, broken: 0, failingPercent: 0, limit: undefined, isLeaving: false, nextRestS: undefined, weights: () => version, stop: server.stop,
 	};
 	return upstream;
 }
--- a/test/soak/find-violations.test.ts
+++ b/test/soak/find-violations.test.ts
@@ -31,6 +31,8 @@
 const cases: ReadonlyArray<readonly [name: string, changed: Partial<SoakHistory>, found: string | undefined]> = [
 	['a served request', {}, undefined],
 	['a booking that ran twice', {calls: [call({...booking, kind: 'book'})], runs: [run(booking), run({...booking, upstream: 'i-1', seal: 'i-1-0'})]}, 'twice'],
+	['a request that ran at as many upstreams as its route allows', {runs: [run({upstream: 'i-1', seal: 'i-1-0'}), run()]}, undefined],
+	['a request that ran at more upstreams than its route allows', {runs: ['i-2', 'i-1', 'i-0'].map(upstream => run({upstream, seal: `${upstream}-0`}))}, 'attempts'],
 	['a booking that ran although it was refused as not run', {calls: [call({...booking, kind: 'book', status: 503})], runs: [run(booking)], calmFrom: 39_000}, 'refused'],
 	['a response to another request', {calls: [call({text: 'answer to soak-2 for /read/soak-2'})]}, 'mixed'],
 	['a response whose seal belongs to none of its runs', {calls: [call({seal: 'i-9-9'})]}, 'mixed'],
--- a/test/soak/find-violations.ts
+++ b/test/soak/find-violations.ts
@@ -8,6 +8,8 @@
 const timeBoundsMs = {
 	contact: 3000, drain: 2000, apply: 2000, grace: 8000, recovery: 12_000, retryWindow: 10_000,
 } as const;
+/** Of the routes that allow most. */
+const maxAttempts = 2;
 const retryRatio = 0.2;
 const retrySlack = 20;
 /** Statuses that mean that a request has not run and will not run. */
@@ -111,6 +113,12 @@
 	}).slice(0, 1);
 };
 
+/** The routes of the soak state how many upstreams may run a request, over all hosts that it passes. */
+const findRunsBeyondRoute: Check = ({calls}, runsOf) => calls.flatMap(({id}) => {
+	const upstreams = new Set((runsOf.get(id) ?? []).map(({upstream}) => upstream));
+	return upstreams.size > maxAttempts ? [`attempts: ${id} ran at ${[...upstreams].join(', ')}`] : [];
+});
+
 const findCrashingRequestsSentAgain: Check = history => {
 	const hosts = new Map(history.calls.map(call => [call.id, call.host]));
 	const runsOfTarget = new Map<string, UpstreamRun[]>();
@@ -247,6 +255,7 @@
 	findMixedResponses,
 	findUnrequestedRuns,
 	findMixedVersions,
+	findRunsBeyondRoute,
 	findRetryBudgetExcess,
 	findDuplicateFencingTokens,
 	findUnexpectedExits,
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -26,6 +26,7 @@
 const maxRestS = 4;
 const maxRestGapMs = 4000;
 const cutMs = 6000;
+const failingPercentDuringCut = 25;
 const maxCutGapMs = 5000;
 
 /** Result of a soak. */
@@ -124,7 +125,13 @@
 		}
 	};
 
-	/** A host is cut off from all upstreams for some seconds now and then. */
+	const setFailing = (failingPercent: number): void => {
+		for (const {upstream} of cluster.upstreams) {
+			upstream.failingPercent = failingPercent;
+		}
+	};
+
+	/** A host is cut off from all upstreams for some seconds now and then, while upstreams fail some requests. */
 	const cutHosts = async (): Promise<void> => {
 		const until = performance.now() + durationMs - undisturbedMs;
 		while (performance.now() + cutMs + maxCutGapMs < until) {
@@ -133,7 +140,9 @@
 			const how = cutRandom() < 0.5 ? 'silent' : 'reset';
 			const from = performance.now();
 			const heals = cluster.upstreams.map(({link}) => link.cutOff({listPorts: () => findLocalPorts(host.pid()), how}));
+			setFailing(failingPercentDuringCut);
 			await sleep(cutMs);
+			setFailing(0);
 			for (const heal of heals) {
 				heal();
 			}
