A host that can't be sure that there is one software version asks, reads the list again, or refuses

Cause: not having heard of a version was taken for there being none. Change: being in step is a state, from the age of the confirmed list (hosts report it), silent hosts, and standstills of this process. In doubt a host asks all it has heard of late and reads the list; refused only where neither the store nor some host answers. Streams of a service with one version go on while the store is away.

--- a/src/object-store/create-object-watcher.ts
+++ b/src/object-store/create-object-watcher.ts
@@ -60,6 +60,7 @@
 	let lastFailureAt = Number.NEGATIVE_INFINITY;
 	let retryDelayMs = minRetryDelayMs;
 	let hasStopped = false;
+	let refreshing: Promise<void> | undefined;
 
 	const sumVersions = (objects: readonly StoredObject[]): number => objects.reduce((sum, object) => sum + (getVersion?.(object) ?? 0), 0);
 
@@ -206,6 +207,12 @@
 				setSnapshot(isNewer ? state : {...current!, objects: state.objects}, contactAt);
 			}
 		},
+		async refresh() {
+			refreshing ??= list().finally(() => {
+				refreshing = undefined;
+			});
+			await refreshing;
+		},
 		lastContactAt: () => contactAt,
 		isStoreUnreachable: () => isUnreachable,
 		stop() {
--- a/src/object-store/create-state-sync.ts
+++ b/src/object-store/create-state-sync.ts
@@ -41,8 +41,9 @@
 	readonly partitionedAfterMs: number;
 	/** Whether this host watches a kind in the store itself. */
 	readonly isWatching: (kind: string) => boolean;
-	/** Kind of the stored objects that hold the desired weights. */
+	/** Kinds of the stored objects that hold the desired weights and the upstreams. */
 	readonly weightsKind: string;
+	readonly upstreamsKind: string;
 };
 
 /** @param since - Revision in the snapshot's epoch; 0 for all objects. */
@@ -73,16 +74,16 @@
 	readonly weightsConfirmedByPeerAt: () => number;
 	/** When the store last confirmed the newest desired weights, directly or through a peer; `undefined` when it never did. */
 	readonly weightsConfirmedAt: () => number | undefined;
+	/** The same for the list of upstreams. */
+	readonly upstreamsConfirmedAt: () => number | undefined;
 	readonly stop: () => void;
 };
 
 /** Starts the exchange of state between hosts. */
-export function createStateSync({domain, watchers, call, alive, seeds, now, random, partitionedAfterMs, isWatching, weightsKind}: StateSyncOptions): StateSync {
+export function createStateSync({domain, watchers, call, alive, seeds, now, random, partitionedAfterMs, isWatching, weightsKind, upstreamsKind}: StateSyncOptions): StateSync {
 	/** Last status of the peers that reported newer state, by address. */
 	const aheadPeers = new Map<string, HostStatus>();
 	let isPulling = false;
-	const weightsWatcher = watchers.find(watcher => watcher.kind === weightsKind)!;
-	let peerConfirmedAt = Number.NEGATIVE_INFINITY;
 	let hasStopped = false;
 
 	const getEpoch = (): number => Math.max(0, ...watchers.map(watcher => watcher.state()?.epoch ?? 0));
@@ -127,6 +128,29 @@
 	const hasNewerContent = ({contentVersions}: StateStatus, watcher: ObjectWatcher): boolean =>
 		(contentVersions[watcher.kind] ?? 0) > watcher.contentVersion();
 
+	/** Follows when the store last confirmed the objects of a kind, directly or through a peer that reports the age of its own confirmation. */
+	const createConfirmation = (kind: string, getAgeMs: (status: HostStatus) => number | undefined) => {
+		const watcher = watchers.find(each => each.kind === kind);
+		let byPeerAt = Number.NEGATIVE_INFINITY;
+		return {
+			byPeerAt: () => byPeerAt,
+			recordStatus(status: HostStatus) {
+				const ageMs = getAgeMs(status);
+				const knowsNothingNewer = watcher && !hasNewerPosition(status, watcher) && !hasNewerContent(status, watcher);
+				if (watcher?.state() && ageMs !== undefined && knowsNothingNewer) {
+					byPeerAt = Math.max(byPeerAt, now() - ageMs);
+				}
+			},
+			at() {
+				const confirmedAt = Math.max(watcher?.lastContactAt() ?? Number.NEGATIVE_INFINITY, byPeerAt);
+				return watcher?.state() && Number.isFinite(confirmedAt) ? confirmedAt : undefined;
+			},
+		};
+	};
+
+	const weights = createConfirmation(weightsKind, status => status.weightsAgeMs);
+	const upstreams = createConfirmation(upstreamsKind, status => status.upstreamsAgeMs);
+
 	const isBehind = (status: StateStatus): boolean =>
 		watchers.some(watcher => hasNewerPosition(status, watcher) || hasNewerContent(status, watcher));
 
@@ -179,11 +203,8 @@
 	void pullWhilePartitioned();
 	return {
 		compareStatus(status) {
-			const knowsNoNewerWeights = !hasNewerPosition(status, weightsWatcher) && !hasNewerContent(status, weightsWatcher);
-			if (weightsWatcher.state() && status.weightsAgeMs !== undefined && knowsNoNewerWeights) {
-				peerConfirmedAt = Math.max(peerConfirmedAt, now() - status.weightsAgeMs);
-			}
-
+			weights.recordStatus(status);
+			upstreams.recordStatus(status);
 			if (isBehind(status)) {
 				aheadPeers.set(status.peers, status);
 				if (!isPulling) {
@@ -208,11 +229,9 @@
 			const epoch = getEpoch();
 			return {epoch, changes: mapSnapshots(epoch, state => state.changedAt), contentVersions: getContentVersions()};
 		},
-		weightsConfirmedByPeerAt: () => peerConfirmedAt,
-		weightsConfirmedAt() {
-			const confirmedAt = Math.max(weightsWatcher.lastContactAt() ?? Number.NEGATIVE_INFINITY, peerConfirmedAt);
-			return weightsWatcher.state() && Number.isFinite(confirmedAt) ? confirmedAt : undefined;
-		},
+		weightsConfirmedByPeerAt: weights.byPeerAt,
+		weightsConfirmedAt: weights.at,
+		upstreamsConfirmedAt: upstreams.at,
 		stop() {
 			hasStopped = true;
 		},
--- a/src/object-store/object-watcher.ts
+++ b/src/object-store/object-watcher.ts
@@ -10,6 +10,8 @@
 	readonly contentVersion: () => number;
 	/** Applies a peer's snapshot if it is newer, or has content of newer versions. */
 	readonly applySnapshot: (state: KindSnapshot) => void;
+	/** Lists the objects now; calls that are made meanwhile share the response. Throws when the store does not respond. */
+	readonly refresh: () => Promise<void>;
 	/** When the store last responded, in milliseconds of the suspend-aware clock; `undefined` when it never did. */
 	readonly lastContactAt: () => number | undefined;
 	/** Whether the last call to the store got no response. */
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -59,7 +59,8 @@
 	const handleStatus = (status: HostStatus, ageMs: number): void => {
 		if (status.host !== self.host) {
 			registry.recordStatus(status, now() - ageMs);
-			onStatus({...status, weightsAgeMs: status.weightsAgeMs === undefined ? undefined : status.weightsAgeMs + ageMs});
+			const addAge = (statedMs: number | undefined): number | undefined => statedMs === undefined ? undefined : statedMs + ageMs;
+			onStatus({...status, weightsAgeMs: addAge(status.weightsAgeMs), upstreamsAgeMs: addAge(status.upstreamsAgeMs)});
 		}
 	};
 
--- a/src/reports/host-status.ts
+++ b/src/reports/host-status.ts
@@ -21,4 +21,6 @@
 	readonly countsAttempts?: boolean;
 	/** Time since the store last confirmed the newest desired weights, in milliseconds; `undefined` when it never did. */
 	readonly weightsAgeMs: number | undefined;
+	/** The same for the list of upstreams. Hosts of an earlier build state none. */
+	readonly upstreamsAgeMs?: number | undefined;
 };
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -49,6 +49,7 @@
 import {createRelaySender} from './relay/create-relay-sender.js';
 import {createStreamArchive} from './streams/create-stream-archive.js';
 import {createStreamVersions} from './streams/create-stream-versions.js';
+import {createVersionKnowledge} from './streams/create-version-knowledge.js';
 import {createSuspendAwareClock} from './util/create-suspend-aware-clock.js';
 import {memoizeLast} from './util/memoize-last.js';
 import {memoize} from './util/memoize.js';
@@ -131,7 +132,7 @@
 			ejectLoading(loading);
 			return {
 				loads: registry.loads(), loading, weights: rolloutTask.news(), limits: registry.takeDueLimits(now()), versions: streams.reviewVersions(), ...stateSync.status(),
-				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), ...crashes.news(),
+				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), upstreamsAgeMs: getAgeMs(stateSync.upstreamsConfirmedAt()), ...crashes.news(),
 				lostServices: listLostServices(),
 				countsAttempts: true,
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
@@ -194,6 +195,11 @@
 	});
 	const streams = createStreamVersions({
 		listUpstreams: registry.listAll, listOthers: reportExchange.listOthers, alive: reportExchange.alive, call: peerClient.call,
+		knowledge: createVersionKnowledge({
+			confirmedAgeMs: () => getAgeMs(stateSync.upstreamsConfirmedAt()),
+			refresh: async () => watchers.find(({kind}) => kind === kinds.upstreams)!.refresh(),
+			listHeard: reportExchange.listHeard, now, suspendAwareNow,
+		}),
 		openArchive: (retentionMs, onVersions) => createStreamArchive({
 			host: name, store, kind: kinds.streams, retentionMs, countHosts, random, onVersions,
 		}),
@@ -268,6 +274,7 @@
 		partitionedAfterMs: watchPolicy.partitionedAfterMs,
 		isWatching: watchPolicy.isWatching,
 		weightsKind: kinds.weights,
+		upstreamsKind: kinds.upstreams,
 	});
 	const ownLease = createLeaseStore(store, epochs, kinds.leases, 'rollout');
 	const rolloutTask = createRolloutTask({
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -6,11 +6,13 @@
 import {type Upstream} from '../forwarding/upstream.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
+import {sleep} from '../util/sleep.js';
 import {type RequiredVersion} from './required-version.js';
 import {type SeenVersion} from './seen-version.js';
 import {type StreamArchive} from './stream-archive.js';
 import {type StreamGroup} from './stream-group.js';
 import {type StreamVersions} from './stream-versions.js';
+import {type VersionKnowledge} from './version-knowledge.js';
 
 /** A stream is taken up within its caller's deadline, which is far shorter. */
 const retentionMs = 60_000;
@@ -25,6 +27,15 @@
 const maxAsked = 12;
 const askTimeoutMs = 400;
 
+/** The version that began a stream, and who said so. */
+type FoundVersion = {readonly version: string; readonly from: string};
+/** What other hosts have answered. */
+type Asked = {
+	readonly found: FoundVersion | undefined;
+	/** Whether a host has not answered. */
+	readonly isSilent: (host: KnownHost) => boolean;
+};
+
 /** Dependencies of the stream versions. */
 type StreamVersionsOptions = {
 	readonly listUpstreams: () => readonly Upstream[];
@@ -33,6 +44,7 @@
 	/** Returns those with a recent report. */
 	readonly alive: () => readonly KnownHost[];
 	readonly call: PeerRpc;
+	readonly knowledge: VersionKnowledge;
 	/** Opens what lies in the store; `onVersions` is called with the versions that it shows. */
 	readonly openArchive: (retentionMs: number, onVersions: (seen: readonly SeenVersion[]) => void) => StreamArchive;
 	/** Sends groups of streams to a host, as a datagram. */
@@ -45,7 +57,7 @@
 Creates the record of the software versions that began streams. Each host keeps those of its own streams; while a service has several versions, it
 tells each to a few other hosts, chosen by rendezvous hashing, so that it outlives this host. A host that doesn't know asks.
 */
-export function createStreamVersions({listUpstreams, listOthers, alive, call, openArchive, tell, now}: StreamVersionsOptions): StreamVersions {
+export function createStreamVersions({listUpstreams, listOthers, alive, call, knowledge, openArchive, tell, now}: StreamVersionsOptions): StreamVersions {
 	const index = createStreamIndex(retentionMs, maxStreams);
 	/** Versions listed here, and those that others report besides. */
 	const ownHistory = createVersionHistory(retentionMs);
@@ -101,44 +113,76 @@
 	};
 
 	/** Hosts that may have been told of a stream come first. */
-	const listAsked = (id: string): readonly KnownHost[] => {
-		const hosts = new Map(listOthers().map(host => [host.host, host]));
-		const responsive = alive();
-		const candidates = responsive.length > 0 ? new Map(responsive.map(host => [host.host, host])) : hosts;
-		return rankOwners([...hosts.keys()], id).flatMap(name => candidates.get(name) ?? []).slice(0, maxAsked);
+	const listAsked = (id: string, hosts: readonly KnownHost[]): readonly KnownHost[] => {
+		const byName = new Map(hosts.map(host => [host.host, host]));
+		return rankOwners(listOthers().map(({host}) => host), id).flatMap(name => byName.get(name) ?? []).slice(0, maxAsked);
 	};
 
-	const ask = async (id: string, timeoutMs: number): Promise<{readonly version: string; readonly from: string} | undefined> => {
+	/** Asks other hosts for the version that began a stream, until one knows it. */
+	const ask = async (id: string, hosts: readonly KnownHost[], timeoutMs: number): Promise<Asked> => {
+		const answered = new Set<string>();
 		try {
-			return await Promise.any(listAsked(id).map(async ({host, peers}) => {
+			const found = await Promise.any(listAsked(id, hosts).map(async ({host, peers}) => {
 				const {version} = await call(peers, 'gateway.streamVersion', {id}, {timeoutMs});
+				answered.add(host);
 				if (version === null) {
 					throw new Error(`${host} does not know the stream`);
 				}
 
 				return {version, from: host};
 			}));
+			return {found, isSilent: () => false};
 		} catch (error) {
 			log.info({begunBy: id, errors: (error as AggregateError).errors?.map(String)}, 'no host knows the version that began a stream');
-			return undefined;
+			return {found: undefined, isSilent: ({host}) => !answered.has(host)};
 		}
 	};
 
-	/** Asks other hosts, then the store. A stream of a service that had one version only until this host started is of that version. */
-	const findElsewhere = async (service: string, begunBy: string | undefined, timeoutMs: number): Promise<{readonly version: string; readonly from: string} | undefined> => {
+	/** Asks other hosts, then the store. A stream of a service that had one version only until this host started is of that version, if no host is silent that may know better. */
+	const findElsewhere = async (service: string, begunBy: string | undefined, timeoutMs: number): Promise<FoundVersion | undefined> => {
 		if (begunBy === undefined) {
 			return undefined;
 		}
 
-		const asked = await ask(begunBy, timeoutMs);
-		if (asked) {
-			return asked;
+		const responsive = alive();
+		const {found, isSilent} = await ask(begunBy, responsive.length > 0 ? responsive : listOthers(), timeoutMs);
+		if (found) {
+			return found;
 		}
 
-		const version = await archive.lookUp(begunBy) ?? archive.findOnlyVersion(service);
+		const stored = await archive.lookUp(begunBy);
+		const version = stored ?? (knowledge.listHeard().some(host => isSilent(host)) ? undefined : archive.findOnlyVersion(service));
 		return version === undefined ? undefined : {version, from: 'store'};
 	};
 
+	/**
+	Finds the version of a stream where this host knows of one version only and can't be sure that there is no other. The store settles it, since a version
+	is listed there before it begins a stream; without the store, only all other hosts together do.
+	*/
+	const findInDoubt = async (service: string, begunBy: string | undefined, requestId: string, timeoutMs: number): Promise<RequiredVersion | 'mixed'> => {
+		const asking = ask(begunBy ?? '', knowledge.listHeard(), timeoutMs);
+		const [isConfirmed, stored] = await Promise.all([knowledge.confirm(timeoutMs), Promise.race([archive.lookUp(begunBy ?? ''), sleep(timeoutMs).then(() => undefined)])]);
+		if (isConfirmed && !history.isMixed(service, now())) {
+			return {kind: 'any'};
+		}
+
+		const {found, isSilent} = await asking;
+		const version = found?.version ?? stored;
+		const silent = knowledge.listHeard().filter(host => isSilent(host)).map(({host}) => host);
+		log.info({
+			requestId, service, begunBy, isConfirmed, version, silent,
+		}, 'this host may not know of each version that serves');
+		if (version !== undefined) {
+			return {kind: 'one', version};
+		}
+
+		if (history.isMixed(service, now())) {
+			return 'mixed';
+		}
+
+		return {kind: silent.length === 0 ? 'any' : 'unknown'};
+	};
+
 	const findRequired = async (service: string, begunBy: string | undefined, requestId: string, endsAt: number): Promise<RequiredVersion> => {
 		const known = begunBy === undefined ? undefined : index.lookUp(begunBy, now());
 		const leftMs = Math.min(askTimeoutMs, Math.max(1, endsAt - now()));
@@ -148,7 +192,10 @@
 		}
 
 		if (!known && !history.isMixed(service, now())) {
-			return {kind: 'any'};
+			const required = knowledge.isInStep() ? {kind: 'any'} as const : await findInDoubt(service, begunBy, requestId, leftMs);
+			if (required !== 'mixed') {
+				return required;
+			}
 		}
 
 		const found = known ? {version: known.version, from: 'here'} : await findElsewhere(service, begunBy, leftMs);
@@ -197,6 +244,7 @@
 		},
 		answer: begunBy => index.lookUp(begunBy, now())?.version,
 		reviewVersions() {
+			knowledge.tick();
 			if (now() - reviewedAt >= reviewIntervalMs) {
 				reviewedAt = now();
 				recordVersions(listUpstreams());
--- a/test/object-store/state-sync.test.ts
+++ b/test/object-store/state-sync.test.ts
@@ -32,7 +32,7 @@
 	let open = 0;
 	let maxOpen = 0;
 	const watcher: ObjectWatcher = {
-		kind, state: () => state, contentVersion: () => 0, lastContactAt: () => performance.now(), isStoreUnreachable: () => false, stop: () => undefined,
+		kind, state: () => state, contentVersion: () => 0, lastContactAt: () => performance.now(), refresh: async () => undefined, isStoreUnreachable: () => false, stop: () => undefined,
 		applySnapshot(newer) {
 			state = newer;
 		},
@@ -57,7 +57,7 @@
 	}) as unknown as PeerRpc;
 	const sync = createStateSync({
 		domain: 'domain-a', watchers: [watcher], call, alive: () => [], seeds: () => [], now: () => performance.now(), random: () => 0.5,
-		partitionedAfterMs: 1e9, isWatching: () => true, weightsKind: kind,
+		partitionedAfterMs: 1e9, isWatching: () => true, weightsKind: kind, upstreamsKind: kind,
 	});
 	stop = sync.stop;
 	return {
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -9,6 +9,7 @@
 import {type Upstream} from '../../src/forwarding/upstream.js';
 import {type PeerRpc} from '../../src/peers/peer-rpc.js';
 import {type StreamArchive} from '../../src/streams/stream-archive.js';
+import {type VersionKnowledge} from '../../src/streams/version-knowledge.js';
 import {createStreamVersions} from '../../src/streams/create-stream-versions.js';
 import {createSeededRandom} from '../../src/util/create-seeded-random.js';
 
@@ -17,6 +18,11 @@
 	add: () => undefined, waitUntilRead: async () => true, lookUp: async () => undefined, findOnlyVersion: () => undefined, recordListed: () => undefined, flush: async () => undefined, stop: () => undefined,
 };
 
+/** Hosts of which nothing is hidden. */
+const knowsAll: VersionKnowledge = {
+	isInStep: () => true, confirm: async () => true, listHeard: () => [], tick: () => undefined,
+};
+
 const reportMs = 100;
 const toUpstream = (softwareVersion: string, index: number): Upstream => ({
 	id: `i-${index}`, service: 's', address: '', domain: 'd', slots: 1, isLeaving: false, startedAt: index, softwareVersion, weights: new Map(),
@@ -41,7 +47,7 @@
 			return {version: peer.answer(id) ?? null};
 		}) as unknown as PeerRpc;
 		const versions = createStreamVersions({
-			openArchive: () => emptyArchive,
+			openArchive: () => emptyArchive, knowledge: knowsAll,
 			listUpstreams: () => upstreams, listOthers: () => listOthers(name), alive: () => listOthers(name), call, now: Date.now,
 			tell({host}, groups) {
 				messages++;
--- /dev/null
+++ b/test/support/create-release.ts
@@ -0,0 +1,65 @@
+import {createUpstreamServer, type UpstreamServer} from './create-upstream-server.js';
+import {type ObjectStoreServer} from './create-object-store-server.js';
+import {platformObjects} from './platform-objects.js';
+import {respondWithVersion, type Version} from './versioned-streams.js';
+
+type Upstream = {readonly id: string; readonly version: Version; readonly server: UpstreamServer};
+
+/** Upstreams of both versions, and what a release does to them. */
+export function createRelease() {
+	const upstreams: Upstream[] = [];
+	const add = async (store: ObjectStoreServer, version: Version): Promise<void> => {
+		const server = await createUpstreamServer();
+		server.answer = (received, socket) => {
+			respondWithVersion(version, received, socket);
+		};
+
+		const upstream = {id: `i-${upstreams.length}`, version, server};
+		upstreams.push(upstream);
+		store.put('servers', upstream.id, platformObjects.upstream(server.address, {version, slots: 32, born: 1_700_000_000_000 + upstreams.length}));
+	};
+
+	const addBoth = async (store: ObjectStoreServer, version: Version): Promise<void> => {
+		await add(store, version);
+		await add(store, version);
+	};
+
+	const removeOld = (store: ObjectStoreServer): readonly Upstream[] => {
+		const old = upstreams.filter(({version}) => version === 'v1');
+		for (const {id} of old) {
+			store.remove('servers', id);
+		}
+
+		return old;
+	};
+
+	return {
+		prepare: async (store: ObjectStoreServer) => addBoth(store, 'v1'),
+		releases: {
+			async added(store: ObjectStoreServer) {
+				await addBoth(store, 'v2');
+			},
+			async replaced(store: ObjectStoreServer) {
+				await addBoth(store, 'v2');
+				removeOld(store);
+			},
+			async 'old ones gone'(store: ObjectStoreServer) {
+				await addBoth(store, 'v2');
+				for (const {server} of removeOld(store)) {
+					server.stop();
+				}
+			},
+			async none() {
+				// One version everywhere.
+			},
+		},
+		stop() {
+			for (const {server} of upstreams) {
+				server.stop();
+			}
+		},
+	};
+}
+
+/** What a release does to the upstreams. */
+export type ReleaseName = keyof ReturnType<typeof createRelease>['releases'];
--- a/test/support/start-state-hosts.ts
+++ b/test/support/start-state-hosts.ts
@@ -49,7 +49,7 @@
 		}) as unknown as PeerRpc;
 		const sync = createStateSync({
 			domain: 'domain-a', watchers, call, alive: () => listOthers().map(host => ({peers: host.name, domain: 'domain-a'}) as KnownHost), seeds: () => [],
-			now: Date.now, random: () => 0.5, partitionedAfterMs: 2900, isWatching: () => isWatching, weightsKind: kinds.weights,
+			now: Date.now, random: () => 0.5, partitionedAfterMs: 2900, isWatching: () => isWatching, weightsKind: kinds.weights, upstreamsKind: kinds.upstreams,
 		});
 		const report = setInterval(() => {
 			for (const other of listOthers()) {
