A stream that broke off ends as complete only where another stream says that nothing follows

Cause: such a response counted as an event stream without events. A 204 is no stream now; a response without an event must state its media type if the one that brought events did.

--- a/src/streams/create-delivered-body.ts
+++ b/src/streams/create-delivered-body.ts
@@ -27,6 +27,9 @@
 	const {head, answer, splitter, isResumedByCaller, describeReceived, abort, resume} = options;
 	const events = isEventStream(head) ? splitter : undefined;
 
+	const isDeclared = head.mediaType !== undefined;
+	const wasDeclared = events?.begin(isDeclared) ?? false;
+	let eventBytes = 0;
 	let isWaitingForCaller = false;
 
 	const waitForCaller = (): void => {
@@ -58,6 +61,7 @@
 	return {
 		push(chunk) {
 			const ready = events ? events.push(chunk) : chunk;
+			eventBytes += ready.length;
 			if (describeReceived().bodyBytes > responseLimits.bodyBytes) {
 				abort(`the body exceeds ${responseLimits.bodyBytes} bytes`, true);
 				return false;
@@ -73,7 +77,7 @@
 		end() {
 			const received = describeReceived();
 			const fault = events && findStreamFault({
-				...received, isDeclared: head.mediaType !== undefined, hasEvents: events.hasEvents(), isResumedByCaller,
+				...received, isDeclared, wasDeclared, hasEvents: events.hasEvents(), eventBytes, isResumedByCaller,
 			});
 			if (fault !== undefined) {
 				return {
--- a/src/streams/create-sse-event-splitter.ts
+++ b/src/streams/create-sse-event-splitter.ts
@@ -15,6 +15,7 @@
 	let scanner = createSseEventScanner();
 	let lastId: string | undefined;
 	let hasEvents = false;
+	let isDeclared = false;
 
 	const completeEvents = (lastBytes: Buffer): Buffer => held.length() === 0 ? lastBytes : Buffer.concat([held.take(), lastBytes]);
 
@@ -25,6 +26,11 @@
 
 	return {
 		holdsBack,
+		begin(isThisDeclared) {
+			const wasDeclared = hasEvents && isDeclared;
+			isDeclared ||= isThisDeclared;
+			return wasDeclared;
+		},
 		push(chunk) {
 			const end = scanner.scan(chunk);
 			hasEvents ||= end > 0;
--- a/src/streams/sse-event-splitter.ts
+++ b/src/streams/sse-event-splitter.ts
@@ -2,6 +2,8 @@
 export type SseEventSplitter = {
 	/** Whether another upstream can continue the stream, since incomplete events are held back. */
 	readonly holdsBack: boolean;
+	/** Begins a response; returns whether one that brought events before stated its media type, given whether this one does. */
+	readonly begin: (isDeclared: boolean) => boolean;
 	/** Adds received bytes; returns those to pass on now. */
 	readonly push: (chunk: Buffer) => Buffer;
 	/** Returns the bytes held back; for the end of a complete response that is no stream after all. */
--- a/test/decide/forwarding/find-stream-fault.test.ts
+++ b/test/decide/forwarding/find-stream-fault.test.ts
@@ -3,7 +3,7 @@
 import {isEventStream} from '../../../src/decide/forwarding/is-event-stream.js';
 
 const ended = {
-	framing: 'chunked' as const, isDeclared: true, unfinishedEventBytes: 0, hasEvents: true, isResumedByCaller: false,
+	framing: 'chunked' as const, isDeclared: true, unfinishedEventBytes: 0, hasEvents: true, wasDeclared: false, eventBytes: 20, isResumedByCaller: false,
 };
 const insideEvent = 'the stream ended inside an event';
 const beforeFirstEvent = 'the connection was closed before the first event';
@@ -26,6 +26,10 @@
 		['before any event, with its connection, after the last event that the caller has', {
 			framing: 'close', hasEvents: false, isResumedByCaller: true,
 		}, undefined],
+		['without an event, after another upstream has broken off', {wasDeclared: true, eventBytes: 0}, undefined],
+		['without an event and with no media type, after another upstream has broken off', {
+			wasDeclared: true, eventBytes: 0, isDeclared: false,
+		}, 'no upstream says that the stream has ended'],
 	] as const)('%s', (_, changed, expected) => {
 		expect(findStreamFault({...ended, ...changed})).toBe(expected);
 	});
@@ -35,6 +39,7 @@
 	test.each([
 		[200, 'text/event-stream', true],
 		[200, undefined, true],
+		[204, undefined, false],
 		[200, 'application/json', false],
 		[404, undefined, false],
 		[404, 'text/event-stream', false],
