A connection that has carried a refusal without an id is closed, whatever it would carry next

Cause: such a connection went on carrying requests that may be repeated, and the copy was believed for them. Class: an untrue word was let pass since the caller loses nothing by it.

--- a/src/decide/forwarding/create-refusal-history.ts
+++ b/src/decide/forwarding/create-refusal-history.ts
@@ -7,8 +7,8 @@
 export type RefusalHistory = {
 	/** Records a response which states that its request was not run. */
 	readonly record: (requestId: string | undefined) => void;
-	/** Returns whether a refusal of a request that is sent now could be told from a copy of an earlier one, or need not be. */
-	readonly canCarry: (request: Pick<UpstreamRequest, 'id' | 'mayRepeat'>) => boolean;
+	/** Returns whether a refusal of a request that is sent now could be told from a copy of an earlier one. */
+	readonly canCarry: (request: Pick<UpstreamRequest, 'id'>) => boolean;
 	/** Returns whether the connection carries no further request. */
 	readonly isSpent: () => boolean;
 	/** Forgets the refusals of a connection that has ended. */
@@ -31,8 +31,8 @@
 				refusedIds.add(requestId);
 			}
 		},
-		canCarry: ({id, mayRepeat}) => !refusedIds.has(id) && (mayRepeat || !hasUnnamed),
-		isSpent: () => refusedIds.size >= maxRefusedIds,
+		canCarry: ({id}) => !refusedIds.has(id) && !hasUnnamed,
+		isSpent: () => hasUnnamed || refusedIds.size >= maxRefusedIds,
 		clear() {
 			refusedIds.clear();
 			hasUnnamed = false;
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -47,7 +47,6 @@
 				isResumedByCaller: request.resumeAfter !== undefined,
 				send: listener => registry.send(placement.upstream, {
 					id: request.id!,
-					mayRepeat,
 					method: request.method,
 					target: request.target,
 					headers: encode(request, {...placement.options, deadlineMs: leftMs, resumeAfter: splitter?.lastEventId() ?? request.resumeAfter}),
--- a/src/relay/create-relay-sender.ts
+++ b/src/relay/create-relay-sender.ts
@@ -45,7 +45,6 @@
 				isResumedByCaller: request.resumeAfter !== undefined,
 				send: listener => relay.send(helper, {
 					id: request.id!,
-					mayRepeat: false,
 					method: request.method,
 					target: request.target,
 					headers: encodeRelayed(request, {
--- a/test/forwarding/refusals-written-again.test.ts
+++ b/test/forwarding/refusals-written-again.test.ts
@@ -181,7 +181,7 @@
 		const isRun = (id: string): boolean => (runs.get(id) ?? 0) > 0;
 		expect({
 			answers: responses.length,
-			falseRefusals: isOnce ? responses.filter(({id, response}) => notRunStatuses.has(response.status) && isRun(id)).map(({id}) => id) : [],
+			falseRefusals: responses.filter(({id, response}) => notRunStatuses.has(response.status) && isRun(id)).map(({id}) => id),
 			ranTwice: isOnce ? [...runs].filter(([, count]) => count > 1) : [],
 			ofOthers: responses.filter(({id, response}) => response.status === 200 && response.headers.get('response-seal') !== `seal-of-${id}`).map(({id}) => id),
 		}).toEqual({
--- a/test/registry/upstream-registry.test.ts
+++ b/test/registry/upstream-registry.test.ts
@@ -27,7 +27,7 @@
 			},
 		};
 		registry.send(placed, {
-			id: 'request', mayRepeat: true, method: 'GET', target: '/', headers: [], body: undefined,
+			id: 'request', method: 'GET', target: '/', headers: [], body: undefined,
 		}, {waitingTokens: 0, heldTokens: 0, priority: 0}, listener);
 		await Promise.resolve();
 		expect(sent).toBe(expected);
@@ -51,7 +51,7 @@
 			return running;
 		});
 		registry.send(placed, {
-			id: 'request', mayRepeat: true, method: 'GET', target: '/', headers: [], body: undefined,
+			id: 'request', method: 'GET', target: '/', headers: [], body: undefined,
 		}, {waitingTokens: 0, heldTokens: 0, priority: 0}, {
 			onHead: () => undefined, onData: () => true, onEnd: () => true, onFail: () => undefined,
 		});
--- a/test/support/send-on-pool.ts
+++ b/test/support/send-on-pool.ts
@@ -6,7 +6,7 @@
 	return new Promise(resolve => {
 		let head: ResponseHead | undefined;
 		pool.send({
-			id, mayRepeat: false, method: 'GET', target: '/', headers: ['Request-Id', id], body: undefined,
+			id, method: 'GET', target: '/', headers: ['Request-Id', id], body: undefined,
 		}, {
 			onHead(received) {
 				head = received;
