Only hosts that were heard and have fallen silent make the version of an unknown stream doubtful

Found in reading the change: beside the hosts that are asked (twelve at the most), all others of a large fleet counted as silent, and after a restart so did registered hosts that never were there; streams from before would have been refused.

--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -32,8 +32,8 @@
 /** What other hosts have answered. */
 type Asked = {
 	readonly found: FoundVersion | undefined;
-	/** Whether a host has not answered. */
-	readonly isSilent: (host: KnownHost) => boolean;
+	/** Names of the hosts that were heard of late and may know better: those that were asked and have not answered, and those that are not heard any more. */
+	readonly silent: readonly string[];
 };
 
 /** Dependencies of the stream versions. */
@@ -120,9 +120,10 @@
 
 	/** Asks other hosts for the version that began a stream, until one knows it. */
 	const ask = async (id: string, hosts: readonly KnownHost[], timeoutMs: number): Promise<Asked> => {
+		const asked = listAsked(id, hosts);
 		const answered = new Set<string>();
 		try {
-			const found = await Promise.any(listAsked(id, hosts).map(async ({host, peers}) => {
+			const found = await Promise.any(asked.map(async ({host, peers}) => {
 				const {version} = await call(peers, 'gateway.streamVersion', {id}, {timeoutMs});
 				answered.add(host);
 				if (version === null) {
@@ -131,10 +132,11 @@
 
 				return {version, from: host};
 			}));
-			return {found, isSilent: () => false};
+			return {found, silent: []};
 		} catch (error) {
 			log.info({begunBy: id, errors: (error as AggregateError).errors?.map(String)}, 'no host knows the version that began a stream');
-			return {found: undefined, isSilent: ({host}) => !answered.has(host)};
+			const fine = new Set([...answered, ...alive().map(({host}) => host).filter(name => !asked.some(({host}) => host === name))]);
+			return {found: undefined, silent: knowledge.listHeard().map(({host}) => host).filter(name => !fine.has(name))};
 		}
 	};
 
@@ -145,13 +147,13 @@
 		}
 
 		const responsive = alive();
-		const {found, isSilent} = await ask(begunBy, responsive.length > 0 ? responsive : listOthers(), timeoutMs);
+		const {found, silent} = await ask(begunBy, responsive.length > 0 ? responsive : listOthers(), timeoutMs);
 		if (found) {
 			return found;
 		}
 
 		const stored = await archive.lookUp(begunBy);
-		const version = stored ?? (knowledge.listHeard().some(host => isSilent(host)) ? undefined : archive.findOnlyVersion(service));
+		const version = stored ?? (silent.length > 0 ? undefined : archive.findOnlyVersion(service));
 		return version === undefined ? undefined : {version, from: 'store'};
 	};
 
@@ -166,9 +168,8 @@
 			return {kind: 'any'};
 		}
 
-		const {found, isSilent} = await asking;
+		const {found, silent} = await asking;
 		const version = found?.version ?? stored;
-		const silent = knowledge.listHeard().filter(host => isSilent(host)).map(({host}) => host);
 		log.info({
 			requestId, service, begunBy, isConfirmed, version, silent,
 		}, 'this host may not know of each version that serves');
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -96,6 +96,36 @@
 	};
 }
 
+describe('a stream that nobody knows, of a service that had one version until this host started', () => {
+	const toHost = (index: number): KnownHost => ({host: `o-${index}`, peers: `o-${index}`}) as KnownHost;
+	const range = (count: number): readonly KnownHost[] => Array.from({length: count}, (_, index) => toHost(index));
+	test.each([
+		['is of that version where all other hosts answer', 3, 3, 3, 'v1'],
+		['is of that version where as many as are asked answer', 30, 30, 30, 'v1'],
+		['is of that version where hosts are registered that were never heard', 3, 0, 0, 'v1'],
+		['is of no known version where a host has fallen silent', 3, 3, 2, undefined],
+		['is of no known version where one of many hosts has fallen silent', 30, 30, 29, undefined],
+	] as const)('%s', async (_name, registered, heard, answering, expected) => {
+		const hosts = range(registered);
+		const versions = createStreamVersions({
+			openArchive: () => ({...emptyArchive, findOnlyVersion: () => 'v1'}),
+			knowledge: {...knowsAll, listHeard: () => hosts.slice(0, heard)},
+			listUpstreams: () => [], listOthers: () => hosts, alive: () => hosts.slice(0, answering), now: Date.now, tell: () => undefined,
+			async call(address: string) {
+				if (!hosts.slice(0, answering).some(({peers}) => peers === address)) {
+					throw new Error('unreachable');
+				}
+
+				return {version: null};
+			},
+		});
+		versions.recordUpstreams([toUpstream('v1', 0), toUpstream('v2', 1)]);
+		const required = await versions.findRequired('s', 'unknown', 'r', Date.now() + 1000);
+		versions.stop();
+		expect(required).toEqual(expected === undefined ? {kind: 'unknown'} : {kind: 'one', version: expected});
+	});
+});
+
 describe('the software versions that began streams', () => {
 	beforeEach(() => {
 		vi.useFakeTimers();
