--- a/test/streams/stream-resumed-at-another-version.test.ts
+++ b/test/streams/stream-resumed-at-another-version.test.ts
@@ -8,20 +8,19 @@
 import {platformObjects} from '../support/platform-objects.js';
 import {type RawResponse, sendRawRequest} from '../support/send-raw-request.js';
 import {startTestGateway, type TestGateway} from '../support/start-test-gateway.js';
+import {
+	type BegunStream, beginStream, eventCount, listVersions, type Version,
+} from '../support/versioned-streams.js';
 import {waitUntilReady} from '../support/wait-until-ready.js';
 
-const eventCount = 8;
 const firstEvents = 4;
 const streams = 6;
 /** Time in which hosts hear of each other, and of streams. */
 const settleMs = 1300;
 const noticeMs = 700;
 
-type Version = 'v1' | 'v2';
 type Upstream = {readonly id: string; readonly server: UpstreamServer; version: Version; breaksAt: number | undefined};
 type System = Awaited<ReturnType<typeof startSystem>>;
-/** A stream that a caller has got the first events of. */
-type Begun = {readonly id: string; readonly version: Version};
 
 const toChunk = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 const toEvents = (from: number, to: number, version: Version): string =>
@@ -94,23 +93,7 @@
 	};
 }
 
-const listVersions = (text: string): readonly Version[] => [...text.matchAll(/data: (v\d)/gv)].map(match => match[1] as Version);
-
-/** Gets the first events of a stream and closes the connection. */
-async function begin({callers}: TestGateway, id: string, headers = ''): Promise<Begun> {
-	const response = await sendRawRequest(callers, buildRawRequest({
-		target: `/ask/${id}`, id, deadlineMs: 4000, headers,
-	}), socket => {
-		let text = '';
-		socket.on('data', chunk => {
-			text += String(chunk);
-			if (text.includes(`id: ${firstEvents - 1}\n`)) {
-				socket.end();
-			}
-		});
-	});
-	return {id, version: listVersions(response.text)[0]!};
-}
+const begin = async ({callers}: TestGateway, id: string, headers = ''): Promise<BegunStream> => beginStream(callers, id, headers);
 
 /** Takes a stream up after its first events. */
 async function resume({callers}: TestGateway, id: string, named: string | undefined): Promise<RawResponse> {
@@ -129,8 +112,8 @@
 	/** Returns the host that takes the streams up. */
 	readonly change: (system: System) => Promise<TestGateway>;
 	/** What the caller names, given the stream. */
-	readonly name: (stream: Begun) => string | undefined;
-	readonly expected: (stream: Begun) => Expected;
+	readonly name: (stream: BegunStream) => string | undefined;
+	readonly expected: (stream: BegunStream) => Expected;
 };
 
 const twoDomains = ['domain-a', 'domain-a', 'domain-b', 'domain-b'];
--- a/test/support/versioned-streams.ts
+++ b/test/support/versioned-streams.ts
@@ -35,8 +35,10 @@
 export const listVersions = (text: string): readonly Version[] => [...text.matchAll(/data: (v\d)/gv)].map(match => match[1] as Version);
 
 /** Gets the first events of a stream and closes the connection. */
-export async function beginStream(callers: string, id: string): Promise<BegunStream> {
-	const response = await sendRawRequest(callers, buildRawRequest({target: `/ask/${id}`, id, deadlineMs: 4000}), socket => {
+export async function beginStream(callers: string, id: string, headers = ''): Promise<BegunStream> {
+	const response = await sendRawRequest(callers, buildRawRequest({
+		target: `/ask/${id}`, id, deadlineMs: 4000, headers,
+	}), socket => {
 		let text = '';
 		socket.on('data', chunk => {
 			text += String(chunk);
