A stream that may go on anywhere keeps to the one version that was known then

Cause: that there was one version was found at the beginning, and which upstream at each placement. Change: with one version known, that version is required. With no upstream of any version left, callers are told when to come back, as before.

--- a/src/decide/streams/create-version-history.ts
+++ b/src/decide/streams/create-version-history.ts
@@ -5,6 +5,8 @@
 	readonly record: (service: string, version: string, at: number) => void;
 	/** Returns whether a service had several versions within the time. */
 	readonly isMixed: (service: string, now: number) => boolean;
+	/** Returns the version of a service that had one within the time. */
+	readonly findOnly: (service: string, now: number) => string | undefined;
 	/** Returns the versions of the services with several ones. */
 	readonly listMixed: (now: number) => readonly SeenVersion[];
 };
@@ -34,6 +36,10 @@
 			services.set(service, versions);
 		},
 		isMixed: (service, now) => listRecent(service, now).size > 1,
+		findOnly(service, now) {
+			const versions = listRecent(service, now);
+			return versions.size === 1 ? versions.keys().next().value : undefined;
+		},
 		listMixed: now => [...services.keys()].flatMap(service => {
 			const versions = listRecent(service, now);
 			return versions.size > 1 ? [...versions].map(([version, at]) => ({service, version, ageMs: Math.round(now - at)})) : [];
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -88,7 +88,7 @@
 			return false;
 		}
 
-		progress.softwareVersion = required.kind === 'one' ? required.version : undefined;
+		progress.softwareVersion = required.version;
 		progress.isVersionUnknown = false;
 		return true;
 	};
--- a/src/forwarding/create-placement-finder.ts
+++ b/src/forwarding/create-placement-finder.ts
@@ -48,7 +48,7 @@
 		}
 
 		const closedForMs = registry.closedForMs(service, now(), softwareVersion);
-		if (closedForMs === undefined && softwareVersion !== undefined) {
+		if (closedForMs === undefined && softwareVersion !== undefined && registry.getReach(service).upstreams > 0) {
 			progress.lastReason = `no upstream of version ${softwareVersion}, which began the stream`;
 			return {reason: 'no-upstream', retryAfterMs: 'never'};
 		}
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -157,6 +157,9 @@
 		return version === undefined ? undefined : {version, from: 'store'};
 	};
 
+	/** The version is kept, since another one may come before the stream has gone on. */
+	const anyOf = (service: string): RequiredVersion => ({kind: 'any', version: history.findOnly(service, now())});
+
 	/**
 	Finds the version of a stream where this host knows of one version only and can't be sure that there is no other. The store settles it, since a version
 	is listed there before it begins a stream; without the store, only all other hosts together do.
@@ -165,7 +168,7 @@
 		const asking = ask(begunBy ?? '', knowledge.listHeard(), timeoutMs);
 		const [isConfirmed, stored] = await Promise.all([knowledge.confirm(timeoutMs), Promise.race([archive.lookUp(begunBy ?? ''), sleep(timeoutMs).then(() => undefined)])]);
 		if (isConfirmed && !history.isMixed(service, now())) {
-			return {kind: 'any'};
+			return anyOf(service);
 		}
 
 		const {found, silent} = await asking;
@@ -181,7 +184,7 @@
 			return 'mixed';
 		}
 
-		return {kind: silent.length === 0 ? 'any' : 'unknown'};
+		return silent.length === 0 ? anyOf(service) : {kind: 'unknown'};
 	};
 
 	const findRequired = async (service: string, begunBy: string | undefined, requestId: string, endsAt: number): Promise<RequiredVersion> => {
@@ -193,7 +196,7 @@
 		}
 
 		if (!known && !history.isMixed(service, now())) {
-			const required = knowledge.isInStep() ? {kind: 'any'} as const : await findInDoubt(service, begunBy, requestId, leftMs);
+			const required = knowledge.isInStep() ? anyOf(service) : await findInDoubt(service, begunBy, requestId, leftMs);
 			if (required !== 'mixed') {
 				return required;
 			}
--- a/test/links/bounds-over-several-hosts.test.ts
+++ b/test/links/bounds-over-several-hosts.test.ts
@@ -130,7 +130,7 @@
 		await cut.system.stop();
 		expect(Math.max(...[...cut.arrivals.values()].map(({length}) => length))).toBeLessThanOrEqual(maxSends);
 		// Nothing ran, and the caller is told so.
-		expect(responses.map(({status}) => status).filter(status => ![429, 503].includes(status))).toEqual([]);
+		expect(responses.filter(({status}) => ![429, 503].includes(status)).map(({status, body}) => [status, body])).toEqual([]);
 	});
 
 	test('takes each repeat from the budget once', async () => {
--- a/test/streams/release-beside-a-host-out-of-step.test.ts
+++ b/test/streams/release-beside-a-host-out-of-step.test.ts
@@ -86,6 +86,24 @@
 	});
 });
 
+describe('a stream that is taken up as upstreams of a new version come', () => {
+	test('goes on at its version, also after the first upstream has refused it', async () => {
+		const {prepare, releases, setRefusing, stop} = createRelease();
+		const {store, hosts, stop: stopHosts} = await startSeparableSystem(['domain-a'], prepare);
+		const {callers} = hosts[0]!.gateway;
+		const begun = await Promise.all(Array.from({length: streams}, async (_, index) => beginStream(callers, `as-it-comes-${index}`)));
+		// The host that takes them up has not begun them.
+		const responses = begun.map(async (stream, index) => takeUpStream(callers, {...stream, id: `unknown-${index}`}, index));
+		setRefusing(2 * noticeMs);
+		await sleep(noticeMs);
+		await releases.added(store);
+		const played = await Promise.all(responses);
+		await stopHosts();
+		stop();
+		expect(played.flatMap(({text}) => listVersions(text).filter(version => version !== 'v1'))).toEqual([]);
+	});
+});
+
 describe.concurrent('streams of a service with several versions go on where host and store, or the other hosts, are in touch', () => {
 	test.each([
 		['at a host in touch', 'none', 500],
--- a/test/support/create-release.ts
+++ b/test/support/create-release.ts
@@ -8,9 +8,16 @@
 /** Upstreams of both versions, and what a release does to them. */
 export function createRelease() {
 	const upstreams: Upstream[] = [];
+	let refusalDelayMs: number | undefined;
 	const add = async (store: ObjectStoreServer, version: Version): Promise<void> => {
 		const server = await createUpstreamServer();
 		server.answer = (received, socket) => {
+			if (refusalDelayMs !== undefined && version === 'v1' && received.headers.has('last-event-id')) {
+				const id = received.headers.get('request-id');
+				setTimeout(() => socket.write(`HTTP/1.1 503 Full\r\nRequest-Id: ${id}\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n`), refusalDelayMs);
+				return;
+			}
+
 			respondWithVersion(version, received, socket);
 		};
 
@@ -53,6 +60,10 @@
 				// One version everywhere.
 			},
 		},
+		/** Upstreams of the first version refuse streams that are taken up, after a time in milliseconds. */
+		setRefusing(delayMs: number) {
+			refusalDelayMs = delayMs;
+		},
 		stop() {
 			for (const {server} of upstreams) {
 				server.stop();
