Tests of bounds over several hosts have deadlines far longer than they take

Traced: all 59 and 60 answers that were not expected were 'time is over' or 'no answer within the time for one attempt' of their deadlines of 2 s; counts held.

--- a/test/links/bounds-over-several-hosts.test.ts
+++ b/test/links/bounds-over-several-hosts.test.ts
@@ -12,7 +12,8 @@
 
 const domains = ['domain-a', 'domain-a', 'domain-b', 'domain-b'];
 const settleMs = 600;
-const deadlineMs = 2000;
+/** Far longer than these cases take, so that none is cut short where hosts are slow. */
+const deadlineMs = 20_000;
 /** Limit on the sends of one request, over all hosts. */
 const maxSends = 5;
 /** Longer than a check for a crash and the next report to the other hosts. */
