--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -216,7 +216,7 @@
 		}
 
 		await vi.advanceTimersByTimeAsync(1000);
-		expect(await first.findRequired('s', 'unknown', 'r', Date.now() + 1000)).toEqual({kind: 'any'});
+		expect(await first.findRequired('s', 'unknown', 'r', Date.now() + 1000)).toEqual({kind: 'any', version: 'v1'});
 		expect(system.countMessages()).toBe(0);
 		system.setUpstreams(['v1', 'v2']);
 		await vi.advanceTimersByTimeAsync(1000);
