--- a/review/4/case.js
+++ b/review/4/case.js
@@ -35,7 +35,8 @@
 	return {
 		version,
 		routes: [{
-			name: 'r-draft', host: 'app.example', path_prefix: '/draft/', kind: 'streaming', timeout_ms: deadlineMs, goal_ms: 800, priority: 1, service: 'draft', max_attempts: 2, allow_anonymous: false, sticky: true, resumable: true, gap_target_ms: 300,
+			name: 'r-draft', host: 'app.example', path_prefix: '/draft/', kind: 'streaming', timeout_ms: deadlineMs, goal_ms: 800,
+			priority: 1, service: 'draft', max_attempts: 2, allow_anonymous: false, sticky: true, resumable: true, gap_target_ms: 300,
 		}],
 		services: [{
 			name: 'draft', health_path: '/health', max_conns: 370, protocol: 'h1', tls: false, engine: {
--- a/review/support/model-engine.js
+++ b/review/support/model-engine.js
@@ -98,7 +98,8 @@
 	const register = () => {
 		seq++;
 		store.put('servers', id, {
-			service, address: `127.0.0.1:${server.address().port}`, zone, version: 'v1', slots, state: 'ready', cold_remaining_ms: 0, stage: 'both', models: [{name: model, version: 1, adapters: []}], seq, born,
+			service, address: `127.0.0.1:${server.address().port}`, zone, version: 'v1', slots, state: 'ready',
+			cold_remaining_ms: 0, stage: 'both', models: [{name: model, version: 1, adapters: []}], seq, born,
 		});
 	};
 
