--- a/review/4/case.js
+++ b/review/4/case.js
@@ -4,11 +4,11 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
-import {sendRequest} from '../support/client.js';
-import {findPorts, startGateway} from '../support/gateway.js';
-import {startModelEngine} from '../support/model-engine.js';
-import {startObjectStore} from '../support/object-store.js';
-import {sleep} from '../support/sleep.js';
+import {sendRequest} from './client.js';
+import {findPorts, startGateway} from './gateway.js';
+import {startModelEngine} from './model-engine.js';
+import {startObjectStore} from './object-store.js';
+import {sleep} from './sleep.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 /** The bound of `config_apply_ms`. */
