--- a/src/object-store/create-relayed-lease-store.ts
+++ b/src/object-store/create-relayed-lease-store.ts
@@ -1,10 +1,12 @@
 import {isDeepStrictEqual} from 'node:util';
 import {log} from '../observe/log.js';
+import {type PeerMethods} from '../peers/peer-methods.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {sleep} from '../util/sleep.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type EpochTracker} from './epoch-tracker.js';
 import {type LeaseStore} from './lease-store.js';
+import {type StorePosition} from './store-position.js';
 import {type StoredObject} from './stored-object.js';
 
 /** Time after which a call without a response also goes through a peer; the store usually responds within milliseconds. */
@@ -24,6 +26,14 @@
 	readonly random: () => number;
 };
 
+/** A write of the lease as it is sent to a peer. */
+type LeaseWrite = NonNullable<PeerMethods['gateway.lease']['params']['write']>;
+
+/** Builds the message field by field: `expected` may be a whole object, whose value is not the one to write. */
+function toLeaseWrite(value: unknown, expected: StorePosition | undefined): LeaseWrite {
+	return expected ? {value, revision: expected.revision, epoch: expected.epoch} : {value, revision: 0};
+}
+
 /**
 Creates access to the lease object that falls back to a peer when the store does not respond to this host, so that a holder
 partitioned from the store alone keeps its lease. A write may then reach the store twice; the conditional update lets only one
@@ -67,7 +77,7 @@
 		async write(value, expected) {
 			const written = await hedge<StoredObject | undefined>(async () => direct.write(value, expected), async address => {
 				log.info({peer: address, revision: expected?.revision ?? 0}, 'writing the lease through a peer');
-				const {object} = await call(address, 'gateway.lease', {write: {value, ...(expected ?? {revision: 0})}}, {timeoutMs: peerTimeoutMs});
+				const {object} = await call(address, 'gateway.lease', {write: toLeaseWrite(value, expected)}, {timeoutMs: peerTimeoutMs});
 				return recordEpochOf(object);
 			});
 			if (written) {
--- a/src/peers/create-gateway-methods.ts
+++ b/src/peers/create-gateway-methods.ts
@@ -2,6 +2,7 @@
 import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type RoomTask} from '../announcements/room-task.js';
 import {type KvStoreTracker} from '../forwarding/kv-store-tracker.js';
+import {createLeaseHandler} from '../object-store/create-lease-handler.js';
 import {type createStateSync} from '../object-store/create-state-sync.js';
 import {type LeaseStore} from '../object-store/lease-store.js';
 import {type UpstreamChecks} from '../poison/upstream-checks.js';
@@ -30,14 +31,7 @@
 }: GatewayTasks): Partial<PeerHandlers> {
 	return {
 		'gateway.state': async query => ({states: stateSync.answer(query)}),
-		async 'gateway.lease'({write}) {
-			if (!write) {
-				return {object: await ownLease.read() ?? null};
-			}
-
-			const {value, revision, epoch = currentEpoch()} = write;
-			return {object: await ownLease.write(value, revision === 0 ? undefined : {epoch, revision}) ?? null};
-		},
+		'gateway.lease': createLeaseHandler({ownLease, currentEpoch}),
 		'gateway.statements': async () => ({statements: listStatements()}),
 		'gateway.room': async request => rooms.answer(request),
 		'gateway.permit': async request => permits.answer(request),
