Computed durations become delays that timers accept; hosts follow the store again after it was slow

Cause: the time allowed for a watch is a fraction of a millisecond while the store is slow; AbortSignal.timeout takes whole numbers only and throws, so no watch was sent any more.

Change: toDelayMs turns any number into whole milliseconds within the range of timers; createTimeoutSignal uses it, and the linter refuses AbortSignal.timeout elsewhere. Timers with computed times use it too.

Ruled out: watches that wait on silent connections (none is open), a store that refuses them (none is sent).

--- a/src/callers/create-completion-handler.ts
+++ b/src/callers/create-completion-handler.ts
@@ -6,6 +6,7 @@
 import {sendJson} from '../http/send-json.js';
 import {type ConfigSnapshot} from '../publishing/config-snapshot.js';
 import {type ModelService} from '../settings/model-service.js';
+import {createTimeoutSignal} from '../util/create-timeout-signal.js';
 import {completionSchema} from './completion-schema.js';
 import {type CompletionRequest} from './completion-request.js';
 import {type CompletionRunner} from './completion-runner.js';
@@ -103,7 +104,7 @@
 
 async function writeEvent(res: ServerResponse, data: unknown, signal: AbortSignal): Promise<void> {
 	if (!res.write(`data: ${typeof data === 'string' ? data : JSON.stringify(data)}\n\n`)) {
-		await once(res, 'drain', {signal: AbortSignal.any([signal, AbortSignal.timeout(writeTimeoutMs)])});
+		await once(res, 'drain', {signal: AbortSignal.any([signal, createTimeoutSignal(writeTimeoutMs)])});
 	}
 }
 
--- a/src/forwarding/create-attempt-signal.ts
+++ b/src/forwarding/create-attempt-signal.ts
@@ -1,3 +1,4 @@
+import {toDelayMs} from '../util/to-delay-ms.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type AttemptSignal} from './attempt-signal.js';
 
@@ -17,7 +18,7 @@
 		signal.addEventListener('abort', onCallerGone, {once: true});
 	}
 
-	const timer = setTimeout(abort, leftMs, 'time is over');
+	const timer = setTimeout(abort, toDelayMs(leftMs), 'time is over');
 	return {
 		signal: controller.signal,
 		abort,
--- a/src/forwarding/read-request-body.ts
+++ b/src/forwarding/read-request-body.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage} from 'node:http';
 import {Refusal} from '../errors/refusal.js';
+import {toDelayMs} from '../util/to-delay-ms.js';
 
 /**
 Reads the whole body of a caller's request.
@@ -23,7 +24,7 @@
 		let size = 0;
 		const timer = setTimeout(() => {
 			fail(new Refusal('slow-caller', 'the body did not arrive in time', 'no'));
-		}, pauseMs);
+		}, toDelayMs(pauseMs));
 		const fail = (refusal: Refusal): void => {
 			clearTimeout(timer);
 			req.removeAllListeners('data');
--- a/src/grants/create-engine-owner-task.ts
+++ b/src/grants/create-engine-owner-task.ts
@@ -14,6 +14,7 @@
 import {type ConfigSnapshot} from '../publishing/config-snapshot.js';
 import {type UpstreamSettings} from '../settings/upstream-settings.js';
 import {type Engine} from '../upstreams/engine.js';
+import {toDelayMs} from '../util/to-delay-ms.js';
 import {type EngineStatus} from './engine-status.js';
 import {readEngineStatus} from './read-engine-status.js';
 import {type EngineOwnerTask} from './engine-owner-task.js';
@@ -110,7 +111,7 @@
 		if (nextAt !== undefined && nextAt > now) {
 			owned.timer = setTimeout(() => {
 				applyActions(owned, owned.queue.tick(Date.now()));
-			}, nextAt - now);
+			}, toDelayMs(nextAt - now));
 		}
 	};
 
--- a/src/http/call-json.ts
+++ b/src/http/call-json.ts
@@ -1,4 +1,5 @@
 import {request, type Dispatcher} from 'undici';
+import {createTimeoutSignal} from '../util/create-timeout-signal.js';
 import {readBody} from './read-body.js';
 import {type JsonResponse} from './json-response.js';
 
@@ -21,7 +22,7 @@
 @throws {Error} When no complete response arrives within `timeoutMs`.
 */
 export async function callJson(url: string, call: JsonCall): Promise<JsonResponse> {
-	const timeout = AbortSignal.timeout(call.timeoutMs);
+	const timeout = createTimeoutSignal(call.timeoutMs);
 	const signal = call.signal ? AbortSignal.any([timeout, call.signal]) : timeout;
 	const {statusCode, body} = await request(url, {
 		method: call.method ?? (call.body === undefined ? 'GET' : 'POST'),
--- a/src/peers/create-peer-client.ts
+++ b/src/peers/create-peer-client.ts
@@ -6,6 +6,7 @@
 import {type ErrorKind} from '../errors/error-kind.js';
 import {type ExecutionStatus} from '../errors/execution-status.js';
 import {type TlsCredentials} from '../settings/tls-credentials.js';
+import {createTimeoutSignal} from '../util/create-timeout-signal.js';
 import {type PeerRpc} from './peer-rpc.js';
 
 const defaultTimeoutMs = 1000;
@@ -50,7 +51,7 @@
 			throw new PeerUnreachableError(address, method, 'cut off by a fault switch');
 		}
 
-		const timeout = AbortSignal.timeout(timeoutMs);
+		const timeout = createTimeoutSignal(timeoutMs);
 		const combinedSignal = signal ? AbortSignal.any([timeout, signal]) : timeout;
 		// The library reports a failed transfer like an error response of the peer; the failure is stored to distinguish the two.
 		let failure: unknown;
--- a/src/upstreams/call-plain-service.ts
+++ b/src/upstreams/call-plain-service.ts
@@ -5,6 +5,7 @@
 import {type PlainRequest} from '../callers/plain-request.js';
 import {type PlainResponse} from '../callers/plain-response.js';
 import {UpstreamResponseError} from '../errors/upstream-response-error.js';
+import {createTimeoutSignal} from '../util/create-timeout-signal.js';
 import {isConnectError} from './is-connect-error.js';
 
 const maxResponseBytes = 8 * 1024 * 1024;
@@ -30,7 +31,7 @@
 				...(req.idempotencyKey === undefined ? {} : {'idempotency-key': req.idempotencyKey}),
 			},
 			...(req.body === '' ? {} : {body: req.body}),
-			signal: AbortSignal.timeout(Math.max(1, timeoutMs)),
+			signal: createTimeoutSignal(timeoutMs),
 			reset: true,
 		});
 		const text = await readBody(body, maxResponseBytes);
--- a/test/support/create-object-store-server.ts
+++ b/test/support/create-object-store-server.ts
@@ -21,6 +21,8 @@
 	isUnresponsive: boolean;
 	/** Requests get status 503. */
 	isUnavailable: boolean;
+	/** Each response leaves this much later, in milliseconds. */
+	responseDelayMs: number;
 	/** The next write takes effect, but its connection is closed without a response. */
 	dropsNextWriteResponse: boolean;
 };
@@ -58,7 +60,9 @@
 	const kinds = new Map<string, Map<string, StandInObject>>();
 	const calls = new Map<string, number>();
 	const watchers = new Set<() => void>();
-	const faults: ObjectStoreFaults = {isUnresponsive: false, isUnavailable: false, dropsNextWriteResponse: false};
+	const faults: ObjectStoreFaults = {
+		isUnresponsive: false, isUnavailable: false, responseDelayMs: 0, dropsNextWriteResponse: false,
+	};
 	let changes: StandInChange[] = [];
 	let revision = 1;
 	let compactedRevision = 0;
@@ -98,8 +102,12 @@
 	};
 
 	const send = (res: ServerResponse, status: number, body: unknown): void => {
-		res.writeHead(status, {'content-type': 'application/json', 'store-era': String(epoch)});
-		res.end(JSON.stringify(body));
+		const stated = String(epoch);
+		const text = JSON.stringify(body);
+		setTimeout(() => {
+			res.writeHead(status, {'content-type': 'application/json', 'store-era': stated});
+			res.end(text);
+		}, faults.responseDelayMs);
 	};
 
 	const watch = (res: ServerResponse, kind: string, from: number, waitMs: number): void => {
--- a/xo.config.js
+++ b/xo.config.js
@@ -13,8 +13,10 @@
 			'n/prefer-global/buffer': 'off',
 			'no-unmodified-loop-condition': 'off',
 			'max-params': ['error', {max: 6}],
+			'no-restricted-properties': ['error', {object: 'AbortSignal', property: 'timeout', message: 'It throws on fractions: use createTimeoutSignal.'}],
 		},
 	},
+	{files: ['src/util/create-timeout-signal.ts'], rules: {'no-restricted-properties': 'off'}},
 	{
 		files: ['**/*.ts'],
 		rules: {
