A follower tells errors of the program from a silent store, and lists the objects when it gets nowhere

Cause: each error of a watch was taken for a store that does not answer; a follower with a state went on to watch from it whatever came, and never listed the objects again.

A list that shows nothing new is not told to other hosts.

--- a/src/announcements/create-permit-task.ts
+++ b/src/announcements/create-permit-task.ts
@@ -1,5 +1,6 @@
 import {type KnownHost} from '../reports/known-host.js';
 import {type Upstream} from '../forwarding/upstream.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {createIssuerFinder} from './create-issuer-finder.js';
@@ -79,7 +80,7 @@
 		try {
 			return await call(peer.peers, 'gateway.permit', request, {timeoutMs: callTimeoutMs});
 		} catch (error) {
-			log.warn({upstream: upstream.id, issuer: host, error: String(error)}, 'host that issues permits does not respond');
+			logFailure(error, {upstream: upstream.id, issuer: host}, 'host that issues permits does not respond');
 			return {isGranted: false, retryAfterMs: unknownClosedMs};
 		}
 	};
--- a/src/announcements/create-room-task.ts
+++ b/src/announcements/create-room-task.ts
@@ -1,5 +1,6 @@
 import {createRoomCounter} from '../decide/announcements/create-room-counter.js';
 import {type Upstream} from '../forwarding/upstream.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {type KnownHost} from '../reports/known-host.js';
@@ -95,7 +96,7 @@
 		try {
 			return await call(peer.peers, 'gateway.room', request, {timeoutMs: callTimeoutMs});
 		} catch (error) {
-			log.warn({upstream: request.statement.id, issuer: host, error: String(error)}, 'host that counts requests in flight does not respond');
+			logFailure(error, {upstream: request.statement.id, issuer: host}, 'host that counts requests in flight does not respond');
 			return {isGranted: false, retryAfterMs: unknownClosedMs};
 		}
 	};
--- a/src/announcements/create-statement-learner.ts
+++ b/src/announcements/create-statement-learner.ts
@@ -1,4 +1,4 @@
-import {log} from '../observe/log.js';
+import {logFailure} from '../observe/log-failure.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {sleep} from '../util/sleep.js';
@@ -39,7 +39,7 @@
 			const {statements} = await call(peers, 'gateway.statements', {}, {timeoutMs: callTimeoutMs});
 			record(host, statements);
 		} catch (error) {
-			log.info({peer: host, error: String(error)}, 'host does not say what upstreams state');
+			logFailure(error, {peer: host}, 'host does not say what upstreams state', 'info');
 		}
 	};
 
@@ -49,7 +49,7 @@
 			const asked = hosts.map(host => ({host, draw: random()})).toSorted((a, b) => a.draw - b.draw).slice(0, maxAsked);
 			await Promise.all(asked.map(async ({host}) => ask(host)));
 		} catch (error) {
-			log.warn({error: String(error)}, 'hosts to ask what upstreams state could not be listed');
+			logFailure(error, {}, 'hosts to ask what upstreams state could not be listed');
 		}
 	};
 
--- a/src/forwarding/create-free-stale-kv-task.ts
+++ b/src/forwarding/create-free-stale-kv-task.ts
@@ -1,5 +1,6 @@
 import {canFreeStaleKv} from '../decide/kv-cache/can-free-stale-kv.js';
 import {parseScope} from '../decide/kv-cache/parse-scope.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {sleepUntilTick} from '../util/sleep-until-tick.js';
 import {type KnownHost} from '../reports/known-host.js';
@@ -95,7 +96,7 @@
 			try {
 				await freeStaleParts();
 			} catch (error) {
-				log.warn({error: String(error)}, 'freeing KV cache of stale weights failed, retrying');
+				logFailure(error, {}, 'freeing KV cache of stale weights failed, retrying');
 			}
 		}
 	};
--- a/src/forwarding/create-gateway-metrics.ts
+++ b/src/forwarding/create-gateway-metrics.ts
@@ -1,12 +1,14 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {programErrorsTotal} from '../observe/program-errors-total.js';
 
 const secondsBuckets = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15];
 
 /** Creates the Prometheus metrics of a gateway host. */
 export function createGatewayMetrics() {
 	const registry = new Registry();
+	registry.registerMetric(programErrorsTotal);
 	const registers = [registry];
 	return {
 		registry,
--- a/src/forwarding/create-kv-store-poller.ts
+++ b/src/forwarding/create-kv-store-poller.ts
@@ -1,4 +1,5 @@
 import {diffListing} from '../decide/kv-cache/diff-listing.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {type EngineClient} from './engine-client.js';
 import {type TrackedKvStore} from './tracked-kv-store.js';
@@ -88,7 +89,7 @@
 			partIndex.invalidate();
 			if (entry.isAnswering) {
 				entry.isAnswering = false;
-				log.warn({store: name, error: String(error)}, 'KV store does not respond');
+				logFailure(error, {store: name}, 'KV store does not respond');
 				publishUpdate({
 					store: name, peers: rpcAddress, since: -1, news: undefined,
 				});
--- a/src/forwarding/create-kv-store-tracker.ts
+++ b/src/forwarding/create-kv-store-tracker.ts
@@ -3,7 +3,7 @@
 import {createKvStoreIndex} from '../decide/kv-cache/create-kv-store-index.js';
 import {createHighBandwidthPredicate} from '../decide/membership/create-high-bandwidth-predicate.js';
 import {getOwnerRankByBandwidth} from '../decide/membership/get-owner-rank-by-bandwidth.js';
-import {log} from '../observe/log.js';
+import {logFailure} from '../observe/log-failure.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {every} from '../util/every.js';
 import {memoizeLast} from '../util/memoize-last.js';
@@ -135,7 +135,7 @@
 					break;
 				}
 			} catch (error) {
-				log.warn({store: name, peer: address, error: String(error)}, 'pulling the content of a KV store from a peer failed');
+				logFailure(error, {store: name, peer: address}, 'pulling the content of a KV store from a peer failed');
 			}
 		}
 
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -1,5 +1,6 @@
 import {planRollout} from '../decide/orders/plan-rollout.js';
 import {type RolloutEngine} from '../decide/orders/rollout-engine.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {sleepUntilTick} from '../util/sleep-until-tick.js';
 import {sleep} from '../util/sleep.js';
@@ -142,7 +143,7 @@
 		try {
 			entry.nextAt = now() + await tryOrder(id, upstream.address, target, entry);
 		} catch (error) {
-			log.warn({upstream: id, version: target.version, error: String(error)}, 'weight update order failed');
+			logFailure(error, {upstream: id, version: target.version}, 'weight update order failed');
 			entry.nextAt = now() + failedOrderRetryMs;
 		}
 	};
@@ -187,7 +188,7 @@
 			try {
 				await step();
 			} catch (error) {
-				log.warn({error: String(error)}, 'lease cannot be read or written');
+				logFailure(error, {}, 'lease cannot be read or written');
 				lease.recordStoreFailure();
 				await sleep(idleStepMs);
 			}
--- a/src/object-store/create-object-watcher.ts
+++ b/src/object-store/create-object-watcher.ts
@@ -1,5 +1,7 @@
 import {comparePositions} from '../decide/object-store/compare-positions.js';
 import {keepNewestVersions} from '../decide/object-store/keep-newest-versions.js';
+import {isProgramError} from '../errors/is-program-error.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {every} from '../util/every.js';
 import {sleepUntilTick} from '../util/sleep-until-tick.js';
@@ -22,6 +24,9 @@
 */
 const batchIntervalMs = 120;
 
+/** A follower without a response for this long beyond the wait of its watch lists the objects anew instead of watching, in milliseconds. */
+const relistMarginMs = 4000;
+
 /** Wait of a watch after a failed call, whose response states the epoch of the store. */
 const probeWaitMs = 1;
 
@@ -44,6 +49,15 @@
 	readonly onChange: (objects: readonly StoredObject[], confirmedAt: number | undefined, epoch: number) => void;
 };
 
+/** Whether a list shows what is known already, so that other hosts need not hear of it. */
+function hasSameObjects(known: KindSnapshot, listed: readonly StoredObject[]): boolean {
+	const byName = new Map(known.objects.map(object => [object.name, object]));
+	return listed.length === byName.size && listed.every(object => {
+		const before = byName.get(object.name);
+		return before !== undefined && comparePositions(before, object) === 0;
+	});
+}
+
 /**
 Watches a kind of objects: lists them, then waits for changes; lists them again if the store has discarded its history, or has returned from an
 older copy. Content with a version never goes back.
@@ -58,6 +72,8 @@
 	/** Whether the last call failed; the store may have come back from an older copy since. */
 	let hasFailed = false;
 	let lastFailureAt = Number.NEGATIVE_INFINITY;
+	/** Whether an error of the program ended the last call: what it was to bring may not have been taken in. */
+	let mustList = false;
 	let retryDelayMs = minRetryDelayMs;
 	let hasStopped = false;
 	let refreshing: Promise<void> | undefined;
@@ -90,7 +106,7 @@
 		const confirmedAt = recordContact();
 		if (!current || comparePositions({epoch, revision}, current) >= 0) {
 			setSnapshot({
-				objects, epoch, revision, changedAt: revision,
+				objects, epoch, revision, changedAt: current?.epoch === epoch && hasSameObjects(current, objects) ? current.changedAt : revision,
 			}, confirmedAt);
 		} else {
 			log.warn({
@@ -161,6 +177,45 @@
 		}
 	};
 
+	/** Whether to watch from the state that is known; a follower that gets nowhere in this way lists the objects, whatever the reason. */
+	const canWatch = (from: KindSnapshot | undefined): from is KindSnapshot =>
+		from !== undefined && contactAt !== undefined && !mustList && !(hasFailed && now() - contactAt > waitMs() + relistMarginMs);
+
+	const step = async (): Promise<void> => {
+		if (canWatch(current)) {
+			await watchOnce(current);
+			return;
+		}
+
+		await list();
+		mustList = false;
+	};
+
+	/** @returns Whether the next call goes out at once. */
+	const recordFailure = (error: unknown): boolean => {
+		const isFirst = !hasFailed;
+		lastFailureAt = now();
+		hasFailed = true;
+		if (isProgramError(error)) {
+			mustList = true;
+			logFailure(error, {kind, revision: current?.revision ?? 0}, 'following the store failed');
+			return false;
+		}
+
+		if (isFirst && current) {
+			// The connection may have gone silent: the next call goes on another one at once.
+			log.info({kind, revision: current.revision, error: String(error)}, 'watch of the store got no response');
+			return true;
+		}
+
+		if (!isUnreachable && !hasStopped) {
+			isUnreachable = true;
+			log.warn({kind, revision: current?.revision ?? 0, error: String(error)}, 'store does not answer');
+		}
+
+		return false;
+	};
+
 	const run = async (): Promise<void> => {
 		while (!hasStopped) {
 			if (current && !isWatching()) {
@@ -171,24 +226,12 @@
 			}
 
 			try {
-				await (current && contactAt !== undefined ? watchOnce(current) : list());
+				await step();
 			} catch (error) {
-				lastFailureAt = now();
-				if (!hasFailed && current) {
-					// The connection may have gone silent: the next call goes on another one at once.
-					hasFailed = true;
-					log.info({kind, revision: current.revision, error: String(error)}, 'watch of the store got no response');
-					continue;
+				if (!recordFailure(error)) {
+					await sleep(retryDelayMs * (1 + (random() * retryJitter)));
+					retryDelayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2);
 				}
-
-				hasFailed = true;
-				if (!isUnreachable && !hasStopped) {
-					isUnreachable = true;
-					log.warn({kind, revision: current?.revision ?? 0, error: String(error)}, 'store does not answer');
-				}
-
-				await sleep(retryDelayMs * (1 + (random() * retryJitter)));
-				retryDelayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2);
 			}
 		}
 	};
--- a/src/object-store/create-state-sync.ts
+++ b/src/object-store/create-state-sync.ts
@@ -1,5 +1,5 @@
 import {comparePositions} from '../decide/object-store/compare-positions.js';
-import {log} from '../observe/log.js';
+import {logFailure} from '../observe/log-failure.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {sleepUntilTick} from '../util/sleep-until-tick.js';
 import {sleep} from '../util/sleep.js';
@@ -115,7 +115,7 @@
 				}
 			}
 		} catch (error) {
-			log.warn({peer: address, error: String(error)}, 'could not pull state from a peer');
+			logFailure(error, {peer: address}, 'could not pull state from a peer');
 		}
 	};
 
--- a/src/observe/create-metrics.ts
+++ b/src/observe/create-metrics.ts
@@ -1,6 +1,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {programErrorsTotal} from './program-errors-total.js';
 import {type Metrics} from './metrics.js';
 
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1, 2, 5, 10, 30];
@@ -8,6 +9,7 @@
 /** Creates the metrics of one host in their own registry. */
 export function createMetrics(): Metrics {
 	const registry = new Registry();
+	registry.registerMetric(programErrorsTotal);
 	const registers = [registry];
 	return {
 		registry,
--- a/src/orders/create-domain-controller-task.ts
+++ b/src/orders/create-domain-controller-task.ts
@@ -5,6 +5,7 @@
 import {type PlannedOrder} from '../decide/orders/planned-order.js';
 import {type MembershipTask} from '../membership/membership-task.js';
 import {type OwnerResolver} from '../membership/owner-resolver.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {type Platform} from '../platform/platform.js';
 import {type ConfigSnapshot} from '../publishing/config-snapshot.js';
@@ -97,7 +98,7 @@
 			const result = await engine.sendOrder({kind: order.kind, what: order.what, fencing});
 			log.info({...order, fencing, result}, 'order sent');
 		} catch (error) {
-			log.warn({...order, error: String(error)}, 'order failed');
+			logFailure(error, {...order}, 'order failed');
 		} finally {
 			busyEngines.delete(engineName);
 		}
--- a/src/poison/create-condemned-request-list.ts
+++ b/src/poison/create-condemned-request-list.ts
@@ -4,6 +4,7 @@
 import {mergeCondemnedParts} from '../decide/poison/merge-condemned-parts.js';
 import {mergeCondemnedRequests} from '../decide/poison/merge-condemned-requests.js';
 import {poisonLimits} from '../decide/poison/poison-limits.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
 import {type ObjectStore} from '../object-store/object-store.js';
@@ -96,7 +97,7 @@
 			try {
 				await writeOnce();
 			} catch (error) {
-				log.warn({unlisted: countUnlisted(), error: String(error)}, 'condemned requests could not be stored, retrying');
+				logFailure(error, {unlisted: countUnlisted()}, 'condemned requests could not be stored, retrying');
 				await sleep(retryDelayMs * (1 + random()));
 			}
 		}
--- a/src/poison/create-upstream-checks.ts
+++ b/src/poison/create-upstream-checks.ts
@@ -2,6 +2,7 @@
 import {type Upstream} from '../forwarding/upstream.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type UpstreamLinks} from '../links/upstream-links.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {type KnownHost} from '../reports/known-host.js';
@@ -41,7 +42,7 @@
 			const {opinion} = await call(peers, 'gateway.upstreamUp', {id, ...(startedAt === undefined ? {} : {startedAt})}, {timeoutMs: askTimeoutMs});
 			return opinion;
 		} catch (error) {
-			log.info({upstream: id, peer: host, error: String(error)}, 'host does not say whether an upstream is up');
+			logFailure(error, {upstream: id, peer: host}, 'host does not say whether an upstream is up', 'info');
 			return 'nobody';
 		}
 	};
--- a/src/reports/create-host-registry.ts
+++ b/src/reports/create-host-registry.ts
@@ -1,3 +1,4 @@
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
 import {type ObjectStore} from '../object-store/object-store.js';
@@ -108,7 +109,7 @@
 				await listHosts();
 				await sleep(listIntervalMs * Math.max(1, known.size / hostsPerListInterval));
 			} catch (error) {
-				log.warn({error: String(error)}, 'registering or listing hosts failed, retrying');
+				logFailure(error, {}, 'registering or listing hosts failed, retrying');
 				await sleep(retryDelayMs);
 			}
 		}
--- a/src/streams/create-stream-archive.ts
+++ b/src/streams/create-stream-archive.ts
@@ -2,6 +2,7 @@
 import {groupStreams} from '../decide/streams/group-streams.js';
 import {type ObjectStore} from '../object-store/object-store.js';
 import {type StoredObject} from '../object-store/stored-object.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
 import {archivedStreamsSchema} from './archived-streams.js';
@@ -109,7 +110,7 @@
 				await read();
 				log.info({streams: archived.size, versions}, 'streams of the time before read from the store');
 			} catch (error) {
-				log.warn({error: String(error)}, 'streams could not be read from the store, retrying');
+				logFailure(error, {}, 'streams could not be read from the store, retrying');
 				await sleep(retryDelayMs);
 			}
 		}
@@ -159,7 +160,7 @@
 				await writeSlice();
 			} catch (error) {
 				const dropped = unwritten.splice(0, Math.max(0, unwritten.length - maxUnwritten)).length;
-				log.warn({unwritten: unwritten.length, dropped, error: String(error)}, 'begun streams could not be stored');
+				logFailure(error, {unwritten: unwritten.length, dropped}, 'begun streams could not be stored');
 			}
 
 			await sleep(flushing.signal.aborted ? flushIntervalMs : Math.max(minWriteIntervalMs, countHosts() * writeIntervalPerHostMs), flushing.signal.aborted ? undefined : flushing.signal);
@@ -194,7 +195,7 @@
 					applyVersions(merged);
 				}
 			} catch (error) {
-				log.warn({error: String(error)}, 'versions that serve could not be stored, retrying');
+				logFailure(error, {}, 'versions that serve could not be stored, retrying');
 				await sleep(retryDelayMs);
 			}
 		}
@@ -224,7 +225,7 @@
 					await read();
 				}
 			} catch (error) {
-				log.warn({error: String(error)}, 'streams could not be read from the store');
+				logFailure(error, {}, 'streams could not be read from the store');
 			}
 
 			return archived.get(id);
--- a/src/streams/create-version-knowledge.ts
+++ b/src/streams/create-version-knowledge.ts
@@ -1,5 +1,6 @@
 import {isInStep} from '../decide/streams/is-in-step.js';
 import {type KnownHost} from '../reports/known-host.js';
+import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
 import {type VersionKnowledge} from './version-knowledge.js';
@@ -48,7 +49,7 @@
 		},
 		async confirm(timeoutMs) {
 			const reading = refresh().then(() => true).catch((error: unknown) => {
-				log.info({error: String(error)}, 'the list of upstreams could not be confirmed');
+				logFailure(error, {}, 'the list of upstreams could not be confirmed', 'info');
 				return false;
 			});
 			return Promise.race([reading, sleep(timeoutMs).then(() => false)]);
