Waits for others are measured by a clock that never runs ahead

Cause: the suspend-aware clock adds each forward jump of the wall clock and takes no backward one off. For a host's own rights that is safe. The same clock measured waits for others, which ended early: before parts are freed, before a restarted store is saved to, before a lease that nobody renews is taken over.

Change: Clocks names one for rights and one for waits; each bound takes one, both halves of a lease theirs. On the own wire the domain controller's lease has both too, and grants no longer expire by the wall clock.

Ruled out: readers that read too long (their clock only ran ahead), hosts that were not waited for.

--- a/src/decide/kv-cache/can-free-stale-kv.ts
+++ b/src/decide/kv-cache/can-free-stale-kv.ts
@@ -18,7 +18,9 @@
 `confirmationMaxAgeMs` after the platform's store last confirmed to it that there are no newer weights; that confirmation can't be later
 than the time when the newer weights became the desired ones. Fetches that were already running end within `maxFetchMs`.
 
-@param learnedAt - When this host learned of the newer weights.
+All times are of the clock for waits for others (`Clocks`).
+
+@param learnedAt - When this host learned of the newer weights, or later.
 */
 export function canFreeStaleKv(readers: readonly Reader[], learnedAt: number, now: number): boolean {
 	const readEndMs = staleReadMs + maxFetchMs + readEndMarginMs;
--- a/src/decide/kv-cache/can-read-stored-kv.ts
+++ b/src/decide/kv-cache/can-read-stored-kv.ts
@@ -1,6 +1,6 @@
 import {staleReadLimits} from './stale-read-limits.js';
 
-/** State of a host that plans a fetch from a KV store. Times are in milliseconds of a clock that also runs while the machine is suspended. */
+/** State of a host that plans a fetch from a KV store. Times are in milliseconds of the clock for the host's own rights (`Clocks`). */
 type ReadState = {
 	/** When weights newer than the scope's became the desired ones, by `estimateSupersededAt`; `undefined` when this host knows of none. */
 	readonly supersededAt: number | undefined;
--- a/src/decide/kv-cache/create-kv-store-index.ts
+++ b/src/decide/kv-cache/create-kv-store-index.ts
@@ -28,10 +28,11 @@
 	let epoch: number | undefined;
 	/** Position in the store's events from which the next poll continues; `undefined` when the store has to be listed. */
 	let next: number | undefined;
+	/** By the clock for waits. */
 	let epochSeenAt = 0;
 	/** The store's clock at its last response. */
 	let clockMs: number | undefined;
-	/** When the request for the last response was sent, by this host's clock. */
+	/** When the request for the last response was sent, by the clock for the host's own rights. */
 	let lastPollSentAt = 0;
 	let tokens = 0;
 	/** The last poll responses, for hosts that missed some of them. `from` is the position at which each one starts. */
@@ -50,17 +51,17 @@
 		parts.delete(key);
 	};
 
-	const startEpoch = (batch: KvEventBatch, now: number): void => {
+	const startEpoch = (batch: KvEventBatch, waitNow: number): void => {
 		clear();
 		epoch = batch.epoch;
-		epochSeenAt = now;
+		epochSeenAt = waitNow;
 	};
 
 	return {
-		applyUpdate(batch, sentAt, now) {
+		applyUpdate(batch, sentAt, waitNow) {
 			const isListing = next === undefined;
 			if (batch.epoch !== epoch) {
-				startEpoch(batch, now);
+				startEpoch(batch, waitNow);
 				if (!isListing) {
 					// The store restarted, and its events before these are not known.
 					return;
@@ -105,11 +106,11 @@
 				};
 		},
 		has: (scope, part) => parts.has(formatPartKey(scope, part)),
-		getFetchDeadlineMs(now) {
-			const ageMs = now - lastPollSentAt;
+		getFetchDeadlineMs(heldNow) {
+			const ageMs = heldNow - lastPollSentAt;
 			return clockMs === undefined || ageMs > maxFetchMs - minFetchMs ? undefined : Math.floor(clockMs + maxFetchMs);
 		},
-		canSave: now => next !== undefined && now - epochSeenAt >= maxFetchMs,
+		canSave: waitNow => next !== undefined && waitNow - epochSeenAt >= maxFetchMs,
 		tokens: () => tokens,
 		clockMs: () => clockMs,
 		epoch: () => epoch,
--- a/src/decide/object-store/create-removed-entry-filter.ts
+++ b/src/decide/object-store/create-removed-entry-filter.ts
@@ -7,6 +7,7 @@
 type RemovedEntryFilterOptions = {
 	/** Whether two values describe the same start of the process that registered itself. */
 	readonly isSameStart: (a: unknown, b: unknown) => boolean;
+	/** Monotonic clock in milliseconds. */
 	readonly now: () => number;
 };
 
--- a/src/decide/orders/create-lease.ts
+++ b/src/decide/orders/create-lease.ts
@@ -14,15 +14,18 @@
 /**
 Creates one host's view of a lease. Another host may acquire the lease only after it has observed no renewal for `leaseMs`;
 the holder stops acting `marginMs` before that time has passed since it began its last successful renewal. Each host uses
-only its own clock, so clocks of different hosts are never compared.
+only its own clocks, so clocks of different hosts are never compared.
+
+@param waitNow - Present time by the clock for waits for others.
 */
-export function createLease(now: number, {leaseMs, marginMs}: LeaseTimes = domainLeaseTimes): Lease {
+export function createLease(waitNow: number, {leaseMs, marginMs}: LeaseTimes = domainLeaseTimes): Lease {
 	let latestVersion = 0;
 	let latestToken = 0;
-	/** Time of the last observed change of the lease object, or of the start of the last own renewal. */
-	let changedAt = now;
+	/** When the lease object was last seen to change, or the last own renewal began, by the clock for waits. */
+	let changedAt = waitNow;
 	let isHolder = false;
-	let heldUntil = 0;
+	/** By the clock for the host's own rights. */
+	let heldUntil = Number.NEGATIVE_INFINITY;
 	return {
 		observe(version, fencing, at) {
 			if (version !== latestVersion) {
@@ -33,12 +36,12 @@
 			}
 		},
 		canAcquire: at => latestVersion === 0 || at - changedAt >= leaseMs,
-		recordRenewal(version, fencing, startedAt) {
+		recordRenewal(version, fencing, {held, wait}) {
 			latestVersion = version;
 			latestToken = fencing;
-			changedAt = startedAt;
+			changedAt = wait;
 			isHolder = true;
-			heldUntil = startedAt + leaseMs - marginMs;
+			heldUntil = held + leaseMs - marginMs;
 		},
 		markLost() {
 			isHolder = false;
--- a/src/forwarding/create-free-stale-kv-task.ts
+++ b/src/forwarding/create-free-stale-kv-task.ts
@@ -26,7 +26,7 @@
 	readonly weightsKind: string;
 	/** Reads the registered hosts from the object store; lists all others that are or were registered. */
 	readonly listHosts: () => Promise<readonly KnownHost[]>;
-	/** Clock in milliseconds that also advances while the machine is suspended. */
+	/** Monotonic clock in milliseconds: others may still read what is to be freed (`Clocks`). */
 	readonly now: () => number;
 };
 
@@ -43,6 +43,8 @@
 }: FreeStaleKvTaskOptions): FreeStaleKvTask {
 	/** When each host first reported that it has received desired weights, by their content version and host. */
 	const ackedAtByVersion = new Map<number, Map<string, number>>();
+	/** When this task first saw desired weights, by their content version. */
+	const seenAtByVersion = new Map<number, number>();
 	const freedAt = new Map<string, number>();
 	let hasStopped = false;
 
@@ -51,13 +53,20 @@
 		return parsedScope?.model === weights.model && parsedScope.version < weights.version;
 	});
 
-	const isSafeToFree = async (weights: DesiredWeights): Promise<boolean> => {
-		if (!canFreeStaleKv([], weights.learnedAt, now())) {
+	/** @returns When this task first saw the weights. */
+	const recordSeen = ({contentVersion}: DesiredWeights): number => {
+		const seenAt = seenAtByVersion.get(contentVersion) ?? now();
+		seenAtByVersion.set(contentVersion, seenAt);
+		return seenAt;
+	};
+
+	const isSafeToFree = async (weights: DesiredWeights, seenAt: number): Promise<boolean> => {
+		if (!canFreeStaleKv([], seenAt, now())) {
 			return false;
 		}
 
 		const hosts = await listHosts();
-		return canFreeStaleKv(hosts.map(host => ({ackedAt: ackedAtByVersion.get(weights.contentVersion)?.get(host.host)})), weights.learnedAt, now());
+		return canFreeStaleKv(hosts.map(host => ({ackedAt: ackedAtByVersion.get(weights.contentVersion)?.get(host.host)})), seenAt, now());
 	};
 
 	const freeParts = async (store: KvStore, parts: ReturnType<typeof listStaleParts>): Promise<void> => {
@@ -78,11 +87,12 @@
 
 	const freeStaleParts = async (): Promise<void> => {
 		for (const weights of desiredWeightsHistory()) {
+			const seenAt = recordSeen(weights);
 			const staleByStore = stores()
 				.filter(store => isPoller(store.name) && now() - (freedAt.get(store.name) ?? Number.NEGATIVE_INFINITY) > minFreeIntervalMs)
 				.map(store => ({store, parts: listStaleParts(store, weights)}))
 				.filter(({parts}) => parts.length > 0);
-			if (staleByStore.length > 0 && await isSafeToFree(weights)) {
+			if (staleByStore.length > 0 && await isSafeToFree(weights, seenAt)) {
 				for (const {store, parts} of staleByStore) {
 					await freeParts(store, parts);
 				}
--- a/src/forwarding/create-kv-store-poller.ts
+++ b/src/forwarding/create-kv-store-poller.ts
@@ -1,6 +1,7 @@
 import {diffListing} from '../decide/kv-cache/diff-listing.js';
 import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
+import {type Clocks} from '../util/clocks.js';
 import {type EngineClient} from './engine-client.js';
 import {type TrackedKvStore} from './tracked-kv-store.js';
 import {type KvStoreUpdate} from './kv-store-update.js';
@@ -19,12 +20,12 @@
 	readonly peers: string;
 	readonly engineClient: EngineClient;
 	readonly publishUpdate: (update: KvStoreUpdate) => void;
-	/** Clock in milliseconds that also advances while the machine is suspended. */
-	readonly now: () => number;
+	readonly clocks: Clocks;
 };
 
 /** Creates the function that polls a KV store once for changes and publishes them to the other hosts. */
-export function createKvStorePoller({peers: rpcAddress, engineClient, publishUpdate, now}: KvStorePollerOptions) {
+export function createKvStorePoller({peers: rpcAddress, engineClient, publishUpdate, clocks}: KvStorePollerOptions) {
+	const now = clocks.monotonic;
 	/** Frees the space of abandoned saves; no host reads them, since they were never listed as complete. */
 	const freeAbandonedSaves = async (entry: TrackedKvStore, {epoch, unfinished = []}: KvEventBatch): Promise<void> => {
 		const abandonedSaves = entry.findAbandonedSaves(unfinished, now());
@@ -40,7 +41,7 @@
 	/** Lists a store that was tracked by its events, and publishes the changes that the events missed. */
 	const relist = async (entry: TrackedKvStore, since: number): Promise<void> => {
 		const {name, store: {address}, partIndex} = entry.kept;
-		const sentAt = now();
+		const sentAt = clocks.suspendAware();
 		const listing = await engineClient.listKvParts(address);
 		const isSameEpoch = listing.epoch === partIndex.epoch();
 		const events = isSameEpoch ? diffListing(partIndex.listParts(), listing.events) : [];
@@ -60,7 +61,7 @@
 
 	const pollEvents = async (entry: TrackedKvStore, since: number | undefined): Promise<void> => {
 		const {name, store: {address}, partIndex} = entry.kept;
-		const sentAt = now();
+		const sentAt = clocks.suspendAware();
 		const batch = since === undefined ? await engineClient.listKvParts(address) : await engineClient.pollKvEvents(address, since, eventWaitMs);
 		partIndex.applyUpdate(batch, sentAt, now());
 		const canPublishEvents = since !== undefined && batch.events.length <= maxPublishedEvents;
--- a/src/forwarding/create-kv-store-tracker.ts
+++ b/src/forwarding/create-kv-store-tracker.ts
@@ -5,6 +5,7 @@
 import {getOwnerRankByBandwidth} from '../decide/membership/get-owner-rank-by-bandwidth.js';
 import {logFailure} from '../observe/log-failure.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
+import {type Clocks} from '../util/clocks.js';
 import {every} from '../util/every.js';
 import {memoizeLast} from '../util/memoize-last.js';
 import {memoize} from '../util/memoize.js';
@@ -49,20 +50,20 @@
 	readonly publishUpdate: (news: KvStoreUpdate) => void;
 	/** Whether this host has run long enough to have reports from the others. */
 	readonly hasSettled: () => boolean;
-	/** Clock in milliseconds that also advances while the machine is suspended. */
-	readonly now: () => number;
+	readonly clocks: Clocks;
 	readonly random: () => number;
 };
 
 /** Starts to track the KV stores. One host polls each store and publishes updates; the others poll only if no updates arrive. */
 export function createKvStoreTracker({
-	self, engineClient, call, others, publishUpdate, hasSettled, now, random,
+	self, engineClient, call, others, publishUpdate, hasSettled, clocks, random,
 }: KvStoreTrackerOptions): KvStoreTracker {
+	const now = clocks.monotonic;
 	const trackedStores = new Map<string, TrackedKvStore>();
 	const activePulls = new Set<string>();
 
 	const poll = createKvStorePoller({
-		peers: self.peers, engineClient, publishUpdate, now,
+		peers: self.peers, engineClient, publishUpdate, clocks,
 	});
 
 	const createRankLookup = memoizeLast((hosts: readonly KnownHost[]) => memoize((store: string) => getOwnerRankByBandwidth(self, hosts, store)));
@@ -102,7 +103,7 @@
 	/** Pulls the missing events from one host; returns whether the index has then reached the announced position. */
 	const pullFrom = async (entry: TrackedKvStore, address: string, announced: KvEventCursor): Promise<boolean> => {
 		const {name, partIndex} = entry.kept;
-		const sentAt = now();
+		const sentAt = clocks.suspendAware();
 		const [epoch, next] = [partIndex.epoch(), partIndex.next()];
 		const ownPosition = epoch === undefined || next === undefined ? undefined : {epoch, next};
 		const {news, isWhole} = await call(address, 'gateway.kept', {store: name, ...ownPosition && {known: ownPosition}}, {timeoutMs: pullTimeoutMs});
@@ -200,7 +201,7 @@
 			if (next === undefined || since < 0 || since > next) {
 				void pull(entry, poller, news);
 			} else {
-				partIndex.applyUpdate(news, now(), now());
+				partIndex.applyUpdate(news, clocks.suspendAware(), now());
 			}
 		},
 		listEvents(store, known) {
--- a/src/forwarding/create-rollout-lease.ts
+++ b/src/forwarding/create-rollout-lease.ts
@@ -5,6 +5,7 @@
 import {log} from '../observe/log.js';
 import {type StorePosition} from '../object-store/store-position.js';
 import {type LeaseStore} from '../object-store/lease-store.js';
+import {type Clocks} from '../util/clocks.js';
 import {describeFault} from '../util/describe-fault.js';
 import {leaseValueSchema} from './lease-value.js';
 import {type RolloutLease} from './rollout-lease.js';
@@ -40,15 +41,16 @@
 	readonly others: () => readonly string[];
 	/** Lease time, in milliseconds; a challenger also waits for the time in which the holder may send orders and for `orderTransitMs`. */
 	readonly leaseMs: number;
-	/** Clock in milliseconds that also advances while the machine is suspended. */
-	readonly now: () => number;
+	readonly clocks: Clocks;
 };
 
 /**
 Creates the lease under which one host at a time sends weight updates to engines. It is kept in the platform's store and is
 acquired only while there are engines to update; the holder releases it once its last order is older than the lease time.
 */
-export function createRolloutLease({self, run, store, others, leaseMs, now}: RolloutLeaseOptions): RolloutLease {
+export function createRolloutLease({self, run, store, others, leaseMs, clocks}: RolloutLeaseOptions): RolloutLease {
+	/** All but the time for which this host holds the lease itself is a wait for others. */
+	const now = clocks.monotonic;
 	const actingMs = leaseMs * actingShare;
 	// A holder that stops renewing sends its last order at most `actingMs` after its last renewal.
 	const takeoverMs = leaseMs + actingMs + orderTransitMs;
@@ -68,8 +70,10 @@
 	/** Token that an engine refused because it had seen a higher one. */
 	let refusedToken = 0;
 
+	const getToken = (): number | undefined => lease.fencing(clocks.suspendAware());
+
 	const write = async (token: number, isReleased: boolean): Promise<void> => {
-		const startedAt = now();
+		const started = {held: clocks.suspendAware(), wait: now()};
 		renewals++;
 		const value = {
 			holder: self, run, token, isReleased, renewals, epoch: epoch.number,
@@ -86,8 +90,8 @@
 
 		latestValue = value;
 		position = object;
-		lease.recordRenewal(object.revision, token, startedAt);
-		renewedAt = startedAt;
+		lease.recordRenewal(object.revision, token, started);
+		renewedAt = started.wait;
 		if (!wasHolder) {
 			wasHolder = true;
 			log.info({token, revision: object.revision}, 'lease taken');
@@ -160,7 +164,7 @@
 	return {
 		async acquireOrRenew(workSince) {
 			const at = now();
-			if (lease.fencing(at) !== undefined) {
+			if (getToken() !== undefined) {
 				await renew();
 				return;
 			}
@@ -179,7 +183,7 @@
 			}
 		},
 		async renewOrRelease() {
-			if (lease.fencing(now()) === undefined) {
+			if (getToken() === undefined) {
 				wasHolder = false;
 			} else if (now() - lastOrderAt > leaseMs + orderTransitMs) {
 				await write(lease.latestFencingToken(), true);
@@ -190,7 +194,7 @@
 				await renew();
 			}
 		},
-		token: () => lease.fencing(now()),
+		token: getToken,
 		recordOrder() {
 			lastOrderAt = now();
 		},
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -45,7 +45,7 @@
 	/** Counts a call to an engine that states a limit on requests; returns the time that the limit leaves between two, in milliseconds. */
 	readonly chargeCall: (upstreamId: string) => number;
 	readonly desiredWeights: () => readonly DesiredWeights[];
-	/** Clock in milliseconds that also advances while the machine is suspended. */
+	/** Monotonic clock in milliseconds. */
 	readonly now: () => number;
 };
 
--- a/src/grants/create-engine-owner-task.ts
+++ b/src/grants/create-engine-owner-task.ts
@@ -95,7 +95,7 @@
 			const request = pendingRequests.get(action.ask.id);
 			pendingRequests.delete(action.ask.id);
 			if (action.kind === 'grant') {
-				request?.resolve({cachedPieces: countCached(owned, action.ask.keys), waitMs: owned.queue.waitMs(Date.now())});
+				request?.resolve({cachedPieces: countCached(owned, action.ask.keys), waitMs: owned.queue.waitMs(performance.now())});
 			} else {
 				request?.reject(new Refusal(refusalKinds[action.reason], `engine ${action.ask.engine}: ${action.reason}`, 'no', action.retryAfterMs));
 			}
@@ -106,18 +106,18 @@
 
 	const scheduleWake = (owned: OwnedEngine): void => {
 		clearTimeout(owned.timer);
-		const now = Date.now();
+		const now = performance.now();
 		const nextAt = owned.queue.nextGrantAt(now);
 		if (nextAt !== undefined && nextAt > now) {
 			owned.timer = setTimeout(() => {
-				applyActions(owned, owned.queue.tick(Date.now()));
+				applyActions(owned, owned.queue.tick(performance.now()));
 			}, toDelayMs(nextAt - now));
 		}
 	};
 
 	/** Combines the leaving states of the engine, the configuration and the operators, and passes a change to the queue. */
 	const applyLeaving = (owned: OwnedEngine): void => {
-		const now = Date.now();
+		const now = performance.now();
 		const leaving = owned.flapDamper.observe(
 			owned.reportedLeaving || owned.upstream.leaving || isMarkedLeaving(membership.gossip, owned.upstream.name),
 			now,
@@ -165,7 +165,7 @@
 	const recordRun = (owned: OwnedEngine, hasFailed: boolean): void => {
 		owned.failedRuns = hasFailed ? owned.failedRuns + 1 : 0;
 		if (hasFailed) {
-			owned.ejectedUntil = Date.now() + Math.min(maxEjectionMs, baseEjectionMs * (2 ** (owned.failedRuns - 1)));
+			owned.ejectedUntil = performance.now() + Math.min(maxEjectionMs, baseEjectionMs * (2 ** (owned.failedRuns - 1)));
 			const known = readEngineStatus(membership.gossip, domain, owned.upstream.name);
 			publishStatus(owned, {loaded: known?.loaded ?? [], leaving: owned.queue.state().leaving, isUp: false});
 		}
@@ -178,7 +178,7 @@
 			owned.failedPolls = 0;
 			owned.reportedLeaving = report.leaving;
 			applyLeaving(owned);
-			publishStatus(owned, {loaded: report.loaded, leaving: owned.queue.state().leaving, isUp: Date.now() >= owned.ejectedUntil});
+			publishStatus(owned, {loaded: report.loaded, leaving: owned.queue.state().leaving, isUp: performance.now() >= owned.ejectedUntil});
 			await refreshCachedPieces(owned, engine);
 		} catch {
 			owned.failedPolls++;
@@ -198,7 +198,7 @@
 		const owned: OwnedEngine = {
 			upstream,
 			queue: createEngineQueue({
-				slots: upstream.slots, queueLimit, prefillTokensPerS: upstream.prefillTokensPerS, openAt: Date.now() + adoptionWindowMs, random,
+				slots: upstream.slots, queueLimit, prefillTokensPerS: upstream.prefillTokensPerS, openAt: performance.now() + adoptionWindowMs, random,
 			}),
 			flapDamper: createFlapDamper(),
 			cached: new Set(),
@@ -217,7 +217,7 @@
 	const closeQueue = (name: string): void => {
 		const owned = engines.get(name)!;
 		engines.delete(name);
-		applyActions(owned, owned.queue.close(Date.now()));
+		applyActions(owned, owned.queue.close(performance.now()));
 	};
 
 	const reconcile = (): void => {
@@ -234,8 +234,8 @@
 			const known = engines.get(upstream.name);
 			if (known) {
 				known.upstream = upstream;
-				applyActions(known, known.queue.setSlots(upstream.slots, Date.now()));
-				applyActions(known, known.queue.dropUnavailableHosts(host => liveHosts.has(host), Date.now()));
+				applyActions(known, known.queue.setSlots(upstream.slots, performance.now()));
+				applyActions(known, known.queue.dropUnavailableHosts(host => liveHosts.has(host), performance.now()));
 				applyLeaving(known);
 			} else {
 				openQueue(upstream, queueLimit);
@@ -245,7 +245,7 @@
 
 	const tickTimer = setInterval(() => {
 		for (const owned of engines.values()) {
-			applyActions(owned, owned.queue.tick(Date.now()));
+			applyActions(owned, owned.queue.tick(performance.now()));
 		}
 	}, queueTickMs);
 	const pollTimer = setInterval(() => {
@@ -282,19 +282,19 @@
 				}
 
 				pendingRequests.set(request.id, {resolve, reject});
-				applyActions(owned, owned.queue.ask(request, Date.now()));
+				applyActions(owned, owned.queue.ask(request, performance.now()));
 			}),
 			'grant.withdraw': async ({engine, id}) => ifOwned(engine, owned => {
-				applyActions(owned, owned.queue.withdraw(id, Date.now()));
+				applyActions(owned, owned.queue.withdraw(id, performance.now()));
 			}),
 			'grant.release': async ({engine, id, tokens, hasFailed}) => ifOwned(engine, owned => {
 				recordRun(owned, hasFailed);
-				applyActions(owned, owned.queue.release(id, tokens, Date.now()));
+				applyActions(owned, owned.queue.release(id, tokens, performance.now()));
 			}),
 			async 'grant.renew'({host, grants}) {
 				for (const grant of grants) {
 					ifOwned(grant.engine, owned => {
-						applyActions(owned, owned.queue.renew(host, [grant], Date.now()));
+						applyActions(owned, owned.queue.renew(host, [grant], performance.now()));
 					});
 				}
 
--- a/src/object-store/create-stored-state.ts
+++ b/src/object-store/create-stored-state.ts
@@ -1,6 +1,7 @@
 import {estimateSupersededAt} from '../decide/kv-cache/estimate-superseded-at.js';
 import {createRemovedEntryFilter} from '../decide/object-store/create-removed-entry-filter.js';
 import {log} from '../observe/log.js';
+import {type Clocks} from '../util/clocks.js';
 import {memoizeWeakly} from '../util/memoize-weakly.js';
 import {type GatewayAdapter} from '../forwarding/gateway-adapter.js';
 import {type DesiredWeights} from '../forwarding/desired-weights.js';
@@ -52,7 +53,7 @@
 export function createStoredState(
 	adapter: Pick<GatewayAdapter, 'decodeConfiguration' | 'decodeUpstream' | 'decodeWeights'>,
 	{onServicesChange, onUpstreamsChange}: StoredStateListener,
-	now: () => number,
+	{suspendAware: now, monotonic}: Clocks,
 ): StoredState {
 	const decodeConfiguration = memoizeWeakly(adapter.decodeConfiguration);
 	const decodeWeights = memoizeWeakly(adapter.decodeWeights);
@@ -68,7 +69,7 @@
 	const getStart = (value: unknown): number | undefined => adapter.decodeUpstream({
 		name: '', epoch: 0, revision: 0, value,
 	})?.startedAt;
-	const filterRemoved = createRemovedEntryFilter({isSameStart: (a, b) => getStart(a) === getStart(b), now});
+	const filterRemoved = createRemovedEntryFilter({isSameStart: (a, b) => getStart(a) === getStart(b), now: monotonic});
 
 	return {
 		applyConfiguration(objects) {
--- a/src/orders/create-domain-controller-task.ts
+++ b/src/orders/create-domain-controller-task.ts
@@ -11,6 +11,7 @@
 import {type ConfigSnapshot} from '../publishing/config-snapshot.js';
 import {type ModelService} from '../settings/model-service.js';
 import {type Engine} from '../upstreams/engine.js';
+import {type Clocks} from '../util/clocks.js';
 import {type Stop} from '../util/stop.js';
 import {type DomainStatus} from './domain-status.js';
 
@@ -33,8 +34,7 @@
 	readonly membership: MembershipTask;
 	readonly snapshot: () => ConfigSnapshot | undefined;
 	readonly engineAt: (url: string) => Engine;
-	/** Monotonic clock in milliseconds. */
-	readonly clock: () => number;
+	readonly clocks: Clocks;
 };
 
 /** The running domain controller. */
@@ -48,10 +48,10 @@
 holding the lease, it sends load and unload orders to engines and writes the domain's status to the platform.
 */
 export function createDomainControllerTask(options: DomainControllerTaskOptions): DomainControllerTask {
-	const {self, domain, platform, owners, membership, snapshot, engineAt, clock} = options;
+	const {self, domain, platform, owners, membership, snapshot, engineAt, clocks} = options;
 	const leaseKey = `lease/${domain}`;
 	/** `lease.fencing` returns the fencing token only while this host holds the lease. */
-	const lease = createLease(clock());
+	const lease = createLease(clocks.monotonic());
 	const busyEngines = new Set<string>();
 	let statusVersion = 0;
 
@@ -59,8 +59,8 @@
 	const isCandidate = (): boolean => owners.inDomain(domain, 'lease')?.name === self;
 
 	const renew = async (): Promise<void> => {
-		const startedAt = clock();
-		const isHeld = lease.fencing(startedAt) !== undefined;
+		const started = {held: clocks.suspendAware(), wait: clocks.monotonic()};
+		const isHeld = lease.fencing(started.held) !== undefined;
 		if (!isHeld && !isCandidate()) {
 			return;
 		}
@@ -68,10 +68,10 @@
 		try {
 			if (!isHeld) {
 				const object = await platform.read(leaseKey);
-				lease.observe(object?.version ?? 0, object ? (JSON.parse(object.value) as LeaseValue).fencing : 0, clock());
+				lease.observe(object?.version ?? 0, object ? (JSON.parse(object.value) as LeaseValue).fencing : 0, clocks.monotonic());
 			}
 
-			if (!isHeld && !lease.canAcquire(clock())) {
+			if (!isHeld && !lease.canAcquire(clocks.monotonic())) {
 				return;
 			}
 
@@ -80,7 +80,7 @@
 			if (version === undefined) {
 				lease.markLost();
 			} else {
-				lease.recordRenewal(version, fencing, startedAt);
+				lease.recordRenewal(version, fencing, started);
 			}
 		} catch (error) {
 			log.debug({error: String(error)}, 'lease renewal failed');
@@ -88,7 +88,7 @@
 	};
 
 	const sendOrder = async (engineName: string, engine: Engine, order: PlannedOrder): Promise<void> => {
-		const fencing = lease.fencing(clock());
+		const fencing = lease.fencing(clocks.suspendAware());
 		if (fencing === undefined) {
 			return;
 		}
@@ -124,7 +124,7 @@
 	};
 
 	const reconcile = (): void => {
-		if (lease.fencing(clock()) === undefined) {
+		if (lease.fencing(clocks.suspendAware()) === undefined) {
 			return;
 		}
 
@@ -136,7 +136,7 @@
 	};
 
 	const writeStatus = async (): Promise<void> => {
-		if (lease.fencing(clock()) === undefined) {
+		if (lease.fencing(clocks.suspendAware()) === undefined) {
 			return;
 		}
 
@@ -168,7 +168,7 @@
 	}, reconcileIntervalMs);
 
 	return {
-		isLeaseHolder: () => lease.fencing(clock()) !== undefined,
+		isLeaseHolder: () => lease.fencing(clocks.suspendAware()) !== undefined,
 		async stop() {
 			clearTimeout(firstRun);
 			for (const timer of timers) {
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -51,6 +51,7 @@
 import {createStreamVersions} from './streams/create-stream-versions.js';
 import {createVersionKnowledge} from './streams/create-version-knowledge.js';
 import {createSuspendAwareClock} from './util/create-suspend-aware-clock.js';
+import {type Clocks} from './util/clocks.js';
 import {memoizeLast} from './util/memoize-last.js';
 import {memoize} from './util/memoize.js';
 import {refreshEvery} from './util/refresh-every.js';
@@ -91,6 +92,7 @@
 	const {kinds} = adapter;
 	const now = (): number => performance.now();
 	const suspendAwareNow = createSuspendAwareClock(now, Date.now);
+	const clocks: Clocks = {suspendAware: suspendAwareNow, monotonic: now};
 	const {random} = Math;
 	const metrics = createGatewayMetrics();
 	const meter = createCpuMeter({
@@ -99,11 +101,11 @@
 			metrics.cpuSeconds.inc({job}, seconds);
 		},
 	});
-	const startedAt = suspendAwareNow();
-	const hasSettled = (): boolean => suspendAwareNow() - startedAt >= settleMs;
+	const startedAt = now();
+	const hasSettled = (): boolean => now() - startedAt >= settleMs;
 	let isDraining = false;
 
-	const epochs = createEpochTracker(suspendAwareNow);
+	const epochs = createEpochTracker(now);
 	const store = createEpochCheckedStore(adapter.openStore(settings.objectStore, {
 		onCall(call) {
 			metrics.platformCallsTotal.inc(call);
@@ -234,7 +236,7 @@
 	});
 	const kvStoreTracker = createKvStoreTracker({
 		self, engineClient, call: peerClient.call, others: reportExchange.alive,
-		publishUpdate: reportExchange.publishKvUpdate, hasSettled, now: suspendAwareNow, random,
+		publishUpdate: reportExchange.publishKvUpdate, hasSettled, clocks, random,
 	});
 	const storedState = createStoredState(adapter, {
 		onServicesChange: kvStoreTracker.updateServices,
@@ -245,7 +247,7 @@
 				statementLearner.start();
 			}
 		},
-	}, suspendAwareNow);
+	}, clocks);
 	const applyWeights = (objects: readonly StoredObject[], confirmedAt: number | undefined): void => {
 		storedState.applyWeights(objects, Math.max(confirmedAt ?? Number.NEGATIVE_INFINITY, stateSync.weightsConfirmedByPeerAt()));
 	};
@@ -280,7 +282,7 @@
 	const rolloutTask = createRolloutTask({
 		self: name,
 		lease: createRolloutLease({
-			self: name, run: randomUUID(), others: listOtherNames, leaseMs: settings.bounds.leaseMs, now: suspendAwareNow,
+			self: name, run: randomUUID(), others: listOtherNames, leaseMs: settings.bounds.leaseMs, clocks,
 			store: createRelayedLeaseStore({
 				direct: ownLease, recordEpoch: epochs.record, call: peerClient.call, alive: reportExchange.alive, random,
 			}),
@@ -289,12 +291,12 @@
 		registry,
 		chargeCall: permits.charge,
 		desiredWeights: storedState.weights,
-		now: suspendAwareNow,
+		now,
 	});
 
 	const freeStaleKvTask = createFreeStaleKvTask({
 		engineClient, stores: kvStoreTracker.stores, isPoller: kvStoreTracker.isPoller, desiredWeightsHistory: storedState.desiredWeightsHistory,
-		weightsKind: kinds.weights, listHosts: reportExchange.refreshAndList, now: suspendAwareNow,
+		weightsKind: kinds.weights, listHosts: reportExchange.refreshAndList, now,
 	});
 	const getAgeMs = (at: number | undefined): number | undefined => at === undefined ? undefined : Math.max(0, Math.round(suspendAwareNow() - at));
 
--- a/src/util/create-suspend-aware-clock.ts
+++ b/src/util/create-suspend-aware-clock.ts
@@ -2,8 +2,9 @@
 const minJumpMs = 200;
 
 /**
-Creates a clock for leases: the monotonic clock, which stops while the machine is suspended, plus every forward jump of
-the wall clock. A wall clock that was only set forward makes leases expire early, which is safe.
+Creates the clock for what this host itself may do: the monotonic clock, which stops while the machine is suspended, plus every forward
+jump of the wall clock. A wall clock that was only set forward makes a right expire early, which is safe; the clock must not measure waits
+for others, which would end early too. A suspension in which the wall clock is set back is seen only in part.
 
 @param monotonicNow - Monotonic clock in milliseconds.
 @param wallClockNow - Wall clock in milliseconds.
--- a/test/decide/decisions.test.ts
+++ b/test/decide/decisions.test.ts
@@ -90,7 +90,7 @@
 					now += pause % 3 === 0 ? pause : 0;
 					if (object.version === expected) {
 						object = {version: expected + 1, fencing};
-						lease.recordRenewal(object.version, fencing, startedAt);
+						lease.recordRenewal(object.version, fencing, {held: startedAt, wait: startedAt});
 					} else {
 						lease.markLost();
 					}
--- a/test/decide/rollout.test.ts
+++ b/test/decide/rollout.test.ts
@@ -51,7 +51,7 @@
 
 				if (writes && (held !== undefined || lease.canAcquire(now)) && lease.version() === stored.version) {
 					stored = {version: stored.version + 1, token: held ?? stored.token + 1};
-					lease.recordRenewal(stored.version, stored.token, now);
+					lease.recordRenewal(stored.version, stored.token, {held: now, wait: now});
 				}
 
 				const token = lease.fencing(now);
--- a/test/forwarding/kv-store-tracker.test.ts
+++ b/test/forwarding/kv-store-tracker.test.ts
@@ -51,7 +51,7 @@
 		others: () => [host('localPeer', 'd'), host('poller', 'e')],
 		publishUpdate: () => undefined,
 		hasSettled: () => false,
-		now: () => performance.now(),
+		clocks: {suspendAware: () => performance.now(), monotonic: () => performance.now()},
 		random: () => 0,
 	});
 	({stop} = tracker);
--- a/test/forwarding/rollout-lease-returned-store.test.ts
+++ b/test/forwarding/rollout-lease-returned-store.test.ts
@@ -59,7 +59,7 @@
 	const hosts = names.map(name => ({
 		name,
 		lease: createRolloutLease({
-			self: name, run: name, store: createStore(name), others: () => names.filter(other => other !== name), leaseMs, now: () => now,
+			self: name, run: name, store: createStore(name), others: () => names.filter(other => other !== name), leaseMs, clocks: {suspendAware: () => now, monotonic: () => now},
 		}),
 	}));
 
--- a/test/forwarding/rollout-lease.test.ts
+++ b/test/forwarding/rollout-lease.test.ts
@@ -43,7 +43,7 @@
 	const hosts = names.map(name => ({
 		name,
 		lease: createRolloutLease({
-			self: name, run: name, store, others: () => names.filter(other => other !== name && !stoppedHosts.has(other)), leaseMs: 3000, now: () => now,
+			self: name, run: name, store, others: () => names.filter(other => other !== name && !stoppedHosts.has(other)), leaseMs: 3000, clocks: {suspendAware: () => now, monotonic: () => now},
 		}),
 	}));
 	return {
--- a/test/object-store/relayed-lease.test.ts
+++ b/test/object-store/relayed-lease.test.ts
@@ -84,7 +84,7 @@
 		: sendAsEarlierBuild(relayed, async write => (await call('other', 'gateway.lease', {write} as never)).object);
 	const createHost = (name: string, store: LeaseStore): RolloutLease =>
 		createRolloutLease({
-			self: name, run: name, store, others: () => [], leaseMs, now: () => now,
+			self: name, run: name, store, others: () => [], leaseMs, clocks: {suspendAware: () => now, monotonic: () => now},
 		});
 	const hosts = {cut: createHost('cut', cutStore), other: createHost('other', otherStore), third: createHost('third', otherStore)};
 	return {
--- a/test/support/start-state-hosts.ts
+++ b/test/support/start-state-hosts.ts
@@ -30,7 +30,7 @@
 		const links = {store: true, peers: true};
 		const epochs = createEpochTracker(Date.now);
 		const opened = createEpochCheckedStore(store.open({isReachable: () => links.store, epochs, responseDelayMs}), epochs);
-		const storedState = createStoredState(adapter, {onServicesChange: () => undefined, onUpstreamsChange}, Date.now);
+		const storedState = createStoredState(adapter, {onServicesChange: () => undefined, onUpstreamsChange}, {suspendAware: Date.now, monotonic: Date.now});
 		const listOthers = () => hosts.filter(host => host.name !== name && host.links.peers && links.peers);
 		const watchers = [
 			{kind: kinds.configuration, onChange: storedState.applyConfiguration, getVersion: storedState.getConfigurationVersion},
