Workspaces that share KV cache do so under a scope that depends on who is isolated

Cause: the text under which KV cache is shared held only model and version of the weights; it stayed the same when the configuration moved a workspace out of the group.

Change: the shared scope identifies the isolated workspaces, and is taken from the configuration in force when a request is placed.

Tests that wrote the shared scope as m/1 while a workspace is isolated compute it now: the text is another one, what they check is the same. Ruled out: hosts that apply the change late, requests from before it.

--- a/src/decide/kv-cache/kv-scope.ts
+++ b/src/decide/kv-cache/kv-scope.ts
@@ -5,4 +5,6 @@
 	readonly version: number;
 	/** Set only for an isolated workspace, which shares its KV cache with no other. */
 	readonly workspace: string | undefined;
+	/** Set only for the workspaces that share their KV cache, if others are isolated: identifies those that do not take part. */
+	readonly group: string | undefined;
 };
--- a/src/decide/kv-cache/parse-scope.ts
+++ b/src/decide/kv-cache/parse-scope.ts
@@ -7,8 +7,10 @@
 @throws {URIError} When the text contains a malformed percent escape.
 */
 export function parseScope(text: string): KvScope | undefined {
-	const [model, version, workspace] = text.split('/').map(part => decodeURIComponent(part));
+	const [model, version, workspace, group] = text.split('/').map(part => decodeURIComponent(part));
 	return model === undefined || version === undefined || !/^\d+$/v.test(version)
 		? undefined
-		: {model, version: Number(version), workspace};
+		: {
+			model, version: Number(version), workspace: group === undefined ? workspace : undefined, group,
+		};
 }
--- a/src/forwarding/create-free-stale-kv-task.ts
+++ b/src/forwarding/create-free-stale-kv-task.ts
@@ -1,5 +1,8 @@
 import {canFreeStaleKv} from '../decide/kv-cache/can-free-stale-kv.js';
+import {type KvScope} from '../decide/kv-cache/kv-scope.js';
 import {parseScope} from '../decide/kv-cache/parse-scope.js';
+import {staleReadLimits} from '../decide/kv-cache/stale-read-limits.js';
+import {type KvSharingState} from '../object-store/kv-sharing-state.js';
 import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
 import {sleepUntilTick} from '../util/sleep-until-tick.js';
@@ -24,77 +27,147 @@
 	readonly desiredWeightsHistory: () => readonly DesiredWeights[];
 	/** Kind of the stored objects that hold the desired weights. */
 	readonly weightsKind: string;
+	/** Returns the rules by which workspaces share KV cache. */
+	readonly kvSharing: () => KvSharingState;
+	/** Kind of the stored object that holds the configuration. */
+	readonly configurationKind: string;
+	/** Reads the configuration from the object store; throws when it does not respond. */
+	readonly confirmConfiguration: () => Promise<void>;
 	/** Reads the registered hosts from the object store; lists all others that are or were registered. */
 	readonly listHosts: () => Promise<readonly KnownHost[]>;
 	/** Monotonic clock in milliseconds: others may still read what is to be freed (`Clocks`). */
 	readonly now: () => number;
 };
 
-/** Frees the KV cache of stale weights in the managed stores. */
+/** Scopes that a change has made stale. */
+type StaleScopes = {
+	/** Kind of the stored objects that changed, and the version of their content. */
+	readonly kind: string;
+	readonly contentVersion: number;
+	readonly isStale: (scope: KvScope) => boolean;
+	/** Whether a later change may bring the scopes back; versions of weights never return. */
+	readonly mayReturn: boolean;
+};
+
+function toKey(kind: string, contentVersion: number | ''): string {
+	return `${kind}/${contentVersion}`;
+}
+
+/** Frees the KV cache of stale scopes in the managed stores. */
 type FreeStaleKvTask = {
-	/** Records which desired weights another host has received. */
+	/** Records which changes another host has received. */
 	readonly recordStatus: (status: HostStatus) => void;
 	readonly stop: () => void;
 };
 
-/** Starts the task that frees the stored KV cache of stale weights once no host reads it any more. */
+/** Starts the task that frees the stored KV cache of replaced weights, and of scopes in which no workspace runs any more, once no host reads it. */
 export function createFreeStaleKvTask({
-	engineClient, stores, isPoller, desiredWeightsHistory, weightsKind, listHosts, now,
+	engineClient, stores, isPoller, desiredWeightsHistory, weightsKind, kvSharing, configurationKind, confirmConfiguration, listHosts, now,
 }: FreeStaleKvTaskOptions): FreeStaleKvTask {
-	/** When each host first reported that it has received desired weights, by their content version and host. */
-	const ackedAtByVersion = new Map<number, Map<string, number>>();
-	/** When this task first saw desired weights, by their content version. */
-	const seenAtByVersion = new Map<number, number>();
+	/** When each host first reported that it has received a change, by change and host. */
+	const ackedAtByChange = new Map<string, Map<string, number>>();
+	/** Hosts of an earlier build, which read under scopes that are not in use by this one's rules. */
+	const hostsWithoutGroups = new Set<string>();
+	/** When this task first saw each change. */
+	const seenAtByChange = new Map<string, number>();
 	const freedAt = new Map<string, number>();
 	let hasStopped = false;
 
-	const listStaleParts = (store: KvStore, weights: DesiredWeights) => store.partIndex.listParts().filter(({scope}) => {
+	const listStaleParts = (store: KvStore, {isStale}: StaleScopes) => store.partIndex.listParts().filter(({scope}) => {
 		const parsedScope = parseScope(scope);
-		return parsedScope?.model === weights.model && parsedScope.version < weights.version;
+		return parsedScope !== undefined && isStale(parsedScope);
 	});
 
-	/** @returns When this task first saw the weights. */
-	const recordSeen = ({contentVersion}: DesiredWeights): number => {
-		const seenAt = seenAtByVersion.get(contentVersion) ?? now();
-		seenAtByVersion.set(contentVersion, seenAt);
+	/** What each change has made stale: new weights the scopes of older ones, a configuration those in which no workspace runs any more. */
+	const listStaleScopes = (): readonly StaleScopes[] => {
+		const {contentVersion, isInUse} = kvSharing();
+		return [
+			...desiredWeightsHistory().map(weights => ({
+				kind: weightsKind,
+				contentVersion: weights.contentVersion,
+				isStale: ({model, version}: KvScope) => model === weights.model && version < weights.version,
+				mayReturn: false,
+			})),
+			{
+				kind: configurationKind, contentVersion, isStale: scope => !isInUse(scope), mayReturn: true,
+			},
+		];
+	};
+
+	/** Forgets what concerns earlier configurations, of which there may be thousands a day. */
+	const forgetConfigurations = (): void => {
+		const current = toKey(configurationKind, kvSharing().contentVersion);
+		for (const byChange of [ackedAtByChange, seenAtByChange]) {
+			for (const key of byChange.keys()) {
+				if (key !== current && key.startsWith(toKey(configurationKind, ''))) {
+					byChange.delete(key);
+				}
+			}
+		}
+	};
+
+	/** @returns When this task first saw the change. */
+	const recordSeen = ({kind, contentVersion}: StaleScopes): number => {
+		const key = toKey(kind, contentVersion);
+		const seenAt = seenAtByChange.get(key) ?? now();
+		seenAtByChange.set(key, seenAt);
 		return seenAt;
 	};
 
-	const isSafeToFree = async (weights: DesiredWeights, seenAt: number): Promise<boolean> => {
+	const isSafeToFree = async ({kind, contentVersion, mayReturn}: StaleScopes, seenAt: number): Promise<boolean> => {
 		if (!canFreeStaleKv([], seenAt, now())) {
 			return false;
 		}
 
 		const hosts = await listHosts();
-		return canFreeStaleKv(hosts.map(host => ({ackedAt: ackedAtByVersion.get(weights.contentVersion)?.get(host.host)})), seenAt, now());
+		if (mayReturn && hosts.some(({host}) => hostsWithoutGroups.has(host))) {
+			return false;
+		}
+
+		const acked = ackedAtByChange.get(toKey(kind, contentVersion));
+		if (!canFreeStaleKv(hosts.map(host => ({ackedAt: acked?.get(host.host)})), seenAt, now())) {
+			return false;
+		}
+
+		if (mayReturn) {
+			await confirmConfiguration();
+		}
+
+		return !mayReturn || kvSharing().contentVersion === contentVersion;
 	};
 
-	const freeParts = async (store: KvStore, parts: ReturnType<typeof listStaleParts>): Promise<void> => {
+	const freeParts = async (store: KvStore, parts: ReturnType<typeof listStaleParts>, mayReturn: boolean): Promise<void> => {
 		const epoch = store.partIndex.epoch();
+		const clockMs = store.partIndex.clockMs();
+		if (epoch === undefined || (mayReturn && clockMs === undefined)) {
+			return;
+		}
+
+		const untilMs = mayReturn ? Math.floor(clockMs! + staleReadLimits.maxFreeMs) : undefined;
 		freedAt.set(store.name, now());
-		for (let at = 0; at < parts.length && epoch !== undefined; at += partsPerCall) {
+		for (let at = 0; at < parts.length; at += partsPerCall) {
 			const batch = parts.slice(at, at + partsPerCall);
-			const isFreed = await engineClient.freeKvParts(store.store.address, epoch, batch);
+			const isFreed = await engineClient.freeKvParts(store.store.address, epoch, batch, untilMs);
 			if (isFreed) {
 				store.partIndex.removeParts(batch);
 			}
 
 			log.info({
 				store: store.name, epoch, parts: batch.length, tokens: batch.reduce((sum, part) => sum + part.tokens, 0), freed: isFreed,
-			}, 'context of replaced weights freed');
+			}, mayReturn ? 'context that no workspace shares any more freed' : 'context of replaced weights freed');
 		}
 	};
 
 	const freeStaleParts = async (): Promise<void> => {
-		for (const weights of desiredWeightsHistory()) {
-			const seenAt = recordSeen(weights);
+		for (const change of listStaleScopes()) {
+			const seenAt = recordSeen(change);
 			const staleByStore = stores()
 				.filter(store => isPoller(store.name) && now() - (freedAt.get(store.name) ?? Number.NEGATIVE_INFINITY) > minFreeIntervalMs)
-				.map(store => ({store, parts: listStaleParts(store, weights)}))
+				.map(store => ({store, parts: listStaleParts(store, change)}))
 				.filter(({parts}) => parts.length > 0);
-			if (staleByStore.length > 0 && await isSafeToFree(weights, seenAt)) {
+			if (staleByStore.length > 0 && await isSafeToFree(change, seenAt)) {
 				for (const {store, parts} of staleByStore) {
-					await freeParts(store, parts);
+					await freeParts(store, parts, change.mayReturn);
 				}
 			}
 		}
@@ -106,7 +179,7 @@
 			try {
 				await freeStaleParts();
 			} catch (error) {
-				logFailure(error, {}, 'freeing KV cache of stale weights failed, retrying');
+				logFailure(error, {}, 'freeing KV cache of stale scopes failed, retrying');
 			}
 		}
 	};
@@ -114,10 +187,18 @@
 	void runPeriodically();
 	return {
 		recordStatus(status) {
-			for (const {contentVersion} of desiredWeightsHistory()) {
-				const ackedAtByHost = ackedAtByVersion.get(contentVersion) ?? new Map<string, number>();
-				ackedAtByVersion.set(contentVersion, ackedAtByHost);
-				if ((status.contentVersions[weightsKind] ?? 0) >= contentVersion && !ackedAtByHost.has(status.host)) {
+			if (status.sharesKvByGroup) {
+				hostsWithoutGroups.delete(status.host);
+			} else {
+				hostsWithoutGroups.add(status.host);
+			}
+
+			forgetConfigurations();
+			for (const {kind, contentVersion} of listStaleScopes()) {
+				const key = toKey(kind, contentVersion);
+				const ackedAtByHost = ackedAtByChange.get(key) ?? new Map<string, number>();
+				ackedAtByChange.set(key, ackedAtByHost);
+				if ((status.contentVersions[kind] ?? 0) >= contentVersion && !ackedAtByHost.has(status.host)) {
 					ackedAtByHost.set(status.host, now());
 				}
 			}
--- a/src/forwarding/create-kv-reuse-planner.ts
+++ b/src/forwarding/create-kv-reuse-planner.ts
@@ -4,16 +4,18 @@
 import {type KvScope} from '../decide/kv-cache/kv-scope.js';
 import {formatPartKey} from '../decide/kv-cache/format-part-key.js';
 import {formatScope} from '../decide/kv-cache/format-scope.js';
+import {staleReadLimits} from '../decide/kv-cache/stale-read-limits.js';
 import {selectRelevantStores} from '../decide/kv-cache/select-relevant-stores.js';
 import {rankOwners} from '../decide/membership/rank-owners.js';
 import {memoize} from '../util/memoize.js';
+import {type KvSharingState} from '../object-store/kv-sharing-state.js';
+import {type Clocks} from '../util/clocks.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type KvStore} from './kv-store.js';
 import {type KvStoreTracker} from './kv-store-tracker.js';
 import {type DesiredWeights} from './desired-weights.js';
 import {type Service} from './service.js';
 import {type Upstream} from './upstream.js';
-import {type Workspace} from './workspace.js';
 import {type KvReusePlanner} from './kv-reuse-planner.js';
 
 const bitsPerByte = 8;
@@ -32,15 +34,11 @@
 	readonly findNewerWeights: (model: string, version: number) => DesiredWeights | undefined;
 	/** When the newest desired weights were last confirmed by the object store, directly or through a peer. */
 	readonly weightsConfirmedAt: () => number | undefined;
-	/** Clock in milliseconds that also advances while the machine is suspended. */
-	readonly now: () => number;
+	/** Returns the rules by which workspaces share KV cache. */
+	readonly kvSharing: () => KvSharingState;
+	readonly clocks: Clocks;
 };
 
-/** Returns the scope within which KV cache is shared: model, weight version and, if the workspace is isolated, its name. */
-function createScope(model: string, version: number, workspace: Workspace | undefined): KvScope {
-	return {model, version, workspace: workspace?.isIsolated ? workspace.name : undefined};
-}
-
 /** Ranks the stores for a shared part in the same order on every host, so that hosts that save it concurrently choose the same store. */
 function rankStores(stores: readonly KvStore[], part: string): readonly KvStore[] {
 	const byName = new Map(stores.map(store => [store.name, store]));
@@ -48,7 +46,8 @@
 }
 
 /** Creates the function that plans, for each upstream, which KV cache a request fetches and saves. */
-export function createKvReusePlanner({registry, kept: kvStoreTracker, findNewerWeights, weightsConfirmedAt, now}: KvReusePlannerOptions): KvReusePlanner {
+export function createKvReusePlanner({registry, kept: kvStoreTracker, findNewerWeights, weightsConfirmedAt, kvSharing, clocks}: KvReusePlannerOptions): KvReusePlanner {
+	const now = clocks.suspendAware;
 	const lastEngineByPart = new Map<string, string>();
 
 	const remember = (key: string, upstreamId: string): void => {
@@ -62,13 +61,16 @@
 
 	const toStoreView = (
 		{name, store, partIndex, canSave}: KvStore,
-		{model, version}: KvScope,
+		scope: KvScope,
 		scopeText: string,
 		engine: NonNullable<Service['engine']>,
 		engineDomain: string,
 	): KvStoreView => {
-		const newerAt = findNewerWeights(model, version)?.supersededAt;
-		const canRead = canReadStoredKv({supersededAt: newerAt, confirmedAt: weightsConfirmedAt()}, now());
+		const newerAt = findNewerWeights(scope.model, scope.version)?.supersededAt;
+		const {isInUse, groupSince} = kvSharing();
+		const isScopeInUse = isInUse(scope);
+		const hasGroupSettled = clocks.monotonic() - groupSince >= staleReadLimits.groupSettleMs;
+		const canRead = isScopeInUse && hasGroupSettled && canReadStoredKv({supersededAt: newerAt, confirmedAt: weightsConfirmedAt()}, now());
 		const bitsPerMs = Math.min(store.linkMbps, engine.linkMbps) * kilobitsPerMegabit;
 		const domainFactor = store.domain === engineDomain ? 1 : crossDomainTransferFactor;
 		return {
@@ -76,7 +78,7 @@
 			address: store.address,
 			has: part => partIndex.has(scopeText, part),
 			fetchDeadlineMs: canRead ? partIndex.getFetchDeadlineMs(now()) : undefined,
-			canSave: tokens => newerAt === undefined && canSave(tokens),
+			canSave: tokens => newerAt === undefined && isScopeInUse && canSave(tokens),
 			estimateTransferMs: tokens => store.firstMs + (domainFactor * tokens * engine.tokenBytes * bitsPerByte / bitsPerMs),
 		};
 	};
@@ -86,9 +88,11 @@
 		const sharedParts = prompt.parts.slice(0, -1);
 		const getWeightVersion = (upstream: Upstream): number => upstream.weights.get(prompt.model) ?? 0;
 
+		const {scopeOf} = kvSharing();
+
 		/** Computes what is the same for all engines with the same weights. */
 		const getScope = memoize((version: string) => {
-			const scope = createScope(prompt.model, Number(version), workspace);
+			const scope = scopeOf(prompt.model, Number(version), workspace?.name);
 			const scopeText = formatScope(scope);
 			const engines = new Map(sharedParts.map(({id}) => [id, lastEngineByPart.get(formatPartKey(scopeText, id))] as const));
 			const relevant = selectRelevantStores(stores.map(store => ({store, has: (part: string) => store.partIndex.has(scopeText, part), canSave: store.canSave})), sharedParts);
--- a/src/forwarding/engine-client.ts
+++ b/src/forwarding/engine-client.ts
@@ -13,8 +13,10 @@
 	readonly pollKvEvents: (address: string, since: number, waitMs: number) => Promise<KvEventBatch>;
 	/** Lists the complete parts in a KV cache store as additions, and its unfinished saves. */
 	readonly listKvParts: (address: string) => Promise<KvEventBatch>;
-	/** Frees parts unless the store has restarted since `epoch`; returns whether the store accepted the call. */
-	readonly freeKvParts: (address: string, epoch: number, parts: ReadonlyArray<{readonly scope: string; readonly part: string}>) => Promise<boolean>;
+	/**
+	Frees parts unless the store has restarted since `epoch`, or `untilMs` has passed on its clock; returns whether the store accepted the call.
+	*/
+	readonly freeKvParts: (address: string, epoch: number, parts: ReadonlyArray<{readonly scope: string; readonly part: string}>, untilMs?: number) => Promise<boolean>;
 	/** Whether anything responds to a GET request on a new connection within a time in milliseconds, whatever it is. Never throws. */
 	readonly ping: (address: string, target: string, timeoutMs: number) => Promise<boolean>;
 	/** Whether an address accepts connections. Never throws. */
--- a/src/object-store/create-stored-state.ts
+++ b/src/object-store/create-stored-state.ts
@@ -1,3 +1,4 @@
+import {createKvSharing} from '../decide/kv-cache/create-kv-sharing.js';
 import {estimateSupersededAt} from '../decide/kv-cache/estimate-superseded-at.js';
 import {createRemovedEntryFilter} from '../decide/object-store/create-removed-entry-filter.js';
 import {log} from '../observe/log.js';
@@ -10,6 +11,7 @@
 import {type Upstream} from '../forwarding/upstream.js';
 import {createInvalidEntryLog} from './create-invalid-entry-log.js';
 import {type StoredObject} from './stored-object.js';
+import {type KvSharingState} from './kv-sharing-state.js';
 import {indexConfiguration} from './index-configuration.js';
 import {type IndexedConfiguration} from './indexed-configuration.js';
 
@@ -41,6 +43,8 @@
 	readonly findService: (name: string) => Service | undefined;
 	/** Returns the smallest objective of the routes to a service that have a higher priority than `route`, in milliseconds. */
 	readonly findUrgentObjectiveMs: (route: Route, service: string) => number | undefined;
+	/** Returns the rules by which workspaces share KV cache, by the configuration in force. */
+	readonly kvSharing: () => KvSharingState;
 	/** Returns the newest desired weights of each model. */
 	readonly weights: () => readonly DesiredWeights[];
 	/** Returns all desired weights that this host has received, oldest first. */
@@ -58,6 +62,7 @@
 	const decodeConfiguration = memoizeWeakly(adapter.decodeConfiguration);
 	const decodeWeights = memoizeWeakly(adapter.decodeWeights);
 	let state: IndexedConfiguration | undefined;
+	let kvSharing: KvSharingState = {...createKvSharing(), contentVersion: 0, groupSince: Number.NEGATIVE_INFINITY};
 	let services: ReadonlyMap<string, Service> = new Map();
 	const weights = new Map<string, DesiredWeights>();
 	const history: DesiredWeights[] = [];
@@ -78,7 +83,10 @@
 				if (!configuration) {
 					log.warn({revision}, 'configuration cannot be decoded, the one in force stays');
 				} else if (configuration.version > (state?.configuration.version ?? -1)) {
-					state = indexConfiguration(configuration);
+					const indexed = indexConfiguration(configuration);
+					const groupSince = state && state.kvSharing.group === indexed.kvSharing.group ? kvSharing.groupSince : monotonic();
+					state = indexed;
+					kvSharing = {...indexed.kvSharing, contentVersion: configuration.version, groupSince};
 					services = new Map(configuration.services.map(service => [service.name, service]));
 					onServicesChange(configuration.services);
 					log.info({
@@ -117,6 +125,7 @@
 			}
 		},
 		state: () => state,
+		kvSharing: () => kvSharing,
 		findService: name => services.get(name),
 		findUrgentObjectiveMs(route, service) {
 			const objectivesMs = [...state?.objectivesByService.get(service) ?? []].filter(([priority]) => priority < route.priority).map(([, objectiveMs]) => objectiveMs);
--- a/src/object-store/index-configuration.ts
+++ b/src/object-store/index-configuration.ts
@@ -1,4 +1,5 @@
 import {createRouteFinder} from '../decide/forwarding/create-route-finder.js';
+import {createKvSharing} from '../decide/kv-cache/create-kv-sharing.js';
 import {type Route} from '../forwarding/route.js';
 import {type Configuration} from './configuration.js';
 import {type IndexedConfiguration} from './indexed-configuration.js';
@@ -22,6 +23,7 @@
 		configuration,
 		objectivesByService: listObjectives(configuration.routes),
 		findRoute: createRouteFinder(configuration.routes),
+		kvSharing: createKvSharing(configuration.workspaces),
 		workspaceByKey: new Map(configuration.workspaces?.flatMap(workspace => workspace.keys.map(key => [key, workspace] as const))),
 	};
 }
--- a/src/object-store/indexed-configuration.ts
+++ b/src/object-store/indexed-configuration.ts
@@ -1,3 +1,4 @@
+import {type KvSharing} from '../decide/kv-cache/kv-sharing.js';
 import {type RouteFinder} from '../decide/forwarding/route-finder.js';
 import {type Workspace} from '../forwarding/workspace.js';
 import {type Configuration} from './configuration.js';
@@ -8,5 +9,7 @@
 	readonly findRoute: RouteFinder;
 	/** Smallest objective of the routes to a service, by service and priority, in milliseconds. */
 	readonly objectivesByService: ReadonlyMap<string, ReadonlyMap<number, number>>;
+	/** Which workspaces share KV cache. */
+	readonly kvSharing: KvSharing;
 	readonly workspaceByKey: ReadonlyMap<string, Workspace>;
 };
--- a/src/reports/host-status.ts
+++ b/src/reports/host-status.ts
@@ -19,6 +19,8 @@
 	readonly lostServices?: readonly string[];
 	/** Whether the host counts the attempts of requests that others hand on to it. Hosts of an earlier build don't. */
 	readonly countsAttempts?: boolean;
+	/** Whether the host shares KV cache by groups of workspaces (`KvSharing`). Hosts of an earlier build don't. */
+	readonly sharesKvByGroup?: boolean;
 	/** Time since the store last confirmed the newest desired weights, in milliseconds; `undefined` when it never did. */
 	readonly weightsAgeMs: number | undefined;
 	/** The same for the list of upstreams. Hosts of an earlier build state none. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -137,6 +137,7 @@
 				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), upstreamsAgeMs: getAgeMs(stateSync.upstreamsConfirmedAt()), ...crashes.news(),
 				lostServices: listLostServices(),
 				countsAttempts: true,
+				sharesKvByGroup: true,
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
 			};
 		}),
@@ -296,7 +297,8 @@
 
 	const freeStaleKvTask = createFreeStaleKvTask({
 		engineClient, stores: kvStoreTracker.stores, isPoller: kvStoreTracker.isPoller, desiredWeightsHistory: storedState.desiredWeightsHistory,
-		weightsKind: kinds.weights, listHosts: reportExchange.refreshAndList, now,
+		weightsKind: kinds.weights, kvSharing: storedState.kvSharing, configurationKind: kinds.configuration,
+		confirmConfiguration: async () => watchers.find(({kind}) => kind === kinds.configuration)!.refresh(), listHosts: reportExchange.refreshAndList, now,
 	});
 	const getAgeMs = (at: number | undefined): number | undefined => at === undefined ? undefined : Math.max(0, Math.round(suspendAwareNow() - at));
 
@@ -320,7 +322,7 @@
 			others: () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()}),
 			planKvReuse: createKvReusePlanner({
 				registry, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
-				weightsConfirmedAt: stateSync.weightsConfirmedAt, now: suspendAwareNow,
+				weightsConfirmedAt: stateSync.weightsConfirmedAt, kvSharing: storedState.kvSharing, clocks,
 			}),
 		})),
 		getLatencyModel,
--- a/test/decide/kv-cache/can-free-stale-kv.test.ts
+++ b/test/decide/kv-cache/can-free-stale-kv.test.ts
@@ -106,8 +106,15 @@
 	});
 
 	test('relies on parseScope to return the scope that was formatted, and undefined for a text that is not a scope', () => {
-		fc.assert(fc.property(fc.string({minLength: 1}), fc.nat(), fc.option(fc.string({minLength: 1}), {nil: undefined}), (model, version, workspace) => {
-			expect(parseScope(formatScope({model, version, workspace}))).toEqual({model, version, workspace});
+		const sharers = fc.oneof(
+			fc.record({workspace: fc.string({minLength: 1}), group: fc.constant(undefined)}),
+			fc.record({workspace: fc.constant(undefined), group: fc.option(fc.string({minLength: 1}), {nil: undefined})}),
+		);
+		fc.assert(fc.property(fc.string({minLength: 1}), fc.nat(), sharers, (model, version, {workspace, group}) => {
+			const scope = {
+				model, version, workspace, group,
+			};
+			expect(parseScope(formatScope(scope))).toEqual(scope);
 		}), {seed: 6});
 		expect([parseScope('else'), parseScope('a/b')]).toEqual([undefined, undefined]);
 	});
--- a/test/forwarding/clock-steps.test.ts
+++ b/test/forwarding/clock-steps.test.ts
@@ -10,6 +10,8 @@
 import {platformObjects} from '../support/platform-objects.js';
 import {waitUntilReady} from '../support/wait-until-ready.js';
 import {waitUntil} from '../support/wait-until.js';
+import {formatScope} from '../../src/decide/kv-cache/format-scope.js';
+import {createKvSharing} from '../../src/decide/kv-cache/create-kv-sharing.js';
 
 const stepMs = 2400;
 const stepIntervalMs = 300;
@@ -18,6 +20,11 @@
 /** Fetches that rest on the state of a store before its restart end within this time. */
 const maxFetchMs = 3000;
 
+/** Scope that is shared while the workspace `walled` is isolated, as in the configuration of these tests. */
+const sharedScope = (version: number): string => formatScope(createKvSharing([{
+	name: 'walled', keys: [], priority: undefined, isIsolated: true,
+}]).scopeOf('m', version, undefined));
+
 let store: ObjectStoreServer;
 let kvStore: KvStoreServer;
 let engine: UpstreamServer;
@@ -74,14 +81,14 @@
 /** Each step of the wall clock there and back ended waits for others earlier, so that memory was freed and written while others fetched it. */
 describe('while the wall clock steps there and back', () => {
 	test.each([['forward', stepMs], ['backward', -stepMs]])('KV cache of replaced weights is freed only after others have ended their reads: %s first', async (_name, offsetMs) => {
-		kvStore.save('m/1', 'aa', 500);
+		kvStore.save(sharedScope(1), 'aa', 500);
 		gateway = await startTestGateway(store.address);
 		await waitUntilReady(gateway);
 		startSteps(offsetMs);
 		store.put('servers', 'i-0', platformObjects.upstream(engine.address, {models: [{name: 'm', version: 2, adapters: []}]}));
 		const replacedAt = performance.now();
 		store.put('versions', 'm', {model: 'm', version: 2});
-		await waitUntil('the stale part to be freed', () => !kvStore.parts().includes('m/1 aa'), 45_000);
+		await waitUntil('the stale part to be freed', () => !kvStore.parts().includes(`${sharedScope(1)} aa`), 45_000);
 		expect(performance.now() - replacedAt).toBeGreaterThanOrEqual(readEndMs);
 	}, 60_000);
 
--- a/test/forwarding/stored-kv-cache.test.ts
+++ b/test/forwarding/stored-kv-cache.test.ts
@@ -10,6 +10,13 @@
 import {platformObjects} from '../support/platform-objects.js';
 import {waitUntilReady} from '../support/wait-until-ready.js';
 import {waitUntil} from '../support/wait-until.js';
+import {formatScope} from '../../src/decide/kv-cache/format-scope.js';
+import {createKvSharing} from '../../src/decide/kv-cache/create-kv-sharing.js';
+
+/** Scope that is shared while the workspace `walled` is isolated, as in the configuration of these tests. */
+const sharedScope = (version: number): string => formatScope(createKvSharing([{
+	name: 'walled', keys: [], priority: undefined, isIsolated: true,
+}]).scopeOf('m', version, undefined));
 
 let store: ObjectStoreServer;
 let kvStore: KvStoreServer;
@@ -63,26 +70,26 @@
 		await startGateways();
 		expect((await sendPrompt(gateways[0]!)).to).toBeUndefined();
 		await waitUntil('saves to be allowed', async () => (await sendPrompt(gateways[0]!)).to === `${kvStore.address},${kvStore.address},-`);
-		kvStore.save('m/1', 'aa', 500);
-		kvStore.save('m/1', 'bb', 2000);
+		kvStore.save(sharedScope(1), 'aa', 500);
+		kvStore.save(sharedScope(1), 'bb', 2000);
 		await waitUntil('fetches', async () => (await sendPrompt(gateways[0]!)).from === `${kvStore.address},${kvStore.address},-`);
 		const kvHeaders = await sendPrompt(gateways[0]!);
-		expect([kvHeaders.scope, kvHeaders.version, kvHeaders.to]).toEqual(['m/1', '1', undefined]);
+		expect([kvHeaders.scope, kvHeaders.version, kvHeaders.to]).toEqual([sharedScope(1), '1', undefined]);
 		expect(Number(kvHeaders.until)).toBeLessThanOrEqual(performance.now() + 3000);
 	});
 
 	test('of an isolated workspace has its own scope', async () => {
 		await startGateways();
-		expect([(await sendPrompt(gateways[0]!, 'key-1')).scope, (await sendPrompt(gateways[0]!, 'key-3')).scope]).toEqual(['m/1', 'm/1/walled']);
+		expect([(await sendPrompt(gateways[0]!, 'key-1')).scope, (await sendPrompt(gateways[0]!, 'key-3')).scope]).toEqual([sharedScope(1), 'm/1/walled']);
 	});
 
 	test('is not fetched from a store that has restarted or is unresponsive', async () => {
-		kvStore.save('m/1', 'aa', 500);
+		kvStore.save(sharedScope(1), 'aa', 500);
 		await startGateways();
 		await waitUntil('fetches', async () => (await sendPrompt(gateways[0]!)).from === `${kvStore.address},-,-`);
 		kvStore.restart();
 		await waitUntil('no fetch', async () => (await sendPrompt(gateways[0]!)).from === undefined);
-		kvStore.save('m/1', 'aa', 500);
+		kvStore.save(sharedScope(1), 'aa', 500);
 		await waitUntil('fetches again', async () => (await sendPrompt(gateways[0]!)).from === `${kvStore.address},-,-`);
 		kvStore.isUnresponsive = true;
 		await waitUntil('no fetch from the unresponsive store', async () => (await sendPrompt(gateways[0]!)).from === undefined);
@@ -98,7 +105,7 @@
 			// One host polls about twice a second.
 			return kvStore.calls() - before <= 4;
 		});
-		kvStore.save('m/1', 'aa', 500);
+		kvStore.save(sharedScope(1), 'aa', 500);
 		for (const gateway of gateways) {
 			await waitUntil('fetches', async () => (await sendPrompt(gateway)).from === `${kvStore.address},-,-`);
 		}
@@ -117,20 +124,20 @@
 	test('whose event was lost or whose save was abandoned is found by listing the store again', async () => {
 		await startGateways();
 		await waitUntil('saves to be allowed', async () => (await sendPrompt(gateways[0]!)).to === `${kvStore.address},${kvStore.address},-`);
-		kvStore.saveWithoutEvent('m/1', 'aa', 500);
-		kvStore.savePartially('m/1', 'bb', 2000);
+		kvStore.saveWithoutEvent(sharedScope(1), 'aa', 500);
+		kvStore.savePartially(sharedScope(1), 'bb', 2000);
 		await waitUntil('fetches', async () => (await sendPrompt(gateways[0]!)).from === `${kvStore.address},-,-`);
 		await waitUntil('the space of the abandoned save to be freed', () => kvStore.unfinished().length === 0, 45_000);
-		expect(kvStore.parts()).toEqual(['m/1 aa']);
+		expect(kvStore.parts()).toEqual([`${sharedScope(1)} aa`]);
 	}, 60_000);
 
 	test('of stale weights is freed, and that of the desired weights kept', async () => {
-		kvStore.save('m/1', 'aa', 500);
-		kvStore.save('m/2', 'aa', 500);
+		kvStore.save(sharedScope(1), 'aa', 500);
+		kvStore.save(sharedScope(2), 'aa', 500);
 		await startGateways(2);
 		store.put('servers', 'i-0', platformObjects.upstream(engine.address, {models: [{name: 'm', version: 2, adapters: []}]}));
 		store.put('versions', 'm', {model: 'm', version: 2});
-		await waitUntil('the stale part to be freed', () => !kvStore.parts().includes('m/1 aa'));
-		expect(kvStore.parts()).toEqual(['m/2 aa']);
+		await waitUntil('the stale part to be freed', () => !kvStore.parts().includes(`${sharedScope(1)} aa`));
+		expect(kvStore.parts()).toEqual([`${sharedScope(2)} aa`]);
 	});
 });
