A planned stop goes with each request: none is cut without an answer at its end

Change: from the signal on, what may not be repeated and might end after the stop is refused as not run: at its head, after its body, before each further send. 300 ms before the stop whatever is under way is answered, as not run only where nothing was sent.

--- a/src/forwarding/admitted-request.ts
+++ b/src/forwarding/admitted-request.ts
@@ -1,6 +1,7 @@
 import {type AttemptTracker} from './attempt-tracker.js';
 import {type CallerResponse} from './caller-response.js';
 import {type CallerRequest} from './caller-request.js';
+import {type PlannedStop} from './planned-stop.js';
 import {type Route} from './route.js';
 import {type Workspace} from './workspace.js';
 
@@ -15,6 +16,8 @@
 	readonly endsAt: number;
 	/** Aborted when the caller disconnects before the response is complete. */
 	readonly signal: AbortSignal;
+	/** A planned stop of this host. */
+	readonly stop: PlannedStop;
 	readonly answer: CallerResponse;
 	/** Whether another host has handed the request on to this one, which then hands it on to nobody. */
 	readonly isRelayed: boolean;
--- a/src/forwarding/create-attempt-signal.ts
+++ b/src/forwarding/create-attempt-signal.ts
@@ -2,8 +2,8 @@
 import {type AdmittedRequest} from './admitted-request.js';
 import {type AttemptSignal} from './attempt-signal.js';
 
-/** Creates the signal that ends an attempt once time is over or the caller has disconnected. */
-export function createAttemptSignal({route, signal}: Pick<AdmittedRequest, 'route' | 'signal'>, leftMs: number): AttemptSignal {
+/** Creates the signal that ends an attempt once time is over, the caller has disconnected or this host stops. */
+export function createAttemptSignal({route, signal, stop}: Pick<AdmittedRequest, 'route' | 'signal' | 'stop'>, leftMs: number): AttemptSignal {
 	const controller = new AbortController();
 	const abort = (reason: string): void => {
 		controller.abort(new Error(reason));
@@ -18,6 +18,15 @@
 		signal.addEventListener('abort', onCallerGone, {once: true});
 	}
 
+	const onStop = (): void => {
+		abort('this host stops');
+	};
+
+	stop.signal.addEventListener('abort', onStop, {once: true});
+	if (stop.signal.aborted) {
+		onStop();
+	}
+
 	const timer = setTimeout(abort, toDelayMs(leftMs), 'time is over');
 	return {
 		signal: controller.signal,
@@ -25,6 +34,7 @@
 		dispose() {
 			clearTimeout(timer);
 			signal.removeEventListener('abort', onCallerGone);
+			stop.signal.removeEventListener('abort', onStop);
 		},
 	};
 }
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -17,12 +17,14 @@
 import {createSender} from './create-sender.js';
 import {describeAttempts} from './describe-attempts.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
+import {mayRepeat} from './may-repeat.js';
 import {minTimeLeftMs} from './min-time-left-ms.js';
 import {type PlacementFinderOptions} from './placement-finder-options.js';
 import {type Placement} from './placement.js';
 import {recordSend} from './record-send.js';
 import {releaseRoom} from './release-room.js';
 import {type SendOutcome} from './send-outcome.js';
+import {stoppingRetryAfterMs} from './stopping-retry-after-ms.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 
 /** Ejection time of an upstream that rejected a request without running it. */
@@ -194,6 +196,9 @@
 		return settleFailure(admitted, progress, outcome);
 	};
 
+	/** Whether the request may still be sent here: a planned stop would cut it, and one that may not be repeated has to end before. */
+	const maySend = ({route, endsAt, stop}: AdmittedRequest): boolean => !stop.signal.aborted && (mayRepeat(route) || stop.allows(endsAt));
+
 	return async admitted => {
 		const {route, signal} = admitted;
 		const service = chooseWeightedService(route.targets, random());
@@ -224,6 +229,13 @@
 			}
 
 			const result = await findNext(admitted, progress);
+			if (!maySend(admitted)) {
+				progress.lastReason = 'this host stops';
+				releaseRoom(result);
+				reporter.refuse(admitted, progress, 'time-over', stoppingRetryAfterMs);
+				return;
+			}
+
 			if ('reason' in result) {
 				reporter.refuse(admitted, progress, result.reason, result.retryAfterMs);
 				return;
--- a/src/forwarding/create-gateway-caller-server.ts
+++ b/src/forwarding/create-gateway-caller-server.ts
@@ -9,16 +9,20 @@
 import {parseAddress} from '../http/parse-address.js';
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
+import {toDelayMs} from '../util/to-delay-ms.js';
 import {type IndexedConfiguration} from '../object-store/indexed-configuration.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
 import {createAttemptTracker} from './create-attempt-tracker.js';
 import {createCallerResponse} from './create-caller-response.js';
+import {mayRepeat} from './may-repeat.js';
 import {readRequestBody} from './read-request-body.js';
+import {type Route} from './route.js';
+import {stoppingRetryAfterMs} from './stopping-retry-after-ms.js';
 
 const notReadyRetryAfterMs = 500;
-/** Short, since another host can accept the request at once. */
-const stoppingRetryAfterMs = 30;
+/** Requests that are still under way this long before a planned stop are answered, so that none is cut without an answer. */
+const stopAnswerMs = 300;
 /** Size limit of a request head in the HTTP parser; the configured limit is checked after parsing. */
 const maxParserHeaderBytes = 64 * 1024;
 /** Separator and line end of one header: `: ` and CRLF. */
@@ -58,7 +62,9 @@
 	/**
 	Asks callers, by `Connection: close`, to open a new connection for their next request.
 
-	@param acceptAllUntil - Later requests are refused if their deadline is after `stopAt`; in milliseconds of the monotonic clock.
+	Whatever is under way shortly before `stopAt` is answered then.
+
+	@param acceptAllUntil - Later requests are refused if their deadline is after `stopAt`, those that may not be repeated at once; in milliseconds of the monotonic clock.
 	@param stopAt - When the process stops, on the same clock.
 	*/
 	readonly drain: (acceptAllUntil: number, stopAt: number) => void;
@@ -86,6 +92,8 @@
 export async function createGatewayCallerServer(options: GatewayCallerServerOptions): Promise<GatewayCallerServer> {
 	const {address, state, decode, createRefusalHeaders, isRelay, encodeSpentAttempts, acceptsFrom, maxInFlight, forward, now, onRefusal} = options;
 	let draining: {readonly acceptAllUntil: number; readonly stopAt: number} | undefined;
+	const stopping = new AbortController();
+	let stopTimer: NodeJS.Timeout | undefined;
 	let underWay = 0;
 	const busySockets = new Set<Socket>();
 	const openSockets = new Set<Socket>();
@@ -94,6 +102,22 @@
 	const createAttemptHeaders = (request: CallerRequest | undefined, spent: SpentAttempts | undefined): readonly string[] =>
 		isRelay && request?.attempts && spent ? encodeSpentAttempts(spent) : [];
 
+	/** Whether what may run until `endsAt` ends before this host stops. */
+	const endsBeforeStop = (endsAt: number): boolean => !draining || endsAt <= draining.stopAt - stopAnswerMs;
+
+	/**
+	Refuses what could not end before a planned stop: from the signal on if it may not be repeated, else once the balancer has had time to remove
+	this host.
+
+	@throws {Refusal}
+	*/
+	const checkStop = (route: Route, endsAt: number): void => {
+		const isAccepted = mayRepeat(route) && now() <= (draining?.acceptAllUntil ?? 0);
+		if (stopping.signal.aborted || (!endsBeforeStop(endsAt) && !isAccepted)) {
+			throw new Refusal('not-ready', 'this host shuts down before the deadline of the request', 'no', stoppingRetryAfterMs);
+		}
+	};
+
 	const checkAndForward = async (req: IncomingMessage, res: ServerResponse, request: CallerRequest, receivedAt: number): Promise<void> => {
 		const current = state();
 		if (!current) {
@@ -117,17 +141,14 @@
 
 		const {route, workspace} = authorizeRequest(request, current);
 		const endsAt = receivedAt + Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
-		if (draining && receivedAt > draining.acceptAllUntil && endsAt > draining.stopAt) {
-			throw new Refusal('not-ready', 'this host shuts down before the deadline of the request', 'no', stoppingRetryAfterMs);
-		}
-
+		checkStop(route, endsAt);
 		const callerGone = new AbortController();
 		res.once('close', () => {
 			if (!res.writableFinished) {
 				callerGone.abort();
 			}
 		});
-		const body = await readRequestBody(req, limits.bodyBytes, limits.idleTimeoutMs);
+		const body = await readRequestBody(req, limits.bodyBytes, limits.idleTimeoutMs, stopping.signal);
 		// After a blocked event loop, the request and the caller's disconnect are both pending; the disconnect is read in a later iteration.
 		await setImmediate();
 		await setImmediate();
@@ -137,9 +158,11 @@
 			return;
 		}
 
+		// The stop may have been announced while the body arrived.
+		checkStop(route, endsAt);
 		const attempts = createAttemptTracker(limitAttempts({maxAttempts: route.maxAttempts, isRelayed: isRelay, stated: request.attempts}));
 		await forward({
-			request, route, workspace, body, receivedAt, endsAt, signal: callerGone.signal,
+			request, route, workspace, body, receivedAt, endsAt, signal: callerGone.signal, stop: {allows: endsBeforeStop, signal: stopping.signal},
 			answer: createCallerResponse(
 				res,
 				refusal => createRefusalHeaders(request, refusal),
@@ -224,6 +247,9 @@
 		port,
 		drain(acceptAllUntil, stopAt) {
 			draining = {acceptAllUntil, stopAt};
+			stopTimer = setTimeout(() => {
+				stopping.abort();
+			}, toDelayMs(stopAt - stopAnswerMs - now()));
 		},
 		async waitUntilIdle() {
 			while (underWay > 0) {
@@ -235,6 +261,7 @@
 			server.closeIdleConnections();
 		},
 		stop() {
+			clearTimeout(stopTimer);
 			server.close();
 			for (const socket of openSockets) {
 				socket.destroy();
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -6,6 +6,7 @@
 import {type CallerRequest} from './caller-request.js';
 import {createAttemptSignal} from './create-attempt-signal.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
+import {mayRepeat} from './may-repeat.js';
 import {type Placement} from './placement.js';
 import {sendOnce} from './send-once.js';
 import {startAttemptTimer} from './start-attempt-timer.js';
@@ -33,8 +34,7 @@
 		const leftMs = progress.endsAt - sentAt;
 		const attempt = createAttemptSignal(admitted, leftMs);
 		const stopAttemptTimer = startAttemptTimer(admitted, attempt, leftMs);
-		const mayRepeat = route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable);
-		const stopListening = mayRepeat && registry.onSilence(placement.upstream.id, () => {
+		const stopListening = mayRepeat(route) && registry.onSilence(placement.upstream.id, () => {
 			attempt.abort('the link to the upstream is lost');
 		});
 		placement.recordSent();
--- a/test/decide/kv-cache/kv-sharing.test.ts
+++ b/test/decide/kv-cache/kv-sharing.test.ts
@@ -33,7 +33,7 @@
 			const makers = makersByScope.get(scope) ?? new Set();
 			makersByScope.set(scope, makers);
 			if (!isLate) {
-				breaches.push(...[...makers].filter(maker => maker !== name && (current[name] || current[maker])).map(maker => `${index}: ${name} uses what ${maker} made`));
+				breaches.push(...[...makers].filter(maker => maker !== name && [name, maker].some(each => current[each])).map(maker => `${index}: ${name} uses what ${maker} made`));
 			}
 
 			makers.add(name);
