What a host keeps of all responses together is bounded

Here each response was bounded by itself, and 400 at once took a host past its 350 MB.

Cause: limits of one response where the host has some hundred connections; answers of other hosts had none.

Change: bodies of failures, unfinished events and bytes that callers have not read come out of one budget of 32 MiB; 96 KiB of each response are free, so that small failures and slow callers go on while others have used it up. Answers of other hosts are limited to 32 MiB.

--- a/src/forwarding/create-failure-body.ts
+++ b/src/forwarding/create-failure-body.ts
@@ -1,10 +1,11 @@
+import {type ByteAccount} from '../util/byte-budget.js';
 import {createByteBuffer} from '../util/create-byte-buffer.js';
 import {type ResponseBody} from './response-body.js';
 import {type ResponseHead} from './response-head.js';
 import {responseLimits} from './response-limits.js';
 
 /** Creates the body of a failure response, which is kept whole until it is known whether the request is sent again. */
-export function createFailureBody(head: ResponseHead, abort: (reason: string, isFault: boolean) => void): ResponseBody {
+export function createFailureBody(head: ResponseHead, kept: ByteAccount, abort: (reason: string, isFault: boolean) => void): ResponseBody {
 	const bytes = createByteBuffer();
 	return {
 		push(chunk) {
@@ -13,6 +14,11 @@
 				return false;
 			}
 
+			if (!kept.keep(bytes.length() + chunk.length)) {
+				abort('responses keep too many bytes, this failure is given up', false);
+				return false;
+			}
+
 			bytes.append(chunk);
 			return true;
 		},
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -9,6 +9,7 @@
 import {type KnownHost} from '../reports/known-host.js';
 import {type StreamVersions} from '../streams/stream-versions.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
+import {type ByteBudget} from '../util/byte-budget.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
 import {createForwardingProgress} from './create-forwarding-progress.js';
@@ -46,16 +47,18 @@
 	/** The software versions that began streams. */
 	readonly streams: Pick<StreamVersions, 'recordBegin' | 'findRequired'>;
 	readonly encode: (request: CallerRequest, options: UpstreamRequestOptions) => string[];
+	/** What the host keeps of responses, all together. */
+	readonly keptBytes: ByteBudget;
 	readonly onEnd: (admitted: AdmittedRequest, result: string, tookMs: number) => void;
 };
 
 /** Creates the function that forwards a caller's request, retries it where that is safe, and sends the final response. */
 export function createForwarder(options: ForwarderOptions): (admitted: AdmittedRequest) => Promise<void> {
-	const {registry, crashes, getRetryBudget, getLatencyModel, verifyLink, relay, sendRelayed, streams, encode, now, random, onEnd} = options;
+	const {registry, crashes, getRetryBudget, getLatencyModel, verifyLink, relay, sendRelayed, streams, encode, keptBytes, now, random, onEnd} = options;
 	const reporter = createRequestReporter({now, random, onEnd});
 	const findNext = createPlacementFinder(options);
 	const send = createSender({
-		registry, getLatencyModel, encode, recordBegin: streams.recordBegin, now,
+		registry, getLatencyModel, encode, recordBegin: streams.recordBegin, keptBytes, now,
 	});
 
 	/** Records the weights that a rejecting upstream reported; after another failure, ejects the upstream. */
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -2,6 +2,7 @@
 import {log} from '../observe/log.js';
 import {type StreamVersions} from '../streams/stream-versions.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
+import {type ByteBudget} from '../util/byte-budget.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
 import {createAttemptSignal} from './create-attempt-signal.js';
@@ -22,11 +23,13 @@
 	readonly encode: (request: CallerRequest, options: UpstreamRequestOptions) => string[];
 	/** Called when the first event of a stream has been passed on to its caller. */
 	readonly recordBegin: StreamVersions['recordBegin'];
+	/** What the host keeps of responses, all together. */
+	readonly keptBytes: ByteBudget;
 	readonly now: () => number;
 };
 
 /** Creates the function that sends a request once to the upstream chosen for it, within the remaining time. */
-export function createSender({registry, getLatencyModel, encode, recordBegin, now}: SenderOptions) {
+export function createSender({registry, getLatencyModel, encode, recordBegin, keptBytes, now}: SenderOptions) {
 	return async (admitted: AdmittedRequest, progress: ForwardingProgress, placement: Placement): Promise<SendOutcome> => {
 		const {request, route, body, answer} = admitted;
 		const {splitter, service} = progress;
@@ -42,6 +45,7 @@
 			return await sendOnce({
 				requestId: request.id!,
 				answer,
+				keptBytes,
 				signal: attempt.signal,
 				splitter,
 				isResumedByCaller: request.resumeAfter !== undefined,
--- a/src/forwarding/read-request-body.ts
+++ b/src/forwarding/read-request-body.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage} from 'node:http';
 import {Refusal} from '../errors/refusal.js';
-import {stoppingRetryAfterMs} from './stopping-retry-after-ms.js';
 import {toDelayMs} from '../util/to-delay-ms.js';
+import {stoppingRetryAfterMs} from './stopping-retry-after-ms.js';
 
 /**
 Reads the whole body of a caller's request.
--- a/src/forwarding/send-once.ts
+++ b/src/forwarding/send-once.ts
@@ -2,6 +2,7 @@
 import {isEventStream} from '../decide/forwarding/is-event-stream.js';
 import {createDeliveredBody} from '../streams/create-delivered-body.js';
 import {type SseEventSplitter} from '../streams/sse-event-splitter.js';
+import {type ByteBudget} from '../util/byte-budget.js';
 import {type ResponseBody} from './response-body.js';
 import {type CallerResponse} from './caller-response.js';
 import {createFailureBody} from './create-failure-body.js';
@@ -16,6 +17,8 @@
 type SendOnceOptions = {
 	readonly requestId: string;
 	readonly answer: CallerResponse;
+	/** What the host keeps of responses, all together. */
+	readonly keptBytes: ByteBudget;
 	readonly send: (listener: ResponseListener) => InFlightRequest;
 	/** Aborts the attempt: the caller disconnected, or the time is over. */
 	readonly signal: AbortSignal;
@@ -36,8 +39,9 @@
 }
 
 /** Sends a request once and delivers the response to the caller if it can be delivered. */
-export async function sendOnce({requestId, answer, send, signal, splitter, isResumedByCaller, onDelivery, onFirstEvent}: SendOnceOptions): Promise<SendOutcome> {
+export async function sendOnce({requestId, answer, keptBytes, send, signal, splitter, isResumedByCaller, onDelivery, onFirstEvent}: SendOnceOptions): Promise<SendOutcome> {
 	return new Promise(resolve => {
+		const kept = keptBytes.open();
 		let head: ResponseHead | undefined;
 		/** Takes the body; without one, the rest of the response is discarded. */
 		let body: ResponseBody | undefined;
@@ -56,6 +60,7 @@
 
 		const finish = (outcome: SendOutcome): void => {
 			signal.removeEventListener('abort', onAbort);
+			kept.close();
 			resolve(outcome);
 		};
 
@@ -97,7 +102,7 @@
 			}
 
 			body = createDeliveredBody({
-				head: delivered, answer, splitter, isResumedByCaller, abort,
+				head: delivered, answer, splitter, isResumedByCaller, kept, abort,
 				describeReceived: () => describeReceived(delivered),
 				resume() {
 					running.resume();
@@ -129,7 +134,7 @@
 					}
 
 					case 'failed': {
-						body = createFailureBody(received, abort);
+						body = createFailureBody(received, kept, abort);
 						break;
 					}
 
--- a/src/peers/create-peer-client.ts
+++ b/src/peers/create-peer-client.ts
@@ -5,12 +5,15 @@
 import {Refusal} from '../errors/refusal.js';
 import {type ErrorKind} from '../errors/error-kind.js';
 import {type ExecutionStatus} from '../errors/execution-status.js';
+import {readBody} from '../http/read-body.js';
 import {type TlsCredentials} from '../settings/tls-credentials.js';
 import {createTimeoutSignal} from '../util/create-timeout-signal.js';
 import {type PeerRpc} from './peer-rpc.js';
 
 const defaultTimeoutMs = 1000;
 const connectTimeoutMs = 1000;
+/** A whole snapshot of the stored objects of a large fleet takes some MB. */
+const maxResponseBytes = 32 * 1024 * 1024;
 
 /** Data of a JSON-RPC error that represents a refusal. */
 type RefusalData = {
@@ -61,7 +64,7 @@
 			const {body} = await request(`${scheme}://${address}/rpc`, {
 				method: 'POST', body: text, headers: {'content-type': 'application/json'}, signal: combinedSignal, dispatcher: agent,
 			});
-			return await body.json() as JSONRPCResponse;
+			return JSON.parse(await readBody(body, maxResponseBytes)) as JSONRPCResponse;
 		};
 
 		const client: JSONRPCClient = new JSONRPCClient(async payload => {
--- a/src/relay/create-relay-sender.ts
+++ b/src/relay/create-relay-sender.ts
@@ -10,6 +10,7 @@
 import {startAttemptTimer} from '../forwarding/start-attempt-timer.js';
 import {log} from '../observe/log.js';
 import {type KnownHost} from '../reports/known-host.js';
+import {type ByteBudget} from '../util/byte-budget.js';
 import {type RelayClient} from './relay-client.js';
 
 /** Dependencies of the relay sender. */
@@ -17,11 +18,13 @@
 	readonly relay: RelayClient;
 	/** Returns the headers of a request that another host places. */
 	readonly encodeRelayed: (request: CallerRequest, options: RelayedRequestOptions) => string[];
+	/** What the host keeps of responses, all together. */
+	readonly keptBytes: ByteBudget;
 	readonly now: () => number;
 };
 
 /** Creates the function that hands a request on to another host once, within the remaining time, and counts what that host says it has spent. */
-export function createRelaySender({relay, encodeRelayed, now}: RelaySenderOptions) {
+export function createRelaySender({relay, encodeRelayed, keptBytes, now}: RelaySenderOptions) {
 	return async (admitted: AdmittedRequest, progress: ForwardingProgress, helper: KnownHost): Promise<SendOutcome> => {
 		const {request, route, body, answer} = admitted;
 		const {splitter, attempts} = progress;
@@ -40,6 +43,7 @@
 			const outcome = await sendOnce({
 				requestId: request.id!,
 				answer,
+				keptBytes,
 				signal: attempt.signal,
 				splitter,
 				isResumedByCaller: request.resumeAfter !== undefined,
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -20,6 +20,7 @@
 import {createKvStoreTracker} from './forwarding/create-kv-store-tracker.js';
 import {createObjectWatcher} from './object-store/create-object-watcher.js';
 import {createLeaseStore} from './object-store/create-lease-store.js';
+import {responseLimits} from './forwarding/response-limits.js';
 import {createRequestPlacer} from './forwarding/create-request-placer.js';
 import {createRelayedLeaseStore} from './object-store/create-relayed-lease-store.js';
 import {createRolloutLease} from './forwarding/create-rollout-lease.js';
@@ -50,6 +51,7 @@
 import {createStreamArchive} from './streams/create-stream-archive.js';
 import {createStreamVersions} from './streams/create-stream-versions.js';
 import {createVersionKnowledge} from './streams/create-version-knowledge.js';
+import {createByteBudget} from './util/create-byte-budget.js';
 import {createSuspendAwareClock} from './util/create-suspend-aware-clock.js';
 import {type Clocks} from './util/clocks.js';
 import {memoizeLast} from './util/memoize-last.js';
@@ -310,6 +312,7 @@
 	const relay = createRelayClient({
 		domain, alive: reportExchange.alive, openPool: address => adapter.openConnectionPool(address, () => undefined), now, random,
 	});
+	const keptBytes = createByteBudget(responseLimits.keptBytes, responseLimits.freeBytes);
 	const forward = createForwarder({
 		registry,
 		crashes,
@@ -331,10 +334,13 @@
 		verifyLink: links.verify,
 		confirmCutOff: links.confirmCutOff,
 		relay,
-		sendRelayed: createRelaySender({relay, encodeRelayed: adapter.encodeRelayedRequest, now}),
+		sendRelayed: createRelaySender({
+			relay, encodeRelayed: adapter.encodeRelayedRequest, keptBytes, now,
+		}),
 		streams,
 		getUrgentObjectiveMs: storedState.findUrgentObjectiveMs,
 		encode: adapter.encodeRequest,
+		keptBytes,
 		onEnd({route}, result, tookMs) {
 			metrics.requestsTotal.inc({kind: route.kind, result});
 			metrics.requestSeconds.observe({kind: route.kind}, tookMs / msPerS);
--- a/src/streams/create-delivered-body.ts
+++ b/src/streams/create-delivered-body.ts
@@ -5,6 +5,7 @@
 import {type ResponseHead} from '../forwarding/response-head.js';
 import {responseLimits} from '../forwarding/response-limits.js';
 import {type ResponseBody} from '../forwarding/response-body.js';
+import {type ByteAccount} from '../util/byte-budget.js';
 import {type SseEventSplitter} from './sse-event-splitter.js';
 
 /** Options of `createDeliveredBody`. */
@@ -15,6 +16,8 @@
 	readonly splitter: SseEventSplitter | undefined;
 	/** Whether the caller asked for what follows an earlier event. */
 	readonly isResumedByCaller: boolean;
+	/** What the host keeps of this response. */
+	readonly kept: ByteAccount;
 	readonly describeReceived: () => ReceivedResponse;
 	/** Aborts the response. */
 	readonly abort: (reason: string, isFault: boolean) => void;
@@ -24,7 +27,7 @@
 
 /** Creates the body of a response that is delivered to the caller as it arrives. */
 export function createDeliveredBody(options: DeliveredBodyOptions): ResponseBody {
-	const {head, answer, splitter, isResumedByCaller, describeReceived, abort, resume} = options;
+	const {head, answer, splitter, isResumedByCaller, kept, describeReceived, abort, resume} = options;
 	const events = isEventStream(head) ? splitter : undefined;
 
 	const isDeclared = head.mediaType !== undefined;
@@ -72,7 +75,13 @@
 				return false;
 			}
 
-			return write(ready);
+			const canTakeMore = write(ready);
+			if (!kept.keep((events?.unfinishedBytes() ?? 0) + answer.pendingBytes())) {
+				abort('responses keep too many bytes, this one is given up', false);
+				return false;
+			}
+
+			return canTakeMore;
 		},
 		end() {
 			const received = describeReceived();
--- a/test/streams/delivered-body.test.ts
+++ b/test/streams/delivered-body.test.ts
@@ -25,7 +25,7 @@
 		head: {status: 200, mediaType: undefined, headers: []} as unknown as Parameters<typeof createDeliveredBody>[0]['head'],
 		answer: answer as CallerResponse,
 		splitter: undefined,
-		isResumedByCaller: false,
+		isResumedByCaller: false, kept: {keep: () => true, close: () => undefined},
 		describeReceived: () => received,
 		abort(reason) {
 			aborts.push(reason);
--- a/test/support/start-process.ts
+++ b/test/support/start-process.ts
@@ -16,9 +16,9 @@
 	readonly waitForExit: () => Promise<number | null>;
 };
 
-/** Starts the bundled program with `args`. */
-export function startProcess(args: readonly string[]): TestProcess {
-	const child = spawn(process.execPath, [programFile, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
+/** Starts the bundled program with `args`; `nodeArgs` go to the runtime. */
+export function startProcess(args: readonly string[], nodeArgs: readonly string[] = []): TestProcess {
+	const child = spawn(process.execPath, [...nodeArgs, programFile, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
 	const lines: string[] = [];
 	const lineListeners = new Set<(line: string) => void>();
 	createInterface({input: child.stdout}).on('line', line => {
