A host whose following of the store fails by its own errors counts as one that has lost it

Since such a host no longer told others that it does not reach the store, so that none would have followed it in its place. It does again from the second failure on. Scopes of stored parts are parsed once a round in place of once a part.

--- a/src/forwarding/create-free-stale-kv-task.ts
+++ b/src/forwarding/create-free-stale-kv-task.ts
@@ -5,6 +5,7 @@
 import {type KvSharingState} from '../object-store/kv-sharing-state.js';
 import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
+import {memoize} from '../util/memoize.js';
 import {sleepUntilTick} from '../util/sleep-until-tick.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type HostStatus} from '../reports/host-status.js';
@@ -73,10 +74,13 @@
 	const freedAt = new Map<string, number>();
 	let hasStopped = false;
 
-	const listStaleParts = (store: KvStore, {isStale}: StaleScopes) => store.partIndex.listParts().filter(({scope}) => {
-		const parsedScope = parseScope(scope);
-		return parsedScope !== undefined && isStale(parsedScope);
-	});
+	const listStaleParts = (store: KvStore, {isStale}: StaleScopes) => {
+		const isStaleText = memoize((text: string) => {
+			const scope = parseScope(text);
+			return scope !== undefined && isStale(scope);
+		});
+		return store.partIndex.listParts().filter(({scope}) => isStaleText(scope));
+	};
 
 	/** What each change has made stale: new weights the scopes of older ones, a configuration those in which no workspace runs any more. */
 	const listStaleScopes = (): readonly StaleScopes[] => {
--- a/src/object-store/create-object-watcher.ts
+++ b/src/object-store/create-object-watcher.ts
@@ -199,16 +199,14 @@
 		if (isProgramError(error)) {
 			mustList = true;
 			logFailure(error, {kind, revision: current?.revision ?? 0}, 'following the store failed');
-			return false;
-		}
-
-		if (isFirst && current) {
+		} else if (isFirst && current) {
 			// The connection may have gone silent: the next call goes on another one at once.
 			log.info({kind, revision: current.revision, error: String(error)}, 'watch of the store got no response');
 			return true;
 		}
 
-		if (!isUnreachable && !hasStopped) {
+		if (!(isFirst && current) && !isUnreachable && !hasStopped) {
+			// Others follow the store in this host's place meanwhile.
 			isUnreachable = true;
 			log.warn({kind, revision: current?.revision ?? 0, error: String(error)}, 'store does not answer');
 		}
