--- a/test/support/wait-until-ready.ts
+++ b/test/support/wait-until-ready.ts
@@ -1,3 +1,4 @@
+import {createTimeoutSignal} from '../../src/util/create-timeout-signal.js';
 import {type TestGateway} from './start-test-gateway.js';
 import {waitUntil} from './wait-until.js';
 
@@ -7,7 +8,7 @@
 const probeTimeoutMs = 5000;
 
 async function isReady({readiness}: Host): Promise<boolean> {
-	const {status} = await fetch(`http://${readiness}/v1/readiness`, {signal: AbortSignal.timeout(probeTimeoutMs)});
+	const {status} = await fetch(`http://${readiness}/v1/readiness`, {signal: createTimeoutSignal(probeTimeoutMs)});
 	return status === 200;
 }
 
