--- a/src/forwarding/create-gateway-caller-server.ts
+++ b/src/forwarding/create-gateway-caller-server.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
@@ -93,6 +94,8 @@
 	const {address, state, decode, createRefusalHeaders, isRelay, encodeSpentAttempts, acceptsFrom, maxInFlight, forward, now, onRefusal} = options;
 	let draining: {readonly acceptAllUntil: number; readonly stopAt: number} | undefined;
 	const stopping = new AbortController();
+	// Each request under way listens, and stops listening at its end.
+	setMaxListeners(0, stopping.signal);
 	let stopTimer: NodeJS.Timeout | undefined;
 	let underWay = 0;
 	const busySockets = new Set<Socket>();
