--- a/src/decide/forwarding/decide-retry.ts
+++ b/src/decide/forwarding/decide-retry.ts
@@ -1,6 +1,7 @@
 import {type AttemptCounts} from '../attempts/attempt-counts.js';
 import {type RouteKind} from '../../forwarding/route-kind.js';
 import {type SendOutcome} from '../../forwarding/send-outcome.js';
+import {mayRepeat} from './may-repeat.js';
 import {type RetryDecision} from './retry-decision.js';
 
 /** What has happened to a request so far. */
@@ -17,12 +18,9 @@
 	readonly canResume: boolean;
 };
 
-function mayRepeat({kind, isResumable, canResume, hasBegun}: RequestProgress): boolean {
-	if (kind === 'idempotent') {
-		return !hasBegun;
-	}
-
-	return kind === 'stream' && isResumable && canResume;
+/** Whether the request may run once more after what its caller has received. */
+function mayContinue({kind, isResumable, canResume, hasBegun}: RequestProgress): boolean {
+	return mayRepeat({kind, isResumable}) && (kind === 'stream' ? canResume : !hasBegun);
 }
 
 /**
@@ -40,7 +38,7 @@
 		return hasSendsLeft && spent.unsent < limits.unsent ? 'send-again' : 'close';
 	}
 
-	if (mayRepeat(progress) && hasSendsLeft) {
+	if (mayContinue(progress) && hasSendsLeft) {
 		return 'send-again';
 	}
 
--- a/src/forwarding/may-repeat.ts
+++ b/src/decide/forwarding/may-repeat.ts
@@ -1,4 +1,4 @@
-import {type Route} from './route.js';
+import {type Route} from '../../forwarding/route.js';
 
 /** Whether requests of a route may run more than once; others run at most once for each attempt of their caller. */
 export function mayRepeat({kind, isResumable}: Pick<Route, 'kind' | 'isResumable'>): boolean {
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -1,6 +1,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {chooseWeightedService} from '../decide/forwarding/choose-weighted-service.js';
 import {decideRetry} from '../decide/forwarding/decide-retry.js';
+import {mayRepeat} from '../decide/forwarding/may-repeat.js';
 import {type RetryDecision} from '../decide/forwarding/retry-decision.js';
 import {type ServiceLatencyModel} from '../decide/forwarding/service-latency-model.js';
 import {log} from '../observe/log.js';
@@ -18,7 +19,6 @@
 import {createSender} from './create-sender.js';
 import {describeAttempts} from './describe-attempts.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
-import {mayRepeat} from './may-repeat.js';
 import {minTimeLeftMs} from './min-time-left-ms.js';
 import {type PlacementFinderOptions} from './placement-finder-options.js';
 import {type Placement} from './placement.js';
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -1,3 +1,4 @@
+import {mayRepeat} from '../decide/forwarding/may-repeat.js';
 import {type ServiceLatencyModel} from '../decide/forwarding/service-latency-model.js';
 import {log} from '../observe/log.js';
 import {type StreamVersions} from '../streams/stream-versions.js';
@@ -7,7 +8,6 @@
 import {type CallerRequest} from './caller-request.js';
 import {createAttemptSignal} from './create-attempt-signal.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
-import {mayRepeat} from './may-repeat.js';
 import {type Placement} from './placement.js';
 import {sendOnce} from './send-once.js';
 import {startAttemptTimer} from './start-attempt-timer.js';
