--- a/test/forwarding/kv-sharing-changes.test.ts
+++ b/test/forwarding/kv-sharing-changes.test.ts
@@ -1,8 +1,8 @@
 import {
 	afterEach, beforeEach, describe, expect, test,
 } from 'vitest';
-import {sendRawRequest} from '../support/send-raw-request.js';
-import {buildRawRequest} from '../support/build-raw-request.js';
+import {sendPrompt} from '../support/send-prompt.js';
+import {kvStoreServices} from '../support/kv-store-services.js';
 import {startTestGateway, type TestGateway} from '../support/start-test-gateway.js';
 import {createKvStoreServer, type KvStoreServer} from '../support/create-kv-store-server.js';
 import {createObjectStoreServer, type ObjectStoreServer} from '../support/create-object-store-server.js';
@@ -22,17 +22,7 @@
 function putConfiguration(isolated: readonly string[]): void {
 	version++;
 	store.put('config', 'main', platformObjects.configuration(version, {
-		services: [
-			{
-				name: 'app', health_path: '/health', max_conns: 40, protocol: 'h1', tls: false,
-				engine: {
-					slots: 8, kv_capacity_tokens: 100_000, kv_token_bytes: 1000, link_mbps: 500_000, managed: true, models: [{name: 'm'}],
-				},
-			},
-			{
-				name: 'cache', kv_store_addr: kvStore.address, zone: 'domain-a', kv_capacity_tokens: 20_000, link_mbps: 100_000, max_concurrent: 12, managed: true, first_ms: 0.5,
-			},
-		],
+		services: kvStoreServices(kvStore.address),
 		tenants: names.map(name => ({name, api_keys: [`key-${name}`, `key-${name}-${version}`], isolated: isolated.includes(name)})),
 	}));
 }
@@ -59,28 +49,17 @@
 	return gateway;
 }
 
-/** Sends a prompt of two shared parts; returns the headers of KV cache that the engine received, none if the request was refused. */
-async function sendPrompt(gateway: TestGateway, key: string) {
-	const before = engine.receivedRequests.length;
-	await sendRawRequest(gateway.callers, buildRawRequest({
-		method: 'POST', target: '/ask/x', body: 'prompt', deadlineMs: 4000, key,
-		headers: 'Model: m\r\nToken-Count: 3000,64\r\nPrompt-Prefix: aa:500,bb:2000,cc:500\r\n',
-	}));
-	const headers = engine.receivedRequests.length > before ? engine.receivedRequests.at(-1)!.headers : new Map<string, string>();
-	return {scope: headers.get('cache-salt'), from: headers.get('kv-fetch')};
-}
-
 /** Waits until every gateway has applied the newest configuration, and returns each workspace's scope, the same at all of them. */
 async function readScopes(): Promise<Readonly<Record<string, string | undefined>>> {
 	for (const gateway of gateways) {
-		await waitUntil('the configuration', async () => (await sendPrompt(gateway, `key-acme-${version}`)).scope !== undefined);
+		await waitUntil('the configuration', async () => (await sendPrompt(gateway, engine, `key-acme-${version}`)).scope !== undefined);
 	}
 
 	const scopes: Array<Readonly<Record<string, string | undefined>>> = [];
 	for (const gateway of gateways) {
 		const scopesHere: Record<string, string | undefined> = {};
 		for (const name of names) {
-			scopesHere[name] = (await sendPrompt(gateway, `key-${name}`)).scope;
+			scopesHere[name] = (await sendPrompt(gateway, engine, `key-${name}`)).scope;
 		}
 
 		scopes.push(scopesHere);
@@ -116,12 +95,12 @@
 		await start();
 		const before = await readScopes();
 		kvStore.save(before.birch!, 'aa', 500);
-		await waitUntil('fetches', async () => (await sendPrompt(gateways[0]!, 'key-birch')).from !== undefined);
+		await waitUntil('fetches', async () => (await sendPrompt(gateways[0]!, engine, 'key-birch')).from !== undefined);
 		putConfiguration(['acme']);
 		const after = await readScopes();
-		expect((await sendPrompt(gateways[0]!, 'key-birch')).from).toBeUndefined();
+		expect((await sendPrompt(gateways[0]!, engine, 'key-birch')).from).toBeUndefined();
 		kvStore.save(after.birch!, 'aa', 500);
-		await waitUntil('fetches of what is shared now', async () => (await sendPrompt(gateways[0]!, 'key-birch')).from !== undefined);
+		await waitUntil('fetches of what is shared now', async () => (await sendPrompt(gateways[0]!, engine, 'key-birch')).from !== undefined);
 		await waitUntil('the space of what nobody shares any more', () => !kvStore.parts().includes(`${before.birch!} aa`), 45_000);
 		expect(kvStore.parts()).toEqual([`${after.birch!} aa`]);
 	}, 60_000);
