Which hosts have received a change is recorded in a module of its own

create-free-stale-kv-task.ts kept two maps by a text key and searched them by its beginning at each status of another host. One record a change holds both times now; it is followed and forgotten at the task's tick. The list of a kind is refreshed by one function in the wiring.

--- a/src/forwarding/create-free-stale-kv-task.ts
+++ b/src/forwarding/create-free-stale-kv-task.ts
@@ -9,6 +9,7 @@
 import {sleepUntilTick} from '../util/sleep-until-tick.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type HostStatus} from '../reports/host-status.js';
+import {createChangeAcknowledgements} from './create-change-acknowledgements.js';
 import {type KvStore} from './kv-store.js';
 import {type EngineClient} from './engine-client.js';
 import {type DesiredWeights} from './desired-weights.js';
@@ -50,10 +51,6 @@
 	readonly mayReturn: boolean;
 };
 
-function toKey(kind: string, contentVersion: number | ''): string {
-	return `${kind}/${contentVersion}`;
-}
-
 /** Frees the KV cache of stale scopes in the managed stores. */
 type FreeStaleKvTask = {
 	/** Records which changes another host has received. */
@@ -65,12 +62,9 @@
 export function createFreeStaleKvTask({
 	engineClient, stores, isPoller, desiredWeightsHistory, weightsKind, kvSharing, configurationKind, confirmConfiguration, listHosts, now,
 }: FreeStaleKvTaskOptions): FreeStaleKvTask {
-	/** When each host first reported that it has received a change, by change and host. */
-	const ackedAtByChange = new Map<string, Map<string, number>>();
+	const acknowledgements = createChangeAcknowledgements(now);
 	/** Hosts of an earlier build, which read under scopes that are not in use by this one's rules. */
 	const hostsWithoutGroups = new Set<string>();
-	/** When this task first saw each change. */
-	const seenAtByChange = new Map<string, number>();
 	const freedAt = new Map<string, number>();
 	let hasStopped = false;
 
@@ -98,27 +92,9 @@
 		];
 	};
 
-	/** Forgets what concerns earlier configurations, of which there may be thousands a day. */
-	const forgetConfigurations = (): void => {
-		const current = toKey(configurationKind, kvSharing().contentVersion);
-		for (const byChange of [ackedAtByChange, seenAtByChange]) {
-			for (const key of byChange.keys()) {
-				if (key !== current && key.startsWith(toKey(configurationKind, ''))) {
-					byChange.delete(key);
-				}
-			}
-		}
-	};
-
-	/** @returns When this task first saw the change. */
-	const recordSeen = ({kind, contentVersion}: StaleScopes): number => {
-		const key = toKey(kind, contentVersion);
-		const seenAt = seenAtByChange.get(key) ?? now();
-		seenAtByChange.set(key, seenAt);
-		return seenAt;
-	};
-
-	const isSafeToFree = async ({kind, contentVersion, mayReturn}: StaleScopes, seenAt: number): Promise<boolean> => {
+	const isSafeToFree = async (change: StaleScopes): Promise<boolean> => {
+		const {contentVersion, mayReturn} = change;
+		const seenAt = acknowledgements.seenAt(change);
 		if (!canFreeStaleKv([], seenAt, now())) {
 			return false;
 		}
@@ -128,16 +104,16 @@
 			return false;
 		}
 
-		const acked = ackedAtByChange.get(toKey(kind, contentVersion));
-		if (!canFreeStaleKv(hosts.map(host => ({ackedAt: acked?.get(host.host)})), seenAt, now())) {
+		if (!canFreeStaleKv(hosts.map(({host}) => ({ackedAt: acknowledgements.ackedAt(change, host)})), seenAt, now())) {
 			return false;
 		}
 
-		if (mayReturn) {
-			await confirmConfiguration();
+		if (!mayReturn) {
+			return true;
 		}
 
-		return !mayReturn || kvSharing().contentVersion === contentVersion;
+		await confirmConfiguration();
+		return kvSharing().contentVersion === contentVersion;
 	};
 
 	const freeParts = async (store: KvStore, parts: ReturnType<typeof listStaleParts>, mayReturn: boolean): Promise<void> => {
@@ -163,13 +139,14 @@
 	};
 
 	const freeStaleParts = async (): Promise<void> => {
-		for (const change of listStaleScopes()) {
-			const seenAt = recordSeen(change);
+		const changes = listStaleScopes();
+		acknowledgements.follow(changes);
+		for (const change of changes) {
 			const staleByStore = stores()
 				.filter(store => isPoller(store.name) && now() - (freedAt.get(store.name) ?? Number.NEGATIVE_INFINITY) > minFreeIntervalMs)
 				.map(store => ({store, parts: listStaleParts(store, change)}))
 				.filter(({parts}) => parts.length > 0);
-			if (staleByStore.length > 0 && await isSafeToFree(change, seenAt)) {
+			if (staleByStore.length > 0 && await isSafeToFree(change)) {
 				for (const {store, parts} of staleByStore) {
 					await freeParts(store, parts, change.mayReturn);
 				}
@@ -197,15 +174,7 @@
 				hostsWithoutGroups.add(status.host);
 			}
 
-			forgetConfigurations();
-			for (const {kind, contentVersion} of listStaleScopes()) {
-				const key = toKey(kind, contentVersion);
-				const ackedAtByHost = ackedAtByChange.get(key) ?? new Map<string, number>();
-				ackedAtByChange.set(key, ackedAtByHost);
-				if ((status.contentVersions[kind] ?? 0) >= contentVersion && !ackedAtByHost.has(status.host)) {
-					ackedAtByHost.set(status.host, now());
-				}
-			}
+			acknowledgements.record(listStaleScopes(), status.host, status.contentVersions);
 		},
 		stop() {
 			hasStopped = true;
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -202,7 +202,7 @@
 		listUpstreams: registry.listAll, listOthers: reportExchange.listOthers, alive: reportExchange.alive, call: peerClient.call,
 		knowledge: createVersionKnowledge({
 			confirmedAgeMs: () => getAgeMs(stateSync.upstreamsConfirmedAt()),
-			refresh: async () => watchers.find(({kind}) => kind === kinds.upstreams)!.refresh(),
+			refresh: async () => refreshKind(kinds.upstreams),
 			listHeard: reportExchange.listHeard, now, suspendAwareNow,
 		}),
 		openArchive: (retentionMs, onVersions) => createStreamArchive({
@@ -268,6 +268,7 @@
 		waitMs: () => watchPolicy.waitMs(kind),
 		isWatching: () => watchPolicy.isWatching(kind),
 	}));
+	const refreshKind = async (kind: string): Promise<void> => watchers.find(watcher => watcher.kind === kind)!.refresh();
 	const stateSync = createStateSync({
 		domain,
 		watchers,
@@ -300,7 +301,7 @@
 	const freeStaleKvTask = createFreeStaleKvTask({
 		engineClient, stores: kvStoreTracker.stores, isPoller: kvStoreTracker.isPoller, desiredWeightsHistory: storedState.desiredWeightsHistory,
 		weightsKind: kinds.weights, kvSharing: storedState.kvSharing, configurationKind: kinds.configuration,
-		confirmConfiguration: async () => watchers.find(({kind}) => kind === kinds.configuration)!.refresh(), listHosts: reportExchange.refreshAndList, now,
+		confirmConfiguration: async () => refreshKind(kinds.configuration), listHosts: reportExchange.refreshAndList, now,
 	});
 	const getAgeMs = (at: number | undefined): number | undefined => at === undefined ? undefined : Math.max(0, Math.round(suspendAwareNow() - at));
 
