--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -52,8 +52,7 @@
 import {createStreamVersions} from './streams/create-stream-versions.js';
 import {createVersionKnowledge} from './streams/create-version-knowledge.js';
 import {createByteBudget} from './util/create-byte-budget.js';
-import {createSuspendAwareClock} from './util/create-suspend-aware-clock.js';
-import {type Clocks} from './util/clocks.js';
+import {createClocks} from './util/create-clocks.js';
 import {memoizeLast} from './util/memoize-last.js';
 import {memoize} from './util/memoize.js';
 import {refreshEvery} from './util/refresh-every.js';
@@ -92,9 +91,8 @@
 	const {name, domain} = settings;
 	let liveSettings = settings;
 	const {kinds} = adapter;
-	const now = (): number => performance.now();
-	const suspendAwareNow = createSuspendAwareClock(now, Date.now);
-	const clocks: Clocks = {suspendAware: suspendAwareNow, monotonic: now};
+	const clocks = createClocks();
+	const {monotonic: now, suspendAware: suspendAwareNow} = clocks;
 	const {random} = Math;
 	const metrics = createGatewayMetrics();
 	const meter = createCpuMeter({
--- a/src/start-host.ts
+++ b/src/start-host.ts
@@ -41,7 +41,7 @@
 import {type UpstreamSettings} from './settings/upstream-settings.js';
 import {createHttpEngine} from './upstreams/create-http-engine.js';
 import {createHttpCacheStore} from './upstreams/create-http-cache-store.js';
-import {createSuspendAwareClock} from './util/create-suspend-aware-clock.js';
+import {createClocks} from './util/create-clocks.js';
 import {memoize} from './util/memoize.js';
 import {sleep} from './util/sleep.js';
 
@@ -133,7 +133,7 @@
 	});
 	const poison = createPoisonRequestTask(name, membership, owners, call);
 	const domainController = createDomainControllerTask({
-		self: name, domain, platform, owners, membership, snapshot, engineAt, clocks: {suspendAware: createSuspendAwareClock(() => performance.now(), Date.now), monotonic: () => performance.now()},
+		self: name, domain, platform, owners, membership, snapshot, engineAt, clocks: createClocks(),
 	});
 
 	const statusOf = (upstream: UpstreamSettings): EngineStatus | undefined => {
