--- a/test/links/hosts-cut-off-from-upstreams.test.ts
+++ b/test/links/hosts-cut-off-from-upstreams.test.ts
@@ -87,6 +87,11 @@
 
 const isServed = ({response}: Played): boolean => response.status === 200 && response.isWhole;
 const getServedShare = (played: readonly Played[]): number => played.filter(each => isServed(each)).length / Math.max(1, played.length);
+/** Says what became of the requests that were not served. */
+const describeUnserved = (played: readonly Played[]): string => JSON.stringify(played.filter(each => !isServed(each))
+	.map(({target, response: {status, isWhole, body}, tookMs}) => ({
+		target, status, isWhole, body, tookMs: Math.round(tookMs),
+	})));
 const countRuns = ({upstreams}: LinkedSystem, id: string): number => upstreams.flatMap(({receivedRequests}) => receivedRequests).filter(({headers}) => headers.get('request-id') === id).length;
 
 describe.concurrent('hosts that are cut off from all upstreams serve nearly as often as the others', () => {
@@ -105,8 +110,8 @@
 		await system.stop();
 		const atCut = during.filter(({host}) => cutHosts.includes(host));
 		const atOthers = during.filter(({host}) => !cutHosts.includes(host));
-		expect(getServedShare(atOthers)).toBeGreaterThanOrEqual(minShare);
-		expect(getServedShare(atCut)).toBeGreaterThanOrEqual(minShare * getServedShare(atOthers));
+		expect(getServedShare(atOthers), describeUnserved(atOthers)).toBeGreaterThanOrEqual(minShare);
+		expect(getServedShare(atCut), describeUnserved(atCut)).toBeGreaterThanOrEqual(minShare * getServedShare(atOthers));
 		expect(getServedShare(after)).toBe(1);
 		// What may run once ran once at the most, and a refusal that promises it did not run.
 		for (const each of [...await before, ...during].filter(({target}) => target.startsWith('/book/'))) {
--- a/test/streams/release-beside-a-host-that-stands-still.test.ts
+++ b/test/streams/release-beside-a-host-that-stands-still.test.ts
@@ -15,6 +15,8 @@
 const streams = 12;
 const noticeMs = 300;
 const settleMs = 1500;
+/** Lines of the output of a host that does not become ready. */
+const reportedLines = 30;
 /** Requests that are sent so long before the process goes on lie in its sockets then. */
 const sentBeforeMs = 50;
 
@@ -26,9 +28,14 @@
 		peers: `127.0.0.1:${peers}`, reports: `127.0.0.1:${reports}`, metricsPort, objectStore: store, bounds: {retrySlack: 1000},
 	};
 	writeFileSync(file, JSON.stringify(settings));
-	const {child} = startProcess(['gateway', '--settings', file]);
+	const {child, lines} = startProcess(['gateway', '--settings', file]);
 	const host = {callers: settings.callers, readiness: settings.readiness, child};
-	await waitUntilReady(host);
+	try {
+		await waitUntilReady(host);
+	} catch (error) {
+		throw new Error(`host is not ready, exit code ${child.exitCode}, its output ends with ${lines.slice(-reportedLines).join('\n')}`, {cause: error});
+	}
+
 	return host;
 }
 
