--- a/src/forwarding/create-gateway-metrics.ts
+++ b/src/forwarding/create-gateway-metrics.ts
@@ -30,6 +30,19 @@
 		connections: new Counter({
 			name: 'hemlockpier_upstream_connections_total', help: 'Connections opened to upstreams', labelNames: ['service'], registers,
 		}),
+		weightsAge: new Gauge({
+			name: 'hemlockpier_weights_age_seconds', help: 'Time since the newest desired weights of a model became the desired ones, as known here', labelNames: ['model'], registers,
+		}),
+		upstreamsBehind: new Gauge({
+			name: 'hemlockpier_upstreams_behind', help: 'Upstreams with older weights than the desired ones, by model', labelNames: ['model'], registers,
+		}),
+		updatePhaseSeconds: new Histogram({
+			name: 'hemlockpier_weight_update_seconds',
+			help: 'Time that updates of weights spend waiting for the lease, for the engine to accept the order, and for the weights',
+			labelNames: ['phase'],
+			buckets: secondsBuckets,
+			registers,
+		}),
 		underWay: new Gauge({name: 'hemlockpier_requests_under_way', help: 'Requests under way', registers}),
 	};
 }
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -88,22 +88,24 @@
 	};
 
 	/**
-	Creates the function that returns the penalty of an upstream for stale weights, in milliseconds; `undefined` when the
-	weights are too old for the upstream to be used.
+	Creates the function that returns for how long an upstream's weights have been stale and the penalty for it, both in milliseconds; the
+	penalty is `undefined` when the weights are too old for the upstream to be used.
 	*/
 	const createWeightsPenalty = ({request: {prompt}, route}: AdmittedRequest) => {
 		const penaltyOf = memoize((version: string) => {
 			const newer = prompt && findNewerWeights(prompt.model, Number(version));
+			const staleForMs = newer && suspendAwareNow() - newer.learnedAt;
 			return {
+				staleForMs,
 				ms: computeStaleWeightsPenalty({
-					staleForMs: newer && suspendAwareNow() - newer.learnedAt,
+					staleForMs,
 					isStaleTimeExact: newer !== undefined && Number.isFinite(newer.supersededAt),
 					maxStaleMs: versionMs(),
 					objectiveMs: route.objectiveMs,
 				}),
 			};
 		});
-		return ({weights}: Upstream): number | undefined => penaltyOf(String(prompt ? weights.get(prompt.model) ?? 0 : 0)).ms;
+		return ({weights}: Upstream) => penaltyOf(String(prompt ? weights.get(prompt.model) ?? 0 : 0));
 	};
 
 	return (admitted: AdmittedRequest, {service, triedUpstreams: tried, softwareVersion}: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>): Placement | undefined => {
@@ -122,7 +124,7 @@
 		const heldTokens = countTokens(prompt);
 		const plans = new Map<string, KvReusePlan>();
 		const reusePlans = prompt && engine && planKvReuse(prompt, engine, workspace, parameters.prefillTokensPerMs);
-		const weightsPenaltyMsOf = createWeightsPenalty(admitted);
+		const weightsPenaltyOf = createWeightsPenalty(admitted);
 		const predict = (view: UpstreamView, promptReadyMs: number): number => predictFirstByte(view, {promptReadyMs, heldTokens, kvCapacityTokens: engine?.memoryTokens}, parameters, domain);
 
 		const predictWithKvCache = (candidate: UpstreamCandidate): UpstreamCandidate => {
@@ -135,7 +137,7 @@
 
 		const unseenMs = estimateUnreportedMs(service, views.length);
 		const candidates = views.flatMap((view): readonly UpstreamCandidate[] => {
-			const staleWeightsPenaltyMs = weightsPenaltyMsOf(view.upstream);
+			const {ms: staleWeightsPenaltyMs} = weightsPenaltyOf(view.upstream);
 			return staleWeightsPenaltyMs === undefined ? [] : [{view, firstByteMs: predict(view, 0), staleWeightsPenaltyMs}];
 		});
 		const isLikelyToHold = ({view: {upstream}}: UpstreamCandidate): boolean => upstream.id === sharedPartOwner || reusePlans!.isLikelyCachedAt(upstream);
@@ -157,6 +159,7 @@
 			isQueueing: view.isQueueing,
 			inFlight: view.inFlight,
 			isHome: view.upstream.id === sharedPartOwner,
+			weights: prompt && {version: view.upstream.weights.get(prompt.model) ?? 0, staleForMs: weightsPenaltyOf(view.upstream).staleForMs},
 			options: toOptions(admitted, view, priority, plan),
 			recordSent() {
 				estimatorOf(service).record(computeAddedMs(view, plan, parameters), now());
--- a/src/forwarding/create-rollout-lease.ts
+++ b/src/forwarding/create-rollout-lease.ts
@@ -131,7 +131,12 @@
 		observedAt = now();
 		updateEpoch();
 		position = object;
+		const before = latestValue;
 		latestValue = object && decode(object.value);
+		if (latestValue && (latestValue.holder !== before?.holder || latestValue.token !== before.token || latestValue.isReleased !== before.isReleased)) {
+			log.info({holder: latestValue.holder, token: latestValue.token, isReleased: latestValue.isReleased}, 'lease is another host\'s');
+		}
+
 		lease.observe(object?.revision ?? 0, latestValue?.token ?? 0, observedAt);
 	};
 
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -8,7 +8,9 @@
 import {type EngineClient} from './engine-client.js';
 import {type EngineReport} from './engine-report.js';
 import {type DesiredWeights} from './desired-weights.js';
+import {type OrderResult} from './order-result.js';
 import {type RolloutLease} from './rollout-lease.js';
+import {type UpdatePhase} from './update-phase.js';
 
 /** Interval of the task while there are engines to update. */
 const activeStepMs = 120;
@@ -31,8 +33,9 @@
 	readonly version: number;
 	/** When the engine is polled next; infinite while a call to it is in flight. */
 	nextAt: number;
-	/** Whether the engine accepted the order. */
-	isAccepted: boolean;
+	/** When the engine was chosen, and when it accepted the order; in milliseconds of the monotonic clock. */
+	readonly plannedAt: number;
+	acceptedAt: number | undefined;
 };
 
 /** Dependencies of the roll-out task. */
@@ -45,6 +48,8 @@
 	/** Counts a call to an engine that states a limit on requests; returns the time that the limit leaves between two, in milliseconds. */
 	readonly chargeCall: (upstreamId: string) => number;
 	readonly desiredWeights: () => readonly DesiredWeights[];
+	/** Called with the time that an update spent in each of its phases, in milliseconds. */
+	readonly onPhase: (phase: UpdatePhase, tookMs: number) => void;
 	/** Monotonic clock in milliseconds. */
 	readonly now: () => number;
 };
@@ -62,12 +67,14 @@
 Starts the task that updates engines to the desired weights. One host at a time sends orders, under a lease in the platform's
 store that is acquired only while there are engines to update.
 */
-export function createRolloutTask({self, lease, engineClient, registry, chargeCall, desiredWeights, now}: RolloutTaskOptions): RolloutTask {
+export function createRolloutTask({self, lease, engineClient, registry, chargeCall, desiredWeights, onPhase, now}: RolloutTaskOptions): RolloutTask {
 	const pendingOrders = new Map<string, PendingOrder>();
 	const loadedWeights = new Map<string, {readonly model: string; readonly version: number; readonly at: number}>();
 	let hasStopped = false;
 	/** Since when there have been engines to update. */
 	let workSince: number | undefined;
+	/** Whether this host held the lease in the last step. */
+	let wasHolder = false;
 
 	/** Lists the desired weights that some engine has not loaded, with all engines of the model. */
 	const listIncomplete = (): ReadonlyArray<{readonly target: DesiredWeights; readonly engines: readonly RolloutEngine[]}> => desiredWeights().flatMap(target => {
@@ -94,10 +101,28 @@
 		}
 
 		if (version !== undefined && version >= target.version) {
+			const entry = pendingOrders.get(id);
 			pendingOrders.delete(id);
 			loadedWeights.set(id, {model: target.model, version, at: now()});
-			log.info({upstream: id, model: target.model, version}, 'engine has the named weights');
+			const loadMs = entry?.acceptedAt === undefined ? undefined : now() - entry.acceptedAt;
+			if (loadMs !== undefined) {
+				onPhase('load', loadMs);
+			}
+
+			log.info({
+				upstream: id, model: target.model, version, sincePlannedMs: entry && Math.round(now() - entry.plannedAt), loadMs: loadMs && Math.round(loadMs),
+			}, 'engine has the named weights');
+		}
+	};
+
+	const recordAnswer = (entry: PendingOrder, answer: OrderResult): void => {
+		if (answer !== 'accepted') {
+			entry.acceptedAt = undefined;
+			return;
 		}
+
+		entry.acceptedAt = now();
+		onPhase('order', entry.acceptedAt - entry.plannedAt);
 	};
 
 	/**
@@ -121,13 +146,13 @@
 		});
 		lease.recordOrder();
 		log.info({
-			upstream: id, model: target.model, version: target.version, token, answer,
+			upstream: id, model: target.model, version: target.version, token, answer, sincePlannedMs: Math.round(now() - entry.plannedAt),
 		}, 'version ordered');
 		if (answer === 'fenced') {
 			lease.recordRefusedToken(token);
 		}
 
-		entry.isAccepted = answer === 'accepted';
+		recordAnswer(entry, answer);
 		return Math.max(answer === 'invalid' ? invalidOrderRetryMs : enginePollMs, callsPerOrder * callPauseMs);
 	};
 
@@ -152,7 +177,7 @@
 		for (const {target, engines} of listIncomplete()) {
 			for (const id of planRollout(engines, target.version)) {
 				pendingOrders.set(id, {
-					model: target.model, version: target.version, nextAt: 0, isAccepted: false,
+					model: target.model, version: target.version, nextAt: 0, plannedAt: now(), acceptedAt: undefined,
 				});
 			}
 
@@ -165,17 +190,39 @@
 		}
 	};
 
+	const beginWork = (incomplete: ReturnType<typeof listIncomplete>): number => {
+		for (const {target, engines} of incomplete) {
+			log.info({
+				model: target.model, version: target.version, upstreams: engines.length, behind: engines.filter(engine => engine.version < target.version).map(engine => engine.id),
+			}, 'upstreams have older weights than the named ones');
+		}
+
+		return now();
+	};
+
+	const recordHolder = (isHolder: boolean, since: number): void => {
+		if (isHolder && !wasHolder) {
+			onPhase('lease', now() - since);
+			log.info({afterMs: Math.round(now() - since)}, 'this host orders the named weights');
+		}
+
+		wasHolder = isHolder;
+	};
+
 	const step = async (): Promise<void> => {
-		if (listIncomplete().length === 0) {
+		const incomplete = listIncomplete();
+		if (incomplete.length === 0) {
 			workSince = undefined;
 			pendingOrders.clear();
 			await lease.renewOrRelease();
 			return;
 		}
 
-		workSince ??= now();
+		workSince ??= beginWork(incomplete);
 		await lease.acquireOrRenew(workSince);
-		if (lease.token() === undefined) {
+		const isHolder = lease.token() !== undefined;
+		recordHolder(isHolder, workSince);
+		if (!isHolder) {
 			pendingOrders.clear();
 			return;
 		}
@@ -199,7 +246,7 @@
 
 	void runLoop();
 	return {
-		loading: () => [...pendingOrders].flatMap(([id, {model, version, isAccepted}]) => isAccepted ? [[id, model, version] as const] : []),
+		loading: () => [...pendingOrders].flatMap(([id, {model, version, acceptedAt}]) => acceptedAt === undefined ? [] : [[id, model, version] as const]),
 		news: () => [...loadedWeights].filter(([, entry]) => now() - entry.at < weightsReportMs).map(([id, {model, version}]) => [id, model, version] as const),
 		stop() {
 			hasStopped = true;
--- a/src/forwarding/open-status-servers.ts
+++ b/src/forwarding/open-status-servers.ts
@@ -17,11 +17,13 @@
 	readonly metrics: ReturnType<typeof createGatewayMetrics>;
 	/** Returns the number of requests in flight. */
 	readonly underWay: () => number;
+	/** Called before the metrics are read. */
+	readonly recordGauges: () => void;
 };
 
 /** Opens the servers for the balancer's readiness check and for metrics. */
 export async function openStatusServers(options: StatusServersOptions): Promise<{readonly stop: () => void}> {
-	const {readiness, readinessPath, isReady, callers, metricsPort, metrics, underWay} = options;
+	const {readiness, readinessPath, isReady, callers, metricsPort, metrics, underWay, recordGauges} = options;
 	const readinessServer = await createStatusServer(readiness, [
 		{path: readinessPath, answer: () => ({status: isReady() ? 200 : 503, text: ''})},
 	]);
@@ -29,6 +31,7 @@
 	const metricsServer = await createStatusServer(`${host}:${metricsPort}`, [{
 		path: '/metrics',
 		async answer() {
+			recordGauges();
 			metrics.underWay.set(underWay());
 			metrics.cpuSeconds.remove({job: 'all'});
 			metrics.cpuSeconds.inc({job: 'all'}, readCpuUs() / usPerS);
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -1,3 +1,4 @@
+import {type PlacedWeights} from './placed-weights.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 import {type Upstream} from './upstream.js';
 
@@ -26,6 +27,8 @@
 	readonly inFlight: number;
 	/** Whether this is the upstream that all hosts prefer for the prompt's shared part. */
 	readonly isHome: boolean;
+	/** Weights of the upstream for the request's model; `undefined` for a request without a prompt. */
+	readonly weights: PlacedWeights | undefined;
 	/** Records that the request is sent. */
 	readonly recordSent: () => void;
 };
--- a/src/object-store/create-stored-state.ts
+++ b/src/object-store/create-stored-state.ts
@@ -120,7 +120,9 @@
 					};
 					weights.set(decoded.model, desired);
 					history.push(desired);
-					log.info({model: decoded.model, version: decoded.version, revision}, 'weights named');
+					log.info({
+						model: decoded.model, version: decoded.version, revision, confirmedAgeMs: confirmedAt === undefined ? 'never' : Math.round(now() - confirmedAt),
+					}, 'weights named');
 				}
 			}
 		},
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -26,6 +26,7 @@
 import {createRolloutLease} from './forwarding/create-rollout-lease.js';
 import {createRolloutTask} from './forwarding/create-rollout-task.js';
 import {createStateSync} from './object-store/create-state-sync.js';
+import {recordWeightsMetrics} from './forwarding/record-weights-metrics.js';
 import {openStatusServers} from './forwarding/open-status-servers.js';
 import {createWatchPolicy} from './object-store/create-watch-policy.js';
 import {drainGateway} from './forwarding/drain-gateway.js';
@@ -293,6 +294,9 @@
 		registry,
 		chargeCall: permits.charge,
 		desiredWeights: storedState.weights,
+		onPhase(phase, tookMs) {
+			metrics.updatePhaseSeconds.observe({phase}, tookMs / msPerS);
+		},
 		now,
 	});
 
@@ -365,6 +369,11 @@
 	const statusServers = await openStatusServers({
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
 		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
+		recordGauges() {
+			recordWeightsMetrics(metrics, {
+				weights: storedState.weights(), upstreams: registry.listAll(), getAgeMs: ({learnedAt}) => suspendAwareNow() - learnedAt,
+			});
+		},
 	});
 
 	const stop = async (): Promise<void> => {
