The age of named weights goes on over restarts, cuts and hosts

Callers: requests began on weights that had been replaced for longer than the bound (VERSION, 12.1 s of 12), at a host that had started again 8.4 s before. Now an age is recorded only by a host that saw the change as it was made; hosts state ages in their reports and on request, the oldest holds; a record in the store, in times of the engines' clock, outlasts all hosts; an age that nobody knows counts as spent, or from the store's last confirmation. A host that starts learns ages before it is ready, within 0.6 s. The predicted wait at the engine counts too (a queue of 4 s outlasted the fixed allowance). Other hosts are told ages by the clock that never runs ahead.

--- a/src/announcements/create-statement-learner.ts
+++ b/src/announcements/create-statement-learner.ts
@@ -15,6 +15,8 @@
 	readonly listHosts: () => Promise<readonly KnownHost[]>;
 	readonly call: PeerRpc;
 	readonly record: (host: string, statements: readonly ReportedLimit[]) => void;
+	/** Called once, when all that were asked have answered or had time to. */
+	readonly onLearned: () => void;
 	readonly random: () => number;
 };
 
@@ -30,7 +32,7 @@
 Creates the learner of a host that starts. Fault pattern: upstreams that fall over or count each request, and a host that has not heard so yet;
 the next report of the others may come too late.
 */
-export function createStatementLearner({listHosts, call, record, random}: StatementLearnerOptions): StatementLearner {
+export function createStatementLearner({listHosts, call, record, onLearned, random}: StatementLearnerOptions): StatementLearner {
 	let hasStarted = false;
 	let hasLearned = false;
 
@@ -59,6 +61,7 @@
 				hasStarted = true;
 				void Promise.race([learn(), sleep(maxLearningMs)]).then(() => {
 					hasLearned = true;
+					onLearned();
 				});
 			}
 		},
--- a/src/decide/forwarding/compute-stale-weights-penalty.ts
+++ b/src/decide/forwarding/compute-stale-weights-penalty.ts
@@ -1,17 +1,17 @@
 /** State of an engine's weights. Times are in milliseconds. */
 type StaleWeightsInput = {
-	/** Time since this host learned of weights newer than the engine's; `undefined` when it knows of none. */
+	/** Time for which there have been weights newer than the engine's (`WeightAges`): `undefined` when there are none, infinite when nobody knows. */
 	readonly staleForMs: number | undefined;
-	/** Whether the newer weights became the desired ones `staleForMs` ago; a host that has just started doesn't know when. */
-	readonly isStaleTimeExact: boolean;
 	/** Time after which no request may start on stale weights. */
 	readonly maxStaleMs: number;
 	/** Time to the first byte that the caller aims for. */
 	readonly objectiveMs: number;
+	/** Predicted time for which a request sent now waits at the engine. */
+	readonly waitMs: number;
 };
 
-/** Longest usual wait in an engine's queue: a request sent now starts up to this much later. */
-const maxQueueMs = 2500;
+/** A request may wait at the engine this much longer than predicted. */
+const maxExtraWaitMs = 2500;
 /** A response from stale weights counts like one that is later by this share of the objective. */
 const penaltyShare = 0.25;
 
@@ -21,14 +21,10 @@
 
 @returns `undefined` when the engine can't be used any more.
 */
-export function computeStaleWeightsPenalty({staleForMs, isStaleTimeExact, maxStaleMs, objectiveMs}: StaleWeightsInput): number | undefined {
+export function computeStaleWeightsPenalty({staleForMs, maxStaleMs, objectiveMs, waitMs}: StaleWeightsInput): number | undefined {
 	if (staleForMs === undefined) {
 		return 0;
 	}
 
-	if (staleForMs > maxStaleMs - maxQueueMs) {
-		return undefined;
-	}
-
-	return isStaleTimeExact ? objectiveMs * penaltyShare : objectiveMs;
+	return staleForMs + waitMs > maxStaleMs - maxExtraWaitMs ? undefined : objectiveMs * penaltyShare;
 }
--- /dev/null
+++ b/src/decide/weights/create-weight-ages.ts
@@ -0,0 +1,70 @@
+import {type Clocks} from '../../util/clocks.js';
+import {memoize} from '../../util/memoize.js';
+import {type WeightAge} from './weight-age.js';
+import {type WeightAges} from './weight-ages.js';
+
+/** Versions of a model whose ages are kept; the oldest one bounds the age of those before. */
+const maxVersions = 16;
+
+/** When a version became the desired one. Times are in milliseconds. */
+type Since = {
+	/** Earliest time, by the clock for this host's own rights; `-Infinity` when it may be long ago. */
+	earliestAt: number;
+	/** The time that somebody has seen it, by both clocks; `undefined` when nobody that was heard has. */
+	known: {readonly held: number; readonly wait: number} | undefined;
+};
+
+/**
+Creates the record of for how long versions of weights have been the desired ones, over restarts and over hosts. Of several statements the
+oldest holds: a host that learned late states too little. What nobody has seen counts from the last time at which the platform's store
+confirmed that it was not so, or as infinitely old. Other hosts are told ages by the clock that never runs ahead, so that the wall clock of
+one host does not make weights old for all.
+*/
+export function createWeightAges({suspendAware, monotonic}: Clocks): WeightAges {
+	const versionsOf = memoize((_model: string) => new Map<number, Since>());
+	const models = new Set<string>();
+
+	const find = (model: string, version: number): Since => {
+		models.add(model);
+		const versions = versionsOf(model);
+		const since: Since = versions.get(version) ?? {earliestAt: Number.NEGATIVE_INFINITY, known: undefined};
+		versions.set(version, since);
+		if (versions.size > maxVersions) {
+			const [, second] = [...versions.keys()].toSorted((a, b) => a - b);
+			versions.delete(second!);
+		}
+
+		return since;
+	};
+
+	const setKnown = (since: Since, held: number, wait: number): void => {
+		since.known = {held: Math.min(held, since.known?.held ?? held), wait: Math.min(wait, since.known?.wait ?? wait)};
+	};
+
+	const getAgeMs = ({known, earliestAt}: Since): number => suspendAware() - (known?.held ?? earliestAt);
+
+	const listNewer = (model: string, version: number): readonly Since[] =>
+		[...versionsOf(model)].filter(([each]) => each > version).map(([, since]) => since);
+
+	return {
+		recordFound(model, version, {confirmedAt, isPrompt}) {
+			const since = find(model, version);
+			since.earliestAt = Math.max(since.earliestAt, confirmedAt ?? Number.NEGATIVE_INFINITY);
+			if (isPrompt) {
+				setKnown(since, suspendAware(), monotonic());
+			}
+		},
+		recordStated([model, version, ageMs]) {
+			if (ageMs >= 0) {
+				setKnown(find(model, version), suspendAware() - ageMs, monotonic() - ageMs);
+			}
+		},
+		getStaleForMs(model, version) {
+			const newer = listNewer(model, version);
+			return newer.length > 0 ? Math.max(...newer.map(since => getAgeMs(since))) : undefined;
+		},
+		listKnown: () => [...models].flatMap(model => [...versionsOf(model)].flatMap(([version, {known}]): readonly WeightAge[] =>
+			known ? [[model, version, Math.round(monotonic() - known.wait)]] : [])),
+		isUnknown: (model, version) => listNewer(model, version).some(({known}) => known === undefined),
+	};
+}
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -7,13 +7,14 @@
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
 import {computeStaleWeightsPenalty} from '../decide/forwarding/compute-stale-weights-penalty.js';
 import {findOwner} from '../decide/membership/find-owner.js';
+import {type WeightAges} from '../decide/weights/weight-ages.js';
+import {log} from '../observe/log.js';
 import {memoize} from '../util/memoize.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {type KvReusePlan} from './kv-reuse-plan.js';
 import {type KvReusePlanner} from './kv-reuse-planner.js';
-import {type DesiredWeights} from './desired-weights.js';
 import {type Placement} from './placement.js';
 import {type Prompt} from './prompt.js';
 import {type Service} from './service.js';
@@ -38,12 +39,9 @@
 	/** Returns the number of other hosts that place requests, and the mean age of their reports in milliseconds. */
 	readonly others: () => {readonly count: number; readonly reportAgeMs: number};
 	readonly planKvReuse: KvReusePlanner;
-	/** Returns the first desired weights of a model that are newer than a version. */
-	readonly findNewerWeights: (model: string, version: number) => DesiredWeights | undefined;
+	readonly getStaleForMs: WeightAges['getStaleForMs'];
 	/** Time after new desired weights are published from which no request may start on older ones, in milliseconds. */
 	readonly versionMs: () => number;
-	/** Clock in milliseconds that also advances while the machine is suspended. */
-	readonly suspendAwareNow: () => number;
 	/** Monotonic clock in milliseconds. */
 	readonly now: () => number;
 	readonly random: () => number;
@@ -60,7 +58,7 @@
 }
 
 /** Creates the function that chooses the upstream of a request and the options of the request sent there. */
-export function createRequestPlacer({domain, registry, serviceOf, getLatencyModel, others, planKvReuse, findNewerWeights, versionMs, now, suspendAwareNow, random}: RequestPlacerOptions) {
+export function createRequestPlacer({domain, registry, serviceOf, getLatencyModel, others, planKvReuse, getStaleForMs, versionMs, now, random}: RequestPlacerOptions) {
 	const estimatorOf = memoize((_service: string) => createUnreportedWorkEstimator());
 
 	/** Returns the work per upstream that other hosts may have sent since their last reports, in milliseconds. */
@@ -87,25 +85,10 @@
 		};
 	};
 
-	/**
-	Creates the function that returns for how long an upstream's weights have been stale and the penalty for it, both in milliseconds; the
-	penalty is `undefined` when the weights are too old for the upstream to be used.
-	*/
-	const createWeightsPenalty = ({request: {prompt}, route}: AdmittedRequest) => {
-		const penaltyOf = memoize((version: string) => {
-			const newer = prompt && findNewerWeights(prompt.model, Number(version));
-			const staleForMs = newer && suspendAwareNow() - newer.learnedAt;
-			return {
-				staleForMs,
-				ms: computeStaleWeightsPenalty({
-					staleForMs,
-					isStaleTimeExact: newer !== undefined && Number.isFinite(newer.supersededAt),
-					maxStaleMs: versionMs(),
-					objectiveMs: route.objectiveMs,
-				}),
-			};
-		});
-		return ({weights}: Upstream) => penaltyOf(String(prompt ? weights.get(prompt.model) ?? 0 : 0));
+	/** Creates the function that returns for how long there have been newer weights than an upstream's, in milliseconds. */
+	const createStaleness = ({request: {prompt}}: AdmittedRequest) => {
+		const staleOf = memoize((version: string) => ({forMs: prompt && getStaleForMs(prompt.model, Number(version))}));
+		return ({weights}: Upstream): number | undefined => staleOf(String(prompt ? weights.get(prompt.model) ?? 0 : 0)).forMs;
 	};
 
 	return (admitted: AdmittedRequest, {service, triedUpstreams: tried, softwareVersion}: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>): Placement | undefined => {
@@ -124,7 +107,7 @@
 		const heldTokens = countTokens(prompt);
 		const plans = new Map<string, KvReusePlan>();
 		const reusePlans = prompt && engine && planKvReuse(prompt, engine, workspace, parameters.prefillTokensPerMs);
-		const weightsPenaltyOf = createWeightsPenalty(admitted);
+		const staleForMsOf = createStaleness(admitted);
 		const predict = (view: UpstreamView, promptReadyMs: number): number => predictFirstByte(view, {promptReadyMs, heldTokens, kvCapacityTokens: engine?.memoryTokens}, parameters, domain);
 
 		const predictWithKvCache = (candidate: UpstreamCandidate): UpstreamCandidate => {
@@ -137,9 +120,18 @@
 
 		const unseenMs = estimateUnreportedMs(service, views.length);
 		const candidates = views.flatMap((view): readonly UpstreamCandidate[] => {
-			const {ms: staleWeightsPenaltyMs} = weightsPenaltyOf(view.upstream);
-			return staleWeightsPenaltyMs === undefined ? [] : [{view, firstByteMs: predict(view, 0), staleWeightsPenaltyMs}];
+			const firstByteMs = predict(view, 0);
+			const staleWeightsPenaltyMs = computeStaleWeightsPenalty({
+				staleForMs: staleForMsOf(view.upstream), maxStaleMs: versionMs(), objectiveMs: route.objectiveMs, waitMs: firstByteMs,
+			});
+			return staleWeightsPenaltyMs === undefined ? [] : [{view, firstByteMs, staleWeightsPenaltyMs}];
 		});
+		if (candidates.length === 0 && views.length > 0) {
+			log.info({
+				requestId: admitted.request.id!, service, upstreams: views.map(({upstream}) => upstream.id),
+			}, 'all upstreams have weights that are too old');
+		}
+
 		const isLikelyToHold = ({view: {upstream}}: UpstreamCandidate): boolean => upstream.id === sharedPartOwner || reusePlans!.isLikelyCachedAt(upstream);
 		const best = chooseUpstream(candidates, {random, unseenMs, context: reusePlans && {mayHold: isLikelyToHold, predictWithKvCache}});
 		if (!best) {
@@ -159,7 +151,7 @@
 			isQueueing: view.isQueueing,
 			inFlight: view.inFlight,
 			isHome: view.upstream.id === sharedPartOwner,
-			weights: prompt && {version: view.upstream.weights.get(prompt.model) ?? 0, staleForMs: weightsPenaltyOf(view.upstream).staleForMs},
+			weights: prompt && {version: view.upstream.weights.get(prompt.model) ?? 0, staleForMs: staleForMsOf(view.upstream)},
 			options: toOptions(admitted, view, priority, plan),
 			recordSent() {
 				estimatorOf(service).record(computeAddedMs(view, plan, parameters), now());
--- a/src/forwarding/desired-weights.ts
+++ b/src/forwarding/desired-weights.ts
@@ -4,11 +4,9 @@
 	readonly version: number;
 	/** Sum of the desired versions of all models when this host received this one; a host that reports as much has received it too. */
 	readonly contentVersion: number;
-	/** When this host received the version, in milliseconds of the suspend-aware clock. */
-	readonly learnedAt: number;
 	/**
-	From when this host treats KV cache of older versions as stale, on the same clock; `-Infinity` when they may have been superseded
-	long ago. See `estimateSupersededAt`.
+	From when this host treats KV cache of older versions as stale, in milliseconds of the suspend-aware clock; `-Infinity` when they may have
+	been superseded long ago. See `estimateSupersededAt`. For how long engines have been behind is another question, see `WeightAges`.
 	*/
 	readonly supersededAt: number;
 };
--- a/src/forwarding/engine-report.ts
+++ b/src/forwarding/engine-report.ts
@@ -6,4 +6,6 @@
 	readonly isBusy: boolean;
 	/** Orders accepted since the engine started. */
 	readonly orders: number;
+	/** Time by the clock that all engines share, in milliseconds; `undefined` when the engine does not state it. */
+	readonly clockMs: number | undefined;
 };
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -23,6 +23,7 @@
 		readonly hosts: string;
 		readonly leases: string;
 		readonly streams: string;
+		readonly weightAges: string;
 		readonly condemnedRequests: string;
 	};
 	/** Opens the client of the platform's store. */
--- a/src/object-store/create-object-watcher.ts
+++ b/src/object-store/create-object-watcher.ts
@@ -30,6 +30,11 @@
 /** Wait of a watch after a failed call, whose response states the epoch of the store. */
 const probeWaitMs = 1;
 
+/** A watch that begins later than this after the store's last response may bring a change that was made before, unless it waited for it. */
+const maxUnwatchedMs = 500;
+/** The store responds sooner than this to a watch for a change that it has already. */
+const minWaitedMs = 300;
+
 /** How often a waiting watch checks whether it should have waited less. */
 const waitCheckIntervalMs = 300;
 
@@ -45,8 +50,11 @@
 	readonly isWatching: () => boolean;
 	/** Returns the version of an object's content, which only increases, if objects of this kind have one; `undefined` when it is invalid. */
 	readonly getVersion?: (object: StoredObject) => number | undefined;
-	/** Called after a change with all objects, the time of the store's last response before it, and the store's epoch. */
-	readonly onChange: (objects: readonly StoredObject[], confirmedAt: number | undefined, epoch: number) => void;
+	/**
+	Called after a change with all objects, the time of the store's last response before it, the store's epoch, and whether the change arrived as it
+	was made, at a watch that waited for it.
+	*/
+	readonly onChange: (objects: readonly StoredObject[], confirmedAt: number | undefined, epoch: number, isPrompt: boolean) => void;
 };
 
 /** Whether a list shows what is known already, so that other hosts need not hear of it. */
@@ -80,11 +88,11 @@
 
 	const sumVersions = (objects: readonly StoredObject[]): number => objects.reduce((sum, object) => sum + (getVersion?.(object) ?? 0), 0);
 
-	const setSnapshot = (received: KindSnapshot, confirmedAt: number | undefined): void => {
+	const setSnapshot = (received: KindSnapshot, confirmedAt: number | undefined, isPrompt = false): void => {
 		const objects = getVersion ? keepNewestVersions(current?.objects ?? [], received.objects, getVersion) : received.objects;
 		current = {...received, objects};
 		contentVersion = sumVersions(objects);
-		onChange(objects, confirmedAt, received.epoch);
+		onChange(objects, confirmedAt, received.epoch, isPrompt);
 	};
 
 	/** @returns The time of the store's previous response. */
@@ -140,6 +148,8 @@
 	};
 
 	const watchOnce = async (from: KindSnapshot): Promise<void> => {
+		const calledAt = now();
+		const unwatchedMs = contactAt === undefined ? Number.POSITIVE_INFINITY : calledAt - contactAt;
 		const result = await watchWithin(from, hasFailed ? probeWaitMs : waitMs());
 		if (result === 'waited-enough') {
 			return;
@@ -169,7 +179,7 @@
 				objects: [...objectsByName.values()], epoch: result.epoch, revision: result.revision, changedAt,
 			};
 			if (result.changes.length > 0) {
-				setSnapshot(next, confirmedAt);
+				setSnapshot(next, confirmedAt, unwatchedMs < maxUnwatchedMs || now() - calledAt > minWaitedMs);
 				await sleep(batchIntervalMs);
 			} else {
 				current = next;
--- a/src/object-store/create-stored-state.ts
+++ b/src/object-store/create-stored-state.ts
@@ -1,6 +1,7 @@
 import {createKvSharing} from '../decide/kv-cache/create-kv-sharing.js';
 import {estimateSupersededAt} from '../decide/kv-cache/estimate-superseded-at.js';
 import {createRemovedEntryFilter} from '../decide/object-store/create-removed-entry-filter.js';
+import {type WeightAges} from '../decide/weights/weight-ages.js';
 import {log} from '../observe/log.js';
 import {type Clocks} from '../util/clocks.js';
 import {memoizeWeakly} from '../util/memoize-weakly.js';
@@ -31,8 +32,9 @@
 	Decodes desired weights and records those that are newer.
 
 	@param confirmedAt - When the store had last responded before these objects arrived; `undefined` when it never had.
+	@param isPrompt - Whether they arrived as they were written.
 	*/
-	readonly applyWeights: (objects: readonly StoredObject[], confirmedAt: number | undefined) => void;
+	readonly applyWeights: (objects: readonly StoredObject[], confirmedAt: number | undefined, epoch: number, isPrompt: boolean) => void;
 	/** Returns the version of a stored configuration; `undefined` when it can't be decoded. */
 	readonly getConfigurationVersion: (object: StoredObject) => number | undefined;
 	/** Returns the version of stored desired weights; `undefined` when they can't be decoded. */
@@ -58,6 +60,7 @@
 	adapter: Pick<GatewayAdapter, 'decodeConfiguration' | 'decodeUpstream' | 'decodeWeights'>,
 	{onServicesChange, onUpstreamsChange}: StoredStateListener,
 	{suspendAware: now, monotonic}: Clocks,
+	weightAges: Pick<WeightAges, 'recordFound'>,
 ): StoredState {
 	const decodeConfiguration = memoizeWeakly(adapter.decodeConfiguration);
 	const decodeWeights = memoizeWeakly(adapter.decodeWeights);
@@ -108,7 +111,7 @@
 		},
 		getConfigurationVersion: ({value}) => decodeConfiguration(value)?.version,
 		getWeightsVersion: ({value}) => decodeWeights(value)?.version,
-		applyWeights(objects, confirmedAt) {
+		applyWeights(objects, confirmedAt, _epoch, isPrompt) {
 			const contentVersion = objects.reduce((sum, {value}) => sum + (decodeWeights(value)?.version ?? 0), 0);
 			for (const {value, name: entry, revision} of objects) {
 				const decoded = decodeWeights(value);
@@ -116,12 +119,13 @@
 					logInvalidWeights(entry, 'not the weights of a model');
 				} else if (decoded.version > (weights.get(decoded.model)?.version ?? 0)) {
 					const desired = {
-						...decoded, contentVersion, learnedAt: now(), supersededAt: estimateSupersededAt(now(), confirmedAt),
+						...decoded, contentVersion, supersededAt: estimateSupersededAt(now(), confirmedAt),
 					};
 					weights.set(decoded.model, desired);
+					weightAges.recordFound(decoded.model, decoded.version, {confirmedAt, isPrompt});
 					history.push(desired);
 					log.info({
-						model: decoded.model, version: decoded.version, revision, confirmedAgeMs: confirmedAt === undefined ? 'never' : Math.round(now() - confirmedAt),
+						model: decoded.model, version: decoded.version, revision, isPrompt, confirmedAgeMs: confirmedAt === undefined ? 'never' : Math.round(now() - confirmedAt),
 					}, 'weights named');
 				}
 			}
--- a/src/peers/create-gateway-methods.ts
+++ b/src/peers/create-gateway-methods.ts
@@ -2,6 +2,7 @@
 import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type RoomTask} from '../announcements/room-task.js';
 import {type KvStoreTracker} from '../forwarding/kv-store-tracker.js';
+import {type WeightAge} from '../decide/weights/weight-age.js';
 import {createLeaseHandler} from '../object-store/create-lease-handler.js';
 import {type createStateSync} from '../object-store/create-state-sync.js';
 import {type LeaseStore} from '../object-store/lease-store.js';
@@ -18,6 +19,8 @@
 	readonly currentEpoch: () => number;
 	/** Returns what upstreams say of themselves. */
 	readonly listStatements: () => readonly ReportedLimit[];
+	/** Returns for how long versions of weights have been the desired ones. */
+	readonly listWeightAges: () => readonly WeightAge[];
 	readonly rooms: Pick<RoomTask, 'answer'>;
 	readonly permits: Pick<PermitTask, 'answer'>;
 	readonly upstreamChecks: Pick<UpstreamChecks, 'answer'>;
@@ -27,12 +30,13 @@
 
 /** Creates the methods by which the other hosts ask a gateway host. */
 export function createGatewayMethods({
-	stateSync, ownLease, currentEpoch, listStatements, rooms, permits, upstreamChecks, streams, kvStoreTracker,
+	stateSync, ownLease, currentEpoch, listStatements, listWeightAges, rooms, permits, upstreamChecks, streams, kvStoreTracker,
 }: GatewayTasks): Partial<PeerHandlers> {
 	return {
 		'gateway.state': async query => ({states: stateSync.answer(query)}),
 		'gateway.lease': createLeaseHandler({ownLease, currentEpoch}),
 		'gateway.statements': async () => ({statements: listStatements()}),
+		'gateway.weightAges': async () => ({ages: listWeightAges()}),
 		'gateway.room': async request => rooms.answer(request),
 		'gateway.permit': async request => permits.answer(request),
 		'gateway.upstreamUp': async ({id, startedAt}) => ({opinion: await upstreamChecks.answer(id, startedAt)}),
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -19,6 +19,7 @@
 import {type SnapshotDelta} from '../object-store/snapshot-delta.js';
 import {type StateQuery} from '../object-store/state-query.js';
 import {type StoredObject} from '../object-store/stored-object.js';
+import {type WeightAge} from '../decide/weights/weight-age.js';
 import {type Decision} from '../observe/decision.js';
 
 /** Gossip entries by section. */
@@ -125,6 +126,11 @@
 	};
 	/** Asks for a permit to send one request to an upstream that states a limit. */
 	readonly 'gateway.permit': {readonly params: PermitRequest; readonly result: PermitResult};
+	/** Returns for how long versions of weights have been the desired ones, as far as the receiver knows. */
+	readonly 'gateway.weightAges': {
+		readonly params: Readonly<Record<string, never>>;
+		readonly result: {readonly ages: readonly WeightAge[]};
+	};
 	/** Asks for a slot of a brittle upstream for one request, or gives it back. */
 	readonly 'gateway.statements': {readonly params: Readonly<Record<string, never>>; readonly result: {readonly statements: readonly ReportedLimit[]}};
 	readonly 'gateway.room': {readonly params: RoomRequest; readonly result: PermitResult};
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -60,7 +60,10 @@
 		if (status.host !== self.host) {
 			registry.recordStatus(status, now() - ageMs);
 			const addAge = (statedMs: number | undefined): number | undefined => statedMs === undefined ? undefined : statedMs + ageMs;
-			onStatus({...status, weightsAgeMs: addAge(status.weightsAgeMs), upstreamsAgeMs: addAge(status.upstreamsAgeMs)});
+			onStatus({
+				...status, weightsAgeMs: addAge(status.weightsAgeMs), upstreamsAgeMs: addAge(status.upstreamsAgeMs),
+				weightAges: status.weightAges?.map(([model, version, statedMs]) => [model, version, statedMs + ageMs] as const),
+			});
 		}
 	};
 
--- a/src/reports/find-message-fault.ts
+++ b/src/reports/find-message-fault.ts
@@ -24,6 +24,7 @@
 	host: isText, domain: isText, peers: isDialable, reports: isDialable, linkMbps: isNumber, everyMs: isNumber,
 	isStoreLost: isOptional(isFlag), lostServices: isOptional(isListOf(isText)), countsAttempts: isOptional(isFlag), sharesKvByGroup: isOptional(isFlag), epoch: isOptional(isNumber),
 	changes: isNumbers, contentVersions: isOptional(isNumbers), weightsAgeMs: isOptional(isNumber), upstreamsAgeMs: isOptional(isNumber),
+	weightAges: isOptional(isListOf(isTuple(isText, isNumber, isNumber))),
 };
 
 const newsChecks = {
--- a/src/reports/host-status.ts
+++ b/src/reports/host-status.ts
@@ -1,3 +1,4 @@
+import {type WeightAge} from '../decide/weights/weight-age.js';
 import {type StateStatus} from '../object-store/state-status.js';
 
 /** The part of a host's report that describes the host itself. */
@@ -25,4 +26,6 @@
 	readonly weightsAgeMs: number | undefined;
 	/** The same for the list of upstreams. Hosts of an earlier build state none. */
 	readonly upstreamsAgeMs?: number | undefined;
+	/** For how long versions of weights have been the desired ones, as far as the host knows and it may matter. Hosts of an earlier build state none. */
+	readonly weightAges?: readonly WeightAge[] | undefined;
 };
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -5,6 +5,7 @@
 import {createRoomTask} from './announcements/create-room-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
+import {createWeightAges} from './decide/weights/create-weight-ages.js';
 import {findOwner} from './decide/membership/find-owner.js';
 import {openRequestServers} from './forwarding/open-request-servers.js';
 import {parseAddress} from './http/parse-address.js';
@@ -31,6 +32,8 @@
 import {createWatchPolicy} from './object-store/create-watch-policy.js';
 import {drainGateway} from './forwarding/drain-gateway.js';
 import {createStoredState} from './object-store/create-stored-state.js';
+import {createWeightAgeTask} from './object-store/create-weight-age-task.js';
+import {createWeightAgeRecord} from './object-store/create-weight-age-record.js';
 import {createUpstreamRegistry} from './registry/create-upstream-registry.js';
 import {type GatewayAdapter} from './forwarding/gateway-adapter.js';
 import {type KnownHost} from './reports/known-host.js';
@@ -53,6 +56,7 @@
 import {createStreamVersions} from './streams/create-stream-versions.js';
 import {createVersionKnowledge} from './streams/create-version-knowledge.js';
 import {createByteBudget} from './util/create-byte-budget.js';
+import {createStandstillDetector} from './util/create-standstill-detector.js';
 import {createClocks} from './util/create-clocks.js';
 import {memoizeLast} from './util/memoize-last.js';
 import {memoize} from './util/memoize.js';
@@ -70,6 +74,10 @@
 their reports.
 */
 const settleMs = 1000;
+/** What a process receives sooner after it stood still may have waited for it. */
+const promptAfterMs = 1000;
+/** Hosts report the ages of weights that became the desired ones within this time; older ones are told to those that ask. */
+const reportedWeightAgeMs = 60_000;
 /** Retry budgets and connections are divided among at least this many hosts, since the others are not known yet after a start. */
 const minAssumedHosts = 3;
 /** Least number of connections of one host to an upstream. */
@@ -102,6 +110,8 @@
 			metrics.cpuSeconds.inc({job}, seconds);
 		},
 	});
+	const standstill = createStandstillDetector(suspendAwareNow);
+	const weightAges = createWeightAges(clocks);
 	const startedAt = now();
 	const hasSettled = (): boolean => now() - startedAt >= settleMs;
 	let isDraining = false;
@@ -139,6 +149,7 @@
 				lostServices: listLostServices(),
 				countsAttempts: true,
 				sharesKvByGroup: true,
+				weightAges: weightAges.listKnown().filter(age => age[2] < reportedWeightAgeMs),
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
 			};
 		}),
@@ -154,6 +165,10 @@
 			crashes.addFindings(report);
 		}),
 		onStatus: meter('taking in statuses', status => {
+			for (const age of status.weightAges ?? []) {
+				weightAges.recordStated(age);
+			}
+
 			stateSync.compareStatus(status);
 			freeStaleKvTask.recordStatus(status);
 		}),
@@ -189,6 +204,22 @@
 		record(host, statements) {
 			registry.recordReportedLimits(host, statements, now());
 		},
+		onLearned() {
+			weightAgeTask.start();
+		},
+		random,
+	});
+	const weightAgeTask = createWeightAgeTask({
+		weightAges,
+		record: createWeightAgeRecord({store, kind: kinds.weightAges, listKnown: weightAges.listKnown}),
+		isRecorder: () => hasSettled() && findOwner([name, ...listOtherNames()], 'weight-ages') === name,
+		listEngineWeights: () => registry.listAll().flatMap(({address, weights}) => [...weights].map(([model, version]) => ({address, model, version}))),
+		async readClock(address) {
+			const {clockMs} = await engineClient.report(address);
+			return clockMs;
+		},
+		alive: reportExchange.alive,
+		call: peerClient.call,
 		random,
 	});
 	const permits = createPermitTask({
@@ -202,7 +233,7 @@
 		knowledge: createVersionKnowledge({
 			confirmedAgeMs: () => getAgeMs(stateSync.upstreamsConfirmedAt()),
 			refresh: async () => refreshKind(kinds.upstreams),
-			listHeard: reportExchange.listHeard, now, suspendAwareNow,
+			listHeard: reportExchange.listHeard, now, standstill,
 		}),
 		openArchive: (retentionMs, onVersions) => createStreamArchive({
 			host: name, store, kind: kinds.streams, retentionMs, countHosts, random, onVersions,
@@ -249,21 +280,23 @@
 				statementLearner.start();
 			}
 		},
-	}, clocks);
-	const applyWeights = (objects: readonly StoredObject[], confirmedAt: number | undefined): void => {
-		storedState.applyWeights(objects, Math.max(confirmedAt ?? Number.NEGATIVE_INFINITY, stateSync.weightsConfirmedByPeerAt()));
+	}, clocks, weightAges);
+	const applyWeights = (objects: readonly StoredObject[], confirmedAt: number | undefined, epoch: number, isPrompt: boolean): void => {
+		const hasRun = standstill.runningForMs() > promptAfterMs;
+		storedState.applyWeights(objects, Math.max(confirmedAt ?? Number.NEGATIVE_INFINITY, stateSync.weightsConfirmedByPeerAt()), epoch, isPrompt && hasRun);
 	};
 
 	const watchPolicy = createWatchPolicy({
 		self, kinds, alive: reportExchange.alive, hasSettled,
 	});
-	const watchers = [
+	const watched: ReadonlyArray<Pick<Parameters<typeof createObjectWatcher>[0], 'kind' | 'onChange' | 'getVersion'>> = [
 		{kind: kinds.condemnedRequests, onChange: condemnedRequestList.applyObjects},
 		{kind: kinds.configuration, onChange: storedState.applyConfiguration, getVersion: storedState.getConfigurationVersion},
 		{kind: kinds.upstreams, onChange: storedState.applyUpstreams},
 		{kind: kinds.weights, onChange: applyWeights, getVersion: storedState.getWeightsVersion},
-	].map(({kind, onChange, ...watched}) => createObjectWatcher({
-		kind, store, now: suspendAwareNow, random, ...watched, onChange: meter('taking in stored objects', onChange),
+	];
+	const watchers = watched.map(({kind, onChange, ...rest}) => createObjectWatcher({
+		kind, store, now: suspendAwareNow, random, ...rest, onChange: meter('taking in stored objects', onChange),
 		waitMs: () => watchPolicy.waitMs(kind),
 		isWatching: () => watchPolicy.isWatching(kind),
 	}));
@@ -324,7 +357,7 @@
 		random,
 		place: meter('placement', createRequestPlacer({
 			domain, registry, serviceOf: storedState.findService, getLatencyModel,
-			findNewerWeights: storedState.findNewerWeights, versionMs: () => liveSettings.bounds.versionMs, now, suspendAwareNow, random,
+			getStaleForMs: weightAges.getStaleForMs, versionMs: () => liveSettings.bounds.versionMs, now, random,
 			others: () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()}),
 			planKvReuse: createKvReusePlanner({
 				registry, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
@@ -351,7 +384,7 @@
 	});
 
 	const peerServer = await createPeerServer(settings.peers, undefined, createGatewayMethods({
-		stateSync, ownLease, currentEpoch: epochs.current, listStatements: () => registry.listStatements(now()), rooms, permits, upstreamChecks, streams, kvStoreTracker,
+		stateSync, ownLease, currentEpoch: epochs.current, listStatements: () => registry.listStatements(now()), listWeightAges: weightAges.listKnown, rooms, permits, upstreamChecks, streams, kvStoreTracker,
 	}), () => false);
 	await reportExchange.start();
 	const {callers, relayed, requests} = await openRequestServers({
@@ -365,13 +398,13 @@
 			metrics.refusalsTotal.inc({kind: refusal.kind});
 		},
 	});
-	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0 && statementLearner.hasLearned();
+	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0 && statementLearner.hasLearned() && weightAgeTask.hasLearned();
 	const statusServers = await openStatusServers({
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
 		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
 		recordGauges() {
 			recordWeightsMetrics(metrics, {
-				weights: storedState.weights(), upstreams: registry.listAll(), getAgeMs: ({learnedAt}) => suspendAwareNow() - learnedAt,
+				weights: storedState.weights(), upstreams: registry.listAll(), getAgeMs: ({model, version}) => weightAges.getStaleForMs(model, version - 1) ?? 0,
 			});
 		},
 	});
@@ -382,6 +415,7 @@
 			reportExchange,
 			stateSync,
 			rolloutTask,
+			weightAgeTask,
 			freeStaleKvTask,
 			kvStoreTracker,
 			streams,
--- a/src/start-host.ts
+++ b/src/start-host.ts
@@ -222,7 +222,7 @@
 	};
 
 	// Only gateways handle the `gateway.*` methods.
-	const handlers: Omit<PeerHandlers, 'gateway.state' | 'gateway.kept' | 'gateway.lease' | 'gateway.permit' | 'gateway.room' | 'gateway.statements' | 'gateway.streamVersion' | 'gateway.upstreamUp'> = {
+	const handlers: Omit<PeerHandlers, Extract<keyof PeerHandlers, `gateway.${string}`>> = {
 		...membership.handlers,
 		...config.handlers,
 		...engineOwner.handlers,
--- a/src/streams/create-version-knowledge.ts
+++ b/src/streams/create-version-knowledge.ts
@@ -1,13 +1,10 @@
 import {isInStep} from '../decide/streams/is-in-step.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {logFailure} from '../observe/log-failure.js';
-import {log} from '../observe/log.js';
+import {type StandstillDetector} from '../util/create-standstill-detector.js';
 import {sleep} from '../util/sleep.js';
 import {type VersionKnowledge} from './version-knowledge.js';
 
-/** A process that does nothing for this long stands still. */
-const standstillMs = 500;
-
 /** Dependencies of the version knowledge. */
 type VersionKnowledgeOptions = {
 	/** Returns the time since the store confirmed the list of upstreams, in milliseconds; `undefined` when it never did. */
@@ -18,32 +15,16 @@
 	readonly listHeard: () => readonly KnownHost[];
 	/** Monotonic clock in milliseconds, by which hosts are heard. */
 	readonly now: () => number;
-	/** Clock in milliseconds that also advances while the machine is suspended. */
-	readonly suspendAwareNow: () => number;
+	readonly standstill: StandstillDetector;
 };
 
 /** Creates what tells a host that has heard of one version from one that can be sure that there is one. */
-export function createVersionKnowledge({confirmedAgeMs, refresh, listHeard, now, suspendAwareNow}: VersionKnowledgeOptions): VersionKnowledge {
-	let tickedAt = suspendAwareNow();
-	/** A process that has just started has read the list. */
-	let runningSince = Number.NEGATIVE_INFINITY;
-
-	const tick = (): void => {
-		const at = suspendAwareNow();
-		if (at - tickedAt > standstillMs) {
-			runningSince = at;
-			log.info({standstillMs: Math.round(at - tickedAt)}, 'this process stood still');
-		}
-
-		tickedAt = at;
-	};
-
+export function createVersionKnowledge({confirmedAgeMs, refresh, listHeard, now, standstill}: VersionKnowledgeOptions): VersionKnowledge {
 	return {
 		isInStep() {
-			tick();
 			return isInStep({
 				confirmedAgeMs: confirmedAgeMs(),
-				runningForMs: tickedAt - runningSince,
+				runningForMs: standstill.runningForMs(),
 				heard: listHeard().map(({heardAt, everyMs}) => ({ageMs: now() - heardAt!, everyMs})),
 			});
 		},
@@ -55,6 +36,6 @@
 			return Promise.race([reading, sleep(timeoutMs).then(() => false)]);
 		},
 		listHeard,
-		tick,
+		tick: standstill.tick,
 	};
 }
