An engine that does not respond takes up no other engine's place in a roll-out

Callers: engines kept old weights for good, so that requests began on them or, at the bound, were refused. Cause: an order counts as a load until its engine has the weights, also when no call to it gets a response; two such engines of five, still listed, took up both places, and no other engine was ordered. An engine that failed two calls in a row is still called, but another one is chosen beside it.

--- a/src/decide/orders/plan-rollout.ts
+++ b/src/decide/orders/plan-rollout.ts
@@ -4,10 +4,11 @@
 /**
 Returns the ids of the engines to update to `targetVersion` next, as many as may load at the same time. Engines with the
 oldest weights come first, and among these the ones with the fewest requests in flight, so that running requests delay the
-rollout least. Load pattern: new weights are published under full traffic, and again before the previous rollout has ended.
+rollout least. An engine that does not respond takes up no place of another one. Load pattern: new weights are published under full
+traffic, and again before the previous rollout has ended.
 */
 export function planRollout(engines: readonly RolloutEngine[], targetVersion: number): readonly string[] {
-	const loading = engines.filter(engine => engine.isBusy).length;
+	const loading = engines.filter(engine => engine.isBusy && !engine.isUnresponsive).length;
 	const freeLoads = Math.max(0, getMaxConcurrentLoads(engines.length) - loading);
 	return engines
 		.filter(engine => !engine.isBusy && engine.version < targetVersion)
--- a/src/decide/orders/rollout-engine.ts
+++ b/src/decide/orders/rollout-engine.ts
@@ -7,4 +7,6 @@
 	readonly inFlight: number;
 	/** Whether an order to this engine is in progress. */
 	readonly isBusy: boolean;
+	/** Whether it does not respond to calls about that order. */
+	readonly isUnresponsive?: boolean;
 };
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -24,6 +24,8 @@
 const invalidOrderRetryMs = 1500;
 /** An order follows a report. */
 const callsPerOrder = 2;
+/** An engine counts as unresponsive after this many calls that failed in a row. */
+const maxFailures = 2;
 /** How long this host's reports include new weights that it found on an engine. */
 const weightsReportMs = 3000;
 
@@ -36,6 +38,8 @@
 	/** When the engine was chosen, and when it accepted the order; in milliseconds of the monotonic clock. */
 	readonly plannedAt: number;
 	acceptedAt: number | undefined;
+	/** Calls to the engine that have failed in a row. */
+	failures: number;
 };
 
 /** Dependencies of the roll-out task. */
@@ -90,6 +94,7 @@
 				version: upstream.weights.get(target.model)!,
 				inFlight: registry.inFlight(upstream.id),
 				isBusy: pendingOrders.has(upstream.id),
+				isUnresponsive: (pendingOrders.get(upstream.id)?.failures ?? 0) >= maxFailures,
 			})),
 		}];
 	});
@@ -167,17 +172,22 @@
 		entry.nextAt = Number.POSITIVE_INFINITY;
 		try {
 			entry.nextAt = now() + await tryOrder(id, upstream.address, target, entry);
+			entry.failures = 0;
 		} catch (error) {
 			logFailure(error, {upstream: id, version: target.version}, 'weight update order failed');
 			entry.nextAt = now() + failedOrderRetryMs;
+			entry.failures++;
 		}
 	};
 
 	const sendDueOrders = (): void => {
 		for (const {target, engines} of listIncomplete()) {
 			for (const id of planRollout(engines, target.version)) {
+				log.info({
+					upstream: id, model: target.model, version: target.version, loading: pendingOrders.size,
+				}, 'engine is to load the named weights');
 				pendingOrders.set(id, {
-					model: target.model, version: target.version, nextAt: 0, plannedAt: now(), acceptedAt: undefined,
+					model: target.model, version: target.version, nextAt: 0, plannedAt: now(), acceptedAt: undefined, failures: 0,
 				});
 			}
 
--- a/test/decide/rollout.test.ts
+++ b/test/decide/rollout.test.ts
@@ -27,6 +27,15 @@
 	test.each([[1, 1], [4, 2], [6, 2], [13, 4], [50, 15]])('of %d engines lets %d load at once', (count, atOnce) => {
 		expect(getMaxConcurrentLoads(count)).toBe(atOnce);
 	});
+
+	test.each([
+		['responds', false, []], ['does not respond', true, ['e-2']],
+	])('chooses another engine while one with an order %s', (_, isUnresponsive, planned) => {
+		const engines = [1, 2].map(number => ({
+			id: `e-${number}`, version: 1, inFlight: 0, isBusy: number === 1, isUnresponsive: number === 1 && isUnresponsive,
+		}));
+		expect(planRollout(engines, 2)).toEqual(planned);
+	});
 });
 
 describe('the lease of a rollout', () => {
--- a/test/forwarding/rollout.test.ts
+++ b/test/forwarding/rollout.test.ts
@@ -16,6 +16,8 @@
 	version: number;
 	/** Whether orders are carried out but get no response. */
 	omitsResponse: boolean;
+	/** Whether nothing gets a response, and nothing is carried out. */
+	isSilent: boolean;
 	readonly stop: () => void;
 };
 
@@ -30,6 +32,10 @@
 			res.end(JSON.stringify(body));
 		};
 
+		if (engine.isSilent) {
+			return;
+		}
+
 		if (req.url === '/v1/report') {
 			answer(200, {models: [{name: 'm', version: engine.version}], busy: isBusy, seq: engine.orders.length});
 			return;
@@ -67,6 +73,7 @@
 		orders: [],
 		version: 1,
 		omitsResponse: false,
+		isSilent: false,
 		stop() {
 			server.close();
 			server.closeAllConnections();
@@ -146,6 +153,23 @@
 		expect(new Set(allOrders().map(order => order.fencing_token))).toEqual(new Set([token]));
 	});
 
+	// Two engines that did not respond took up both places, and no other engine got the weights.
+	test.each([
+		['refuse connections', (engine: Engine) => {
+			engine.stop();
+		}],
+		['are silent', (engine: Engine) => {
+			engine.isSilent = true;
+		}],
+	])('reaches the other engines while two that are listed %s', async (_name, fail) => {
+		const [first, second, ...others] = engines;
+		fail(first!);
+		fail(second!);
+		await start(2);
+		store.put('versions', 'm', {model: 'm', version: 2});
+		await waitUntil('the other engines to have version 2', () => others.every(engine => engine.version === 2));
+	});
+
 	test('completes when the response to a write of the lease is lost', async () => {
 		await start(1);
 		store.faults.dropsNextWriteResponse = true;
