A roll-out of weights that runs late updates as many engines at once as the time left asks for

Callers: engines had old weights twelve seconds after newer ones were named (VERSION), since a roll-out that had begun late, after its holder was killed, went on in waves of three tenths of the engines as if all the time were left. Cause: the plan knew no deadline. It knows now for how long old weights may be used (by the age that goes on over hosts), and how long an update takes: up to half of the engines load at once where three tenths would not do, and all that are left once the old weights can't be used, since these engines serve nothing. With all the time left the plan is as before. Evidence: test/decide/rollout.test.ts, cases of late roll-outs (new rule).

--- a/src/decide/forwarding/compute-stale-weights-penalty.ts
+++ b/src/decide/forwarding/compute-stale-weights-penalty.ts
@@ -1,3 +1,5 @@
+import {getUsableForMs} from '../weights/get-usable-for-ms.js';
+
 /** State of an engine's weights. Times are in milliseconds. */
 type StaleWeightsInput = {
 	/** Time for which there have been weights newer than the engine's (`WeightAges`): `undefined` when there are none, infinite when nobody knows. */
@@ -10,8 +12,6 @@
 	readonly waitMs: number;
 };
 
-/** A request may wait at the engine this much longer than predicted. */
-const maxExtraWaitMs = 2500;
 /** A response from stale weights counts like one that is later by this share of the objective. */
 const penaltyShare = 0.25;
 
@@ -26,5 +26,5 @@
 		return 0;
 	}
 
-	return staleForMs + waitMs > maxStaleMs - maxExtraWaitMs ? undefined : objectiveMs * penaltyShare;
+	return waitMs > getUsableForMs(staleForMs, maxStaleMs) ? undefined : objectiveMs * penaltyShare;
 }
--- a/src/decide/orders/plan-rollout.ts
+++ b/src/decide/orders/plan-rollout.ts
@@ -1,4 +1,5 @@
 import {type RolloutEngine} from './rollout-engine.js';
+import {type RolloutUrgency} from './rollout-urgency.js';
 import {getMaxConcurrentLoads} from './get-max-concurrent-loads.js';
 
 /**
@@ -7,9 +8,10 @@
 rollout least. An engine that does not respond takes up no place of another one. Load pattern: new weights are published under full
 traffic, and again before the previous rollout has ended.
 */
-export function planRollout(engines: readonly RolloutEngine[], targetVersion: number): readonly string[] {
+export function planRollout(engines: readonly RolloutEngine[], targetVersion: number, urgency?: RolloutUrgency): readonly string[] {
+	const behind = engines.filter(engine => engine.version < targetVersion).length;
 	const loading = engines.filter(engine => engine.isBusy && !engine.isUnresponsive).length;
-	const freeLoads = Math.max(0, getMaxConcurrentLoads(engines.length) - loading);
+	const freeLoads = Math.max(0, getMaxConcurrentLoads(engines.length, behind, urgency) - loading);
 	return engines
 		.filter(engine => !engine.isBusy && engine.version < targetVersion)
 		.toSorted((a, b) => a.version - b.version || a.inFlight - b.inFlight || (a.id < b.id ? -1 : 1))
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -1,3 +1,4 @@
+import {type RolloutUrgency} from '../decide/orders/rollout-urgency.js';
 import {planRollout} from '../decide/orders/plan-rollout.js';
 import {type RolloutEngine} from '../decide/orders/rollout-engine.js';
 import {logFailure} from '../observe/log-failure.js';
@@ -26,6 +27,8 @@
 const callsPerOrder = 2;
 /** An engine counts as unresponsive after this many calls that failed in a row. */
 const maxFailures = 2;
+/** Expected time of an update until one has been seen, as a share of the time that all of them have. */
+const expectedUpdateShare = 0.2;
 /** How long this host's reports include new weights that it found on an engine. */
 const weightsReportMs = 3000;
 
@@ -52,6 +55,10 @@
 	/** Counts a call to an engine that states a limit on requests; returns the time that the limit leaves between two, in milliseconds. */
 	readonly chargeCall: (upstreamId: string) => number;
 	readonly desiredWeights: () => readonly DesiredWeights[];
+	/** Returns for how long requests can still be sent to engines with a version of a model, in milliseconds (`getUsableForMs`). */
+	readonly getUsableForMs: (model: string, version: number) => number;
+	/** Time after new desired weights are published from which no request may start on older ones, in milliseconds. */
+	readonly versionMs: () => number;
 	/** Called with the time that an update spent in each of its phases, in milliseconds. */
 	readonly onPhase: (phase: UpdatePhase, tookMs: number) => void;
 	/** Monotonic clock in milliseconds. */
@@ -71,12 +78,14 @@
 Starts the task that updates engines to the desired weights. One host at a time sends orders, under a lease in the platform's
 store that is acquired only while there are engines to update.
 */
-export function createRolloutTask({self, lease, engineClient, registry, chargeCall, desiredWeights, onPhase, now}: RolloutTaskOptions): RolloutTask {
+export function createRolloutTask({self, lease, engineClient, registry, chargeCall, desiredWeights, getUsableForMs, versionMs, onPhase, now}: RolloutTaskOptions): RolloutTask {
 	const pendingOrders = new Map<string, PendingOrder>();
 	const loadedWeights = new Map<string, {readonly model: string; readonly version: number; readonly at: number}>();
 	let hasStopped = false;
 	/** Since when there have been engines to update. */
 	let workSince: number | undefined;
+	/** Time that the last update took, in milliseconds. */
+	let lastUpdateMs: number | undefined;
 	/** Whether this host held the lease in the last step. */
 	let wasHolder = false;
 
@@ -109,6 +118,7 @@
 			const entry = pendingOrders.get(id);
 			pendingOrders.delete(id);
 			loadedWeights.set(id, {model: target.model, version, at: now()});
+			lastUpdateMs = entry ? now() - entry.plannedAt : lastUpdateMs;
 			const loadMs = entry?.acceptedAt === undefined ? undefined : now() - entry.acceptedAt;
 			if (loadMs !== undefined) {
 				onPhase('load', loadMs);
@@ -180,11 +190,17 @@
 		}
 	};
 
+	const getUrgency = ({model, version: desired}: DesiredWeights, engines: readonly RolloutEngine[]): RolloutUrgency => ({
+		usableForMs: Math.min(...engines.filter(({version}) => version < desired).map(({version}) => getUsableForMs(model, version))),
+		updateMs: lastUpdateMs ?? versionMs() * expectedUpdateShare,
+	});
+
 	const sendDueOrders = (): void => {
 		for (const {target, engines} of listIncomplete()) {
-			for (const id of planRollout(engines, target.version)) {
+			const urgency = getUrgency(target, engines);
+			for (const id of planRollout(engines, target.version, urgency)) {
 				log.info({
-					upstream: id, model: target.model, version: target.version, loading: pendingOrders.size,
+					upstream: id, model: target.model, version: target.version, loading: pendingOrders.size, usableForMs: Math.round(urgency.usableForMs), updateMs: Math.round(urgency.updateMs),
 				}, 'engine is to load the named weights');
 				pendingOrders.set(id, {
 					model: target.model, version: target.version, nextAt: 0, plannedAt: now(), acceptedAt: undefined, failures: 0,
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -5,6 +5,7 @@
 import {createRoomTask} from './announcements/create-room-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
+import {getUsableForMs} from './decide/weights/get-usable-for-ms.js';
 import {createWeightAges} from './decide/weights/create-weight-ages.js';
 import {findOwner} from './decide/membership/find-owner.js';
 import {openRequestServers} from './forwarding/open-request-servers.js';
@@ -327,6 +328,8 @@
 		registry,
 		chargeCall: permits.charge,
 		desiredWeights: storedState.weights,
+		getUsableForMs: (model, version) => getUsableForMs(weightAges.getStaleForMs(model, version) ?? 0, liveSettings.bounds.versionMs),
+		versionMs: () => liveSettings.bounds.versionMs,
 		onPhase(phase, tookMs) {
 			metrics.updatePhaseSeconds.observe({phase}, tookMs / msPerS);
 		},
--- a/test/decide/rollout.test.ts
+++ b/test/decide/rollout.test.ts
@@ -28,6 +28,20 @@
 		expect(getMaxConcurrentLoads(count)).toBe(atOnce);
 	});
 
+	// A roll-out that began late still updated two of six engines at a time, and went on for seconds after the old weights could not be used.
+	test.each([
+		['all the time is left', 6, 6, 9500, 2],
+		['all the time is left', 13, 13, 9500, 4],
+		['the roll-out begins late', 6, 6, 4000, 3],
+		['the roll-out begins late', 13, 13, 4000, 7],
+		['the roll-out is nearly done', 6, 1, 4000, 2],
+		['hardly any time is left', 6, 6, 100, 3],
+		['the old weights can\'t be used any more', 6, 3, 0, 6],
+		['nobody knows how old the old weights are', 13, 13, Number.NEGATIVE_INFINITY, 13],
+	])('lets as many load as are needed when %s: of %d engines, %d behind, %d ms', (_, count, behind, usableForMs, atOnce) => {
+		expect(getMaxConcurrentLoads(count, behind, {usableForMs, updateMs: 2400})).toBe(atOnce);
+	});
+
 	test.each([
 		['responds', false, []], ['does not respond', true, ['e-2']],
 	])('chooses another engine while one with an order %s', (_, isUnresponsive, planned) => {
