Only engines whose own weights can't be used any more are all updated at once

The time left was that of the oldest engine for all. It is now each engine's own; the others load in the usual numbers, or as many as the time left asks for.

--- a/src/decide/orders/get-max-concurrent-loads.ts
+++ b/src/decide/orders/get-max-concurrent-loads.ts
@@ -7,7 +7,7 @@
 
 /**
 Returns how many of a service's `engineCount` engines may load weights at the same time. More concurrent loads would slow
-down the weight store, and leave fewer engines to serve. Engines whose weights can't be used any more serve nothing: all of them load.
+down the weight store, and leave fewer engines to serve.
 
 @param behind - Number of engines that don't have the desired weights, those that load them included.
 */
@@ -17,11 +17,6 @@
 		return usual;
 	}
 
-	const {usableForMs, updateMs} = urgency;
-	if (usableForMs <= 0) {
-		return engineCount;
-	}
-
-	const needed = Math.ceil(behind * updateMs / usableForMs);
+	const needed = Math.ceil(behind * urgency.updateMs / urgency.usableForMs);
 	return Math.max(usual, Math.min(needed, Math.ceil(engineCount * maxUrgentShare)));
 }
--- a/src/decide/orders/rollout-engine.ts
+++ b/src/decide/orders/rollout-engine.ts
@@ -9,4 +9,6 @@
 	readonly isBusy: boolean;
 	/** Whether it does not respond to calls about that order. */
 	readonly isUnresponsive?: boolean;
+	/** Time for which requests can still be sent to it with the weights that it has, in milliseconds; by default for ever. */
+	readonly usableForMs?: number;
 };
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -1,4 +1,3 @@
-import {type RolloutUrgency} from '../decide/orders/rollout-urgency.js';
 import {planRollout} from '../decide/orders/plan-rollout.js';
 import {type RolloutEngine} from '../decide/orders/rollout-engine.js';
 import {logFailure} from '../observe/log-failure.js';
@@ -103,6 +102,7 @@
 				version: upstream.weights.get(target.model)!,
 				inFlight: registry.inFlight(upstream.id),
 				isBusy: pendingOrders.has(upstream.id),
+				usableForMs: getUsableForMs(target.model, upstream.weights.get(target.model)!),
 				isUnresponsive: (pendingOrders.get(upstream.id)?.failures ?? 0) >= maxFailures,
 			})),
 		}];
@@ -190,17 +190,13 @@
 		}
 	};
 
-	const getUrgency = ({model, version: desired}: DesiredWeights, engines: readonly RolloutEngine[]): RolloutUrgency => ({
-		usableForMs: Math.min(...engines.filter(({version}) => version < desired).map(({version}) => getUsableForMs(model, version))),
-		updateMs: lastUpdateMs ?? versionMs() * expectedUpdateShare,
-	});
-
 	const sendDueOrders = (): void => {
 		for (const {target, engines} of listIncomplete()) {
-			const urgency = getUrgency(target, engines);
-			for (const id of planRollout(engines, target.version, urgency)) {
+			const updateMs = lastUpdateMs ?? versionMs() * expectedUpdateShare;
+			for (const id of planRollout(engines, target.version, updateMs)) {
 				log.info({
-					upstream: id, model: target.model, version: target.version, loading: pendingOrders.size, usableForMs: Math.round(urgency.usableForMs), updateMs: Math.round(urgency.updateMs),
+					upstream: id, model: target.model, version: target.version, loading: pendingOrders.size, updateMs: Math.round(updateMs),
+					usableForMs: Math.round(engines.find(engine => engine.id === id)!.usableForMs!),
 				}, 'engine is to load the named weights');
 				pendingOrders.set(id, {
 					model: target.model, version: target.version, nextAt: 0, plannedAt: now(), acceptedAt: undefined, failures: 0,
