Neither an infinite age nor a forgotten version changes the age of weights

Beyond 16 versions the next one takes over the time of the one that is removed; an infinite stated age does not count.

--- a/src/decide/weights/create-weight-ages.ts
+++ b/src/decide/weights/create-weight-ages.ts
@@ -29,11 +29,6 @@
 		const versions = versionsOf(model);
 		const since: Since = versions.get(version) ?? {earliestAt: Number.NEGATIVE_INFINITY, known: undefined};
 		versions.set(version, since);
-		if (versions.size > maxVersions) {
-			const [, second] = [...versions.keys()].toSorted((a, b) => a - b);
-			versions.delete(second!);
-		}
-
 		return since;
 	};
 
@@ -41,6 +36,26 @@
 		since.known = {held: Math.min(held, since.known?.held ?? held), wait: Math.min(wait, since.known?.wait ?? wait)};
 	};
 
+	/** Removes the second oldest version beyond those that are kept; the next one takes over its time, so that no engine's weights become younger. */
+	const limitVersions = (model: string): void => {
+		const versions = versionsOf(model);
+		if (versions.size <= maxVersions) {
+			return;
+		}
+
+		const [, second, third] = [...versions.keys()].toSorted((a, b) => a - b);
+		const {earliestAt, known} = versions.get(second!)!;
+		const next = versions.get(third!)!;
+		next.earliestAt = Math.min(next.earliestAt, earliestAt);
+		if (known && next.known) {
+			setKnown(next, known.held, known.wait);
+		} else {
+			next.known = undefined;
+		}
+
+		versions.delete(second!);
+	};
+
 	const getAgeMs = ({known, earliestAt}: Since): number => suspendAware() - (known?.held ?? earliestAt);
 
 	const listNewer = (model: string, version: number): readonly Since[] =>
@@ -53,10 +68,13 @@
 			if (isPrompt) {
 				setKnown(since, suspendAware(), monotonic());
 			}
+
+			limitVersions(model);
 		},
 		recordStated([model, version, ageMs]) {
-			if (ageMs >= 0) {
+			if (ageMs >= 0 && Number.isFinite(ageMs)) {
 				setKnown(find(model, version), suspendAware() - ageMs, monotonic() - ageMs);
+				limitVersions(model);
 			}
 		},
 		getStaleForMs(model, version) {
