Odd ages of weights in messages between hosts end nothing

That odd ages do not count at a host that serves is not tested here; weight-ages.test.ts does so for negative, infinite and no numbers.

--- a/test/reports/host-message.test.ts
+++ b/test/reports/host-message.test.ts
@@ -11,6 +11,7 @@
 });
 const status: HostStatus = {
 	host: 'a', domain: 'd', peers: '127.0.0.1:1', reports: '127.0.0.1:2', linkMbps: 10, everyMs: 100, epoch: 0, contentVersions: {}, changes: {config: 3}, isStoreLost: false, weightsAgeMs: 5,
+	weightAges: [['m', 2, 700]],
 };
 
 describe('a message between hosts', () => {
--- a/test/reports/malformed-messages.test.ts
+++ b/test/reports/malformed-messages.test.ts
@@ -43,7 +43,7 @@
 
 const status = {
 	host: 'odd', domain: 'domain-a', peers: '127.0.0.1:9', reports: '127.0.0.1:9', linkMbps: 1000, everyMs: 100, isStoreLost: false, lostServices: [],
-	epoch: 0, changes: {}, contentVersions: {}, weightsAgeMs: 0,
+	epoch: 0, changes: {}, contentVersions: {}, weightsAgeMs: 0, weightAges: [],
 };
 const news = {
 	loads: [], loading: [], weights: [], crashes: [], clearedParts: [], condemnedParts: [], limits: [], versions: [],
@@ -62,8 +62,14 @@
 	field: fc.constantFrom(...Object.keys(sound)), value: odd,
 }).map(({field, value}) => ({...sound, [field]: value}));
 
+/** Ages of weights of a faulty or newer host. */
+const oddAges = fc.oneof(fc.array(odd, {maxLength: 3}), fc.array(fc.tuple(odd, odd, odd), {minLength: 1, maxLength: 3}), fc.array(fc.tuple(fc.constant('m'), fc.nat(9), odd), {minLength: 1, maxLength: 3}));
+
 const message = fc.oneof(
 	odd,
+	oddAges.chain(weightAges => fc.constantFrom(
+		{report: {...report, weightAges}, isForSum: true}, {sums: [{...sum, members: [{status: {...status, weightAges}, ageMs: 0}]}], isToPassOn: true},
+	)),
 	vary({
 		report, isForSum: true, sums: [sum], streams: [], kept: [], isToPassOn: true,
 	}),
