A host whose address for reports is taken ends with an error

With the TCP port for callers, for peers or for metrics taken it ended with exit code 1 and EADDRINUSE; with the UDP port for reports taken it logged one warning and was still running and not ready when it was stopped after 5 s.

Cause: `open()` of the socket for messages between hosts resolved once the socket was bound, and never settled when binding failed; the listener for errors only logged. The start waited for ever.

Why it works: the first error before the bind now rejects, so the start fails like that of a TCP server, with the address in the message; later errors are logged as before.

--- a/src/reports/create-host-socket.ts
+++ b/src/reports/create-host-socket.ts
@@ -6,7 +6,7 @@
 import {type HostMessage} from './host-message.js';
 import {type HostSocket} from './host-socket.js';
 
-/** Creates the UDP socket for messages between hosts, bound to `address` by `open`; calls `onMessage` with each decoded message. */
+/** Creates the UDP socket for messages between hosts, bound to `address` by `open`, which throws when that fails; calls `onMessage` with each decoded message. */
 export function createHostSocket(address: string, onMessage: (message: HostMessage) => void): HostSocket {
 	const socket = createSocket('udp4');
 	let isClosed = false;
@@ -24,8 +24,12 @@
 	return {
 		async open() {
 			const {host, port} = parseAddress(address);
-			await new Promise<void>(resolve => {
-				socket.bind(port, host, resolve);
+			await new Promise<void>((resolve, reject) => {
+				socket.once('error', reject);
+				socket.bind(port, host, () => {
+					socket.off('error', reject);
+					resolve();
+				});
 			});
 		},
 		send(message, addresses) {
