Tests of links begin once all hosts are registered

Cause, of the set-up: a host is ready also while its registration in the store fails, which it repeats after a second; until then nobody hears it or reports to it, so it has no other host to hand requests on to. A call that times out (1.5 s) and the second after it are longer than the 1.3 s that the set-up waited and the 0.6 s of the case.

Evidence: test/links/linked-system.test.ts, where the first registration of each host fails: before, all 8 requests got 503 "none of 3 upstreams can be reached", none reached an upstream; after, 8 are served.

Why it works: the set-up waits until the store lists all hosts, and then as long as before. No expectation and no bound is changed.

--- a/test/support/start-linked-system.ts
+++ b/test/support/start-linked-system.ts
@@ -8,8 +8,9 @@
 import {platformObjects} from './platform-objects.js';
 import {startTestGateway, type TestGateway} from './start-test-gateway.js';
 import {waitUntilReady} from './wait-until-ready.js';
+import {waitUntil} from './wait-until.js';
 
-/** Time in which hosts hear of each other. */
+/** Time in which hosts hear of each other once all are registered. */
 const settleMs = 1300;
 
 /** A host with its links to all upstreams. */
@@ -94,6 +95,8 @@
 		};
 	}));
 	await waitUntilReady(...hosts.map(({gateway}) => gateway));
+	// A host is ready also while its registration fails, which it repeats.
+	await waitUntil('the hosts to be registered', () => store.copy().kinds.get(adapter.kinds.hosts)?.size === domains.length);
 	await sleep(settleMs);
 	return {
 		hosts,
