--- a/src/decide/orders/plan-rollout.ts
+++ b/src/decide/orders/plan-rollout.ts
@@ -6,8 +6,8 @@
 /**
 Returns the ids of the engines to update to `targetVersion` next, as many as may load at the same time. Engines with the
 oldest weights come first, and among these the ones with the fewest requests in flight, so that running requests delay the
-rollout least. Engines whose weights can't be used any more serve nothing, and are all updated at once; one that does not respond takes
-up no place of another one. Load pattern: new weights are published under full traffic, and again before the previous rollout has ended.
+rollout least; those that did not respond come last. Engines whose weights can't be used any more serve nothing, and are all updated at
+once. Load pattern: new weights are published under full traffic, and again before the previous rollout has ended.
 
 @param updateMs - Expected time from the choice of an engine until it has the weights, in milliseconds.
 */
@@ -17,9 +17,9 @@
 	const urgency = {usableForMs: Math.min(...usable.map(engine => getUsableForMs(engine))), updateMs};
 	const candidates = behind
 		.filter(engine => !engine.isBusy)
-		.toSorted((a, b) => a.version - b.version || a.inFlight - b.inFlight || (a.id < b.id ? -1 : 1));
+		.toSorted((a, b) => Number(a.isUnresponsive ?? false) - Number(b.isUnresponsive ?? false) || a.version - b.version || a.inFlight - b.inFlight || (a.id < b.id ? -1 : 1));
 	const unusable = candidates.filter(engine => getUsableForMs(engine) <= 0);
-	const loading = engines.filter(engine => engine.isBusy && !engine.isUnresponsive).length + unusable.length;
+	const loading = engines.filter(engine => engine.isBusy).length + unusable.length;
 	const freeLoads = Math.max(0, getMaxConcurrentLoads(engines.length, usable.length, urgency) - loading);
 	return [...unusable, ...candidates.filter(engine => getUsableForMs(engine) > 0).slice(0, freeLoads)].map(engine => engine.id);
 }
--- a/src/decide/orders/rollout-engine.ts
+++ b/src/decide/orders/rollout-engine.ts
@@ -7,7 +7,7 @@
 	readonly inFlight: number;
 	/** Whether an order to this engine is in progress. */
 	readonly isBusy: boolean;
-	/** Whether it does not respond to calls about that order. */
+	/** Whether it has not responded of late, so that others come first. */
 	readonly isUnresponsive?: boolean;
 	/** Time for which requests can still be sent to it with the weights that it has, in milliseconds; by default for ever. */
 	readonly usableForMs?: number;
--- a/src/decide/weights/create-weight-ages.ts
+++ b/src/decide/weights/create-weight-ages.ts
@@ -16,7 +16,8 @@
 
 /**
 Creates the record of for how long versions of weights have been the desired ones, over restarts and over hosts. Of several statements the
-oldest holds: a host that learned late states too little. What nobody has seen counts from the last time at which the platform's store
+oldest holds: a host that learned late states too little. A version whose age is not known is stated too, since it was named before those
+after it. What nobody has seen counts from the last time at which the platform's store
 confirmed that it was not so, or as infinitely old. Other hosts are told ages by the clock that never runs ahead, so that the wall clock of
 one host does not make weights old for all.
 */
@@ -56,10 +57,14 @@
 		versions.delete(second!);
 	};
 
-	const getAgeMs = ({known, earliestAt}: Since): number => suspendAware() - (known?.held ?? earliestAt);
+	/** A version has become the desired one after all versions before it. */
+	const getEarliestAt = (model: string, version: number): number => {
+		const {earliestAt, known} = versionsOf(model).get(version)!;
+		const before = [...versionsOf(model)].flatMap(([each, since]) => each < version && since.known ? [since.known.held] : []);
+		return known?.held ?? Math.max(earliestAt, ...before);
+	};
 
-	const listNewer = (model: string, version: number): readonly Since[] =>
-		[...versionsOf(model)].filter(([each]) => each > version).map(([, since]) => since);
+	const listNewer = (model: string, version: number): readonly number[] => [...versionsOf(model).keys()].filter(each => each > version);
 
 	return {
 		recordFound(model, version, {confirmedAt, isPrompt}) {
@@ -72,17 +77,24 @@
 			limitVersions(model);
 		},
 		recordStated([model, version, ageMs]) {
-			if (ageMs >= 0 && Number.isFinite(ageMs)) {
+			if (ageMs === null) {
+				find(model, version);
+			} else if (ageMs >= 0 && Number.isFinite(ageMs)) {
 				setKnown(find(model, version), suspendAware() - ageMs, monotonic() - ageMs);
-				limitVersions(model);
 			}
+
+			limitVersions(model);
 		},
 		getStaleForMs(model, version) {
 			const newer = listNewer(model, version);
-			return newer.length > 0 ? Math.max(...newer.map(since => getAgeMs(since))) : undefined;
+			return newer.length > 0 ? suspendAware() - Math.min(...newer.map(each => getEarliestAt(model, each))) : undefined;
+		},
+		getLeastStaleForMs(model, version) {
+			const known = listNewer(model, version).flatMap(each => versionsOf(model).get(each)!.known?.wait ?? []);
+			return known.length > 0 ? monotonic() - Math.min(...known) : undefined;
 		},
-		listKnown: () => [...models].flatMap(model => [...versionsOf(model)].flatMap(([version, {known}]): readonly WeightAge[] =>
-			known ? [[model, version, Math.round(monotonic() - known.wait)]] : [])),
-		isUnknown: (model, version) => listNewer(model, version).some(({known}) => known === undefined),
+		list: () => [...models].flatMap(model => [...versionsOf(model)].map(([version, {known}]): WeightAge =>
+			[model, version, known ? Math.floor(monotonic() - known.wait) : null])),
+		isUnknown: (model, version) => listNewer(model, version).some(each => versionsOf(model).get(each)!.known === undefined),
 	};
 }
--- a/src/decide/weights/weight-ages.ts
+++ b/src/decide/weights/weight-ages.ts
@@ -19,8 +19,10 @@
 	when nobody could tell. That time is never reset by a restart, or by learning of the newer weights late.
 	*/
 	readonly getStaleForMs: (model: string, version: number) => number | undefined;
-	/** Returns the ages that are known, for other hosts. */
-	readonly listKnown: () => readonly WeightAge[];
+	/** The same, at most: by the clock for waits for others, and by versions whose age is known. */
+	readonly getLeastStaleForMs: (model: string, version: number) => number | undefined;
+	/** Returns the ages of all versions, for other hosts. */
+	readonly list: () => readonly WeightAge[];
 	/** Returns whether the age of some version newer than `version` is not known. */
 	readonly isUnknown: (model: string, version: number) => boolean;
 };
--- a/src/forwarding/create-rollout-task.ts
+++ b/src/forwarding/create-rollout-task.ts
@@ -24,8 +24,10 @@
 const invalidOrderRetryMs = 1500;
 /** An order follows a report. */
 const callsPerOrder = 2;
-/** An engine counts as unresponsive after this many calls that failed in a row. */
-const maxFailures = 2;
+/** An engine gives up its place after this many calls that failed in a row; one that may be loading keeps it for longer. */
+const maxFailures = {beforeOrder: 2, afterOrder: 12} as const;
+/** For this long after it gave up its place, others come first. */
+const unresponsiveMs = 5000;
 /** Expected time of an update until one has been seen, as a share of the time that all of them have. */
 const expectedUpdateShare = 0.2;
 /** How long this host's reports include new weights that it found on an engine. */
@@ -40,6 +42,8 @@
 	/** When the engine was chosen, and when it accepted the order; in milliseconds of the monotonic clock. */
 	readonly plannedAt: number;
 	acceptedAt: number | undefined;
+	/** Whether an order was sent: the engine may be loading although it did not respond. */
+	isOrdered: boolean;
 	/** Calls to the engine that have failed in a row. */
 	failures: number;
 };
@@ -54,7 +58,7 @@
 	/** Counts a call to an engine that states a limit on requests; returns the time that the limit leaves between two, in milliseconds. */
 	readonly chargeCall: (upstreamId: string) => number;
 	readonly desiredWeights: () => readonly DesiredWeights[];
-	/** Returns for how long requests can still be sent to engines with a version of a model, in milliseconds (`getUsableForMs`). */
+	/** Returns for how long requests can still be sent to engines with a version of a model from any host, in milliseconds (`getUsableForMs`). */
 	readonly getUsableForMs: (model: string, version: number) => number;
 	/** Time after new desired weights are published from which no request may start on older ones, in milliseconds. */
 	readonly versionMs: () => number;
@@ -83,8 +87,9 @@
 	let hasStopped = false;
 	/** Since when there have been engines to update. */
 	let workSince: number | undefined;
-	/** Time that the last update took, in milliseconds. */
-	let lastUpdateMs: number | undefined;
+	/** Time that the last update of a model took, in milliseconds. */
+	const updateMsByModel = new Map<string, number>();
+	const unresponsiveUntil = new Map<string, number>();
 	/** Whether this host held the lease in the last step. */
 	let wasHolder = false;
 
@@ -103,7 +108,7 @@
 				inFlight: registry.inFlight(upstream.id),
 				isBusy: pendingOrders.has(upstream.id),
 				usableForMs: getUsableForMs(target.model, upstream.weights.get(target.model)!),
-				isUnresponsive: (pendingOrders.get(upstream.id)?.failures ?? 0) >= maxFailures,
+				isUnresponsive: now() < (unresponsiveUntil.get(upstream.id) ?? Number.NEGATIVE_INFINITY),
 			})),
 		}];
 	});
@@ -118,7 +123,10 @@
 			const entry = pendingOrders.get(id);
 			pendingOrders.delete(id);
 			loadedWeights.set(id, {model: target.model, version, at: now()});
-			lastUpdateMs = entry ? now() - entry.plannedAt : lastUpdateMs;
+			if (entry?.failures === 0) {
+				updateMsByModel.set(target.model, now() - entry.plannedAt);
+			}
+
 			const loadMs = entry?.acceptedAt === undefined ? undefined : now() - entry.acceptedAt;
 			if (loadMs !== undefined) {
 				onPhase('load', loadMs);
@@ -131,7 +139,8 @@
 	};
 
 	const recordAnswer = (entry: PendingOrder, answer: OrderResult): void => {
-		if (answer !== 'accepted') {
+		entry.isOrdered = answer === 'accepted';
+		if (!entry.isOrdered) {
 			entry.acceptedAt = undefined;
 			return;
 		}
@@ -156,6 +165,7 @@
 
 		lease.recordOrder();
 		chargeCall(id);
+		entry.isOrdered = true;
 		const answer = await engineClient.order(address, id, {
 			model: target.model, version: target.version, holder: self, token, expectedOrders: report.orders,
 		});
@@ -187,19 +197,23 @@
 			logFailure(error, {upstream: id, version: target.version}, 'weight update order failed');
 			entry.nextAt = now() + failedOrderRetryMs;
 			entry.failures++;
+			if (entry.failures >= maxFailures[entry.isOrdered ? 'afterOrder' : 'beforeOrder']) {
+				pendingOrders.delete(id);
+				unresponsiveUntil.set(id, now() + unresponsiveMs);
+			}
 		}
 	};
 
 	const sendDueOrders = (): void => {
 		for (const {target, engines} of listIncomplete()) {
-			const updateMs = lastUpdateMs ?? versionMs() * expectedUpdateShare;
+			const updateMs = updateMsByModel.get(target.model) ?? versionMs() * expectedUpdateShare;
 			for (const id of planRollout(engines, target.version, updateMs)) {
 				log.info({
-					upstream: id, model: target.model, version: target.version, loading: pendingOrders.size, updateMs: Math.round(updateMs),
+					upstream: id, model: target.model, version: target.version, pending: pendingOrders.size, updateMs: Math.round(updateMs),
 					usableForMs: Math.round(engines.find(engine => engine.id === id)!.usableForMs!),
 				}, 'engine is to load the named weights');
 				pendingOrders.set(id, {
-					model: target.model, version: target.version, nextAt: 0, plannedAt: now(), acceptedAt: undefined, failures: 0,
+					model: target.model, version: target.version, nextAt: 0, plannedAt: now(), acceptedAt: undefined, isOrdered: false, failures: 0,
 				});
 			}
 
--- a/src/object-store/create-object-watcher.ts
+++ b/src/object-store/create-object-watcher.ts
@@ -32,8 +32,8 @@
 
 /** A watch that begins later than this after the store's last response may bring a change that was made before, unless it waited for it. */
 const maxUnwatchedMs = 500;
-/** The store responds sooner than this to a watch for a change that it has already. */
-const minWaitedMs = 300;
+/** A store that takes this long to respond to a watch for a change that it has already counts as one that does not respond. */
+const minWaitedMs = 1500;
 
 /** How often a waiting watch checks whether it should have waited less. */
 const waitCheckIntervalMs = 300;
@@ -149,6 +149,7 @@
 
 	const watchOnce = async (from: KindSnapshot): Promise<void> => {
 		const calledAt = now();
+		const isRepeated = hasFailed;
 		const unwatchedMs = contactAt === undefined ? Number.POSITIVE_INFINITY : calledAt - contactAt;
 		const result = await watchWithin(from, hasFailed ? probeWaitMs : waitMs());
 		if (result === 'waited-enough') {
@@ -179,7 +180,7 @@
 				objects: [...objectsByName.values()], epoch: result.epoch, revision: result.revision, changedAt,
 			};
 			if (result.changes.length > 0) {
-				setSnapshot(next, confirmedAt, unwatchedMs < maxUnwatchedMs || now() - calledAt > minWaitedMs);
+				setSnapshot(next, confirmedAt, !isRepeated && (unwatchedMs < maxUnwatchedMs || now() - calledAt > minWaitedMs));
 				await sleep(batchIntervalMs);
 			} else {
 				current = next;
--- a/src/object-store/create-weight-age-record.ts
+++ b/src/object-store/create-weight-age-record.ts
@@ -8,8 +8,8 @@
 /** Versions of a model that the record keeps, newest first. */
 const maxVersions = 8;
 
-/** The record of a model: when versions became the desired ones, by the clock that all engines share, in milliseconds. */
-const recordSchema = z.object({since: z.array(z.tuple([z.number().int(), z.number()]))});
+/** The record of a model: when versions became the desired ones, by the clock that all engines share, in milliseconds; `null` when nobody knew. */
+const recordSchema = z.object({since: z.array(z.tuple([z.number().int(), z.number().nullable()]))});
 
 type Since = z.infer<typeof recordSchema>['since'];
 
@@ -18,8 +18,10 @@
 	readonly store: Pick<ObjectStore, 'list' | 'read' | 'create' | 'replace'>;
 	/** Kind of the objects that hold the record, one for each model. */
 	readonly kind: string;
-	/** Returns the ages that this host knows. */
-	readonly listKnown: () => readonly WeightAge[];
+	/** Returns the newest epoch of the store. */
+	readonly getEpoch: () => number;
+	/** Returns the ages of the versions that this host has heard of. */
+	readonly listAges: () => readonly WeightAge[];
 };
 
 /**
@@ -37,18 +39,20 @@
 
 /** Merges two lists; of two times of a version the earlier one holds. */
 function merge(a: Since, b: Since): Since {
-	const merged = new Map<number, number>();
+	const merged = new Map<number, number | null>();
 	for (const [version, at] of [...a, ...b]) {
-		merged.set(version, Math.min(at, merged.get(version) ?? at));
+		const other = merged.get(version) ?? null;
+		merged.set(version, at === null || other === null ? at ?? other : Math.min(at, other));
 	}
 
 	return [...merged].toSorted(([left], [right]) => right - left).slice(0, maxVersions);
 }
 
 /** Creates access to the record. Hosts never compare their own clocks: its times are those of the engines' clock. */
-export function createWeightAgeRecord({store, kind, listKnown}: WeightAgeRecordOptions): WeightAgeRecord {
-	/** Newest version on record, by model, as far as this host knows. */
+export function createWeightAgeRecord({store, kind, getEpoch, listAges}: WeightAgeRecordOptions): WeightAgeRecord {
+	/** Newest version on record, by epoch of the store and model, as far as this host knows: a store that returns from an older copy may lack it. */
 	const savedVersions = new Map<string, number>();
+	const toKey = (model: string): string => `${getEpoch()}/${model}`;
 	const logInvalid = createInvalidEntryLog(kind);
 
 	const decode = ({name, value}: StoredObject): Since => {
@@ -60,23 +64,23 @@
 		return parsed.data?.since ?? [];
 	};
 
-	const listKnownOf = (model: string): readonly WeightAge[] => listKnown().filter(([of]) => of === model);
+	const listOf = (model: string): readonly WeightAge[] => listAges().filter(([of]) => of === model);
 
 	return {
-		lacks: model => listKnownOf(model).some(([, version]) => version > (savedVersions.get(model) ?? 0)),
+		lacks: model => listOf(model).some(([, version, ageMs]) => ageMs !== null && version > (savedVersions.get(toKey(model)) ?? 0)),
 		async save(model, clockMs) {
-			const known = listKnownOf(model).map(([, version, ageMs]): [number, number] => [version, clockMs - ageMs]);
+			const since = listOf(model).map(([, version, ageMs]): [number, number | null] => [version, ageMs === null ? null : clockMs - ageMs]);
 			const stored = await store.read(kind, model);
-			const value = {since: merge(stored ? decode(stored) : [], known)};
+			const value = {since: merge(stored ? decode(stored) : [], since)};
 			const written = stored ? await store.replace(kind, model, value, stored) : await store.create(kind, model, value);
 			log.info({model, since: value.since, written: written !== undefined}, 'ages of weights recorded in the store');
 			if (written) {
-				savedVersions.set(model, Math.max(...known.map(([version]) => version)));
+				savedVersions.set(toKey(model), Math.max(...since.map(([version]) => version)));
 			}
 		},
 		async read(clockMs) {
 			const {objects} = await store.list(kind);
-			return objects.flatMap(object => decode(object).map(([version, at]) => [object.name, version, clockMs - at] as const));
+			return objects.flatMap(object => decode(object).map(([version, at]) => [object.name, version, at === null ? null : clockMs - at] as const));
 		},
 	};
 }
--- a/src/object-store/create-weight-age-task.ts
+++ b/src/object-store/create-weight-age-task.ts
@@ -8,16 +8,19 @@
 import {type WeightAgeRecord} from './create-weight-age-record.js';
 
 const intervalMs = 250;
-/** What is not known is asked for once in this many intervals. */
-const intervalsPerAsking = 2;
+/** What is not known is asked for again after this long, and after twice as long each time. */
+const minPauseMs = 500;
+const maxPauseMs = 8000;
 const maxAsked = 3;
 const callTimeoutMs = 250;
 /** A host that starts does not wait longer than this for what it can't learn: an age that is not known counts as spent. */
 const maxFirstLearningMs = 600;
+const firstListCheckMs = 20;
 
 /** The weights of one model on a listed engine. */
 type EngineWeights = {
-	/** Address of the engine. */
+	/** Id and address of the engine. */
+	readonly id: string;
 	readonly address: string;
 	readonly model: string;
 	readonly version: number;
@@ -32,8 +35,15 @@
 	/** Returns the weights of the listed engines. */
 	readonly listEngineWeights: () => readonly EngineWeights[];
 	/** Reads the time by the engines' clock from an engine; `undefined` when it does not state it. Throws when the engine does not respond. */
-	readonly readClock: (address: string) => Promise<number | undefined>;
-	readonly alive: () => readonly KnownHost[];
+	readonly readClock: (engine: EngineWeights) => Promise<number | undefined>;
+	/** Whether this host has read the desired weights, from the store or from another host. */
+	readonly areWeightsListed: () => boolean;
+	/** An age that is not known for longer than this does not matter any more: it is spent, in milliseconds. */
+	readonly maxUsefulMs: () => number;
+	/** Returns the other hosts that can be asked. */
+	readonly listHosts: () => readonly KnownHost[];
+	/** Monotonic clock in milliseconds. */
+	readonly now: () => number;
 	readonly call: PeerRpc;
 	readonly random: () => number;
 };
@@ -48,17 +58,21 @@
 
 /** Creates the task. It has work while engines have older weights than the desired ones. */
 export function createWeightAgeTask(options: WeightAgeTaskOptions): WeightAgeTask {
-	const {weightAges, record, isRecorder, listEngineWeights, readClock, alive, call, random} = options;
+	const {weightAges, record, isRecorder, listEngineWeights, readClock, areWeightsListed, maxUsefulMs, listHosts, now, call, random} = options;
 	let hasStarted = false;
 	let hasLearned = false;
 	let hasStopped = false;
+	/** Since when ages have not been known, and when they are asked for next. */
+	let unknownSince: number | undefined;
+	let askAt = Number.NEGATIVE_INFINITY;
+	let pauseMs = minPauseMs;
 
 	const pick = <T>(items: readonly T[]): T | undefined => items[Math.floor(random() * items.length)];
 
 	const listUnknown = (): readonly EngineWeights[] => listEngineWeights().filter(({model, version}) => weightAges.isUnknown(model, version));
 
 	const askHosts = async (): Promise<void> => {
-		const asked = alive().map(host => ({host, draw: random()})).toSorted((a, b) => a.draw - b.draw).slice(0, maxAsked);
+		const asked = listHosts().map(host => ({host, draw: random()})).toSorted((a, b) => a.draw - b.draw).slice(0, maxAsked);
 		await Promise.all(asked.map(async ({host}) => {
 			try {
 				const {ages} = await call(host.peers, 'gateway.weightAges', {}, {timeoutMs: callTimeoutMs});
@@ -71,19 +85,26 @@
 		}));
 	};
 
-	const readRecord = async ({address}: EngineWeights): Promise<void> => {
+	const readRecord = async (engine: EngineWeights): Promise<void> => {
 		try {
-			const clockMs = await readClock(address);
+			const clockMs = await readClock(engine);
 			for (const age of clockMs === undefined ? [] : await record.read(clockMs)) {
 				weightAges.recordStated(age);
 			}
 		} catch (error) {
-			logFailure(error, {upstream: address}, 'record of the ages of weights could not be read', 'info');
+			logFailure(error, {upstream: engine.id}, 'record of the ages of weights could not be read', 'info');
 		}
 	};
 
 	const learn = async (): Promise<void> => {
 		if (listUnknown().length === 0) {
+			unknownSince = undefined;
+			pauseMs = minPauseMs;
+			return;
+		}
+
+		unknownSince ??= now();
+		if (now() < askAt || now() - unknownSince > maxUsefulMs()) {
 			return;
 		}
 
@@ -93,33 +114,44 @@
 			await readRecord(unknown);
 			log.info({model: unknown.model, isKnown: listUnknown().length === 0}, 'ages of weights read from the record');
 		}
+
+		askAt = now() + pauseMs;
+		pauseMs = Math.min(maxPauseMs, pauseMs * 2);
+	};
+
+	/** What is named after this host has read the list is learned of as it is named, or asked for. */
+	const learnFirst = async (): Promise<void> => {
+		while (!areWeightsListed() && !hasStopped) {
+			await sleep(firstListCheckMs);
+		}
+
+		await Promise.race([learn(), sleep(maxFirstLearningMs)]);
 	};
 
 	const keepRecord = async (): Promise<void> => {
-		const behind = pick(listEngineWeights().filter(({model, version}) => weightAges.getStaleForMs(model, version) !== undefined && record.lacks(model)));
-		if (!behind || !isRecorder()) {
+		const behind = isRecorder()
+			? pick(listEngineWeights().filter(({model, version}) => weightAges.getStaleForMs(model, version) !== undefined && record.lacks(model)))
+			: undefined;
+		if (!behind) {
 			return;
 		}
 
 		try {
-			const clockMs = await readClock(behind.address);
+			const clockMs = await readClock(behind);
 			if (clockMs !== undefined) {
 				await record.save(behind.model, clockMs);
 			}
 		} catch (error) {
-			logFailure(error, {model: behind.model, upstream: behind.address}, 'ages of weights could not be recorded, retrying', 'info');
+			logFailure(error, {model: behind.model, upstream: behind.id}, 'ages of weights could not be recorded, retrying', 'info');
 		}
 	};
 
 	const run = async (): Promise<void> => {
-		await Promise.race([learn(), sleep(maxFirstLearningMs)]);
+		await learnFirst();
 		hasLearned = true;
-		for (let interval = 1; !hasStopped; interval++) {
+		while (!hasStopped) {
 			await sleepUntilTick(intervalMs);
-			if (interval % intervalsPerAsking === 0) {
-				await learn();
-			}
-
+			await learn();
 			await keepRecord();
 		}
 	};
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -62,7 +62,7 @@
 			const addAge = (statedMs: number | undefined): number | undefined => statedMs === undefined ? undefined : statedMs + ageMs;
 			onStatus({
 				...status, weightsAgeMs: addAge(status.weightsAgeMs), upstreamsAgeMs: addAge(status.upstreamsAgeMs),
-				weightAges: status.weightAges?.map(([model, version, statedMs]) => [model, version, statedMs + ageMs] as const),
+				weightAges: status.weightAges?.map(([model, version, statedMs]) => [model, version, statedMs === null ? null : statedMs + ageMs] as const),
 			});
 		}
 	};
--- a/src/reports/find-message-fault.ts
+++ b/src/reports/find-message-fault.ts
@@ -6,6 +6,7 @@
 const isString: Check = value => typeof value === 'string';
 const isText: Check = value => typeof value === 'string' && value !== '';
 const isNumber: Check = value => Number.isFinite(value);
+const isWhole: Check = value => Number.isSafeInteger(value);
 const isFlag: Check = value => typeof value === 'boolean';
 const isObject: Check = value => typeof value === 'object' && value !== null && !Array.isArray(value);
 const isListOf = (check: Check): Check => value => Array.isArray(value) && value.every(item => check(item));
@@ -24,7 +25,7 @@
 	host: isText, domain: isText, peers: isDialable, reports: isDialable, linkMbps: isNumber, everyMs: isNumber,
 	isStoreLost: isOptional(isFlag), lostServices: isOptional(isListOf(isText)), countsAttempts: isOptional(isFlag), sharesKvByGroup: isOptional(isFlag), epoch: isOptional(isNumber),
 	changes: isNumbers, contentVersions: isOptional(isNumbers), weightsAgeMs: isOptional(isNumber), upstreamsAgeMs: isOptional(isNumber),
-	weightAges: isOptional(isListOf(isTuple(isText, isNumber, isNumber))),
+	weightAges: isOptional(isListOf(isTuple(isText, isWhole, isOptional(isNumber)))),
 };
 
 const newsChecks = {
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -5,6 +5,7 @@
 import {createRoomTask} from './announcements/create-room-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
+import {listRecentWeightAges} from './decide/weights/list-recent-weight-ages.js';
 import {getUsableForMs} from './decide/weights/get-usable-for-ms.js';
 import {createWeightAges} from './decide/weights/create-weight-ages.js';
 import {findOwner} from './decide/membership/find-owner.js';
@@ -77,8 +78,6 @@
 const settleMs = 1000;
 /** What a process receives sooner after it stood still may have waited for it. */
 const promptAfterMs = 1000;
-/** Hosts report the ages of weights that became the desired ones within this time; older ones are told to those that ask. */
-const reportedWeightAgeMs = 60_000;
 /** Retry budgets and connections are divided among at least this many hosts, since the others are not known yet after a start. */
 const minAssumedHosts = 3;
 /** Least number of connections of one host to an upstream. */
@@ -150,7 +149,7 @@
 				lostServices: listLostServices(),
 				countsAttempts: true,
 				sharesKvByGroup: true,
-				weightAges: weightAges.listKnown().filter(age => age[2] < reportedWeightAgeMs),
+				weightAges: listRecentWeightAges(weightAges.list()),
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
 			};
 		}),
@@ -212,14 +211,26 @@
 	});
 	const weightAgeTask = createWeightAgeTask({
 		weightAges,
-		record: createWeightAgeRecord({store, kind: kinds.weightAges, listKnown: weightAges.listKnown}),
-		isRecorder: () => hasSettled() && findOwner([name, ...listOtherNames()], 'weight-ages') === name,
-		listEngineWeights: () => registry.listAll().flatMap(({address, weights}) => [...weights].map(([model, version]) => ({address, model, version}))),
-		async readClock(address) {
-			const {clockMs} = await engineClient.report(address);
+		record: createWeightAgeRecord({
+			store, kind: kinds.weightAges, getEpoch: epochs.current, listAges: weightAges.list,
+		}),
+		isRecorder: () => hasSettled() && findOwner([name, ...reportExchange.alive().filter(host => !host.isStoreLost).map(({host}) => host)], 'weight-ages') === name,
+		areWeightsListed: () => watchers.some(({kind, state}) => kind === kinds.weights && state() !== undefined),
+		maxUsefulMs: () => liveSettings.bounds.versionMs,
+		listEngineWeights: () => registry.listAll().flatMap(({id, address, weights}) => [...weights].map(([model, version]) => ({
+			id, address, model, version,
+		}))),
+		async readClock({id, address}) {
+			permits.charge(id);
+			const {clockMs, weights} = await engineClient.report(address);
+			for (const [model, version] of weights) {
+				registry.recordWeights(id, model, version);
+			}
+
 			return clockMs;
 		},
-		alive: reportExchange.alive,
+		listHosts: () => reportExchange.alive().length > 0 ? reportExchange.alive() : reportExchange.listOthers(),
+		now,
 		call: peerClient.call,
 		random,
 	});
@@ -328,7 +339,10 @@
 		registry,
 		chargeCall: permits.charge,
 		desiredWeights: storedState.weights,
-		getUsableForMs: (model, version) => getUsableForMs(weightAges.getStaleForMs(model, version) ?? 0, liveSettings.bounds.versionMs),
+		// Where an age is not known, other hosts may know that it is young.
+		getUsableForMs: (model, version) => weightAges.isUnknown(model, version)
+			? 1
+			: getUsableForMs(weightAges.getLeastStaleForMs(model, version) ?? 0, liveSettings.bounds.versionMs),
 		versionMs: () => liveSettings.bounds.versionMs,
 		onPhase(phase, tookMs) {
 			metrics.updatePhaseSeconds.observe({phase}, tookMs / msPerS);
@@ -387,7 +401,7 @@
 	});
 
 	const peerServer = await createPeerServer(settings.peers, undefined, createGatewayMethods({
-		stateSync, ownLease, currentEpoch: epochs.current, listStatements: () => registry.listStatements(now()), listWeightAges: weightAges.listKnown, rooms, permits, upstreamChecks, streams, kvStoreTracker,
+		stateSync, ownLease, currentEpoch: epochs.current, listStatements: () => registry.listStatements(now()), listWeightAges: weightAges.list, rooms, permits, upstreamChecks, streams, kvStoreTracker,
 	}), () => false);
 	await reportExchange.start();
 	const {callers, relayed, requests} = await openRequestServers({
