Parts that a completed request has cleared stay cleared at hosts that start

Callers: requests with a sound part of a prompt, condemned by mistake and cleared by the request that tries it, were refused again for the rest of the ten minutes: by hosts that started or missed the report of one second, and by all hosts as soon as anything else was condemned or the store came back from an older copy. Cause: nothing lasting said that the part was cleared. Its entry stayed in the list in the store, each change of the list condemned it anew, and hosts that serve requests with it have nothing left to clear, so they never say so again. Now the hosts that know take cleared parts out of the list and leave there what was cleared, until the refusal would have ended; an entry is known by its end, so parts that are condemned again are refused again. Hosts of an earlier build write the list back without what was cleared; hosts that know add it.

The support of condemned-request-list.test.ts passes the new callback, its checks are unchanged.

--- a/src/poison/condemned-request-list.ts
+++ b/src/poison/condemned-request-list.ts
@@ -11,6 +11,8 @@
 	readonly add: (digest: string, delayMs: number) => void;
 	/** Adds condemned parts of prompts likewise; their `until` is in Unix milliseconds. */
 	readonly addParts: (condemned: CondemnedParts, delayMs: number) => void;
+	/** Takes parts with which requests have completed out of the list; hosts that start later do not refuse requests with them. */
+	readonly clearParts: (parts: readonly string[], delayMs: number) => void;
 	/** Returns the condemned parts that are still to be added to the list in the store. */
 	readonly listUnlistedParts: () => readonly CondemnedParts[];
 	/** Whether a request is still to be added to the list in the store. */
--- a/src/poison/create-condemned-request-list.ts
+++ b/src/poison/create-condemned-request-list.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {type CondemnedRequest} from '../decide/poison/condemned-request.js';
 import {type CondemnedParts} from '../decide/poison/condemned-parts.js';
+import {createClearedEntries} from '../decide/poison/create-cleared-entries.js';
 import {mergeCondemnedParts} from '../decide/poison/merge-condemned-parts.js';
 import {mergeCondemnedRequests} from '../decide/poison/merge-condemned-requests.js';
 import {poisonLimits} from '../decide/poison/poison-limits.js';
@@ -21,6 +22,9 @@
 	parts: z.array(z.object({
 		parts: z.array(z.string()).min(1), workspace: z.string().optional(), until: z.number(), upstreams: z.array(z.string()),
 	})).default([]),
+	cleared: z.array(z.object({
+		parts: z.array(z.string()).min(1), workspace: z.string().optional(), until: z.number(), cleared: z.array(z.string()),
+	})).default([]),
 });
 
 /** The stored list. */
@@ -34,9 +38,11 @@
 	readonly random: () => number;
 	/** Called with the listed requests and parts after each change of the list. */
 	readonly onChange: (requests: readonly CondemnedRequest[], parts: readonly CondemnedParts[]) => void;
+	/** Called before it with the parts that other hosts have cleared since the last change. */
+	readonly onCleared: (parts: readonly string[]) => void;
 };
 
-const emptyList: CondemnedList = {requests: [], parts: []};
+const emptyList: CondemnedList = {requests: [], parts: [], cleared: []};
 
 const getKey = ({parts, workspace}: CondemnedParts): string => JSON.stringify([parts.toSorted(), workspace]);
 
@@ -50,11 +56,16 @@
 }
 
 /** Creates the shared list. Hosts that start later, or that no report reached, refuse the requests in it too. */
-export function createCondemnedRequestList({store, kind, random, onChange}: CondemnedRequestListOptions): CondemnedRequestList {
+export function createCondemnedRequestList({store, kind, random, onChange, onCleared}: CondemnedRequestListOptions): CondemnedRequestList {
 	const unlisted = new Map<string, CondemnedRequest>();
 	const unlistedParts = new Map<string, CondemnedParts>();
 	let listedUntil: ReadonlyMap<string, number> = new Map();
+	/** Condemned parts as they are in the store, and those of them that are not cleared. */
+	let stored: readonly CondemnedParts[] = [];
 	let listedParts: ReadonlyMap<string, CondemnedParts> = new Map();
+	const clearedEntries = createClearedEntries();
+	/** Whether the list in the store still has parts that were cleared. */
+	let hasCleared = false;
 	/** Epoch of the store in which the list was seen last. */
 	let epoch: number | undefined;
 	let isWriting = false;
@@ -72,28 +83,42 @@
 
 	const countUnlisted = (): number => unlisted.size + unlistedParts.size;
 
-	/** Adds the unlisted requests and parts unless another host changes the list in between. */
+	const hasWork = (): boolean => countUnlisted() > 0 || hasCleared;
+
+	const countParts = (entries: readonly CondemnedParts[]): number => entries.reduce((sum, {parts}) => sum + parts.length, 0);
+
+	const isCleared = (entries: readonly CondemnedParts[]): boolean => countParts(clearedEntries.apply(entries)) < countParts(entries);
+
+	/** Adds the unlisted requests and parts and takes out the cleared ones, unless another host changes the list in between. */
 	const writeOnce = async (): Promise<void> => {
-		const stored = await store.read(kind, objectName);
-		const list = stored ? decodeList(stored.value) : emptyList;
+		const object = await store.read(kind, objectName);
+		const list = object ? decodeList(object.value) : emptyList;
+		clearedEntries.add(list.cleared);
+		if (countUnlisted() === 0 && !isCleared(list.parts)) {
+			hasCleared = false;
+			return;
+		}
+
 		const added = [...unlisted.values()];
 		const addedParts = [...unlistedParts.values()];
 		const requests = mergeCondemnedRequests(list.requests, added, Date.now());
-		const parts = mergeCondemnedParts(list.parts, addedParts, Date.now());
-		const value = {requests, parts};
-		const written = await (stored ? store.replace(kind, objectName, value, stored) : store.create(kind, objectName, value));
+		const parts = mergeCondemnedParts(clearedEntries.apply(list.parts), addedParts, Date.now());
+		const cleared = clearedEntries.list(Date.now());
+		const value = {requests, parts, cleared};
+		const written = await (object ? store.replace(kind, objectName, value, object) : store.create(kind, objectName, value));
 		if (written) {
+			hasCleared = false;
 			removeListed(added, addedParts);
 			log.info({
 				added: added.map(({digest}) => digest), addedParts: addedParts.map(condemned => condemned.parts),
-				requests: requests.length, parts: parts.length, revision: written.revision,
+				requests: requests.length, parts: parts.length, cleared: cleared.length, revision: written.revision,
 			}, 'condemned requests stored');
 		}
 	};
 
 	const write = async (): Promise<void> => {
 		isWriting = true;
-		while (countUnlisted() > 0 && !hasStopped) {
+		while (hasWork() && !hasStopped) {
 			try {
 				await writeOnce();
 			} catch (error) {
@@ -107,7 +132,7 @@
 
 	const writeDelayed = async (delayMs: number): Promise<void> => {
 		await sleep(delayMs);
-		if (countUnlisted() > 0 && !isWriting) {
+		if (hasWork() && !isWriting) {
 			await write();
 		}
 	};
@@ -122,6 +147,12 @@
 		void writeDelayed(delayMs);
 	};
 
+	const setListed = (parts: readonly CondemnedParts[]): void => {
+		stored = parts;
+		listedParts = new Map(clearedEntries.apply(parts).map(condemned => [getKey(condemned), condemned]));
+		hasCleared = isCleared(parts);
+	};
+
 	/** Adds again what the store lost when it came back from an older copy; hosts that come later find it listed. */
 	const relistLost = (requests: readonly CondemnedRequest[], parts: readonly CondemnedParts[]): void => {
 		const lost = requests.filter(({digest, until}) => until > Date.now() && !listedUntil.has(digest));
@@ -152,6 +183,20 @@
 				addParts(condemned, delayMs);
 			}
 		},
+		clearParts(parts, delayMs) {
+			if (!clearedEntries.clear([...stored, ...unlistedParts.values()], parts)) {
+				return;
+			}
+
+			const stillUnlisted = clearedEntries.apply([...unlistedParts.values()]);
+			unlistedParts.clear();
+			for (const condemned of stillUnlisted) {
+				unlistedParts.set(getKey(condemned), condemned);
+			}
+
+			setListed(stored);
+			void writeDelayed(delayMs);
+		},
 		listUnlistedParts: () => [...unlistedParts.values()],
 		isUnlisted: digest => unlisted.has(digest),
 		applyObjects(objects, _confirmedAt, currentEpoch) {
@@ -159,11 +204,22 @@
 			const object = objects.find(({name}) => name === objectName);
 			const list = object ? decodeList(object.value) : emptyList;
 			const requests = list.requests.filter(({until}) => until > Date.now());
-			const parts = list.parts.filter(({until}) => until > Date.now());
 			const partsBefore = [...listedParts.values()];
 			listedUntil = new Map(requests.map(({digest, until}) => [digest, until]));
-			listedParts = new Map(parts.map(condemned => [getKey(condemned), condemned]));
+			const clearedByOthers = clearedEntries.add(list.cleared);
+			const hadCleared = hasCleared;
+			setListed(list.parts.filter(({until}) => until > Date.now()));
+			if (hasCleared && !hadCleared) {
+				void writeDelayed(random() * relistSpreadMs);
+			}
+
+			const parts = [...listedParts.values()];
 			removeListed(requests, parts);
+			if (clearedByOthers.length > 0) {
+				log.info({parts: clearedByOthers}, 'parts of prompts are listed as cleared');
+				onCleared(clearedByOthers);
+			}
+
 			onChange(requests, parts);
 			if (currentEpoch !== epoch) {
 				epoch = currentEpoch;
--- a/src/poison/create-poison-request-detector.ts
+++ b/src/poison/create-poison-request-detector.ts
@@ -32,6 +32,8 @@
 	readonly onCondemn: (digest: string, isOwn: boolean) => void;
 	/** Called when this host condemns parts of prompts; `until` is in Unix milliseconds. */
 	readonly onCondemnParts: (condemned: CondemnedParts) => void;
+	/** Called with parts that a completed request has cleared; `isOwn`: one of this host. */
+	readonly onClearParts: (parts: readonly string[], isOwn: boolean) => void;
 	/** Whether a condemned request is not yet in the list that hosts read when they start. */
 	readonly isUnlisted: (digest: string) => boolean;
 	/** Returns the condemned parts that are not yet in that list. */
@@ -52,7 +54,7 @@
 
 /** Creates the detector. A crash counts only if a check finds that the upstream has ended; each start of an upstream counts once for a request. */
 export function createPoisonRequestDetector({
-	checkUpstream, now, hasTurn, onCondemn, onCondemnParts, isUnlisted, listUnlistedParts,
+	checkUpstream, now, hasTurn, onCondemn, onCondemnParts, onClearParts, isUnlisted, listUnlistedParts,
 }: PoisonRequestDetectorOptions): PoisonRequestDetector {
 	const tracker = createCrashCauseTracker();
 	const completedParts = createCompletedParts();
@@ -179,6 +181,7 @@
 			}
 
 			if (cleared.length > 0) {
+				onClearParts(cleared, true);
 				log.info({requestId: admitted.request.id ?? '', parts: cleared}, 'request completed, its parts crash no upstreams');
 			}
 		},
@@ -188,10 +191,15 @@
 			}
 
 			tracker.clearParts(clearedParts);
+			if (clearedParts.length > 0) {
+				onClearParts(clearedParts, false);
+			}
+
 			for (const condemned of condemnedParts) {
 				tracker.addCondemnedParts({...condemned, until: fromUnix(condemned.until)});
 			}
 		},
+		clearParts: tracker.clearParts,
 		addCondemned(requests, parts) {
 			for (const {digest, until} of requests) {
 				if (until > Date.now()) {
--- a/src/poison/poison-request-detector.ts
+++ b/src/poison/poison-request-detector.ts
@@ -21,6 +21,8 @@
 	readonly addFindings: (findings: CrashFindings) => void;
 	/** Adds what hosts have condemned and listed in the object store; times are in Unix milliseconds. */
 	readonly addCondemned: (requests: readonly CondemnedRequest[], parts: readonly CondemnedParts[]) => void;
+	/** Clears parts of which the list in the object store says that a request completed with them. */
+	readonly clearParts: (parts: readonly string[]) => void;
 	/** Returns what to report to other hosts. */
 	readonly news: () => CrashFindings;
 };
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -261,11 +261,14 @@
 		onCondemnParts(condemned) {
 			condemnedRequestList.addParts(condemned, condemnedByOtherDelayMs * random());
 		},
+		onClearParts(parts, isOwn) {
+			condemnedRequestList.clearParts(parts, isOwn ? 0 : condemnedByOtherDelayMs * (1 + random()));
+		},
 		isUnlisted: digest => condemnedRequestList.isUnlisted(digest),
 		listUnlistedParts: () => condemnedRequestList.listUnlistedParts(),
 	});
 	const condemnedRequestList = createCondemnedRequestList({
-		store, kind: kinds.condemnedRequests, random, onChange: crashes.addCondemned,
+		store, kind: kinds.condemnedRequests, random, onChange: crashes.addCondemned, onCleared: crashes.clearParts,
 	});
 	const kvStoreTracker = createKvStoreTracker({
 		self, engineClient, call: peerClient.call, others: reportExchange.alive,
--- a/test/poison/condemned-request-list.test.ts
+++ b/test/poison/condemned-request-list.test.ts
@@ -20,6 +20,7 @@
 		kind: 'condemned',
 		random: () => 0,
 		onChange: () => undefined,
+		onCleared: () => undefined,
 		store: {
 			read: async () => object,
 			create: async () => undefined,
