Ages that other hosts or the record state have grown on their way

The time since the first call is added, as for what hosts are asked. A line stated the age of a confirmation that there never was as null; it says never.

--- a/src/object-store/create-stored-state.ts
+++ b/src/object-store/create-stored-state.ts
@@ -125,7 +125,7 @@
 					weightAges.recordFound(decoded.model, decoded.version, {confirmedAt, isPrompt});
 					history.push(desired);
 					log.info({
-						model: decoded.model, version: decoded.version, revision, isPrompt, confirmedAgeMs: confirmedAt === undefined ? 'never' : Math.round(now() - confirmedAt),
+						model: decoded.model, version: decoded.version, revision, isPrompt, confirmedAgeMs: confirmedAt !== undefined && Number.isFinite(confirmedAt) ? Math.round(now() - confirmedAt) : 'never',
 					}, 'weights named');
 				}
 			}
--- a/src/object-store/create-weight-age-task.ts
+++ b/src/object-store/create-weight-age-task.ts
@@ -1,3 +1,4 @@
+import {type WeightAge} from '../decide/weights/weight-age.js';
 import {type WeightAges} from '../decide/weights/weight-ages.js';
 import {logFailure} from '../observe/log-failure.js';
 import {log} from '../observe/log.js';
@@ -71,14 +72,20 @@
 
 	const listUnknown = (): readonly EngineWeights[] => listEngineWeights().filter(({model, version}) => weightAges.isUnknown(model, version));
 
+	/** Records ages that were stated at some time after `since`; they have grown by no more than the time from there. */
+	const recordAges = (ages: readonly WeightAge[], since: number): void => {
+		for (const [model, version, ageMs] of ages) {
+			weightAges.recordStated([model, version, ageMs === null ? null : ageMs + (now() - since)]);
+		}
+	};
+
 	const askHosts = async (): Promise<void> => {
 		const asked = listHosts().map(host => ({host, draw: random()})).toSorted((a, b) => a.draw - b.draw).slice(0, maxAsked);
 		await Promise.all(asked.map(async ({host}) => {
+			const askedAt = now();
 			try {
 				const {ages} = await call(host.peers, 'gateway.weightAges', {}, {timeoutMs: callTimeoutMs});
-				for (const age of ages) {
-					weightAges.recordStated(age);
-				}
+				recordAges(ages, askedAt);
 			} catch (error) {
 				logFailure(error, {peer: host.host}, 'host does not say how old the named weights are', 'info');
 			}
@@ -86,10 +93,11 @@
 	};
 
 	const readRecord = async (engine: EngineWeights): Promise<void> => {
+		const askedAt = now();
 		try {
 			const clockMs = await readClock(engine);
-			for (const age of clockMs === undefined ? [] : await record.read(clockMs)) {
-				weightAges.recordStated(age);
+			if (clockMs !== undefined) {
+				recordAges(await record.read(clockMs), askedAt);
 			}
 		} catch (error) {
 			logFailure(error, {upstream: engine.id}, 'record of the ages of weights could not be read', 'info');
