The connections to an upstream follow the configuration and the hosts that are known

Callers: 503 'no upstream takes requests of this route' from hosts that had started again, while upstreams were free. Cause: the number of connections of a host to an upstream was computed as the upstream was listed; before the configuration is known that is four, for good, and shares of later hosts never changed it. It is computed at each placement now. Evidence: test/registry/upstream-registry.test.ts, 2 of 3 red before.

--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -66,7 +66,6 @@
 	};
 
 	const add = (upstream: Upstream): void => {
-		const connections = maxConnectionsFor(upstream.service);
 		const silenceListeners = new Set<() => void>();
 		const pool = link(upstream);
 		links.add(upstream, () => {
@@ -79,7 +78,6 @@
 			upstream,
 			link: pool,
 			silenceListeners,
-			connections,
 			inFlight: 0,
 			waitingTokens: new Map(),
 			heldTokens: 0,
@@ -131,7 +129,7 @@
 	const findByAddress = (address: string): UpstreamEntry | undefined => [...entries.values()].find(({upstream}) => upstream.address === address);
 
 	const toView = (entry: UpstreamEntry, at: number, priority: number): UpstreamView => toUpstreamView(entry, at, {
-		others: remoteLoads.of(entry.upstream.id, at), isReachable: isReachable(entry), meanHeadLatencyMs: headLatencies.mean(entry.upstream.service), priority,
+		others: remoteLoads.of(entry.upstream.id, at), connections: maxConnectionsFor(entry.upstream.service), isReachable: isReachable(entry), meanHeadLatencyMs: headLatencies.mean(entry.upstream.service), priority,
 	});
 
 	return {
--- a/src/registry/to-upstream-view.ts
+++ b/src/registry/to-upstream-view.ts
@@ -15,6 +15,8 @@
 /** What else a view rests on. */
 type ViewOptions = {
 	readonly others: RemoteLoad | undefined;
+	/** Number of connections that this host may open now. */
+	readonly connections: number;
 	readonly isReachable: boolean;
 	/** Mean time to a response head of the service, in milliseconds. */
 	readonly meanHeadLatencyMs: number;
@@ -23,7 +25,7 @@
 };
 
 /** Returns the state of an upstream for a request of a priority. */
-export function toUpstreamView(entry: UpstreamEntry, now: number, {others, isReachable, meanHeadLatencyMs, priority}: ViewOptions): UpstreamView {
+export function toUpstreamView(entry: UpstreamEntry, now: number, {others, connections, isReachable, meanHeadLatencyMs, priority}: ViewOptions): UpstreamView {
 	let ahead = 0;
 	let waiting = 0;
 	for (const tokensOf of others ? [entry.waitingTokens, others.waitingTokens] : [entry.waitingTokens]) {
@@ -43,7 +45,7 @@
 		isReachable,
 		isEjected: now < entry.avoidUntil,
 		failureShare: entry.failureShare,
-		freeConnections: entry.connections - entry.inFlight,
+		freeConnections: connections - entry.inFlight,
 		requestsPerS: entry.announcements.limit.value(),
 		closedForMs: entry.announcements.closedForMs(now),
 	};
--- a/src/registry/upstream-entry.ts
+++ b/src/registry/upstream-entry.ts
@@ -9,8 +9,6 @@
 	readonly link: UpstreamConnectionPool;
 	/** Called whenever the link is found silent. */
 	readonly silenceListeners: Set<() => void>;
-	/** Maximum number of connections that this host may open. */
-	readonly connections: number;
 	inFlight: number;
 	/** Prompt tokens of requests without a response head, by priority. */
 	readonly waitingTokens: Map<number, number>;
--- a/test/registry/upstream-registry.test.ts
+++ b/test/registry/upstream-registry.test.ts
@@ -59,3 +59,20 @@
 		expect(registry.listAvailable('app', 0, 0)[0]!.isReachable).toBe(isReachable);
 	});
 });
+
+// A host that read its upstreams before the configuration refused most requests for good: it kept the few connections that it then assumed.
+describe('the connections to an upstream', () => {
+	test.each([
+		['are few before the configuration is known', [], 4],
+		['are as many as the configuration allows once it is known', [40], 40],
+		['are shared among the hosts that are known now', [40, 10], 10],
+	])('%s', (_name, limits, expected) => {
+		let limit = 4;
+		const registry = createTestRegistry(() => running, () => 0, () => limit);
+		for (const each of limits) {
+			limit = each;
+		}
+
+		expect(registry.listAvailable('app', 0, 0)[0]!.freeConnections).toBe(expected);
+	});
+});
--- a/test/support/create-test-registry.ts
+++ b/test/support/create-test-registry.ts
@@ -10,7 +10,7 @@
 };
 
 /** Creates a registry with one upstream, whose requests `send` takes. */
-export function createTestRegistry(send: UpstreamConnectionPool['send'], now: () => number = () => 0): UpstreamRegistry {
+export function createTestRegistry(send: UpstreamConnectionPool['send'], now: () => number = () => 0, maxConnectionsFor: (service: string) => number = () => 4): UpstreamRegistry {
 	const links = createUpstreamLinks({
 		ping: async () => true, chargeProbe: () => 0, now, random: () => 0,
 	});
@@ -18,7 +18,7 @@
 	const registry = createUpstreamRegistry({
 		now,
 		links,
-		maxConnectionsFor: () => 4,
+		maxConnectionsFor,
 		link: () => ({
 			send, hasIdle: () => false, closeIdle: () => undefined, close: () => undefined,
 		}),
