--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -6,7 +6,7 @@
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
 import {listRecentWeightAges} from './decide/weights/list-recent-weight-ages.js';
-import {getUsableForMs} from './decide/weights/get-usable-for-ms.js';
+import {estimateUsableForMs} from './decide/weights/estimate-usable-for-ms.js';
 import {createWeightAges} from './decide/weights/create-weight-ages.js';
 import {findOwner} from './decide/membership/find-owner.js';
 import {openRequestServers} from './forwarding/open-request-servers.js';
@@ -209,13 +209,15 @@
 		},
 		random,
 	});
+	/** A host that has not read which weights are desired can't tell that an engine's are not stale. */
+	const areWeightsListed = (): boolean => watchers.some(({kind, state}) => kind === kinds.weights && state() !== undefined);
 	const weightAgeTask = createWeightAgeTask({
 		weightAges,
 		record: createWeightAgeRecord({
 			store, kind: kinds.weightAges, getEpoch: epochs.current, listAges: weightAges.list,
 		}),
 		isRecorder: () => hasSettled() && findOwner([name, ...reportExchange.alive().filter(host => !host.isStoreLost).map(({host}) => host)], 'weight-ages') === name,
-		areWeightsListed: () => watchers.some(({kind, state}) => kind === kinds.weights && state() !== undefined),
+		areWeightsListed,
 		maxUsefulMs: () => liveSettings.bounds.versionMs,
 		listEngineWeights: () => registry.listAll().flatMap(({id, address, weights}) => [...weights].map(([model, version]) => ({
 			id, address, model, version,
@@ -342,10 +344,7 @@
 		registry,
 		chargeCall: permits.charge,
 		desiredWeights: storedState.weights,
-		// Where an age is not known, other hosts may know that it is young.
-		getUsableForMs: (model, version) => weightAges.isUnknown(model, version)
-			? 1
-			: getUsableForMs(weightAges.getLeastStaleForMs(model, version) ?? 0, liveSettings.bounds.versionMs),
+		getUsableForMs: (model, version) => estimateUsableForMs(weightAges, {model, version, maxStaleMs: liveSettings.bounds.versionMs}),
 		versionMs: () => liveSettings.bounds.versionMs,
 		onPhase(phase, tookMs) {
 			metrics.updatePhaseSeconds.observe({phase}, tookMs / msPerS);
@@ -377,7 +376,8 @@
 		random,
 		place: meter('placement', createRequestPlacer({
 			domain, registry, serviceOf: storedState.findService, getLatencyModel,
-			getStaleForMs: weightAges.getStaleForMs, versionMs: () => liveSettings.bounds.versionMs, now, random,
+			getStaleForMs: (model, version) => areWeightsListed() ? weightAges.getStaleForMs(model, version) : Number.POSITIVE_INFINITY,
+			versionMs: () => liveSettings.bounds.versionMs, now, random,
 			others: () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()}),
 			planKvReuse: createKvReusePlanner({
 				registry, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
--- a/test/decide/weights/weight-ages.test.ts
+++ b/test/decide/weights/weight-ages.test.ts
@@ -93,6 +93,14 @@
 		pass(1000);
 		ages.recordFound(model, 3, seen);
 	}, 2, 0],
+	['a version that nobody has seen is no older than the one before it', ({ages}) => {
+		ages.recordFound(model, 3, foundLate);
+		ages.recordStated([model, 2, 7000]);
+	}, 2, 7000],
+	['a version before one that is known was named before it', ({ages}) => {
+		ages.recordStated([model, 2, null]);
+		ages.recordFound(model, 3, seen);
+	}, 1, Number.POSITIVE_INFINITY],
 	['another model\'s versions do not count', ({ages}) => {
 		ages.recordFound('other', 2, foundLate);
 	}, 1, undefined],
@@ -167,6 +175,33 @@
 		expect(pair[1 - stepped]!.ages.getStaleForMs(model, 1)).toBe(300);
 	});
 
+	test('does not grow as it is told back and forth', () => {
+		const [a, b] = [createHost(), createHost()];
+		a.ages.recordFound(model, 2, seen);
+		for (let round = 1; round <= 600; round++) {
+			const stated = [a.ages.list(), b.ages.list()] as const;
+			for (const host of [a, b]) {
+				host.pass(100.55);
+			}
+
+			for (const [index, host] of [b, a].entries()) {
+				for (const [of, version, ageMs] of stated[index]!) {
+					host.ages.recordStated([of, version, ageMs! + 100]);
+				}
+			}
+		}
+
+		expect(a.ages.getStaleForMs(model, 1)).toBeCloseTo(600 * 100.55);
+	});
+
+	test('is by the clock that never runs ahead where it is for others', () => {
+		const {ages, clocks, pass} = createHost();
+		ages.recordFound(model, 2, seen);
+		clocks.held += 20_000;
+		pass(1000);
+		expect([ages.getStaleForMs(model, 1), ages.getLeastStaleForMs(model, 1)]).toEqual([21_000, 1000]);
+	});
+
 	test('is stated as unknown while nobody knows it', () => {
 		const {ages} = createHost();
 		ages.recordFound(model, 2, {confirmedAt: startMs - 50, isPrompt: false});
--- a/test/forwarding/old-weights-at-hosts-as-processes.test.ts
+++ b/test/forwarding/old-weights-at-hosts-as-processes.test.ts
@@ -2,6 +2,7 @@
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import PQueue from 'p-queue';
 import {describe, expect, test} from 'vitest';
 import {sleep} from '../../src/util/sleep.js';
 import {buildRawRequest} from '../support/build-raw-request.js';
@@ -176,8 +177,13 @@
 	}],
 ];
 
+/** Cases beside each other starve the process in which the engines run. */
+const queue = new PQueue({concurrency: 3});
+/** With the time in the queue. */
+const caseTimeoutMs = 180_000;
+
 describe.concurrent('no request begins on old weights later than the bound after newer ones were named', () => {
-	test.each(cases)('%s', async (_name, play) => {
+	test.each(cases)('%s', async (_name, play) => queue.add(async () => {
 		const store = await createObjectStoreServer();
 		const engine = await createWeightedEngine();
 		store.put('config', 'main', platformObjects.configuration(1));
@@ -214,5 +220,5 @@
 			store.stop();
 			engine.stop();
 		}
-	});
+	}), caseTimeoutMs);
 });
--- a/test/forwarding/rollout.test.ts
+++ b/test/forwarding/rollout.test.ts
@@ -3,6 +3,8 @@
 import {
 	afterEach, beforeEach, describe, expect, test,
 } from 'vitest';
+import {getMaxConcurrentLoads} from '../../src/decide/orders/get-max-concurrent-loads.js';
+import {sleep} from '../../src/util/sleep.js';
 import {startTestGateway, type TestGateway} from '../support/start-test-gateway.js';
 import {createObjectStoreServer, type ObjectStoreServer} from '../support/create-object-store-server.js';
 import {platformObjects} from '../support/platform-objects.js';
@@ -14,6 +16,8 @@
 	readonly address: string;
 	readonly orders: Array<{readonly version: number; readonly holder: string; readonly fencing_token: number; readonly expect: number}>;
 	version: number;
+	/** Time from an order to the new weights, in milliseconds. */
+	loadMs: number;
 	/** Whether orders are carried out but get no response. */
 	omitsResponse: boolean;
 	/** Whether nothing gets a response, and nothing is carried out. */
@@ -22,6 +26,8 @@
 };
 
 const weightLoadMs = 150;
+/** Time in which calls to each of the engines fail several times. */
+const silenceMs = 14_000;
 
 async function createEngine(): Promise<Engine> {
 	let highestToken = 0;
@@ -58,7 +64,7 @@
 				setTimeout(() => {
 					isBusy = false;
 					engine.version = order.version;
-				}, weightLoadMs);
+				}, engine.loadMs);
 				if (!engine.omitsResponse) {
 					answer(202);
 				}
@@ -72,6 +78,7 @@
 		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
 		orders: [],
 		version: 1,
+		loadMs: weightLoadMs,
 		omitsResponse: false,
 		isSilent: false,
 		stop() {
@@ -105,7 +112,7 @@
 });
 
 async function start(count: number, leaseMs = 1000): Promise<void> {
-	gateways = await Promise.all(Array.from({length: count}, async () => startTestGateway(store.address, {bounds: {leaseMs}})));
+	gateways = await Promise.all(Array.from({length: count}, async () => startTestGateway(store.address, {bounds: {leaseMs, versionMs: 120_000}})));
 	await waitUntilReady(...gateways);
 }
 
@@ -170,6 +177,28 @@
 		await waitUntil('the other engines to have version 2', () => others.every(engine => engine.version === 2));
 	});
 
+	// Each engine that did not respond made room for another order, so that all were ordered as they came back.
+	test('does not load all engines at once that come back together', async () => {
+		for (const engine of engines) {
+			engine.isSilent = true;
+			engine.loadMs = 1500;
+		}
+
+		await start(1);
+		store.put('versions', 'm', {model: 'm', version: 2});
+		await sleep(silenceMs);
+		for (const engine of engines) {
+			engine.isSilent = false;
+		}
+
+		let mostLoading = 0;
+		await waitUntil('some engines to have version 2', () => {
+			mostLoading = Math.max(mostLoading, engines.filter(engine => engine.orders.length > 0 && engine.version < 2).length);
+			return engines.filter(engine => engine.version === 2).length >= 3;
+		});
+		expect(mostLoading).toBeLessThanOrEqual(getMaxConcurrentLoads(engines.length));
+	}, 60_000);
+
 	test('completes when the response to a write of the lease is lost', async () => {
 		await start(1);
 		store.faults.dropsNextWriteResponse = true;
--- a/test/reports/malformed-messages.test.ts
+++ b/test/reports/malformed-messages.test.ts
@@ -67,9 +67,7 @@
 
 const message = fc.oneof(
 	odd,
-	oddAges.chain(weightAges => fc.constantFrom(
-		{report: {...report, weightAges}, isForSum: true}, {sums: [{...sum, members: [{status: {...status, weightAges}, ageMs: 0}]}], isToPassOn: true},
-	)),
+	oddAges.chain(weightAges => fc.constantFrom({report: {...report, weightAges}, isForSum: true}, {sums: [{...sum, members: [{status: {...status, weightAges}, ageMs: 0}]}], isToPassOn: true})),
 	vary({
 		report, isForSum: true, sums: [sum], streams: [], kept: [], isToPassOn: true,
 	}),
