--- a/src/decide/weights/create-weight-ages.ts
+++ b/src/decide/weights/create-weight-ages.ts
@@ -16,10 +16,10 @@
 
 /**
 Creates the record of for how long versions of weights have been the desired ones, over restarts and over hosts. Of several statements the
-oldest holds: a host that learned late states too little. A version whose age is not known is stated too, since it was named before those
-after it. What nobody has seen counts from the last time at which the platform's store
-confirmed that it was not so, or as infinitely old. Other hosts are told ages by the clock that never runs ahead, so that the wall clock of
-one host does not make weights old for all.
+oldest holds: a host that learned late states too little. A version whose age is not known is stated too, since it became the desired one
+before those after it. What nobody has seen counts from the last time at which the platform's store confirmed that it was not so, or as
+infinitely old. Other hosts are told ages by the clock that never runs ahead, so that the wall clock of one host does not make weights old
+for all.
 */
 export function createWeightAges({suspendAware, monotonic}: Clocks): WeightAges {
 	const versionsOf = memoize((_model: string) => new Map<number, Since>());
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -39,6 +39,7 @@
 	/** Returns the number of other hosts that place requests, and the mean age of their reports in milliseconds. */
 	readonly others: () => {readonly count: number; readonly reportAgeMs: number};
 	readonly planKvReuse: KvReusePlanner;
+	/** Returns for how long there have been newer weights of a model than a version, in milliseconds. */
 	readonly getStaleForMs: WeightAges['getStaleForMs'];
 	/** Time after new desired weights are published from which no request may start on older ones, in milliseconds. */
 	readonly versionMs: () => number;
--- a/src/forwarding/create-rollout-lease.ts
+++ b/src/forwarding/create-rollout-lease.ts
@@ -134,7 +134,7 @@
 		const before = latestValue;
 		latestValue = object && decode(object.value);
 		if (latestValue && (latestValue.holder !== before?.holder || latestValue.token !== before.token || latestValue.isReleased !== before.isReleased)) {
-			log.info({holder: latestValue.holder, token: latestValue.token, isReleased: latestValue.isReleased}, 'lease is another host\'s');
+			log.info({holder: latestValue.holder, token: latestValue.token, isReleased: latestValue.isReleased}, 'lease read');
 		}
 
 		lease.observe(object?.revision ?? 0, latestValue?.token ?? 0, observedAt);
