Ages of weights keep nothing for models that callers make up

Found as the change was read again: the record made an entry for each model that a request named, at each placement, and forgot none, so a caller's header could fill a host's memory. The models were kept in a set of their own besides; one map holds both now, and a question makes no entry.

--- a/src/decide/weights/create-weight-ages.ts
+++ b/src/decide/weights/create-weight-ages.ts
@@ -1,5 +1,4 @@
 import {type Clocks} from '../../util/clocks.js';
-import {memoize} from '../../util/memoize.js';
 import {type WeightAge} from './weight-age.js';
 import {type WeightAges} from './weight-ages.js';
 
@@ -22,12 +21,14 @@
 for all.
 */
 export function createWeightAges({suspendAware, monotonic}: Clocks): WeightAges {
-	const versionsOf = memoize((_model: string) => new Map<number, Since>());
-	const models = new Set<string>();
+	const versionsByModel = new Map<string, Map<number, Since>>();
+
+	/** Callers name models that there are not: nothing is kept of these. */
+	const versionsOf = (model: string): Map<number, Since> => versionsByModel.get(model) ?? new Map<number, Since>();
 
 	const find = (model: string, version: number): Since => {
-		models.add(model);
 		const versions = versionsOf(model);
+		versionsByModel.set(model, versions);
 		const since: Since = versions.get(version) ?? {earliestAt: Number.NEGATIVE_INFINITY, known: undefined};
 		versions.set(version, since);
 		return since;
@@ -93,7 +94,7 @@
 			const known = listNewer(model, version).flatMap(each => versionsOf(model).get(each)!.known?.wait ?? []);
 			return known.length > 0 ? monotonic() - Math.min(...known) : undefined;
 		},
-		list: () => [...models].flatMap(model => [...versionsOf(model)].map(([version, {known}]): WeightAge =>
+		list: () => [...versionsByModel].flatMap(([model, versions]) => [...versions].map(([version, {known}]): WeightAge =>
 			[model, version, known ? Math.floor(monotonic() - known.wait) : null])),
 		isUnknown: (model, version) => listNewer(model, version).some(each => versionsOf(model).get(each)!.known === undefined),
 	};
