Lines, paths of settings and host names are found by functions of their own

The check of a configuration needs the line of a value and the host name that a route is looked up by; both were private to parse-jsonc.ts and create-route-finder.ts. Moved without change of behaviour.

--- a/src/decide/forwarding/create-route-finder.ts
+++ b/src/decide/forwarding/create-route-finder.ts
@@ -1,10 +1,6 @@
 import {type Route} from '../../forwarding/route.js';
 import {type RouteFinder} from './route-finder.js';
-
-/** Returns a host name in lower case and without its port. */
-function toHostName(host: string): string {
-	return host.toLowerCase().replace(/:\d+$/v, '');
-}
+import {toHostName} from './to-host-name.js';
 
 /**
 Creates the look-up of a configuration's routes, indexed by host name. Among the routes of a host, the one with the longest matching path
--- a/src/settings/parse-jsonc.ts
+++ b/src/settings/parse-jsonc.ts
@@ -3,34 +3,11 @@
 } from 'jsonc-parser';
 import {type z} from 'zod';
 import {SettingsError} from '../errors/settings-error.js';
+import {findLine} from './find-line.js';
+import {findNode} from './find-node.js';
+import {formatPath} from './format-path.js';
 import {type SettingsIssue} from './settings-issue.js';
 
-/** Returns the line of an offset, counted from 1. */
-function findLine(text: string, offset: number): number {
-	return text.slice(0, offset).split('\n').length;
-}
-
-function formatPath(path: readonly PropertyKey[]): string {
-	return path.map((part, index) => typeof part === 'number' ? `[${part}]` : `${index === 0 ? '' : '.'}${String(part)}`).join('') || '(root)';
-}
-
-/** Finds the node at a path, or its deepest existing ancestor. */
-function findNode(root: Node | undefined, path: readonly PropertyKey[]): Node | undefined {
-	let node = root;
-	for (const part of path) {
-		const child = typeof part === 'number'
-			? node?.children?.[part]
-			: node?.children?.find(property => property.children?.[0]?.value === part)?.children?.[1];
-		if (!child) {
-			break;
-		}
-
-		node = child;
-	}
-
-	return node;
-}
-
 function toValue(node: Node | undefined): unknown {
 	const children = node?.children ?? [];
 	if (node?.type === 'object') {
