hemlockpier check FILE [--against FILE] checks the operator's configuration before it is sent

Cause: a configuration that can be decoded may still hold routes, shares, services and keys that no request uses, limits that contradict each other, or changes that callers notice; nobody saw that before it was in force. Change: pure checks on decoded values in src/settings/configuration-check, with file, line and field; the wire's names and what the gateway replaces by defaults come from platform/describe-configuration.ts through the adapter. The boundary test allowed platform/adapter.js in the gateway command only and did not look at other files of platform/ or at import(). It now names both commands exactly and covers both; it failed for either when tried.

--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -3,6 +3,7 @@
 import {type ObjectStore} from '../object-store/object-store.js';
 import {type StoreHooks} from '../object-store/store-hooks.js';
 import {type StoredObject} from '../object-store/stored-object.js';
+import {type ConfigurationDetails} from '../settings/configuration-check/configuration-details.js';
 import {type SpentAttempts} from '../decide/attempts/spent-attempts.js';
 import {type CallerRequest} from './caller-request.js';
 import {type EngineClient} from './engine-client.js';
@@ -30,7 +31,11 @@
 	readonly openStore: (address: string, hooks: StoreHooks) => ObjectStore;
 	/** Path at which the load balancer checks whether this host accepts new connections. */
 	readonly readinessPath: string;
-	readonly decodeConfiguration: (value: unknown) => Configuration | undefined;
+	/** `onFault` is called for each field at fault of a configuration that is invalid, with its path in the stored object. */
+	readonly decodeConfiguration: (value: unknown, onFault?: (path: readonly PropertyKey[], message: string) => void) => Configuration | undefined;
+	/** Whether a JSON value is meant as a configuration, valid or not. */
+	readonly isConfiguration: (value: unknown) => boolean;
+	readonly describeConfiguration: (value: unknown) => ConfigurationDetails;
 	/** `onFault` is called with the field at fault of an entry that is invalid. */
 	readonly decodeUpstream: (object: StoredObject, onFault?: (fault: string) => void) => Upstream | undefined;
 	readonly decodeWeights: (value: unknown) => Pick<DesiredWeights, 'model' | 'version'> | undefined;
--- a/test/platform/boundary.test.ts
+++ b/test/platform/boundary.test.ts
@@ -44,8 +44,10 @@
 		expect(files('src').filter(file => readFileSync(file, 'utf8').toLowerCase().includes(name))).toEqual([]);
 	});
 
-	test('are used by src/ only through platform/adapter.ts, imported by the gateway command', () => {
-		const importing = files('src').filter(file => /from '(?:\.\.\/)+platform\/adapter\.js'/v.test(readFileSync(file, 'utf8')));
-		expect(importing).toEqual([path.join('src', 'commands', 'gateway.ts')]);
+	test('are used by src/ only through platform/adapter.ts, imported by the commands that run a gateway or check its configuration', () => {
+		const imports = files('src').flatMap(file => [...readFileSync(file, 'utf8').matchAll(/(?:from |import\()'(?<target>\.[^']*)'/gv)]
+			.map(({groups}) => ({file, target: path.join(path.dirname(file), groups!.target!)})));
+		expect(imports.filter(({target}) => target.startsWith(`platform${path.sep}`))).toEqual(['check.ts', 'gateway.ts']
+			.map(file => ({file: path.join('src', 'commands', file), target: path.join('platform', 'adapter.js')})));
 	});
 });
