--- a/src/forwarding/service.ts
+++ b/src/forwarding/service.ts
@@ -5,6 +5,10 @@
 	readonly maxConnections: number;
 	/** Target of a GET request that tells whether an upstream is up; `undefined` where the configuration names none. */
 	readonly healthPath: string | undefined;
+	/** How long an upstream is cold after a start, in milliseconds; left out where the configuration does not say. */
+	readonly coldStartMs?: number;
+	/** Requests a second that a cold upstream tolerates from all hosts together; left out where nothing limits them. */
+	readonly coldPerS?: number;
 	/** Set when the upstreams are model engines. */
 	readonly engine?: {
 		/** Requests that an engine runs at the same time. */
--- a/src/forwarding/upstream.ts
+++ b/src/forwarding/upstream.ts
@@ -14,6 +14,10 @@
 	readonly startedAt: number | undefined;
 	/** Version of its software; empty where it states none. */
 	readonly softwareVersion: string;
+	/** How much longer it stays cold, in milliseconds, counted from `coldAskedAt`; left out where its entry does not say. */
+	readonly coldForMs?: number;
+	/** When the store was asked for the entry that states `coldForMs`, in milliseconds of the monotonic clock. */
+	readonly coldAskedAt?: number;
 	/** Weight version of each loaded model. */
 	readonly weights: ReadonlyMap<string, number>;
 };
