--- a/src/announcements/create-permit-issuer.ts
+++ b/src/announcements/create-permit-issuer.ts
@@ -13,7 +13,7 @@
 };
 
 /** Creates the issuer. A host that has just begun to issue the permits of an upstream has none at first. */
-export function createPermitIssuer(now: () => number, random: () => number): PermitIssuer {
+export function createPermitIssuer(now: () => number, random: () => number, maxBurst?: number): PermitIssuer {
 	const buckets = new Map<string, {readonly bucket: ReturnType<typeof createPermitBucket>; usedAt: number}>();
 
 	const removeExpired = (): void => {
@@ -32,7 +32,7 @@
 		}
 
 		removeExpired();
-		const bucket = createPermitBucket(random);
+		const bucket = createPermitBucket(random, maxBurst);
 		buckets.set(upstream, {bucket, usedAt: now()});
 		return bucket;
 	};
--- a/src/decide/announcements/create-permit-bucket.ts
+++ b/src/decide/announcements/create-permit-bucket.ts
@@ -24,15 +24,17 @@
 /**
 Creates the permits of one upstream: a token bucket, empty at first. A host that is denied a permit is told when to ask again, spread over the
 time that all waiting hosts need. Load pattern: many hosts that want to send to an upstream that takes few requests.
+
+@param maxBurst - Permits that may be granted at once; left out for a burst that grows with the rate.
 */
-export function createPermitBucket(random: () => number): PermitBucket {
+export function createPermitBucket(random: () => number, maxBurst?: number): PermitBucket {
 	const waiting = new Map<string, number>();
 	let permits = 0;
 	let filledAt: number | undefined;
 
 	const fill = (requestsPerS: number, now: number): number => {
 		const rate = Math.max(minRequestsPerS, requestsPerS);
-		const burst = Math.max(minBurst, rate * burstMs / msPerS);
+		const burst = maxBurst ?? Math.max(minBurst, rate * burstMs / msPerS);
 		permits = Math.min(burst, permits + (rate * Math.max(0, now - (filledAt ?? now)) / msPerS));
 		filledAt = now;
 		return rate;
--- a/src/decide/forwarding/upstream-view.ts
+++ b/src/decide/forwarding/upstream-view.ts
@@ -23,6 +23,8 @@
 	readonly freeConnections: number;
 	/** Requests a second that the upstream takes from all hosts together; `undefined` without a limit. A request there needs a permit then. */
 	readonly requestsPerS: number | undefined;
+	/** Whether it is cold, so that a request there needs a permit; left out for services without a limit on cold upstreams. */
+	readonly isCold?: boolean;
 	/** For how long the limit leaves no room for this host, in milliseconds. */
 	readonly closedForMs: number;
 };
--- a/src/forwarding/create-gateway-metrics.ts
+++ b/src/forwarding/create-gateway-metrics.ts
@@ -36,6 +36,10 @@
 		upstreamsBehind: new Gauge({
 			name: 'hemlockpier_upstreams_behind', help: 'Upstreams with older weights than the desired ones, by model', labelNames: ['model'], registers,
 		}),
+		coldPermitsTotal: new Counter({
+			name: 'hemlockpier_cold_permits_total', help: 'Requests of this host for permits to send to cold upstreams, by result', labelNames: ['result'], registers,
+		}),
+		coldUpstreams: new Gauge({name: 'hemlockpier_cold_upstreams', help: 'Upstreams that this host takes to be cold', registers}),
 		updatePhaseSeconds: new Histogram({
 			name: 'hemlockpier_weight_update_seconds',
 			help: 'Time that updates of weights spend waiting for the lease, for the engine to accept the order, and for the weights',
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -1,3 +1,4 @@
+import {avoidColdUpstreams} from '../decide/cold/avoid-cold-upstreams.js';
 import {chooseUpstream} from '../decide/forwarding/choose-upstream.js';
 import {createUnreportedWorkEstimator} from '../decide/forwarding/create-unreported-work-estimator.js';
 import {predictFirstByte} from '../decide/forwarding/predict-first-byte.js';
@@ -103,7 +104,7 @@
 		const views = untried.length > 0 ? untried : available;
 		const sharedPart = findSharedPart(prompt);
 		// All hosts compute the same owner, so requests that share the part go to the same upstream. One with a limit can't take them.
-		const ownerCandidates = views.filter(view => view.requestsPerS === undefined);
+		const ownerCandidates = views.filter(view => view.requestsPerS === undefined && !view.isCold);
 		const sharedPartOwner = sharedPart === undefined ? undefined : findOwner(ownerCandidates.map(view => view.upstream.id), sharedPart);
 		const heldTokens = countTokens(prompt);
 		const plans = new Map<string, KvReusePlan>();
@@ -134,7 +135,7 @@
 		}
 
 		const isLikelyToHold = ({view: {upstream}}: UpstreamCandidate): boolean => upstream.id === sharedPartOwner || reusePlans!.isLikelyCachedAt(upstream);
-		const best = chooseUpstream(candidates, {random, unseenMs, context: reusePlans && {mayHold: isLikelyToHold, predictWithKvCache}});
+		const best = chooseUpstream(avoidColdUpstreams(candidates, route.objectiveMs), {random, unseenMs, context: reusePlans && {mayHold: isLikelyToHold, predictWithKvCache}});
 		if (!best) {
 			return undefined;
 		}
--- a/src/forwarding/upstream.ts
+++ b/src/forwarding/upstream.ts
@@ -14,10 +14,12 @@
 	readonly startedAt: number | undefined;
 	/** Version of its software; empty where it states none. */
 	readonly softwareVersion: string;
-	/** How much longer it stays cold, in milliseconds, counted from `coldAskedAt`; left out where its entry does not say. */
+	/** How much longer it stays cold, in milliseconds, counted from `coldAnsweredAt`; left out where its entry does not say. */
 	readonly coldForMs?: number;
 	/** When the store was asked for the entry that states `coldForMs`, in milliseconds of the monotonic clock. */
 	readonly coldAskedAt?: number;
+	/** When this host received the entry that states `coldForMs`; the same clock. */
+	readonly coldAnsweredAt?: number;
 	/** Weight version of each loaded model. */
 	readonly weights: ReadonlyMap<string, number>;
 };
--- a/src/links/create-upstream-links.ts
+++ b/src/links/create-upstream-links.ts
@@ -39,8 +39,8 @@
 
 /** Dependencies of the links. */
 type UpstreamLinksOptions = {
-	/** Sends a request that needs no work to an upstream; returns whether any response arrives. Never throws. */
-	readonly ping: (upstream: Upstream, timeoutMs: number) => Promise<boolean>;
+	/** Sends a request that needs no work to an upstream; returns whether any response arrives, `undefined` if none may be sent now. Never throws. */
+	readonly ping: (upstream: Upstream, timeoutMs: number) => Promise<boolean | undefined>;
 	/** Counts a probe against the limit that an upstream states; returns the least time to the next one, in milliseconds. */
 	readonly chargeProbe: (upstream: Upstream) => number;
 	/** Monotonic clock in milliseconds. */
@@ -127,8 +127,8 @@
 		const startedAt = now();
 		link.nextProbeAt = startedAt + Math.max(chargeProbe(link.upstream), upstreamProbeIntervalMs * (0.5 + random()));
 		const isUp = await ping(link.upstream, probeTimeoutMs);
-		if (links.get(link.upstream.id) !== link) {
-			return isUp;
+		if (isUp === undefined || links.get(link.upstream.id) !== link) {
+			return isUp ?? link.loss === undefined;
 		}
 
 		if (isUp) {
--- a/src/object-store/create-stored-state.ts
+++ b/src/object-store/create-stored-state.ts
@@ -10,6 +10,7 @@
 import {type Route} from '../forwarding/route.js';
 import {type Service} from '../forwarding/service.js';
 import {type Upstream} from '../forwarding/upstream.js';
+import {createColdnessDater} from './create-coldness-dater.js';
 import {createInvalidEntryLog} from './create-invalid-entry-log.js';
 import {type StoredObject} from './stored-object.js';
 import {type KvSharingState} from './kv-sharing-state.js';
@@ -79,6 +80,8 @@
 	})?.startedAt;
 	const filterRemoved = createRemovedEntryFilter({isSameStart: (a, b) => getStart(a) === getStart(b), now: monotonic});
 
+	const dateColdness = createColdnessDater({suspendAware: now, monotonic});
+
 	return {
 		applyConfiguration(objects) {
 			for (const {value, revision} of objects) {
@@ -98,12 +101,12 @@
 				}
 			}
 		},
-		applyUpstreams(objects, _confirmedAt, epoch) {
+		applyUpstreams(objects, confirmedAt, epoch) {
 			const upstreams: Upstream[] = [];
 			for (const object of filterRemoved(objects, epoch)) {
 				const upstream = decodeUpstream(object);
 				if (upstream) {
-					upstreams.push(upstream);
+					upstreams.push(dateColdness(upstream, object, confirmedAt));
 				}
 			}
 
--- a/src/peers/create-gateway-methods.ts
+++ b/src/peers/create-gateway-methods.ts
@@ -1,4 +1,4 @@
-import {type PermitTask} from '../announcements/permit-task.js';
+import {type ColdPermitTask} from '../announcements/cold-permit-task.js';
 import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type RoomTask} from '../announcements/room-task.js';
 import {type KvStoreTracker} from '../forwarding/kv-store-tracker.js';
@@ -22,7 +22,7 @@
 	/** Returns for how long versions of weights have been the desired ones. */
 	readonly listWeightAges: () => readonly WeightAge[];
 	readonly rooms: Pick<RoomTask, 'answer'>;
-	readonly permits: Pick<PermitTask, 'answer'>;
+	readonly permits: Pick<ColdPermitTask, 'answer' | 'answerCold'>;
 	readonly upstreamChecks: Pick<UpstreamChecks, 'answer'>;
 	readonly streams: Pick<StreamVersions, 'answer'>;
 	readonly kvStoreTracker: Pick<KvStoreTracker, 'listEvents'>;
@@ -39,6 +39,7 @@
 		'gateway.weightAges': async () => ({ages: listWeightAges()}),
 		'gateway.room': async request => rooms.answer(request),
 		'gateway.permit': async request => permits.answer(request),
+		'gateway.coldPermit': async request => permits.answerCold(request),
 		'gateway.upstreamUp': async ({id, startedAt}) => ({opinion: await upstreamChecks.answer(id, startedAt)}),
 		'gateway.streamVersion': async ({id}) => ({version: streams.answer(id) ?? null}),
 		'gateway.kept': async ({store, known}) => kvStoreTracker.listEvents(store, known),
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -1,4 +1,5 @@
 import {type UpstreamOpinion} from '../poison/upstream-opinion.js';
+import {type ColdPermitRequest} from '../announcements/cold-permit-request.js';
 import {type PermitRequest} from '../announcements/permit-request.js';
 import {type PermitResult} from '../announcements/permit-result.js';
 import {type ReportedLimit} from '../announcements/reported-limit.js';
@@ -126,6 +127,8 @@
 	};
 	/** Asks for a permit to send one request to an upstream that states a limit. */
 	readonly 'gateway.permit': {readonly params: PermitRequest; readonly result: PermitResult};
+	/** Asks for a permit to send one request to a cold upstream. */
+	readonly 'gateway.coldPermit': {readonly params: ColdPermitRequest; readonly result: PermitResult};
 	/** Returns for how long versions of weights have been the desired ones, as far as the receiver knows. */
 	readonly 'gateway.weightAges': {
 		readonly params: Readonly<Record<string, never>>;
--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -3,13 +3,16 @@
 import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
 import {createLoadTotals} from '../decide/forwarding/create-load-totals.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
+import {type Service} from '../forwarding/service.js';
 import {type UpstreamConnectionPool} from '../forwarding/upstream-connection-pool.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {type UpstreamLinks} from '../links/upstream-links.js';
 import {log} from '../observe/log.js';
 import {type UpstreamLoad} from '../reports/upstream-load.js';
+import {createColdGate} from './create-cold-gate.js';
 import {createHeadLatencies} from './create-head-latencies.js';
 import {createUpstreamSender} from './create-upstream-sender.js';
+import {createColdnessRecorder} from './create-coldness-recorder.js';
 import {recordAnnouncement} from './record-announcement.js';
 import {toUpstreamView} from './to-upstream-view.js';
 import {type UpstreamEntry} from './upstream-entry.js';
@@ -29,14 +32,18 @@
 	readonly maxConnectionsFor: (service: string) => number;
 	/** Tells which upstreams can be reached. */
 	readonly links: UpstreamLinks;
+	/** Returns what the configuration says of the cold upstreams of a service. Without it, none is cold. */
+	readonly findColdLimit?: (service: string) => Pick<Service, 'coldPerS' | 'coldStartMs'> | undefined;
 };
 
 /** Creates the registry of upstreams, with their connections and loads. */
-export function createUpstreamRegistry({now, link, maxConnectionsFor, links}: UpstreamRegistryOptions): UpstreamRegistry {
+export function createUpstreamRegistry({now, link, maxConnectionsFor, links, findColdLimit = () => undefined}: UpstreamRegistryOptions): UpstreamRegistry {
 	const entries = new Map<string, UpstreamEntry>();
 	const headLatencies = createHeadLatencies();
 	const remoteLoads = createLoadTotals();
 
+	const coldnessRecorder = createColdnessRecorder({wallClock: Date.now, now});
+
 	const closeWhenIdle = (entry: UpstreamEntry): void => {
 		if (entry.isGone && entry.inFlight === 0) {
 			entry.link.close();
@@ -45,6 +52,7 @@
 
 	const remove = (id: string, entry: UpstreamEntry, reason: string): void => {
 		entries.delete(id);
+		coldnessRecorder.recordRemoved(id);
 		links.remove(id);
 		entry.isGone = true;
 		closeWhenIdle(entry);
@@ -68,7 +76,10 @@
 	const add = (upstream: Upstream): void => {
 		const silenceListeners = new Set<() => void>();
 		const pool = link(upstream);
+		const coldGate = createColdGate(upstream, () => findColdLimit(upstream.service));
+		coldnessRecorder.recordAdded(coldGate, upstream);
 		links.add(upstream, () => {
+			coldGate.recordBroken(now());
 			pool.closeIdle();
 			for (const listener of silenceListeners) {
 				listener();
@@ -86,6 +97,7 @@
 			avoidUntil: 0,
 			failureShare: 0,
 			announcements: createAnnouncements(upstream),
+			coldGate,
 			isGone: false,
 		});
 		log.info({
@@ -112,6 +124,7 @@
 
 		// A start that leaves does not come back; an older copy of the store may not know that it leaves.
 		const isLeaving = upstream.isLeaving || (known.upstream.isLeaving && upstream.startedAt !== undefined);
+		coldnessRecorder.recordListed(known.coldGate, upstream);
 		known.upstream = {...upstream, isLeaving, weights: mergeWeights(known.upstream.weights, upstream.weights)};
 	};
 
@@ -151,7 +164,7 @@
 		closedForMs(service, at, softwareVersion) {
 			const closed = [...entries.values()]
 				.filter(entry => isUsable(entry, service, softwareVersion))
-				.map(entry => entry.announcements.closedForMs(at))
+				.map(entry => Math.max(entry.announcements.closedForMs(at), entry.coldGate.closedForMs(at)))
 				.filter(closedForMs => closedForMs > 0);
 			return closed.length > 0 ? Math.min(...closed) : undefined;
 		},
@@ -190,6 +203,13 @@
 				entry.upstream = {...entry.upstream, weights: new Map([...entry.upstream.weights, [model, version]])};
 			}
 		},
+		coldGate: id => entries.get(id)?.coldGate,
+		markCold(ids, forMs, at) {
+			for (const id of ids) {
+				entries.get(id)?.coldGate.record({forMs, askedAt: at, answeredAt: at});
+			}
+		},
+		countCold: at => [...entries.values()].filter(entry => entry.coldGate.forMs(at) > 0).length,
 		announcements: id => entries.get(id)?.announcements,
 		listStatements: at => [...entries.values()].flatMap(entry => entry.announcements.statements).flatMap(each => each.toReported(at) ?? []),
 		repeatStatements() {
--- a/src/registry/create-upstream-sender.ts
+++ b/src/registry/create-upstream-sender.ts
@@ -52,6 +52,13 @@
 			return {abort: () => undefined, resume: () => undefined};
 		}
 
+		if (!entry.coldGate.take(now())) {
+			queueMicrotask(() => {
+				listener.onFail(new Error('the upstream has become cold'), false);
+			});
+			return {abort: () => undefined, resume: () => undefined};
+		}
+
 		const waitStart = {since: now()};
 		const use = links.use(id);
 		let hasHead = false;
@@ -98,9 +105,15 @@
 			},
 			onFail(error, wasSent) {
 				recordEnded(!isAborted);
+				if (!isAborted && isConnectError(error)) {
+					// Also after the request was sent: the upstream may have ended, and may start again under its id.
+					entry.coldGate.recordBroken(now());
+				}
+
+				const isSuspect = !hasHead || entry.coldGate.forMs(now()) > 0;
 				if (!isAborted && !wasSent && isConnectError(error)) {
 					links.recordConnectFailure(id, describeLoss(error));
-				} else if (!isAborted && wasSent && !hasHead && isReset(error)) {
+				} else if (!isAborted && wasSent && isSuspect && isReset(error)) {
 					links.recordBroken(id);
 				}
 
--- a/src/registry/to-upstream-view.ts
+++ b/src/registry/to-upstream-view.ts
@@ -47,6 +47,7 @@
 		failureShare: entry.failureShare,
 		freeConnections: connections - entry.inFlight,
 		requestsPerS: entry.announcements.limit.value(),
-		closedForMs: entry.announcements.closedForMs(now),
+		...(entry.coldGate.forMs(now) > 0 && {isCold: true}),
+		closedForMs: Math.max(entry.announcements.closedForMs(now), entry.coldGate.closedForMs(now)),
 	};
 }
--- a/src/registry/upstream-entry.ts
+++ b/src/registry/upstream-entry.ts
@@ -1,6 +1,7 @@
 import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
 import {type UpstreamConnectionPool} from '../forwarding/upstream-connection-pool.js';
 import {type Upstream} from '../forwarding/upstream.js';
+import {type ColdGate} from './cold-gate.js';
 
 /** An upstream, its connections and this host's observations of it. */
 export type UpstreamEntry = {
@@ -24,6 +25,8 @@
 	failureShare: number;
 	/** What it says of itself. */
 	readonly announcements: UpstreamAnnouncements;
+	/** What keeps requests back while it is cold. */
+	readonly coldGate: ColdGate;
 	/** Whether the upstream is no longer registered; its connections close after the last request. */
 	isGone: boolean;
 };
--- a/src/registry/upstream-registry.ts
+++ b/src/registry/upstream-registry.ts
@@ -10,6 +10,7 @@
 import {type UpstreamRequest} from '../forwarding/upstream-request.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {type RequestCost} from '../forwarding/request-cost.js';
+import {type ColdGate} from './cold-gate.js';
 
 /** Registry of the upstreams, with their state as known to this host and the connections to them. */
 export type UpstreamRegistry = {
@@ -41,6 +42,12 @@
 	readonly listLostServices: () => readonly string[];
 	/** Records a weight version found on an upstream. */
 	readonly recordWeights: (id: string, model: string, version: number) => void;
+	/** Returns the gate that keeps requests back while an upstream is cold; `undefined` when it is not registered. */
+	readonly coldGate: (id: string) => ColdGate | undefined;
+	/** Records that upstreams may be cold for this long from now on, unless a source that is asked later says otherwise. */
+	readonly markCold: (ids: readonly string[], forMs: number, now: number) => void;
+	/** Returns how many upstreams are taken to be cold. */
+	readonly countCold: (now: number) => number;
 	/** Returns what an upstream says of itself; `undefined` when it is not registered. */
 	readonly announcements: (id: string) => UpstreamAnnouncements | undefined;
 	/** Returns all that upstreams say of themselves, as far as known to this host. */
--- a/src/settings/compare-gateway-settings.ts
+++ b/src/settings/compare-gateway-settings.ts
@@ -2,7 +2,7 @@
 import {type GatewaySettings} from './gateway-settings.js';
 
 /** Keys that take effect while the host runs. All others need a restart, because either all hosts must agree on them or sockets are bound to them. */
-const liveKeys: ReadonlySet<string> = new Set(['seeds', 'bounds.retryRatio', 'bounds.retrySlack', 'bounds.graceS', 'bounds.versionMs']);
+const liveKeys: ReadonlySet<string> = new Set(['seeds', 'bounds.retryRatio', 'bounds.retrySlack', 'bounds.graceS', 'bounds.versionMs', 'bounds.coldOvershoot', 'bounds.coldSlack']);
 
 /** Keys of the settings that have changed. */
 type SettingsChange = {
--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -36,5 +36,8 @@
 		leaseMs: numberOrDefault(3000),
 		/** Time after a change of the desired weights by which no request may start on older ones. */
 		versionMs: numberOrDefault(12_000),
+		/** Requests that may reach a cold upstream in one second: what it tolerates times `coldOvershoot`, plus `coldSlack`. */
+		coldOvershoot: numberOrDefault(1.5),
+		coldSlack: numberOrDefault(5),
 	}).prefault({}),
 }).readonly();
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {respectRest} from './announcements/respect-rest.js';
+import {createColdPermitTask} from './announcements/create-cold-permit-task.js';
 import {createPermitTask} from './announcements/create-permit-task.js';
 import {createStatementLearner} from './announcements/create-statement-learner.js';
 import {createRoomTask} from './announcements/create-room-task.js';
@@ -184,8 +185,10 @@
 	const countHosts = (): number => Math.max(minAssumedHosts, reportExchange.countHosts());
 
 	const links = createUpstreamLinks({
-		ping: async ({address, service}, timeoutMs) => engineClient.ping(address, storedState.findService(service)?.healthPath ?? '/', timeoutMs),
-		chargeProbe: ({id}) => permits.charge(id),
+		ping: async ({id, address, service}, timeoutMs) => await permits.acquireProbe(id)
+			? engineClient.ping(address, storedState.findService(service)?.healthPath ?? '/', timeoutMs)
+			: undefined,
+		chargeProbe: ({id}) => permits.chargeProbe(id),
 		now,
 		random,
 	});
@@ -193,6 +196,7 @@
 	const registry = createUpstreamRegistry({
 		now,
 		links,
+		findColdLimit: service => storedState.findService(service),
 		maxConnectionsFor: service => Math.max(minConnections, Math.floor((storedState.findService(service)?.maxConnections ?? 0) / countHosts())),
 		link: upstream => adapter.openConnectionPool(upstream.address, () => {
 			metrics.connections.inc({service: upstream.service});
@@ -236,8 +240,15 @@
 		call: peerClient.call,
 		random,
 	});
-	const permits = createPermitTask({
-		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, hasSettled, call: peerClient.call, now, random,
+	const permits = createColdPermitTask({
+		self: name, upstreams: registry, listOthers: reportExchange.listOthers, alive: reportExchange.alive, call: peerClient.call, now, suspendAwareNow, random,
+		permits: createPermitTask({
+			self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, hasSettled, call: peerClient.call, now, random,
+		}),
+		bounds: () => ({overshoot: liveSettings.bounds.coldOvershoot, slack: liveSettings.bounds.coldSlack}),
+		onResult(result) {
+			metrics.coldPermitsTotal.inc({result});
+		},
 	});
 	const rooms = createRoomTask({
 		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, call: peerClient.call, now, random,
@@ -423,6 +434,7 @@
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
 		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
 		recordGauges() {
+			metrics.coldUpstreams.set(registry.countCold(now()));
 			recordWeightsMetrics(metrics, {
 				weights: storedState.weights(), upstreams: registry.listAll(), getAgeMs: ({model, version}) => weightAges.getStaleForMs(model, version - 1) ?? 0,
 			});
@@ -444,6 +456,7 @@
 			relayed,
 			relay,
 			links,
+			permits,
 			statusServers,
 		]) {
 			component.stop();
