Cold upstreams: hosts that start learn what others take to be cold; ends of idle connections count

A host that started while an upstream was down knew nothing of its end; it asks hosts for what they take to be cold now, with the other statements. A host whose connections are idle learns of an end from the connection. A host outside a majority tries an upstream once in 10 to 30 s, so that one whose connections broke is not left for good.

--- a/src/announcements/create-cold-permit-task.ts
+++ b/src/announcements/create-cold-permit-task.ts
@@ -54,6 +54,12 @@
 	readonly random: () => number;
 };
 
+/** A host outside a majority tries a cold upstream once between these times after it was first kept from it, so that it is not left for good. */
+const minTrialAfterMs = 10_000;
+const trialSpreadMs = 20_000;
+/** A trial that was due longer ago belongs to an earlier time. */
+const maxTrialDelayMs = 2000;
+
 const noIssuer: PermitResult = {isGranted: false, retryAfterMs: unknownClosedMs};
 
 /**
@@ -69,6 +75,9 @@
 	/** Requests for permits under way, by upstream. */
 	const pending = new Map<string, number>();
 
+	/** When this host tries upstreams while it is outside a majority. */
+	const trials = new Map<string, number>();
+
 	const observe = (): void => {
 		const aliveNames = new Set(alive().map(({host}) => host));
 		election.observe(listOthers().map(({host}) => ({host, isAlive: aliveNames.has(host)})), suspendAwareNow());
@@ -90,11 +99,28 @@
 		return election.mayIssue(id, suspendAwareNow()) ? issuer.take(id, host, rate) : noIssuer;
 	};
 
+	/** Sixty hosts that are each alone try an upstream three times a second, all together. */
+	const tryWithoutIssuer = (id: string): PermitResult => {
+		const dueAt = trials.get(id);
+		const at = now();
+		if (dueAt !== undefined && at < dueAt) {
+			return noIssuer;
+		}
+
+		trials.set(id, at + minTrialAfterMs + (random() * trialSpreadMs));
+		return dueAt !== undefined && at <= dueAt + maxTrialDelayMs ? {isGranted: true, retryAfterMs: 0} : noIssuer;
+	};
+
 	/** Returns `undefined` if the issuer does not respond. */
 	const ask = async (request: ColdPermitRequest): Promise<PermitResult | undefined> => {
 		const host = election.findIssuer(request.id);
-		if (host === undefined || host === self) {
-			return host === self ? issue(request) : noIssuer;
+		if (host === undefined) {
+			return request.isCharge ? noIssuer : tryWithoutIssuer(request.id);
+		}
+
+		trials.clear();
+		if (host === self) {
+			return issue(request);
 		}
 
 		const peer = alive().find(candidate => candidate.host === host);
--- a/src/announcements/create-statement-learner.ts
+++ b/src/announcements/create-statement-learner.ts
@@ -2,6 +2,7 @@
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {sleep} from '../util/sleep.js';
+import {type ReportedColdness} from './reported-coldness.js';
 import {type ReportedLimit} from './reported-limit.js';
 
 const maxAsked = 8;
@@ -14,7 +15,7 @@
 	/** Returns the other hosts that are registered, from the store. */
 	readonly listHosts: () => Promise<readonly KnownHost[]>;
 	readonly call: PeerRpc;
-	readonly record: (host: string, statements: readonly ReportedLimit[]) => void;
+	readonly record: (host: string, statements: readonly ReportedLimit[], cold: readonly ReportedColdness[]) => void;
 	/** Called once, when all that were asked have answered or had time to. */
 	readonly onLearned: () => void;
 	readonly random: () => number;
@@ -38,8 +39,8 @@
 
 	const ask = async ({host, peers}: KnownHost): Promise<void> => {
 		try {
-			const {statements} = await call(peers, 'gateway.statements', {}, {timeoutMs: callTimeoutMs});
-			record(host, statements);
+			const {statements, cold = []} = await call(peers, 'gateway.statements', {}, {timeoutMs: callTimeoutMs});
+			record(host, statements, cold);
 		} catch (error) {
 			logFailure(error, {peer: host}, 'host does not say what upstreams state', 'info');
 		}
--- a/src/decide/cold/create-issuer-election.ts
+++ b/src/decide/cold/create-issuer-election.ts
@@ -15,6 +15,15 @@
 	readonly isAlive: boolean;
 };
 
+/** A host that counts for a majority. */
+type Member = {
+	/** When it was last heard, or first known if it never was. */
+	at: number;
+	wasHeard: boolean;
+	/** Whether it counts no more, until it is heard again. */
+	isExpired: boolean;
+};
+
 /** Who may be heard, from a moment on. */
 type View = {
 	readonly at: number;
@@ -40,33 +49,34 @@
 @param self - Name of this host.
 */
 export function createIssuerElection(self: string): IssuerElection {
-	/** When each host was last heard, or first known if it never was. */
-	const members = new Map<string, {at: number; wasHeard: boolean}>();
+	const members = new Map<string, Member>();
 	/** Oldest first; the oldest one may have begun before the tenure. */
 	let views: readonly View[] = [];
 	let observedAt: number | undefined;
 
-	const updateMembers = (others: readonly KnownHost[], now: number): number => {
+	const countMembers = (): number => [...members.values()].filter(({isExpired}) => !isExpired).length + 1;
+
+	const updateMembers = (others: readonly KnownHost[], aliveCount: number, now: number): void => {
 		for (const {host, isAlive} of others) {
 			const member = members.get(host);
 			if (!member) {
-				members.set(host, {at: now, wasHeard: isAlive});
+				members.set(host, {at: now, wasHeard: isAlive, isExpired: false});
 			} else if (isAlive) {
 				member.at = now;
 				member.wasHeard = true;
+				member.isExpired = false;
 			}
 		}
 
-		const aliveCount = others.filter(({isAlive}) => isAlive).length + 1;
-		const hadMajority = aliveCount * 2 > members.size + 1;
-		for (const [host, {at, wasHeard}] of members) {
+		const hadMajority = aliveCount * 2 > countMembers();
+		const known = new Set(others.map(({host}) => host));
+		for (const [host, member] of members) {
 			// A registration may be that of a host that ended long ago.
-			if (now - at > (hadMajority || !wasHeard ? expireAfterMs : expireInMinorityAfterMs)) {
+			member.isExpired ||= now - member.at > (hadMajority || !member.wasHeard ? expireAfterMs : expireInMinorityAfterMs);
+			if (member.isExpired && !known.has(host)) {
 				members.delete(host);
 			}
 		}
-
-		return aliveCount;
 	};
 
 	const newest = (): View | undefined => views.at(-1);
@@ -78,9 +88,9 @@
 			}
 
 			observedAt = now;
-			const aliveCount = updateMembers(others, now);
-			const hasMajority = aliveCount * 2 > members.size + 1;
 			const alive = [self, ...others.filter(({isAlive}) => isAlive).map(({host}) => host)].toSorted();
+			updateMembers(others, alive.length, now);
+			const hasMajority = alive.length * 2 > countMembers();
 			const last = newest();
 			const isSame = last?.hasMajority === hasMajority && last.alive.length === alive.length && last.alive.every((host, index) => host === alive[index]);
 			const next = isSame ? views : [...views, {at: now, alive, hasMajority}];
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -45,5 +45,5 @@
 	readonly notRunHeaders: readonly string[];
 	/** `onHead` is called with the head of each response, and when its request was sent in milliseconds of the monotonic clock. */
 	readonly openEngineClient: (onHead: (address: string, head: ResponseHead, askedAt: number) => void) => EngineClient;
-	readonly openConnectionPool: (address: string, onConnect: () => void) => UpstreamConnectionPool;
+	readonly openConnectionPool: (address: string, onConnect: () => void, onIdleEnd?: () => void) => UpstreamConnectionPool;
 };
--- a/src/peers/create-gateway-methods.ts
+++ b/src/peers/create-gateway-methods.ts
@@ -1,4 +1,5 @@
 import {type ColdPermitTask} from '../announcements/cold-permit-task.js';
+import {type ReportedColdness} from '../announcements/reported-coldness.js';
 import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type RoomTask} from '../announcements/room-task.js';
 import {type KvStoreTracker} from '../forwarding/kv-store-tracker.js';
@@ -19,6 +20,8 @@
 	readonly currentEpoch: () => number;
 	/** Returns what upstreams say of themselves. */
 	readonly listStatements: () => readonly ReportedLimit[];
+	/** Returns the upstreams that this host takes to be cold. */
+	readonly listCold: () => readonly ReportedColdness[];
 	/** Returns for how long versions of weights have been the desired ones. */
 	readonly listWeightAges: () => readonly WeightAge[];
 	readonly rooms: Pick<RoomTask, 'answer'>;
@@ -30,12 +33,12 @@
 
 /** Creates the methods by which the other hosts ask a gateway host. */
 export function createGatewayMethods({
-	stateSync, ownLease, currentEpoch, listStatements, listWeightAges, rooms, permits, upstreamChecks, streams, kvStoreTracker,
+	stateSync, ownLease, currentEpoch, listStatements, listCold, listWeightAges, rooms, permits, upstreamChecks, streams, kvStoreTracker,
 }: GatewayTasks): Partial<PeerHandlers> {
 	return {
 		'gateway.state': async query => ({states: stateSync.answer(query)}),
 		'gateway.lease': createLeaseHandler({ownLease, currentEpoch}),
-		'gateway.statements': async () => ({statements: listStatements()}),
+		'gateway.statements': async () => ({statements: listStatements(), cold: listCold()}),
 		'gateway.weightAges': async () => ({ages: listWeightAges()}),
 		'gateway.room': async request => rooms.answer(request),
 		'gateway.permit': async request => permits.answer(request),
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -2,6 +2,7 @@
 import {type ColdPermitRequest} from '../announcements/cold-permit-request.js';
 import {type PermitRequest} from '../announcements/permit-request.js';
 import {type PermitResult} from '../announcements/permit-result.js';
+import {type ReportedColdness} from '../announcements/reported-coldness.js';
 import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type RoomRequest} from '../announcements/room-request.js';
 import {type SlotRequest} from '../decide/grants/slot-request.js';
@@ -135,7 +136,14 @@
 		readonly result: {readonly ages: readonly WeightAge[]};
 	};
 	/** Asks for a slot of a brittle upstream for one request, or gives it back. */
-	readonly 'gateway.statements': {readonly params: Readonly<Record<string, never>>; readonly result: {readonly statements: readonly ReportedLimit[]}};
+	readonly 'gateway.statements': {
+		readonly params: Readonly<Record<string, never>>;
+		readonly result: {
+			readonly statements: readonly ReportedLimit[];
+			/** Upstreams that the receiver takes to be cold. Hosts of an earlier build state none. */
+			readonly cold?: readonly ReportedColdness[];
+		};
+	};
 	readonly 'gateway.room': {readonly params: RoomRequest; readonly result: PermitResult};
 	/** Returns what the receiver can say of the upstream of this start. */
 	readonly 'gateway.upstreamUp': {readonly params: {readonly id: string; readonly startedAt?: number}; readonly result: {readonly opinion: UpstreamOpinion}};
--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -26,8 +26,8 @@
 /** Dependencies of the upstream registry. */
 type UpstreamRegistryOptions = {
 	readonly now: () => number;
-	/** Creates the connection pool of an upstream. */
-	readonly link: (upstream: Upstream) => UpstreamConnectionPool;
+	/** Creates the connection pool of an upstream, which calls `onIdleEnd` when the upstream ends a connection on which nothing is under way. */
+	readonly link: (upstream: Upstream, onIdleEnd: () => void) => UpstreamConnectionPool;
 	/** Returns the number of connections that this host may open to each upstream of a service. */
 	readonly maxConnectionsFor: (service: string) => number;
 	/** Tells which upstreams can be reached. */
@@ -75,9 +75,15 @@
 
 	const add = (upstream: Upstream): void => {
 		const silenceListeners = new Set<() => void>();
-		const pool = link(upstream);
 		const coldGate = createColdGate(upstream, () => findColdLimit(upstream.service));
 		coldnessRecorder.recordAdded(coldGate, upstream);
+		const pool = link(upstream, () => {
+			coldGate.recordBroken(now());
+			if (coldGate.forMs(now()) > 0) {
+				// A probe tells whether it has started again, or only closes idle connections.
+				links.recordBroken(upstream.id);
+			}
+		});
 		links.add(upstream, () => {
 			coldGate.recordBroken(now());
 			pool.closeIdle();
@@ -209,7 +215,19 @@
 				entries.get(id)?.coldGate.record({forMs, askedAt: at, answeredAt: at});
 			}
 		},
-		countCold: at => [...entries.values()].filter(entry => entry.coldGate.forMs(at) > 0).length,
+		listCold: at => [...entries.values()].flatMap(({upstream: {id, startedAt}, coldGate}) => {
+			const forMs = Math.round(coldGate.forMs(at));
+			return forMs > 0 ? [{id, startedAt, forMs}] : [];
+		}),
+		recordReportedCold(reported, at) {
+			for (const {id, startedAt, forMs} of reported) {
+				const entry = entries.get(id);
+				if (entry && entry.upstream.startedAt === startedAt) {
+					// When the other host's source was asked is unknown.
+					entry.coldGate.record({forMs, askedAt: Number.NEGATIVE_INFINITY, answeredAt: at});
+				}
+			}
+		},
 		announcements: id => entries.get(id)?.announcements,
 		listStatements: at => [...entries.values()].flatMap(entry => entry.announcements.statements).flatMap(each => each.toReported(at) ?? []),
 		repeatStatements() {
--- a/src/registry/upstream-registry.ts
+++ b/src/registry/upstream-registry.ts
@@ -1,3 +1,4 @@
+import {type ReportedColdness} from '../announcements/reported-coldness.js';
 import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
@@ -46,8 +47,10 @@
 	readonly coldGate: (id: string) => ColdGate | undefined;
 	/** Records that upstreams may be cold for this long from now on, unless a source that is asked later says otherwise. */
 	readonly markCold: (ids: readonly string[], forMs: number, now: number) => void;
-	/** Returns how many upstreams are taken to be cold. */
-	readonly countCold: (now: number) => number;
+	/** Returns the upstreams that are taken to be cold. */
+	readonly listCold: (now: number) => readonly ReportedColdness[];
+	/** Records what another host takes to be cold. */
+	readonly recordReportedCold: (reported: readonly ReportedColdness[], now: number) => void;
 	/** Returns what an upstream says of itself; `undefined` when it is not registered. */
 	readonly announcements: (id: string) => UpstreamAnnouncements | undefined;
 	/** Returns all that upstreams say of themselves, as far as known to this host. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -198,15 +198,16 @@
 		links,
 		findColdLimit: service => storedState.findService(service),
 		maxConnectionsFor: service => Math.max(minConnections, Math.floor((storedState.findService(service)?.maxConnections ?? 0) / countHosts())),
-		link: upstream => adapter.openConnectionPool(upstream.address, () => {
+		link: (upstream, onIdleEnd) => adapter.openConnectionPool(upstream.address, () => {
 			metrics.connections.inc({service: upstream.service});
-		}),
+		}, onIdleEnd),
 	});
 	const statementLearner = createStatementLearner({
 		listHosts: reportExchange.refreshAndList,
 		call: peerClient.call,
-		record(host, statements) {
+		record(host, statements, cold) {
 			registry.recordReportedLimits(host, statements, now());
+			registry.recordReportedCold(cold, now());
 		},
 		onLearned() {
 			weightAgeTask.start();
@@ -415,7 +416,8 @@
 	});
 
 	const peerServer = await createPeerServer(settings.peers, undefined, createGatewayMethods({
-		stateSync, ownLease, currentEpoch: epochs.current, listStatements: () => registry.listStatements(now()), listWeightAges: weightAges.list, rooms, permits, upstreamChecks, streams, kvStoreTracker,
+		stateSync, ownLease, currentEpoch: epochs.current, listStatements: () => registry.listStatements(now()), listCold: () => registry.listCold(now()),
+		listWeightAges: weightAges.list, rooms, permits, upstreamChecks, streams, kvStoreTracker,
 	}), () => false);
 	await reportExchange.start();
 	const {callers, relayed, requests} = await openRequestServers({
@@ -434,7 +436,7 @@
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
 		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
 		recordGauges() {
-			metrics.coldUpstreams.set(registry.countCold(now()));
+			metrics.coldUpstreams.set(registry.listCold(now()).length);
 			recordWeightsMetrics(metrics, {
 				weights: storedState.weights(), upstreams: registry.listAll(), getAgeMs: ({model, version}) => weightAges.getStaleForMs(model, version - 1) ?? 0,
 			});
