--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -1,6 +1,8 @@
 import {type UpstreamOpinion} from '../poison/upstream-opinion.js';
+import {type ColdPermitRequest} from '../announcements/cold-permit-request.js';
 import {type PermitRequest} from '../announcements/permit-request.js';
 import {type PermitResult} from '../announcements/permit-result.js';
+import {type ReportedColdness} from '../announcements/reported-coldness.js';
 import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type RoomRequest} from '../announcements/room-request.js';
 import {type SlotRequest} from '../decide/grants/slot-request.js';
@@ -126,13 +128,22 @@
 	};
 	/** Asks for a permit to send one request to an upstream that states a limit. */
 	readonly 'gateway.permit': {readonly params: PermitRequest; readonly result: PermitResult};
+	/** Asks for a permit to send one request to a cold upstream. */
+	readonly 'gateway.coldPermit': {readonly params: ColdPermitRequest; readonly result: PermitResult};
 	/** Returns for how long versions of weights have been the desired ones, as far as the receiver knows. */
 	readonly 'gateway.weightAges': {
 		readonly params: Readonly<Record<string, never>>;
 		readonly result: {readonly ages: readonly WeightAge[]};
 	};
 	/** Asks for a slot of a brittle upstream for one request, or gives it back. */
-	readonly 'gateway.statements': {readonly params: Readonly<Record<string, never>>; readonly result: {readonly statements: readonly ReportedLimit[]}};
+	readonly 'gateway.statements': {
+		readonly params: Readonly<Record<string, never>>;
+		readonly result: {
+			readonly statements: readonly ReportedLimit[];
+			/** Upstreams that the receiver takes to be cold. Hosts of an earlier build state none. */
+			readonly cold?: readonly ReportedColdness[];
+		};
+	};
 	readonly 'gateway.room': {readonly params: RoomRequest; readonly result: PermitResult};
 	/** Returns what the receiver can say of the upstream of this start. */
 	readonly 'gateway.upstreamUp': {readonly params: {readonly id: string; readonly startedAt?: number}; readonly result: {readonly opinion: UpstreamOpinion}};
--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -3,13 +3,16 @@
 import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
 import {createLoadTotals} from '../decide/forwarding/create-load-totals.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
+import {type Service} from '../forwarding/service.js';
 import {type UpstreamConnectionPool} from '../forwarding/upstream-connection-pool.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {type UpstreamLinks} from '../links/upstream-links.js';
 import {log} from '../observe/log.js';
 import {type UpstreamLoad} from '../reports/upstream-load.js';
+import {createColdGate} from './create-cold-gate.js';
 import {createHeadLatencies} from './create-head-latencies.js';
 import {createUpstreamSender} from './create-upstream-sender.js';
+import {createColdnessRecorder} from './create-coldness-recorder.js';
 import {recordAnnouncement} from './record-announcement.js';
 import {toUpstreamView} from './to-upstream-view.js';
 import {type UpstreamEntry} from './upstream-entry.js';
@@ -23,20 +26,24 @@
 /** Dependencies of the upstream registry. */
 type UpstreamRegistryOptions = {
 	readonly now: () => number;
-	/** Creates the connection pool of an upstream. */
-	readonly link: (upstream: Upstream) => UpstreamConnectionPool;
+	/** Creates the connection pool of an upstream, which calls `onIdleEnd` when the upstream ends a connection on which nothing is under way. */
+	readonly link: (upstream: Upstream, onIdleEnd: () => void) => UpstreamConnectionPool;
 	/** Returns the number of connections that this host may open to each upstream of a service. */
 	readonly maxConnectionsFor: (service: string) => number;
 	/** Tells which upstreams can be reached. */
 	readonly links: UpstreamLinks;
+	/** Returns what the configuration says of the cold upstreams of a service. Without it, none is cold. */
+	readonly findColdLimit?: (service: string) => Pick<Service, 'coldPerS' | 'coldStartMs'> | undefined;
 };
 
 /** Creates the registry of upstreams, with their connections and loads. */
-export function createUpstreamRegistry({now, link, maxConnectionsFor, links}: UpstreamRegistryOptions): UpstreamRegistry {
+export function createUpstreamRegistry({now, link, maxConnectionsFor, links, findColdLimit = () => undefined}: UpstreamRegistryOptions): UpstreamRegistry {
 	const entries = new Map<string, UpstreamEntry>();
 	const headLatencies = createHeadLatencies();
 	const remoteLoads = createLoadTotals();
 
+	const coldnessRecorder = createColdnessRecorder({wallClock: Date.now, now});
+
 	const closeWhenIdle = (entry: UpstreamEntry): void => {
 		if (entry.isGone && entry.inFlight === 0) {
 			entry.link.close();
@@ -45,6 +52,7 @@
 
 	const remove = (id: string, entry: UpstreamEntry, reason: string): void => {
 		entries.delete(id);
+		coldnessRecorder.recordRemoved(id);
 		links.remove(id);
 		entry.isGone = true;
 		closeWhenIdle(entry);
@@ -67,8 +75,17 @@
 
 	const add = (upstream: Upstream): void => {
 		const silenceListeners = new Set<() => void>();
-		const pool = link(upstream);
+		const coldGate = createColdGate(upstream, () => findColdLimit(upstream.service));
+		coldnessRecorder.recordAdded(coldGate, upstream);
+		const pool = link(upstream, () => {
+			coldGate.recordBroken(now());
+			if (coldGate.forMs(now()) > 0) {
+				// A probe tells whether it has started again, or only closes idle connections.
+				links.recordBroken(upstream.id);
+			}
+		});
 		links.add(upstream, () => {
+			coldGate.recordBroken(now());
 			pool.closeIdle();
 			for (const listener of silenceListeners) {
 				listener();
@@ -86,6 +103,7 @@
 			avoidUntil: 0,
 			failureShare: 0,
 			announcements: createAnnouncements(upstream),
+			coldGate,
 			isGone: false,
 		});
 		log.info({
@@ -112,6 +130,7 @@
 
 		// A start that leaves does not come back; an older copy of the store may not know that it leaves.
 		const isLeaving = upstream.isLeaving || (known.upstream.isLeaving && upstream.startedAt !== undefined);
+		coldnessRecorder.recordListed(known.coldGate, upstream);
 		known.upstream = {...upstream, isLeaving, weights: mergeWeights(known.upstream.weights, upstream.weights)};
 	};
 
@@ -151,7 +170,7 @@
 		closedForMs(service, at, softwareVersion) {
 			const closed = [...entries.values()]
 				.filter(entry => isUsable(entry, service, softwareVersion))
-				.map(entry => entry.announcements.closedForMs(at))
+				.map(entry => Math.max(entry.announcements.closedForMs(at), entry.coldGate.closedForMs(at)))
 				.filter(closedForMs => closedForMs > 0);
 			return closed.length > 0 ? Math.min(...closed) : undefined;
 		},
@@ -190,6 +209,25 @@
 				entry.upstream = {...entry.upstream, weights: new Map([...entry.upstream.weights, [model, version]])};
 			}
 		},
+		coldGate: id => entries.get(id)?.coldGate,
+		markCold(ids, forMs, at) {
+			for (const id of ids) {
+				entries.get(id)?.coldGate.record({forMs, askedAt: at, answeredAt: at});
+			}
+		},
+		listCold: at => [...entries.values()].flatMap(({upstream: {id, startedAt}, coldGate}) => {
+			const forMs = Math.round(coldGate.forMs(at));
+			return forMs > 0 ? [{id, startedAt, forMs}] : [];
+		}),
+		recordReportedCold(reported, at) {
+			for (const {id, startedAt, forMs} of reported) {
+				const entry = entries.get(id);
+				if (entry && entry.upstream.startedAt === startedAt) {
+					// When the other host's source was asked is unknown.
+					entry.coldGate.record({forMs, askedAt: Number.NEGATIVE_INFINITY, answeredAt: at});
+				}
+			}
+		},
 		announcements: id => entries.get(id)?.announcements,
 		listStatements: at => [...entries.values()].flatMap(entry => entry.announcements.statements).flatMap(each => each.toReported(at) ?? []),
 		repeatStatements() {
--- a/src/registry/upstream-registry.ts
+++ b/src/registry/upstream-registry.ts
@@ -1,3 +1,4 @@
+import {type ReportedColdness} from '../announcements/reported-coldness.js';
 import {type ReportedLimit} from '../announcements/reported-limit.js';
 import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
@@ -10,6 +11,7 @@
 import {type UpstreamRequest} from '../forwarding/upstream-request.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {type RequestCost} from '../forwarding/request-cost.js';
+import {type ColdGate} from './cold-gate.js';
 
 /** Registry of the upstreams, with their state as known to this host and the connections to them. */
 export type UpstreamRegistry = {
@@ -41,6 +43,14 @@
 	readonly listLostServices: () => readonly string[];
 	/** Records a weight version found on an upstream. */
 	readonly recordWeights: (id: string, model: string, version: number) => void;
+	/** Returns the gate that keeps requests back while an upstream is cold; `undefined` when it is not registered. */
+	readonly coldGate: (id: string) => ColdGate | undefined;
+	/** Records that upstreams may be cold for this long from now on, unless a source that is asked later says otherwise. */
+	readonly markCold: (ids: readonly string[], forMs: number, now: number) => void;
+	/** Returns the upstreams that are taken to be cold. */
+	readonly listCold: (now: number) => readonly ReportedColdness[];
+	/** Records what another host takes to be cold. */
+	readonly recordReportedCold: (reported: readonly ReportedColdness[], now: number) => void;
 	/** Returns what an upstream says of itself; `undefined` when it is not registered. */
 	readonly announcements: (id: string) => UpstreamAnnouncements | undefined;
 	/** Returns all that upstreams say of themselves, as far as known to this host. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {respectRest} from './announcements/respect-rest.js';
+import {createColdPermitTask} from './announcements/create-cold-permit-task.js';
 import {createPermitTask} from './announcements/create-permit-task.js';
 import {createStatementLearner} from './announcements/create-statement-learner.js';
 import {createRoomTask} from './announcements/create-room-task.js';
@@ -184,8 +185,10 @@
 	const countHosts = (): number => Math.max(minAssumedHosts, reportExchange.countHosts());
 
 	const links = createUpstreamLinks({
-		ping: async ({address, service}, timeoutMs) => engineClient.ping(address, storedState.findService(service)?.healthPath ?? '/', timeoutMs),
-		chargeProbe: ({id}) => permits.charge(id),
+		ping: async ({id, address, service}, timeoutMs) => await permits.acquireProbe(id)
+			? engineClient.ping(address, storedState.findService(service)?.healthPath ?? '/', timeoutMs)
+			: undefined,
+		chargeProbe: ({id}) => permits.chargeProbe(id),
 		now,
 		random,
 	});
@@ -193,16 +196,18 @@
 	const registry = createUpstreamRegistry({
 		now,
 		links,
+		findColdLimit: service => storedState.findService(service),
 		maxConnectionsFor: service => Math.max(minConnections, Math.floor((storedState.findService(service)?.maxConnections ?? 0) / countHosts())),
-		link: upstream => adapter.openConnectionPool(upstream.address, () => {
+		link: (upstream, onIdleEnd) => adapter.openConnectionPool(upstream.address, () => {
 			metrics.connections.inc({service: upstream.service});
-		}),
+		}, onIdleEnd),
 	});
 	const statementLearner = createStatementLearner({
 		listHosts: reportExchange.refreshAndList,
 		call: peerClient.call,
-		record(host, statements) {
+		record(host, statements, cold) {
 			registry.recordReportedLimits(host, statements, now());
+			registry.recordReportedCold(cold, now());
 		},
 		onLearned() {
 			weightAgeTask.start();
@@ -236,8 +241,15 @@
 		call: peerClient.call,
 		random,
 	});
-	const permits = createPermitTask({
-		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, hasSettled, call: peerClient.call, now, random,
+	const permits = createColdPermitTask({
+		self: name, upstreams: registry, listOthers: reportExchange.listOthers, alive: reportExchange.alive, call: peerClient.call, now, suspendAwareNow, random,
+		permits: createPermitTask({
+			self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, hasSettled, call: peerClient.call, now, random,
+		}),
+		bounds: () => ({overshoot: liveSettings.bounds.coldOvershoot, slack: liveSettings.bounds.coldSlack}),
+		onResult(result) {
+			metrics.coldPermitsTotal.inc({result});
+		},
 	});
 	const rooms = createRoomTask({
 		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, call: peerClient.call, now, random,
@@ -404,7 +416,8 @@
 	});
 
 	const peerServer = await createPeerServer(settings.peers, undefined, createGatewayMethods({
-		stateSync, ownLease, currentEpoch: epochs.current, listStatements: () => registry.listStatements(now()), listWeightAges: weightAges.list, rooms, permits, upstreamChecks, streams, kvStoreTracker,
+		stateSync, ownLease, currentEpoch: epochs.current, listStatements: () => registry.listStatements(now()), listCold: () => registry.listCold(now()),
+		listWeightAges: weightAges.list, rooms, permits, upstreamChecks, streams, kvStoreTracker,
 	}), () => false);
 	await reportExchange.start();
 	const {callers, relayed, requests} = await openRequestServers({
@@ -423,6 +436,7 @@
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
 		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
 		recordGauges() {
+			metrics.coldUpstreams.set(registry.listCold(now()).length);
 			recordWeightsMetrics(metrics, {
 				weights: storedState.weights(), upstreams: registry.listAll(), getAgeMs: ({model, version}) => weightAges.getStaleForMs(model, version - 1) ?? 0,
 			});
@@ -444,6 +458,7 @@
 			relayed,
 			relay,
 			links,
+			permits,
 			statusServers,
 		]) {
 			component.stop();
