Failure domains taken out of service: entries of the operator stop all sends there

Cause: an operator has no way to keep requests from a failure domain that is about to be worked on. Change: with bounds.evacuateMs the kind of evacuations is watched like the other kinds. Upstreams of a domain with an entry are left out of placement, are no source of KV cache, and a placed request is checked once more before it is sent. A service with no other upstreams refuses at once. Removals are recorded, so that a store which returns from an older copy does not undo an entry and a peer can tell of a removal.

--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -4,6 +4,7 @@
 import {mayRepeat} from '../decide/forwarding/may-repeat.js';
 import {type RetryDecision} from '../decide/forwarding/retry-decision.js';
 import {type ServiceLatencyModel} from '../decide/forwarding/service-latency-model.js';
+import {type Evacuations} from '../evacuations/evacuations.js';
 import {log} from '../observe/log.js';
 import {type PoisonRequestDetector} from '../poison/poison-request-detector.js';
 import {type RelayClient} from '../relay/relay-client.js';
@@ -38,6 +39,7 @@
 /** Options of `createForwarder`. */
 type ForwarderOptions = PlacementFinderOptions & {
 	readonly registry: UpstreamRegistry;
+	readonly evacuations: Pick<Evacuations, 'findRefusal' | 'maySend'>;
 	readonly crashes: Pick<PoisonRequestDetector, 'checkForCrash' | 'recordSuccess'>;
 	readonly getLatencyModel: (service: string) => ServiceLatencyModel;
 	/** Returns whether the link to an upstream works; checks it first if it has carried nothing for a while. */
@@ -55,7 +57,7 @@
 
 /** Creates the function that forwards a caller's request, retries it where that is safe, and sends the final response. */
 export function createForwarder(options: ForwarderOptions): (admitted: AdmittedRequest) => Promise<void> {
-	const {registry, crashes, getRetryBudget, getLatencyModel, verifyLink, relay, sendRelayed, streams, encode, keptBytes, now, random, onEnd} = options;
+	const {registry, evacuations, crashes, getRetryBudget, getLatencyModel, verifyLink, relay, sendRelayed, streams, encode, keptBytes, now, random, onEnd} = options;
 	const reporter = createRequestReporter({now, random, onEnd});
 	const findNext = createPlacementFinder(options);
 	const send = createSender({
@@ -167,6 +169,11 @@
 			return false;
 		}
 
+		// The request may have waited for a permit, a slot or the check of the link since it was placed.
+		if (!evacuations.maySend(request.id!, progress.service, placement)) {
+			return false;
+		}
+
 		log.info({
 			requestId: request.id!, route: route.name, service: progress.service, upstream: placement.upstream.id, softwareVersion: placement.upstream.softwareVersion,
 			resumeAfter: progress.splitter?.lastEventId() ?? request.resumeAfter, begunBy: request.begunBy,
--- a/src/forwarding/create-gateway-metrics.ts
+++ b/src/forwarding/create-gateway-metrics.ts
@@ -43,6 +43,10 @@
 			buckets: secondsBuckets,
 			registers,
 		}),
+		evacuatedDomains: new Gauge({name: 'hemlockpier_evacuated_domains', help: 'Failure domains that are out of service, as known here', registers}),
+		evacuationRequests: new Counter({
+			name: 'hemlockpier_evacuation_requests_total', help: 'Requests that were sent elsewhere, withdrawn or refused because of failure domains out of service', labelNames: ['result'], registers,
+		}),
 		underWay: new Gauge({name: 'hemlockpier_requests_under_way', help: 'Requests under way', registers}),
 	};
 }
--- a/src/forwarding/create-kv-reuse-planner.ts
+++ b/src/forwarding/create-kv-reuse-planner.ts
@@ -28,6 +28,8 @@
 /** Options of `createKvReusePlanner`. */
 type KvReusePlannerOptions = {
 	readonly registry: UpstreamRegistry;
+	/** Whether a failure domain is out of service; nothing is fetched from its engines then. */
+	readonly isEvacuated: (domain: string) => boolean;
 	/** Tracker of the KV stores. */
 	readonly kept: Pick<KvStoreTracker, 'stores' | 'isBeingSaved' | 'recordSave'>;
 	/** Returns the first desired weights of a model that are newer than a version. */
@@ -46,7 +48,7 @@
 }
 
 /** Creates the function that plans, for each upstream, which KV cache a request fetches and saves. */
-export function createKvReusePlanner({registry, kept: kvStoreTracker, findNewerWeights, weightsConfirmedAt, kvSharing, clocks}: KvReusePlannerOptions): KvReusePlanner {
+export function createKvReusePlanner({registry, isEvacuated, kept: kvStoreTracker, findNewerWeights, weightsConfirmedAt, kvSharing, clocks}: KvReusePlannerOptions): KvReusePlanner {
 	const now = clocks.suspendAware;
 	const lastEngineByPart = new Map<string, string>();
 
@@ -118,7 +120,8 @@
 					isInEngine: part => engines.get(part) === upstream.id,
 					findOtherEngine(part) {
 						const otherEngine = engines.get(part);
-						return otherEngine === undefined || otherEngine === upstream.id ? undefined : registry.get(otherEngine)?.address;
+						const source = otherEngine === undefined || otherEngine === upstream.id ? undefined : registry.get(otherEngine);
+						return source && !isEvacuated(source.domain) ? source.address : undefined;
 					},
 					isBeingSaved: part => kvStoreTracker.isBeingSaved(text, part),
 					prefillTokensPerMs,
--- a/src/forwarding/create-placement-finder.ts
+++ b/src/forwarding/create-placement-finder.ts
@@ -21,7 +21,7 @@
 
 /** Creates the function that finds where a request goes next: to an upstream, to another host, or nowhere. */
 export function createPlacementFinder({
-	registry, crashes, getRetryBudget, getUrgentObjectiveMs, place, acquirePermit, acquireRoom, confirmCutOff, relay, now, random,
+	registry, evacuations, crashes, getRetryBudget, getUrgentObjectiveMs, place, acquirePermit, acquireRoom, confirmCutOff, relay, now, random,
 }: PlacementFinderOptions): (admitted: AdmittedRequest, progress: ForwardingProgress) => Promise<PlacementResult> {
 	const findHelper = ({isRelayed}: AdmittedRequest, {service, idleHelpers, usedHelpers, attempts}: ForwardingProgress): KnownHost | undefined =>
 		isRelayed || idleHelpers.size >= maxIdleHelpers
@@ -48,6 +48,12 @@
 		}
 
 		const closedForMs = registry.closedForMs(service, now(), softwareVersion);
+		const evacuated = closedForMs === undefined && reach.upstreams === 0 ? evacuations.findRefusal(service, softwareVersion) : undefined;
+		if (evacuated) {
+			progress.lastReason = evacuated.detail;
+			return {reason: 'no-upstream', retryAfterMs: evacuated.retryAfterMs};
+		}
+
 		if (closedForMs === undefined && softwareVersion !== undefined && registry.getReach(service).upstreams > 0) {
 			progress.lastReason = `no upstream of version ${softwareVersion}, which began the stream`;
 			return {reason: 'no-upstream', retryAfterMs: 'never'};
--- a/src/forwarding/gateway-adapter.ts
+++ b/src/forwarding/gateway-adapter.ts
@@ -20,6 +20,7 @@
 		readonly configuration: string;
 		readonly upstreams: string;
 		readonly weights: string;
+		readonly evacuations: string;
 		readonly hosts: string;
 		readonly leases: string;
 		readonly streams: string;
--- a/src/forwarding/placement-finder-options.ts
+++ b/src/forwarding/placement-finder-options.ts
@@ -1,5 +1,6 @@
 import {type RoomTask} from '../announcements/room-task.js';
 import {type SlidingWindowRetryBudget} from '../decide/retries/sliding-window-retry-budget.js';
+import {type Evacuations} from '../evacuations/evacuations.js';
 import {type PoisonRequestDetector} from '../poison/poison-request-detector.js';
 import {type RelayClient} from '../relay/relay-client.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
@@ -11,6 +12,7 @@
 /** Dependencies of the placement finder. */
 export type PlacementFinderOptions = {
 	readonly registry: Pick<UpstreamRegistry, 'getReach' | 'closedForMs'>;
+	readonly evacuations: Pick<Evacuations, 'findRefusal'>;
 	readonly crashes: Pick<PoisonRequestDetector, 'findCause'>;
 	readonly getRetryBudget: (service: string) => SlidingWindowRetryBudget;
 	/** Returns the lowest latency objective, in milliseconds, of the routes to a service that are more urgent than `route`. */
--- a/src/object-store/create-object-watcher.ts
+++ b/src/object-store/create-object-watcher.ts
@@ -9,6 +9,7 @@
 import {type KindSnapshot} from './kind-snapshot.js';
 import {type ObjectWatcher} from './object-watcher.js';
 import {type ObjectStore} from './object-store.js';
+import {type RemovalRecord} from './removal-record.js';
 import {type StoredObject} from './stored-object.js';
 
 const minRetryDelayMs = 200;
@@ -50,6 +51,8 @@
 	readonly isWatching: () => boolean;
 	/** Returns the version of an object's content, which only increases, if objects of this kind have one; `undefined` when it is invalid. */
 	readonly getVersion?: (object: StoredObject) => number | undefined;
+	/** Set for objects without a version in their content that a store which returns from an older copy must not take back. */
+	readonly removals?: RemovalRecord;
 	/**
 	Called after a change with all objects, the time of the store's last response before it, the store's epoch, and whether the change arrived as it
 	was made, at a watch that waited for it.
@@ -58,8 +61,8 @@
 };
 
 /** Whether a list shows what is known already, so that other hosts need not hear of it. */
-function hasSameObjects(known: KindSnapshot, listed: readonly StoredObject[]): boolean {
-	const byName = new Map(known.objects.map(object => [object.name, object]));
+function hasSameObjects(known: readonly StoredObject[], listed: readonly StoredObject[]): boolean {
+	const byName = new Map(known.map(object => [object.name, object]));
 	return listed.length === byName.size && listed.every(object => {
 		const before = byName.get(object.name);
 		return before !== undefined && comparePositions(before, object) === 0;
@@ -71,7 +74,7 @@
 older copy. Content with a version never goes back.
 */
 export function createObjectWatcher({
-	kind, store, now, random, waitMs, isWatching, getVersion, onChange,
+	kind, store, now, random, waitMs, isWatching, getVersion, removals, onChange,
 }: ObjectWatcherOptions): ObjectWatcher {
 	let current: KindSnapshot | undefined;
 	let contentVersion = 0;
@@ -86,10 +89,19 @@
 	let hasStopped = false;
 	let refreshing: Promise<void> | undefined;
 
-	const sumVersions = (objects: readonly StoredObject[]): number => objects.reduce((sum, object) => sum + (getVersion?.(object) ?? 0), 0);
+	const sumVersions = (objects: readonly StoredObject[]): number => removals?.getVersion(objects) ?? objects.reduce((sum, object) => sum + (getVersion?.(object) ?? 0), 0);
+
+	const mergeObjects = (received: KindSnapshot): readonly StoredObject[] => {
+		const known = current?.objects ?? [];
+		if (removals) {
+			return removals.merge(known, received, !current || comparePositions(received, current) > 0);
+		}
+
+		return getVersion ? keepNewestVersions(known, received.objects, getVersion) : received.objects;
+	};
 
 	const setSnapshot = (received: KindSnapshot, confirmedAt: number | undefined, isPrompt = false): void => {
-		const objects = getVersion ? keepNewestVersions(current?.objects ?? [], received.objects, getVersion) : received.objects;
+		const objects = mergeObjects(received);
 		current = {...received, objects};
 		contentVersion = sumVersions(objects);
 		onChange(objects, confirmedAt, received.epoch, isPrompt);
@@ -109,12 +121,16 @@
 		return previous;
 	};
 
+	/** Lists the known objects that the store still has in this epoch. */
+	const listKnownOf = ({objects, epoch}: KindSnapshot): readonly StoredObject[] =>
+		removals ? objects.filter(object => object.epoch === epoch && !removals.isRemoved(object)) : objects;
+
 	const list = async (): Promise<void> => {
 		const {objects, epoch, revision} = await store.list(kind);
 		const confirmedAt = recordContact();
 		if (!current || comparePositions({epoch, revision}, current) >= 0) {
 			setSnapshot({
-				objects, epoch, revision, changedAt: current?.epoch === epoch && hasSameObjects(current, objects) ? current.changedAt : revision,
+				objects, epoch, revision, changedAt: current?.epoch === epoch && hasSameObjects(listKnownOf(current), objects) ? current.changedAt : revision,
 			}, confirmedAt);
 		} else {
 			log.warn({
@@ -168,7 +184,9 @@
 		if (current && comparePositions(result, current) > 0) {
 			const objectsByName = new Map(current.objects.map(object => [object.name, object]));
 			for (const {object, isRemoved} of result.changes) {
-				if (isRemoved) {
+				if (isRemoved && removals) {
+					objectsByName.set(object.name, removals.toRemoved(object, result));
+				} else if (isRemoved) {
 					objectsByName.delete(object.name);
 				} else {
 					objectsByName.set(object.name, object);
--- a/src/object-store/create-watch-policy.ts
+++ b/src/object-store/create-watch-policy.ts
@@ -8,6 +8,8 @@
 const shortWatchMs = 700;
 /** The same for desired weights, which need not be in force as soon. */
 const shortWeightsWatchMs = 2000;
+/** The same for evacuations. A silent connection is noticed, and the change has reached all hosts, well within the five seconds that they have. */
+const shortEvacuationsWatchMs = 1000;
 /** Number of hosts with short waits. */
 const shortWatchHosts = 2;
 /** Number of hosts of a failure domain that watch a kind of objects in the store. */
@@ -42,6 +44,7 @@
 export function createWatchPolicy({self, kinds, alive, hasSettled}: WatchPolicyOptions): WatchPolicy {
 	const shortWaitsMs: Readonly<Record<string, number>> = {
 		[kinds.configuration]: shortWatchMs, [kinds.upstreams]: shortWatchMs, [kinds.weights]: shortWeightsWatchMs,
+		[kinds.evacuations]: shortEvacuationsWatchMs,
 	};
 	const rankAmong = (peers: readonly KnownHost[]): ((kind: string) => number) => memoize(kind => getOwnerRank(self.host, peers.map(peer => peer.host), kind));
 	const createRanks = memoizeLast((peers: readonly KnownHost[]) => {
--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -29,10 +29,12 @@
 	readonly maxConnectionsFor: (service: string) => number;
 	/** Tells which upstreams can be reached. */
 	readonly links: UpstreamLinks;
+	/** Whether a failure domain is out of service, so that nothing more is sent to its upstreams. */
+	readonly isEvacuated?: (domain: string) => boolean;
 };
 
 /** Creates the registry of upstreams, with their connections and loads. */
-export function createUpstreamRegistry({now, link, maxConnectionsFor, links}: UpstreamRegistryOptions): UpstreamRegistry {
+export function createUpstreamRegistry({now, link, maxConnectionsFor, links, isEvacuated = () => false}: UpstreamRegistryOptions): UpstreamRegistry {
 	const entries = new Map<string, UpstreamEntry>();
 	const headLatencies = createHeadLatencies();
 	const remoteLoads = createLoadTotals();
@@ -124,7 +126,7 @@
 	const isLeaving = ({upstream, announcements}: UpstreamEntry): boolean => upstream.isLeaving || announcements.isLeaving();
 
 	const isUsable = (entry: UpstreamEntry, service: string, softwareVersion = entry.upstream.softwareVersion): boolean =>
-		entry.upstream.service === service && !isLeaving(entry) && softwareVersion === entry.upstream.softwareVersion;
+		entry.upstream.service === service && !isLeaving(entry) && !isEvacuated(entry.upstream.domain) && softwareVersion === entry.upstream.softwareVersion;
 
 	const findByAddress = (address: string): UpstreamEntry | undefined => [...entries.values()].find(({upstream}) => upstream.address === address);
 
@@ -146,7 +148,7 @@
 			}
 		},
 		listAvailable: (service, at, priority) => [...entries.values()]
-			.filter(entry => entry.upstream.service === service && !isLeaving(entry))
+			.filter(entry => isUsable(entry, service))
 			.map(entry => toView(entry, at, priority)),
 		closedForMs(service, at, softwareVersion) {
 			const closed = [...entries.values()]
@@ -156,7 +158,7 @@
 			return closed.length > 0 ? Math.min(...closed) : undefined;
 		},
 		send: createUpstreamSender({
-			entries, links, headLatencies, closeWhenIdle, now,
+			entries, links, headLatencies, closeWhenIdle, isEvacuated, now,
 		}),
 		ejectUntil(id, untilMs) {
 			const entry = entries.get(id);
@@ -178,8 +180,8 @@
 		listLostServices() {
 			const services = new Map<string, boolean>();
 			for (const entry of entries.values()) {
-				const {service} = entry.upstream;
-				services.set(service, (services.get(service) ?? false) || isReachable(entry));
+				const {service, domain} = entry.upstream;
+				services.set(service, (services.get(service) ?? false) || (isReachable(entry) && !isEvacuated(domain)));
 			}
 
 			return [...services].filter(([, hasReachable]) => !hasReachable).map(([service]) => service);
--- a/src/registry/create-upstream-sender.ts
+++ b/src/registry/create-upstream-sender.ts
@@ -24,6 +24,8 @@
 	readonly headLatencies: ReturnType<typeof createHeadLatencies>;
 	/** Closes the connections of an upstream that has left, unless a request is in flight there. */
 	readonly closeWhenIdle: (entry: UpstreamEntry) => void;
+	/** Whether a failure domain is out of service. */
+	readonly isEvacuated: (domain: string) => boolean;
 	readonly now: () => number;
 };
 
@@ -42,12 +44,21 @@
 }
 
 /** Creates the function that sends a request to the upstream it was placed at, and counts it as in flight until it ends. */
-export function createUpstreamSender({entries, links, headLatencies, closeWhenIdle, now}: UpstreamSenderOptions) {
+export function createUpstreamSender({entries, links, headLatencies, closeWhenIdle, isEvacuated, now}: UpstreamSenderOptions) {
+	const findObstacle = (entry: UpstreamEntry | undefined, startedAt: number | undefined): string | undefined => {
+		if (!entry || entry.upstream.startedAt !== startedAt) {
+			return 'the upstream has left';
+		}
+
+		return isEvacuated(entry.upstream.domain) ? 'the failure domain of the upstream is out of service' : undefined;
+	};
+
 	return ({id, startedAt}: PlacedUpstream, request: UpstreamRequest, {waitingTokens, heldTokens, priority}: RequestCost, listener: ResponseListener): InFlightRequest => {
 		const entry = entries.get(id);
-		if (!entry || entry.upstream.startedAt !== startedAt) {
+		const obstacle = findObstacle(entry, startedAt);
+		if (!entry || obstacle !== undefined) {
 			queueMicrotask(() => {
-				listener.onFail(new Error('the upstream has left'), false);
+				listener.onFail(new Error(obstacle), false);
 			});
 			return {abort: () => undefined, resume: () => undefined};
 		}
--- a/src/registry/upstream-registry.ts
+++ b/src/registry/upstream-registry.ts
@@ -16,7 +16,7 @@
 	/** Sets the list of registered upstreams. */
 	readonly updateUpstreams: (upstreams: readonly Upstream[]) => void;
 	/**
-	Lists the registered upstreams of a service that are not leaving, with their state at `now` for a request of a priority; ejected and
+	Lists the registered upstreams of a service that are neither leaving nor in a failure domain out of service, with their state at `now` for a request of a priority; ejected and
 	unresponsive ones are included.
 	*/
 	readonly listAvailable: (service: string, now: number, priority: number) => readonly UpstreamView[];
@@ -25,7 +25,7 @@
 	is closed.
 	*/
 	readonly closedForMs: (service: string, now: number, softwareVersion?: string) => number | undefined;
-	/** Sends a request and counts it as in flight until it ends; it fails as not sent if the upstream has left or has started again. */
+	/** Sends a request and counts it as in flight until it ends; it fails as not sent if the upstream has left or has started again, or its failure domain is out of service. */
 	readonly send: (upstream: PlacedUpstream, request: UpstreamRequest, cost: RequestCost, listener: ResponseListener) => InFlightRequest;
 	/** Ejects an upstream from placement until `untilMs`. */
 	readonly ejectUntil: (id: string, untilMs: number) => void;
@@ -35,7 +35,7 @@
 	@returns Function that removes the listener.
 	*/
 	readonly onSilence: (id: string, listener: () => void) => () => void;
-	/** Returns how many upstreams of a service, of one software version where it is given, are not leaving, and how many of them this host can reach. */
+	/** Returns how many upstreams of a service, of one software version where it is given, are neither leaving nor in a failure domain out of service, and how many of them this host can reach. */
 	readonly getReach: (service: string, softwareVersion?: string) => {readonly upstreams: number; readonly reachable: number};
 	/** Lists the services that have upstreams of which this host can reach none. */
 	readonly listLostServices: () => readonly string[];
--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -36,5 +36,7 @@
 		leaseMs: numberOrDefault(3000),
 		/** Time after a change of the desired weights by which no request may start on older ones. */
 		versionMs: numberOrDefault(12_000),
+		/** Time after an evacuation was acknowledged from which nothing more may be sent there; without it, none are looked for. */
+		evacuateMs: z.number().nullish().transform(value => value ?? undefined),
 	}).prefault({}),
 }).readonly();
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -17,6 +17,7 @@
 import {createCondemnedRequestList} from './poison/create-condemned-request-list.js';
 import {createCrashChecker} from './poison/create-crash-checker.js';
 import {createForwarder} from './forwarding/create-forwarder.js';
+import {createEvacuations} from './evacuations/create-evacuations.js';
 import {createFreeStaleKvTask} from './forwarding/create-free-stale-kv-task.js';
 import {createGatewayMetrics} from './forwarding/create-gateway-metrics.js';
 import {createHostReportExchange} from './reports/create-host-report-exchange.js';
@@ -190,9 +191,21 @@
 		random,
 	});
 	const listLostServices = refreshEvery(lostServicesMs, now, () => registry.listLostServices());
+	const evacuations = createEvacuations({
+		kind: kinds.evacuations,
+		isEnabled: settings.bounds.evacuateMs !== undefined,
+		listUpstreams: () => registry.listAll(),
+		onReturned: () => undefined,
+		onRequest(result) {
+			metrics.evacuationRequests.inc({result});
+		},
+		now: suspendAwareNow,
+		random,
+	});
 	const registry = createUpstreamRegistry({
 		now,
 		links,
+		isEvacuated: evacuations.isEvacuated,
 		maxConnectionsFor: service => Math.max(minConnections, Math.floor((storedState.findService(service)?.maxConnections ?? 0) / countHosts())),
 		link: upstream => adapter.openConnectionPool(upstream.address, () => {
 			metrics.connections.inc({service: upstream.service});
@@ -306,11 +319,12 @@
 	const watchPolicy = createWatchPolicy({
 		self, kinds, alive: reportExchange.alive, hasSettled,
 	});
-	const watched: ReadonlyArray<Pick<Parameters<typeof createObjectWatcher>[0], 'kind' | 'onChange' | 'getVersion'>> = [
+	const watched: ReadonlyArray<Pick<Parameters<typeof createObjectWatcher>[0], 'kind' | 'onChange' | 'getVersion' | 'removals'>> = [
 		{kind: kinds.condemnedRequests, onChange: condemnedRequestList.applyObjects},
 		{kind: kinds.configuration, onChange: storedState.applyConfiguration, getVersion: storedState.getConfigurationVersion},
 		{kind: kinds.upstreams, onChange: storedState.applyUpstreams},
 		{kind: kinds.weights, onChange: applyWeights, getVersion: storedState.getWeightsVersion},
+		...evacuations.watched,
 	];
 	const watchers = watched.map(({kind, onChange, ...rest}) => createObjectWatcher({
 		kind, store, now: suspendAwareNow, random, ...rest, onChange: meter('taking in stored objects', onChange),
@@ -370,6 +384,7 @@
 	const keptBytes = createByteBudget(responseLimits.keptBytes, responseLimits.freeBytes);
 	const forward = createForwarder({
 		registry,
+		evacuations,
 		crashes,
 		getRetryBudget,
 		now,
@@ -380,7 +395,7 @@
 			versionMs: () => liveSettings.bounds.versionMs, now, random,
 			others: () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()}),
 			planKvReuse: createKvReusePlanner({
-				registry, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
+				registry, isEvacuated: evacuations.isEvacuated, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
 				weightsConfirmedAt: stateSync.weightsConfirmedAt, kvSharing: storedState.kvSharing, clocks,
 			}),
 		})),
@@ -418,11 +433,12 @@
 			metrics.refusalsTotal.inc({kind: refusal.kind});
 		},
 	});
-	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0 && statementLearner.hasLearned() && weightAgeTask.hasLearned();
+	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0 && statementLearner.hasLearned() && evacuations.isKnown() && weightAgeTask.hasLearned();
 	const statusServers = await openStatusServers({
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
 		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
 		recordGauges() {
+			metrics.evacuatedDomains.set(evacuations.count());
 			recordWeightsMetrics(metrics, {
 				weights: storedState.weights(), upstreams: registry.listAll(), getAgeMs: ({model, version}) => weightAges.getStaleForMs(model, version - 1) ?? 0,
 			});
