Tests of entries that take domains out of service, and of their removal

Cause: the entries have no version, so neither a returned store nor a peer says by itself what is newer.

--- a/test/support/create-test-registry.ts
+++ b/test/support/create-test-registry.ts
@@ -10,7 +10,12 @@
 };
 
 /** Creates a registry with one upstream, whose requests `send` takes. */
-export function createTestRegistry(send: UpstreamConnectionPool['send'], now: () => number = () => 0, maxConnectionsFor: (service: string) => number = () => 4): UpstreamRegistry {
+export function createTestRegistry(
+	send: UpstreamConnectionPool['send'],
+	now: () => number = () => 0,
+	maxConnectionsFor: (service: string) => number = () => 4,
+	isEvacuated: (domain: string) => boolean = () => false,
+): UpstreamRegistry {
 	const links = createUpstreamLinks({
 		ping: async () => true, chargeProbe: () => 0, now, random: () => 0,
 	});
@@ -18,6 +23,7 @@
 	const registry = createUpstreamRegistry({
 		now,
 		links,
+		isEvacuated,
 		maxConnectionsFor,
 		link: () => ({
 			send, hasIdle: () => false, closeIdle: () => undefined, close: () => undefined,
--- a/test/support/start-state-hosts.ts
+++ b/test/support/start-state-hosts.ts
@@ -1,4 +1,6 @@
 import {adapter} from '../../platform/adapter.js';
+import {createEvacuations} from '../../src/evacuations/create-evacuations.js';
+import {type Evacuations} from '../../src/evacuations/evacuations.js';
 import {createWeightAges} from '../../src/decide/weights/create-weight-ages.js';
 import {createObjectWatcher} from '../../src/object-store/create-object-watcher.js';
 import {createStateSync} from '../../src/object-store/create-state-sync.js';
@@ -19,13 +21,18 @@
 export type StateHost = {
 	readonly name: string;
 	readonly storedState: ReturnType<typeof createStoredState>;
+	readonly evacuations: Evacuations;
+	/** Failure domains that came back into service, each time that they did. */
+	readonly returned: readonly string[];
+	/** Returns how often the host has told a peer its state. */
+	readonly answered: () => number;
 	/** Whether the host reaches the store, the other hosts, or neither. */
 	readonly links: {store: boolean; peers: boolean};
 };
 
 /** Starts hosts one by one that follow a simulated store and report to each other. */
-export function startStateHosts(store: ReturnType<typeof createSimulatedStore>) {
-	const hosts: Array<StateHost & {readonly sync: ReturnType<typeof createStateSync>; readonly stop: () => void}> = [];
+export function startStateHosts(store: ReturnType<typeof createSimulatedStore>, {hasEvacuations = false} = {}) {
+	const hosts: Array<StateHost & {readonly sync: ReturnType<typeof createStateSync>; readonly answerPull: (query: StateQuery) => ReturnType<ReturnType<typeof createStateSync>['answer']>; readonly stop: () => void}> = [];
 
 	const start = (name: string, isWatching: boolean, responseDelayMs = () => 0, onUpstreamsChange: (upstreams: readonly Upstream[]) => void = () => undefined): StateHost => {
 		const links = {store: true, peers: true};
@@ -34,10 +41,24 @@
 		const clocks = {suspendAware: Date.now, monotonic: Date.now};
 		const storedState = createStoredState(adapter, {onServicesChange: () => undefined, onUpstreamsChange}, clocks, createWeightAges(clocks));
 		const listOthers = () => hosts.filter(host => host.name !== name && host.links.peers && links.peers);
+		const returned: string[] = [];
+		let answered = 0;
+		const evacuations = createEvacuations({
+			kind: kinds.evacuations,
+			isEnabled: hasEvacuations,
+			listUpstreams: () => [],
+			onReturned(domain) {
+				returned.push(domain);
+			},
+			onRequest: () => undefined,
+			now: Date.now,
+			random: () => 0.5,
+		});
 		const watchers = [
 			{kind: kinds.configuration, onChange: storedState.applyConfiguration, getVersion: storedState.getConfigurationVersion},
 			{kind: kinds.upstreams, onChange: storedState.applyUpstreams},
 			{kind: kinds.weights, onChange: storedState.applyWeights, getVersion: storedState.getWeightsVersion},
+			...evacuations.watched,
 		].map(({kind, ...watched}) => createObjectWatcher({
 			kind, store: opened, now: Date.now, random: () => 0.5, waitMs: () => 2000, isWatching: () => isWatching, ...watched,
 		}));
@@ -47,7 +68,7 @@
 				throw new Error('peer is unreachable');
 			}
 
-			return {states: peer.sync.answer(query)};
+			return {states: peer.answerPull(query)};
 		}) as unknown as PeerRpc;
 		const sync = createStateSync({
 			domain: 'domain-a', watchers, call, alive: () => listOthers().map(host => ({peers: host.name, domain: 'domain-a'}) as KnownHost), seeds: () => [],
@@ -62,7 +83,12 @@
 			}
 		}, reportMs);
 		const host = {
-			name, storedState, links, sync,
+			name, storedState, evacuations, returned, links, sync,
+			answered: () => answered,
+			answerPull(query: StateQuery) {
+				answered++;
+				return sync.answer(query);
+			},
 			stop() {
 				clearInterval(report);
 				sync.stop();
