--- a/src/decide/evacuations/diff-evacuations.ts
+++ b/src/decide/evacuations/diff-evacuations.ts
@@ -1,5 +1,6 @@
 import {type EvacuationEntry} from './evacuation-entry.js';
 import {isRemovedEntry} from './is-removed-entry.js';
+import {toRemovedEntry} from './to-removed-entry.js';
 
 /** Which failure domains have been taken out of service and put back, and which are out of service now. */
 type EvacuationChange = {
@@ -11,10 +12,11 @@
 
 /** Compares the entries with those that were in force before. Each domain begins and ends once, however often its entry is received. */
 export function diffEvacuations(before: ReadonlyMap<string, EvacuationEntry>, entries: readonly EvacuationEntry[]): EvacuationChange {
+	const byName = new Map(entries.map(entry => [entry.name, entry]));
 	const inForce = new Map(entries.filter(entry => !isRemovedEntry(entry)).map(entry => [entry.name, entry]));
 	return {
 		inForce,
 		begun: [...inForce.values()].filter(({name}) => !before.has(name)),
-		ended: entries.filter(entry => isRemovedEntry(entry) && before.has(entry.name)),
+		ended: [...before.values()].filter(({name}) => !inForce.has(name)).map(entry => byName.get(entry.name) ?? toRemovedEntry(entry, entry)),
 	};
 }
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -433,7 +433,8 @@
 			metrics.refusalsTotal.inc({kind: refusal.kind});
 		},
 	});
-	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0 && statementLearner.hasLearned() && evacuations.isKnown() && weightAgeTask.hasLearned();
+	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0 && evacuations.isKnown()
+		&& statementLearner.hasLearned() && weightAgeTask.hasLearned();
 	const statusServers = await openStatusServers({
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
 		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
--- a/test/registry/upstream-registry.test.ts
+++ b/test/registry/upstream-registry.test.ts
@@ -76,3 +76,28 @@
 		expect(registry.listAvailable('app', 0, 0)[0]!.freeConnections).toBe(expected);
 	});
 });
+
+// Guards against a request that is placed at, counted for, or sent to an upstream of a failure domain out of service.
+describe('an upstream whose failure domain is out of service', () => {
+	test.each([[true, 0], [false, 1]])('takes part in placement, in reach and in sends only if it is back: %s', async (isOut, expected) => {
+		let sent = 0;
+		const registry = createTestRegistry(() => {
+			sent++;
+			return running;
+		}, () => 0, () => 4, domain => isOut && domain === placed.domain);
+		const failures: string[] = [];
+		registry.send(placed, {
+			id: 'request', method: 'GET', target: '/', headers: [], body: undefined,
+		}, {waitingTokens: 0, heldTokens: 0, priority: 0}, {
+			onHead: () => undefined, onData: () => true, onEnd: () => true,
+			onFail(error, wasSent) {
+				failures.push(`${error.message}, ${wasSent}`);
+			},
+		});
+		await Promise.resolve();
+		expect([sent, registry.listAvailable('app', 0, 0).length, registry.getReach('app').upstreams]).toEqual([expected, expected, expected]);
+		expect(registry.listLostServices()).toEqual(isOut ? ['app'] : []);
+		expect(failures).toEqual(isOut ? ['the failure domain of the upstream is out of service, false'] : []);
+		expect(registry.listAll()).toHaveLength(1);
+	});
+});
