Tests of the setting for evacuations, of its wire names, and of a removal in one call of the watch

Cause: a removal that arrives in one call with the write before it was covered by no case. Change: one case each; the wire names of the kind and its bound may stand under platform/ only.

--- a/test/evacuations/entries-and-their-removal.test.ts
+++ b/test/evacuations/entries-and-their-removal.test.ts
@@ -216,6 +216,18 @@
 		expect(fleet.all().map(({returned}) => returned.length)).toEqual([1, 1, 0]);
 	});
 
+	test('ends once it is written again and removed within one call of the watch', async () => {
+		const host = fleet.start('a', true);
+		await wait(settleMs);
+		await loseEntry(() => undefined);
+		await wait(2000);
+		put();
+		remove();
+		await wait(2000);
+		expect(listEvacuating()).toEqual([]);
+		expect(host.returned).toEqual([domain]);
+	});
+
 	test('is no reason for hosts to take state from each other without end', async () => {
 		const hosts = [fleet.start('a', true), fleet.start('b', true), fleet.start('c', false)];
 		await wait(settleMs);
--- a/test/platform/boundary.test.ts
+++ b/test/platform/boundary.test.ts
@@ -33,6 +33,8 @@
 	'server-leaving',
 	'server-limit',
 	'\'resumes\'',
+	'\'evacuations\'',
+	'evacuate_ms',
 ];
 
 const files = (folder: string): readonly string[] => readdirSync(folder, {recursive: true, encoding: 'utf8'})
