A host that starts asks others for entries that the store may have lost

Cause: a host that starts after the store came back from an older copy lists no entry that the others hold, and would be ready before their reports tell it.

--- a/src/evacuations/create-evacuations.ts
+++ b/src/evacuations/create-evacuations.ts
@@ -30,6 +30,8 @@
 	readonly kind: string;
 	/** Whether the deployment has evacuations; if not, nothing is watched. */
 	readonly isEnabled: boolean;
+	/** Whether this host has asked others for entries that the store may have lost. */
+	readonly hasAskedPeers: () => boolean;
 	readonly listUpstreams: () => readonly Upstream[];
 	/** Called when a failure domain is back in service, with the position of the store at which its entry was removed, or a later one. */
 	readonly onReturned: (domain: string, removedAt: StorePosition) => void;
@@ -41,12 +43,12 @@
 };
 
 /** Creates the record of the failure domains that are out of service, which follows the operator's entries in the store. */
-export function createEvacuations({kind, isEnabled, listUpstreams, onReturned, onRequest, now, random}: EvacuationsOptions): Evacuations {
+export function createEvacuations({kind, isEnabled, hasAskedPeers, listUpstreams, onReturned, onRequest, now, random}: EvacuationsOptions): Evacuations {
 	let inForce: ReadonlyMap<string, EvacuationEntry> = new Map();
 	const knownSince = new Map<string, number>();
 	/** Domains whose entry the returned store does not list. */
 	const unlisted = new Set<string>();
-	let isKnown = !isEnabled;
+	let hasEntries = false;
 
 	const logUnlisted = (epoch: number): void => {
 		for (const entry of inForce.values()) {
@@ -64,7 +66,7 @@
 		const before = inForce;
 		const change = diffEvacuations(before, entries);
 		inForce = change.inForce;
-		isKnown = true;
+		hasEntries = true;
 		for (const {name: domain, revision} of change.begun) {
 			knownSince.set(domain, now());
 			log.info({
@@ -85,8 +87,9 @@
 		logUnlisted(epoch);
 	};
 
-	const isEvacuated = (domain: string): boolean => !isKnown || inForce.has(domain);
-	const isActive = (): boolean => !isKnown || inForce.size > 0;
+	const isKnown = (): boolean => !isEnabled || (hasEntries && hasAskedPeers());
+	const isEvacuated = (domain: string): boolean => !isKnown() || inForce.has(domain);
+	const isActive = (): boolean => !isKnown() || inForce.size > 0;
 	const listServices = refreshEvery(servicesMs, now, () => new Set(listUpstreams().filter(({domain}) => isEvacuated(domain)).map(({service}) => service)));
 
 	const fetchesFromEvacuated = ({options: {fetchFrom}}: Parameters<Evacuations['maySend']>[2]): boolean => {
@@ -96,7 +99,7 @@
 
 	return {
 		watched: isEnabled ? [{kind, removals, onChange: applyEntries}] : [],
-		isKnown: () => isKnown,
+		isKnown,
 		isEvacuated,
 		count: () => inForce.size,
 		maySend(requestId, service, placement) {
@@ -132,7 +135,7 @@
 
 			onRequest('refused');
 			return {
-				detail: isKnown ? `all upstreams are in failure domains out of service: ${[...domains].join(', ')}` : 'the failure domains out of service are not known yet',
+				detail: isKnown() ? `all upstreams are in failure domains out of service: ${[...domains].join(', ')}` : 'the failure domains out of service are not known yet',
 				retryAfterMs: minReturnMs + (random() * retryAfterSpread.spreadMs),
 			};
 		},
--- a/src/object-store/create-state-sync.ts
+++ b/src/object-store/create-state-sync.ts
@@ -66,6 +66,8 @@
 type StateSync = {
 	/** Compares a peer's status with the state here and starts to pull from a peer if that is newer. */
 	readonly compareStatus: (status: HostStatus) => void;
+	/** Takes from a peer what it knows beyond what is known here; resolves also if it does not answer. */
+	readonly pull: (address: string) => Promise<void>;
 	/** Returns the changes since what a peer knows, by kind; serves a peer's pull. */
 	readonly answer: (query: StateQuery) => Readonly<Record<string, SnapshotDelta>>;
 	/** Returns what this host knows, for its reports to other hosts. */
@@ -212,6 +214,7 @@
 				}
 			}
 		},
+		pull,
 		answer: ({epoch = 0, revisions, contentVersions = {}}) => Object.fromEntries(watchers.flatMap(watcher => {
 			const state = watcher.state();
 			if (!state) {
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -17,7 +17,7 @@
 import {createCondemnedRequestList} from './poison/create-condemned-request-list.js';
 import {createCrashChecker} from './poison/create-crash-checker.js';
 import {createForwarder} from './forwarding/create-forwarder.js';
-import {createEvacuations} from './evacuations/create-evacuations.js';
+import {wireEvacuations} from './evacuations/wire-evacuations.js';
 import {createFreeStaleKvTask} from './forwarding/create-free-stale-kv-task.js';
 import {createGatewayMetrics} from './forwarding/create-gateway-metrics.js';
 import {createHostReportExchange} from './reports/create-host-report-exchange.js';
@@ -191,16 +191,9 @@
 		random,
 	});
 	const listLostServices = refreshEvery(lostServicesMs, now, () => registry.listLostServices());
-	const evacuations = createEvacuations({
-		kind: kinds.evacuations,
-		isEnabled: settings.bounds.evacuateMs !== undefined,
-		listUpstreams: () => registry.listAll(),
-		onReturned: () => undefined,
-		onRequest(result) {
-			metrics.evacuationRequests.inc({result});
-		},
-		now: suspendAwareNow,
-		random,
+	const evacuations = wireEvacuations({
+		kind: kinds.evacuations, evacuateMs: settings.bounds.evacuateMs, alive: reportExchange.alive, listOthers: reportExchange.listOthers,
+		pull: async address => stateSync.pull(address), listUpstreams: () => registry.listAll(), onReturned: () => undefined, metrics, now: suspendAwareNow, random,
 	});
 	const registry = createUpstreamRegistry({
 		now,
@@ -219,6 +212,7 @@
 		},
 		onLearned() {
 			weightAgeTask.start();
+			evacuations.confirm();
 		},
 		random,
 	});
--- a/test/evacuations/entries-and-their-removal.test.ts
+++ b/test/evacuations/entries-and-their-removal.test.ts
@@ -182,14 +182,14 @@
 		expect(await listLapsed(hosts, 20_000)).toEqual([]);
 	});
 
-	test.each(returns)('reaches a host that starts later, %s', async (_name, write) => {
+	test.each(returns.flatMap(([name, write]) => [true, false].map(isWatching => [`${name}, ${isWatching ? 'watching' : 'not watching'}`, write, isWatching] as const)))('is known to a host that starts later before it is ready: the store returned %s', async (_name, write, isWatching) => {
 		fleet.start('a', true);
 		await wait(settleMs);
 		await loseEntry(write);
 		await wait(2000);
-		fleet.start('late', true);
-		await wait(evacuateMs);
-		expect(listEvacuating()).toEqual(['a', 'late']);
+		const late = fleet.start('late', isWatching);
+		expect(await listLapsed([late], evacuateMs)).toEqual([]);
+		expect(late.evacuations.isKnown()).toBe(true);
 	});
 
 	test.each(returns)('ends once it is written again and removed, also at a host that was cut off meanwhile and one that started, %s', async (_name, write) => {
--- a/test/evacuations/requests-that-waited.test.ts
+++ b/test/evacuations/requests-that-waited.test.ts
@@ -62,7 +62,7 @@
 });
 
 const createTestEvacuations = () => createEvacuations({
-	kind: 'k', isEnabled: true, listUpstreams: () => [kept, evacuated], onReturned: () => undefined, now: () => 0, random: () => 0,
+	kind: 'k', isEnabled: true, hasAskedPeers: () => true, listUpstreams: () => [kept, evacuated], onReturned: () => undefined, now: () => 0, random: () => 0,
 	onRequest(result) {
 		results.push(result);
 	},
--- a/test/support/start-state-hosts.ts
+++ b/test/support/start-state-hosts.ts
@@ -1,5 +1,6 @@
 import {adapter} from '../../platform/adapter.js';
 import {createEvacuations} from '../../src/evacuations/create-evacuations.js';
+import {createPeerConfirmation} from '../../src/evacuations/create-peer-confirmation.js';
 import {type Evacuations} from '../../src/evacuations/evacuations.js';
 import {createWeightAges} from '../../src/decide/weights/create-weight-ages.js';
 import {createObjectWatcher} from '../../src/object-store/create-object-watcher.js';
@@ -43,9 +44,15 @@
 		const listOthers = () => hosts.filter(host => host.name !== name && host.links.peers && links.peers);
 		const returned: string[] = [];
 		let answered = 0;
+		const confirmation = createPeerConfirmation({
+			listHosts: () => listOthers().map(other => ({peers: other.name})),
+			pull: async address => sync.pull(address),
+			random: () => 0.5,
+		});
 		const evacuations = createEvacuations({
 			kind: kinds.evacuations,
 			isEnabled: hasEvacuations,
+			hasAskedPeers: confirmation.hasAsked,
 			listUpstreams: () => [],
 			onReturned(domain) {
 				returned.push(domain);
@@ -74,6 +81,7 @@
 			domain: 'domain-a', watchers, call, alive: () => listOthers().map(host => ({peers: host.name, domain: 'domain-a'}) as KnownHost), seeds: () => [],
 			now: Date.now, random: () => 0.5, partitionedAfterMs: 2900, isWatching: () => isWatching, weightsKind: kinds.weights, upstreamsKind: kinds.upstreams,
 		});
+		confirmation.start();
 		const report = setInterval(() => {
 			for (const other of listOthers()) {
 				other.sync.compareStatus({
