Tests of gateways whose store fails or came back from an older copy while a domain is out of service

Cause: the exchange of entries between running hosts was covered in virtual time only. Change: two gateways, of which one has a store that is silent or refuses, or that has lost the entry.

--- a/test/evacuations/evacuated-domains.test.ts
+++ b/test/evacuations/evacuated-domains.test.ts
@@ -4,6 +4,7 @@
 	afterEach, beforeEach, describe, expect, test,
 } from 'vitest';
 import {adapter} from '../../platform/adapter.js';
+import {sleep} from '../../src/util/sleep.js';
 import {buildRawRequest} from '../support/build-raw-request.js';
 import {createLink} from '../support/create-link.js';
 import {createObjectStoreServer, type ObjectStoreServer} from '../support/create-object-store-server.js';
@@ -19,6 +20,8 @@
 const kind = adapter.kinds.evacuations;
 const domain = 'domain-b';
 const requests = 20;
+/** Time in which hosts learn of a change that no metric shows. */
+const learnMs = 1500;
 const targets = ['/read/x', '/book/x', '/ask/x'];
 
 let store: ObjectStoreServer;
@@ -182,6 +185,50 @@
 		expect([countCalls(near) > 0, countCalls(far)]).toEqual([true, 0]);
 	});
 
+	test.each([
+		['gets no response', 'isUnresponsive'],
+		['is refused', 'isUnavailable'],
+	] as const)('is known to a host whose calls of the store fail, from its peers, and so is its return: each call %s', async (_name, fault) => {
+		const first = await start();
+		const failing = await createObjectStoreServer();
+		for (const [kindOfObject, objects] of store.copy().kinds) {
+			for (const [name, {spec}] of objects) {
+				failing.put(kindOfObject, name, spec);
+			}
+		}
+
+		const second = await startTestGateway(failing.address, {bounds: {evacuateMs: 5000}, seeds: [first.peers]});
+		gateways.push(second);
+		await waitUntilReady(second);
+		failing.faults[fault] = true;
+		store.put(kind, domain, {});
+		await waitForEvacuated(second, 1);
+		const before = countCalls(far);
+		const responses = await sendAll(second);
+		expect([responses.every(({status}) => status === 200), countCalls(far)]).toEqual([true, before]);
+		store.remove(kind, domain);
+		await waitForEvacuated(second, 0);
+		failing.stop();
+	});
+
+	test('stays out of service after the store came back from a copy without the entry, also at a host that starts then', async () => {
+		const first = await start();
+		const copy = store.copy();
+		store.put(kind, domain, {});
+		await waitForEvacuated(first, 1);
+		store.restore(copy);
+		const second = await startTestGateway(store.address, {bounds: {evacuateMs: 5000}, seeds: [first.peers]});
+		gateways.push(second);
+		await waitUntilReady(second);
+		const before = countCalls(far);
+		await Promise.all([sendAll(first), sendAll(second)]);
+		expect([countCalls(near) > 0, countCalls(far)]).toEqual([true, before]);
+		store.put(kind, domain, {});
+		await sleep(learnMs);
+		store.remove(kind, domain);
+		await Promise.all([first, second].map(async gateway => waitForEvacuated(gateway, 0)));
+	});
+
 	test('still gets checks, so that a lost link is known to be back', async () => {
 		const link = await createLink(far.address);
 		store.put('servers', 'i-far', platformObjects.upstream(link.address, {born: 2, zone: domain}));
