--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -39,5 +39,7 @@
 		/** Requests that may reach a cold upstream in one second: what it tolerates times `coldOvershoot`, plus `coldSlack`. */
 		coldOvershoot: numberOrDefault(1.5),
 		coldSlack: numberOrDefault(5),
+		/** Time after an evacuation was acknowledged from which nothing more may be sent there; without it, none are looked for. */
+		evacuateMs: z.number().nullish().transform(value => value ?? undefined),
 	}).prefault({}),
 }).readonly();
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -18,6 +18,7 @@
 import {createCondemnedRequestList} from './poison/create-condemned-request-list.js';
 import {createCrashChecker} from './poison/create-crash-checker.js';
 import {createForwarder} from './forwarding/create-forwarder.js';
+import {wireEvacuations} from './evacuations/wire-evacuations.js';
 import {createFreeStaleKvTask} from './forwarding/create-free-stale-kv-task.js';
 import {createGatewayMetrics} from './forwarding/create-gateway-metrics.js';
 import {createHostReportExchange} from './reports/create-host-report-exchange.js';
@@ -38,6 +39,7 @@
 import {createWeightAgeTask} from './object-store/create-weight-age-task.js';
 import {createWeightAgeRecord} from './object-store/create-weight-age-record.js';
 import {createUpstreamRegistry} from './registry/create-upstream-registry.js';
+import {markDomainCold} from './registry/mark-domain-cold.js';
 import {type GatewayAdapter} from './forwarding/gateway-adapter.js';
 import {type KnownHost} from './reports/known-host.js';
 import {type LoadReport} from './reports/load-report.js';
@@ -193,10 +195,18 @@
 		random,
 	});
 	const listLostServices = refreshEvery(lostServicesMs, now, () => registry.listLostServices());
+	const evacuations = wireEvacuations({
+		kind: kinds.evacuations, evacuateMs: settings.bounds.evacuateMs, alive: reportExchange.alive, listOthers: reportExchange.listOthers,
+		pull: async address => stateSync.pull(address), listUpstreams: () => registry.listAll(), metrics, now: suspendAwareNow, random,
+		onReturned(domain) {
+			markDomainCold(registry, domain, service => storedState.findService(service)?.coldStartMs, now());
+		},
+	});
 	const registry = createUpstreamRegistry({
 		now,
 		links,
 		findColdLimit: service => storedState.findService(service),
+		isEvacuated: evacuations.isEvacuated,
 		maxConnectionsFor: service => Math.max(minConnections, Math.floor((storedState.findService(service)?.maxConnections ?? 0) / countHosts())),
 		link: (upstream, onIdleEnd) => adapter.openConnectionPool(upstream.address, () => {
 			metrics.connections.inc({service: upstream.service});
@@ -211,6 +221,7 @@
 		},
 		onLearned() {
 			weightAgeTask.start();
+			evacuations.confirm();
 		},
 		random,
 	});
@@ -318,11 +329,12 @@
 	const watchPolicy = createWatchPolicy({
 		self, kinds, alive: reportExchange.alive, hasSettled,
 	});
-	const watched: ReadonlyArray<Pick<Parameters<typeof createObjectWatcher>[0], 'kind' | 'onChange' | 'getVersion'>> = [
+	const watched: ReadonlyArray<Pick<Parameters<typeof createObjectWatcher>[0], 'kind' | 'onChange' | 'getVersion' | 'removals'>> = [
 		{kind: kinds.condemnedRequests, onChange: condemnedRequestList.applyObjects},
 		{kind: kinds.configuration, onChange: storedState.applyConfiguration, getVersion: storedState.getConfigurationVersion},
 		{kind: kinds.upstreams, onChange: storedState.applyUpstreams},
 		{kind: kinds.weights, onChange: applyWeights, getVersion: storedState.getWeightsVersion},
+		...evacuations.watched,
 	];
 	const watchers = watched.map(({kind, onChange, ...rest}) => createObjectWatcher({
 		kind, store, now: suspendAwareNow, random, ...rest, onChange: meter('taking in stored objects', onChange),
@@ -382,6 +394,7 @@
 	const keptBytes = createByteBudget(responseLimits.keptBytes, responseLimits.freeBytes);
 	const forward = createForwarder({
 		registry,
+		evacuations,
 		crashes,
 		getRetryBudget,
 		now,
@@ -392,7 +405,7 @@
 			versionMs: () => liveSettings.bounds.versionMs, now, random,
 			others: () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()}),
 			planKvReuse: createKvReusePlanner({
-				registry, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
+				registry, isEvacuated: evacuations.isEvacuated, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
 				weightsConfirmedAt: stateSync.weightsConfirmedAt, kvSharing: storedState.kvSharing, clocks,
 			}),
 		})),
@@ -431,12 +444,14 @@
 			metrics.refusalsTotal.inc({kind: refusal.kind});
 		},
 	});
-	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0 && statementLearner.hasLearned() && weightAgeTask.hasLearned();
+	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0 && evacuations.isKnown()
+		&& statementLearner.hasLearned() && weightAgeTask.hasLearned();
 	const statusServers = await openStatusServers({
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
 		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
 		recordGauges() {
 			metrics.coldUpstreams.set(registry.listCold(now()).length);
+			metrics.evacuatedDomains.set(evacuations.count());
 			recordWeightsMetrics(metrics, {
 				weights: storedState.weights(), upstreams: registry.listAll(), getAgeMs: ({model, version}) => weightAges.getStaleForMs(model, version - 1) ?? 0,
 			});
--- a/test/support/create-test-registry.ts
+++ b/test/support/create-test-registry.ts
@@ -15,6 +15,7 @@
 	now: () => number = () => 0,
 	maxConnectionsFor: (service: string) => number = () => 4,
 	findColdLimit?: Parameters<typeof createUpstreamRegistry>[0]['findColdLimit'],
+	isEvacuated: (domain: string) => boolean = () => false,
 ): UpstreamRegistry {
 	const links = createUpstreamLinks({
 		ping: async () => true, chargeProbe: () => 0, now, random: () => 0,
@@ -23,6 +24,7 @@
 	const registry = createUpstreamRegistry({
 		now,
 		links,
+		isEvacuated,
 		maxConnectionsFor,
 		...(findColdLimit && {findColdLimit}),
 		link: () => ({
