Wire the limit on requests in flight into registry, placement and reports

Change: src/pace/ holds one limit for each start of an upstream; the registry tells it of starts, answers and failures, the placer leaves out upstreams at their limit while another one is usable and in time (choose-within-pace.ts), and hosts state limits and answers in their reports (field `paces`). Switch: settings `pace` (absent: off; then nothing is recorded, reported or left out). create-gateway-paces.ts is the only place that decides which upstreams are paced.

--- a/src/decide/collecting/create-load-aggregator.ts
+++ b/src/decide/collecting/create-load-aggregator.ts
@@ -5,6 +5,7 @@
 import {type HostReport} from '../../reports/host-report.js';
 import {type LoadReport} from '../../reports/load-report.js';
 import {type UpstreamLoad} from '../../reports/upstream-load.js';
+import {mergeReportedPaces} from '../pace/merge-reported-paces.js';
 import {mergeReportedLimits} from '../announcements/merge-reported-limits.js';
 import {getCrashKey} from '../poison/get-crash-key.js';
 import {limitReportedParts} from '../poison/limit-reported-parts.js';
@@ -126,12 +127,13 @@
 					applyLoad(remaining, load, -1);
 				}
 
-				return {...merged, loads: toLoads(remaining)};
+				const paces = mergeReportedPaces(validReports.flatMap(report => report === excludedReport ? [] : report.paces ?? []));
+				return {...merged, loads: toLoads(remaining), ...(paces.length > 0 && {paces})};
 			};
 		},
 		members: now => [...reports.values()].map(({report, at}) => {
 			const {
-				loads: _loads, loading: _loading, weights: _weights, crashes: _crashes, clearedParts: _cleared, condemnedParts: _condemned, limits: _limits, versions: _versions, ...status
+				loads: _loads, loading: _loading, weights: _weights, crashes: _crashes, clearedParts: _cleared, condemnedParts: _condemned, limits: _limits, versions: _versions, paces: _paces, ...status
 			} = report;
 			return {status, ageMs: Math.round(now - at)};
 		}),
--- a/src/decide/forwarding/predict-first-byte.ts
+++ b/src/decide/forwarding/predict-first-byte.ts
@@ -18,9 +18,11 @@
 @param domain - Failure domain of this host.
 */
 export function predictFirstByte(view: UpstreamView, demand: PlacementDemand, parameters: LatencyParameters, domain: string): number {
-	const {upstream, inFlight, waitingTokens} = view;
+	const {upstream, inFlight, waitingTokens, pace} = view;
+	// An upstream that is not warm runs no more requests at a time than its limit.
+	const slots = Math.min(upstream.slots, pace?.limit ?? upstream.slots);
 	const memoryWaitMs = computeMemoryShortage(view, demand) / (demand.kvCapacityTokens ?? 1) * parameters.residenceMs;
-	const slotWaitMs = Math.max(0, inFlight + 1 - upstream.slots) / Math.max(1, upstream.slots) * parameters.residenceMs;
+	const slotWaitMs = Math.max(0, inFlight + 1 - slots) / Math.max(1, slots) * parameters.residenceMs;
 	return parameters.baseMs
 		+ (waitingTokens / parameters.prefillTokensPerMs)
 		+ demand.promptReadyMs
--- a/src/decide/forwarding/upstream-view.ts
+++ b/src/decide/forwarding/upstream-view.ts
@@ -1,4 +1,5 @@
 import {type Upstream} from '../../forwarding/upstream.js';
+import {type PaceView} from '../pace/pace-view.js';
 
 /** State of an upstream as this host sees it when it places a request. */
 export type UpstreamView = {
@@ -25,4 +26,6 @@
 	readonly requestsPerS: number | undefined;
 	/** For how long the limit leaves no room for this host, in milliseconds. */
 	readonly closedForMs: number;
+	/** Limit on the requests of all hosts in flight, from how the upstream answers; `undefined` where there is none. */
+	readonly pace?: PaceView | undefined;
 };
--- a/src/decide/pace/create-upstream-pace.ts
+++ b/src/decide/pace/create-upstream-pace.ts
@@ -46,7 +46,7 @@
 	let slots = Math.max(minLimit, initialSlots);
 	const initialLimit = (): number => Math.min(slots, Math.max(minLimit, Math.ceil(slots * settings.initialShare)));
 	let state: PaceState = {setbacks: 0, limit: hasStarted ? initialLimit() : slots};
-	let changedAt = createdAt;
+	let changedAt = hasStarted ? createdAt : Number.NEGATIVE_INFINITY;
 	/** When a slow answer or a failure last counted. */
 	let disturbedAt = createdAt;
 	let own = {onTime: 0, slow: 0};
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -170,7 +170,7 @@
 		log.info({
 			requestId: request.id!, route: route.name, service: progress.service, upstream: placement.upstream.id, softwareVersion: placement.upstream.softwareVersion,
 			resumeAfter: progress.splitter?.lastEventId() ?? request.resumeAfter, begunBy: request.begunBy,
-			...describeAttempts(progress), maxAttempts: route.maxAttempts, isRelayed: admitted.isRelayed, inFlight: placement.inFlight,
+			...describeAttempts(progress), maxAttempts: route.maxAttempts, isRelayed: admitted.isRelayed, inFlight: placement.inFlight, inFlightLimit: placement.inFlightLimit,
 			missingTokens: placement.missingTokens, fetchedTokens: placement.fetchedTokens, isHome: placement.isHome,
 			firstByteMs: Math.round(placement.firstByteMs), unseenMs: Math.round(placement.unseenMs),
 			...describeWeights(placement),
--- a/src/forwarding/create-gateway-metrics.ts
+++ b/src/forwarding/create-gateway-metrics.ts
@@ -43,6 +43,15 @@
 			buckets: secondsBuckets,
 			registers,
 		}),
+		limitedUpstreams: new Gauge({
+			name: 'hemlockpier_limited_upstreams', help: 'Upstreams that are not warm, whose requests in flight are limited', labelNames: ['service'], registers,
+		}),
+		paceSetbacksTotal: new Counter({
+			name: 'hemlockpier_pace_setbacks_total', help: 'Decreases of limits on requests in flight, by cause', labelNames: ['service', 'cause'], registers,
+		}),
+		pacedElsewhereTotal: new Counter({
+			name: 'hemlockpier_paced_elsewhere_total', help: 'Choices of an upstream without room in its limit, after which another one was tried', labelNames: ['service'], registers,
+		}),
 		underWay: new Gauge({name: 'hemlockpier_requests_under_way', help: 'Requests under way', registers}),
 	};
 }
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -1,5 +1,6 @@
 import {chooseUpstream} from '../decide/forwarding/choose-upstream.js';
 import {createUnreportedWorkEstimator} from '../decide/forwarding/create-unreported-work-estimator.js';
+import {chooseWithinPace} from '../decide/pace/choose-within-pace.js';
 import {predictFirstByte} from '../decide/forwarding/predict-first-byte.js';
 import {type UpstreamCandidate} from '../decide/forwarding/upstream-candidate.js';
 import {type LatencyParameters} from '../decide/forwarding/latency-parameters.js';
@@ -8,6 +9,7 @@
 import {computeStaleWeightsPenalty} from '../decide/forwarding/compute-stale-weights-penalty.js';
 import {findOwner} from '../decide/membership/find-owner.js';
 import {type WeightAges} from '../decide/weights/weight-ages.js';
+import {type UpstreamPaces} from '../pace/upstream-paces.js';
 import {log} from '../observe/log.js';
 import {memoize} from '../util/memoize.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
@@ -39,6 +41,7 @@
 	/** Returns the number of other hosts that place requests, and the mean age of their reports in milliseconds. */
 	readonly others: () => {readonly count: number; readonly reportAgeMs: number};
 	readonly planKvReuse: KvReusePlanner;
+	readonly paces?: Pick<UpstreamPaces, 'tryTake'>;
 	/** Returns for how long there have been newer weights of a model than a version, in milliseconds. */
 	readonly getStaleForMs: WeightAges['getStaleForMs'];
 	/** Time after new desired weights are published from which no request may start on older ones, in milliseconds. */
@@ -59,7 +62,7 @@
 }
 
 /** Creates the function that chooses the upstream of a request and the options of the request sent there. */
-export function createRequestPlacer({domain, registry, serviceOf, getLatencyModel, others, planKvReuse, getStaleForMs, versionMs, now, random}: RequestPlacerOptions) {
+export function createRequestPlacer({domain, registry, serviceOf, getLatencyModel, others, planKvReuse, paces, getStaleForMs, versionMs, now, random}: RequestPlacerOptions) {
 	const estimatorOf = memoize((_service: string) => createUnreportedWorkEstimator());
 
 	/** Returns the work per upstream that other hosts may have sent since their last reports, in milliseconds. */
@@ -134,7 +137,11 @@
 		}
 
 		const isLikelyToHold = ({view: {upstream}}: UpstreamCandidate): boolean => upstream.id === sharedPartOwner || reusePlans!.isLikelyCachedAt(upstream);
-		const best = chooseUpstream(candidates, {random, unseenMs, context: reusePlans && {mayHold: isLikelyToHold, predictWithKvCache}});
+		const best = chooseWithinPace(candidates, {
+			choose: among => chooseUpstream(among, {random, unseenMs, context: reusePlans && {mayHold: isLikelyToHold, predictWithKvCache}}),
+			isLate: ({firstByteMs}) => firstByteMs + now() - admitted.receivedAt > route.objectiveMs,
+			tryTake: ({upstream, inFlight}, limit) => paces?.tryTake(upstream.id, {limit, inFlight}) ?? true,
+		});
 		if (!best) {
 			return undefined;
 		}
@@ -151,6 +158,7 @@
 			unseenMs,
 			isQueueing: view.isQueueing,
 			inFlight: view.inFlight,
+			inFlightLimit: view.pace?.limit,
 			isHome: view.upstream.id === sharedPartOwner,
 			weights: prompt && {version: view.upstream.weights.get(prompt.model) ?? 0, staleForMs: staleForMsOf(view.upstream)},
 			options: toOptions(admitted, view, priority, plan),
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -55,7 +55,9 @@
 					target: request.target,
 					headers: encode(request, {...placement.options, deadlineMs: leftMs, resumeAfter: splitter?.lastEventId() ?? request.resumeAfter}),
 					body,
-				}, {waitingTokens: placement.missingTokens, heldTokens: placement.heldTokens, priority: placement.priority}, listener),
+				}, {
+					waitingTokens: placement.missingTokens, heldTokens: placement.heldTokens, priority: placement.priority, expectedMs: placement.firstByteMs,
+				}, listener),
 				onFirstEvent() {
 					progress.softwareVersion ??= placement.upstream.softwareVersion;
 					recordBegin(request.id!, service, progress.softwareVersion);
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -25,6 +25,8 @@
 	readonly isQueueing: boolean;
 	/** Requests known to be in flight at the upstream. */
 	readonly inFlight: number;
+	/** Limit on them that follows the upstream's answers; `undefined` where there is none. */
+	readonly inFlightLimit: number | undefined;
 	/** Whether this is the upstream that all hosts prefer for the prompt's shared part. */
 	readonly isHome: boolean;
 	/** Weights of the upstream for the request's model; `undefined` for a request without a prompt. */
--- a/src/forwarding/request-cost.ts
+++ b/src/forwarding/request-cost.ts
@@ -6,4 +6,6 @@
 	readonly heldTokens: number;
 	/** Priority at the engine; 0 is served first. */
 	readonly priority: number;
+	/** Predicted time to the response head, in milliseconds; left out where there is no prediction. */
+	readonly expectedMs?: number;
 };
--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -7,6 +7,7 @@
 import {type Upstream} from '../forwarding/upstream.js';
 import {type UpstreamLinks} from '../links/upstream-links.js';
 import {log} from '../observe/log.js';
+import {type UpstreamPaces} from '../pace/upstream-paces.js';
 import {type UpstreamLoad} from '../reports/upstream-load.js';
 import {createHeadLatencies} from './create-head-latencies.js';
 import {createUpstreamSender} from './create-upstream-sender.js';
@@ -29,13 +30,16 @@
 	readonly maxConnectionsFor: (service: string) => number;
 	/** Tells which upstreams can be reached. */
 	readonly links: UpstreamLinks;
+	/** Limits on requests in flight that follow the upstreams' answers; `undefined` for none. */
+	readonly paces?: UpstreamPaces | undefined;
 };
 
 /** Creates the registry of upstreams, with their connections and loads. */
-export function createUpstreamRegistry({now, link, maxConnectionsFor, links}: UpstreamRegistryOptions): UpstreamRegistry {
+export function createUpstreamRegistry({now, link, maxConnectionsFor, links, paces}: UpstreamRegistryOptions): UpstreamRegistry {
 	const entries = new Map<string, UpstreamEntry>();
 	const headLatencies = createHeadLatencies();
 	const remoteLoads = createLoadTotals();
+	let hasList = false;
 
 	const closeWhenIdle = (entry: UpstreamEntry): void => {
 		if (entry.isGone && entry.inFlight === 0) {
@@ -46,6 +50,7 @@
 	const remove = (id: string, entry: UpstreamEntry, reason: string): void => {
 		entries.delete(id);
 		links.remove(id);
+		paces?.remove(id);
 		entry.isGone = true;
 		closeWhenIdle(entry);
 		log.info({
@@ -65,7 +70,8 @@
 		return announcements;
 	};
 
-	const add = (upstream: Upstream): void => {
+	const add = (upstream: Upstream, hasStarted: boolean): void => {
+		paces?.add(upstream, hasStarted);
 		const silenceListeners = new Set<() => void>();
 		const pool = link(upstream);
 		links.add(upstream, () => {
@@ -93,16 +99,16 @@
 		}, 'upstream joined');
 	};
 
-	const update = (upstream: Upstream): void => {
+	const update = (upstream: Upstream, hasStarted: boolean): void => {
 		const known = entries.get(upstream.id);
 		if (known && (known.upstream.address !== upstream.address || known.upstream.startedAt !== upstream.startedAt)) {
 			remove(upstream.id, known, 'started again');
-			add(upstream);
+			add(upstream, true);
 			return;
 		}
 
 		if (!known) {
-			add(upstream);
+			add(upstream, hasStarted);
 			return;
 		}
 
@@ -113,6 +119,7 @@
 		// A start that leaves does not come back; an older copy of the store may not know that it leaves.
 		const isLeaving = upstream.isLeaving || (known.upstream.isLeaving && upstream.startedAt !== undefined);
 		known.upstream = {...upstream, isLeaving, weights: mergeWeights(known.upstream.weights, upstream.weights)};
+		paces?.update(known.upstream);
 	};
 
 	const toLoad = ({upstream, inFlight, waitingTokens, heldTokens}: UpstreamEntry): UpstreamLoad => ({
@@ -129,7 +136,8 @@
 	const findByAddress = (address: string): UpstreamEntry | undefined => [...entries.values()].find(({upstream}) => upstream.address === address);
 
 	const toView = (entry: UpstreamEntry, at: number, priority: number): UpstreamView => toUpstreamView(entry, at, {
-		others: remoteLoads.of(entry.upstream.id, at), connections: maxConnectionsFor(entry.upstream.service), isReachable: isReachable(entry), meanHeadLatencyMs: headLatencies.mean(entry.upstream.service), priority,
+		others: remoteLoads.of(entry.upstream.id, at), connections: maxConnectionsFor(entry.upstream.service), isReachable: isReachable(entry), meanHeadLatencyMs: headLatencies.mean(entry.upstream.service),
+		priority, paces,
 	});
 
 	return {
@@ -141,8 +149,11 @@
 				}
 			}
 
+			// What a host that has just started finds may be warm; what joins later has started.
+			const hasStarted = hasList;
+			hasList ||= listed.size > 0;
 			for (const upstream of listed.values()) {
-				update(upstream);
+				update(upstream, hasStarted);
 			}
 		},
 		listAvailable: (service, at, priority) => [...entries.values()]
@@ -156,7 +167,8 @@
 			return closed.length > 0 ? Math.min(...closed) : undefined;
 		},
 		send: createUpstreamSender({
-			entries, links, headLatencies, closeWhenIdle, now,
+			entries, links, headLatencies, closeWhenIdle, now, paces,
+			inFlight: id => (entries.get(id)?.inFlight ?? 0) + (remoteLoads.of(id, now())?.inFlight ?? 0),
 		}),
 		ejectUntil(id, untilMs) {
 			const entry = entries.get(id);
--- a/src/registry/create-upstream-sender.ts
+++ b/src/registry/create-upstream-sender.ts
@@ -5,6 +5,7 @@
 import {type UpstreamRequest} from '../forwarding/upstream-request.js';
 import {type LinkLoss} from '../links/link-loss.js';
 import {type UpstreamLinks} from '../links/upstream-links.js';
+import {type UpstreamPaces} from '../pace/upstream-paces.js';
 import {addTokens} from './add-tokens.js';
 import {type createHeadLatencies} from './create-head-latencies.js';
 import {recordAnnouncement} from './record-announcement.js';
@@ -25,6 +26,9 @@
 	/** Closes the connections of an upstream that has left, unless a request is in flight there. */
 	readonly closeWhenIdle: (entry: UpstreamEntry) => void;
 	readonly now: () => number;
+	readonly paces: Pick<UpstreamPaces, 'track'> | undefined;
+	/** Returns the requests of all hosts in flight at an upstream, as far as known. */
+	readonly inFlight: (id: string) => number;
 };
 
 function describeLoss(error: Error & {code?: string}): LinkLoss {
@@ -42,8 +46,8 @@
 }
 
 /** Creates the function that sends a request to the upstream it was placed at, and counts it as in flight until it ends. */
-export function createUpstreamSender({entries, links, headLatencies, closeWhenIdle, now}: UpstreamSenderOptions) {
-	return ({id, startedAt}: PlacedUpstream, request: UpstreamRequest, {waitingTokens, heldTokens, priority}: RequestCost, listener: ResponseListener): InFlightRequest => {
+export function createUpstreamSender({entries, links, headLatencies, closeWhenIdle, now, paces, inFlight}: UpstreamSenderOptions) {
+	return ({id, startedAt}: PlacedUpstream, request: UpstreamRequest, {waitingTokens, heldTokens, priority, expectedMs}: RequestCost, listener: ResponseListener): InFlightRequest => {
 		const entry = entries.get(id);
 		if (!entry || entry.upstream.startedAt !== startedAt) {
 			queueMicrotask(() => {
@@ -61,6 +65,7 @@
 		addTokens(entry.waitingTokens, priority, waitingTokens);
 		entry.heldTokens += heldTokens;
 		entry.waiting.add(waitStart);
+		const paced = paces?.track(id, {expectedMs, inFlight: inFlight(id)});
 		const recordAnswered = (): void => {
 			if (entry.waiting.delete(waitStart)) {
 				addTokens(entry.waitingTokens, priority, -waitingTokens);
@@ -85,6 +90,10 @@
 				use.recordContact();
 				recordAnnouncement(entry, head, waitStart.since, now());
 				headLatencies.record(entry.upstream.service, now() - waitStart.since);
+				if (!head.isNotRun) {
+					paced?.recordHead(hasFailed);
+				}
+
 				listener.onHead(head);
 			},
 			onData(chunk) {
@@ -98,8 +107,14 @@
 			},
 			onFail(error, wasSent) {
 				recordEnded(!isAborted);
-				if (!isAborted && !wasSent && isConnectError(error)) {
-					links.recordConnectFailure(id, describeLoss(error));
+				const loss = !wasSent && isConnectError(error) ? describeLoss(error) : undefined;
+				// A silent link may be this host's fault and says nothing of the upstream.
+				if (!isAborted && (wasSent || loss === 'refused')) {
+					paced?.recordFailure(loss === 'refused');
+				}
+
+				if (!isAborted && loss) {
+					links.recordConnectFailure(id, loss);
 				} else if (!isAborted && wasSent && !hasHead && isReset(error)) {
 					links.recordBroken(id);
 				}
--- a/src/registry/to-upstream-view.ts
+++ b/src/registry/to-upstream-view.ts
@@ -1,4 +1,5 @@
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
+import {type UpstreamPaces} from '../pace/upstream-paces.js';
 import {isUnresponsive} from './is-unresponsive.js';
 import {type UpstreamEntry} from './upstream-entry.js';
 
@@ -22,10 +23,11 @@
 	readonly meanHeadLatencyMs: number;
 	/** Priority of the request that is to be placed. */
 	readonly priority: number;
+	readonly paces: Pick<UpstreamPaces, 'view'> | undefined;
 };
 
 /** Returns the state of an upstream for a request of a priority. */
-export function toUpstreamView(entry: UpstreamEntry, now: number, {others, connections, isReachable, meanHeadLatencyMs, priority}: ViewOptions): UpstreamView {
+export function toUpstreamView(entry: UpstreamEntry, now: number, {others, connections, isReachable, meanHeadLatencyMs, priority, paces}: ViewOptions): UpstreamView {
 	let ahead = 0;
 	let waiting = 0;
 	for (const tokensOf of others ? [entry.waitingTokens, others.waitingTokens] : [entry.waitingTokens]) {
@@ -35,9 +37,11 @@
 		}
 	}
 
+	const inFlight = entry.inFlight + (others?.inFlight ?? 0);
+	const [oldest] = entry.waiting;
 	return {
 		upstream: entry.upstream,
-		inFlight: entry.inFlight + (others?.inFlight ?? 0),
+		inFlight,
 		waitingTokens: ahead,
 		isQueueing: waiting > 0,
 		heldTokens: entry.heldTokens + (others?.heldTokens ?? 0),
@@ -48,5 +52,6 @@
 		freeConnections: connections - entry.inFlight,
 		requestsPerS: entry.announcements.limit.value(),
 		closedForMs: entry.announcements.closedForMs(now),
+		pace: paces?.view(entry.upstream.id, {inFlight, waitingSince: oldest?.since, isReachable}),
 	};
 }
--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {defaultPaceSettings} from '../decide/pace/default-pace-settings.js';
 import {addressSchema} from './address-schema.js';
 
 /** Schema of a number that the platform may leave out; `defaultValue` then applies. */
@@ -37,4 +38,13 @@
 		/** Time after a change of the desired weights by which no request may start on older ones. */
 		versionMs: numberOrDefault(12_000),
 	}).prefault({}),
+	/** Set where requests to upstreams that start, come back or slow down are limited by how these answer. */
+	pace: z.strictObject({
+		/** Share of an upstream's slots that may be in flight, from all hosts together, when it has just started. */
+		initialShare: numberOrDefault(defaultPaceSettings.initialShare).pipe(z.number().gt(0).max(1)),
+		/** An answer is slow when it takes this many times as long as answers of warm upstreams. */
+		slowFactor: numberOrDefault(defaultPaceSettings.slowFactor).pipe(z.number().gt(1)),
+		/** The limit doubles after this time without a slow answer or a failure. */
+		quietMs: numberOrDefault(defaultPaceSettings.quietMs).pipe(z.number().gt(0)),
+	}).optional(),
 }).readonly();
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -3,6 +3,7 @@
 import {createPermitTask} from './announcements/create-permit-task.js';
 import {createStatementLearner} from './announcements/create-statement-learner.js';
 import {createRoomTask} from './announcements/create-room-task.js';
+import {createGatewayPaces} from './pace/create-gateway-paces.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
 import {listRecentWeightAges} from './decide/weights/list-recent-weight-ages.js';
@@ -144,7 +145,8 @@
 			const loading = rolloutTask.loading();
 			ejectLoading(loading);
 			return {
-				loads: registry.loads(), loading, weights: rolloutTask.news(), limits: registry.takeDueLimits(now()), versions: streams.reviewVersions(), ...stateSync.status(),
+				loads: registry.loads(), loading, weights: rolloutTask.news(), limits: registry.takeDueLimits(now()), paces: paces.listReported(),
+				versions: streams.reviewVersions(), ...stateSync.status(),
 				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), upstreamsAgeMs: getAgeMs(stateSync.upstreamsConfirmedAt()), ...crashes.news(),
 				lostServices: listLostServices(),
 				countsAttempts: true,
@@ -156,6 +158,7 @@
 		onLoads: meter('taking in loads', (source, report) => {
 			registry.recordRemoteLoads(source, report.loads, now());
 			registry.recordReportedLimits(source.host, report.limits ?? [], now());
+			paces.recordReported(source.host, report.paces ?? []);
 			streams.recordSeenVersions(report.versions ?? []);
 			ejectLoading(report.loading);
 			for (const [id, model, version] of report.weights) {
@@ -190,9 +193,14 @@
 		random,
 	});
 	const listLostServices = refreshEvery(lostServicesMs, now, () => registry.listLostServices());
+	const others = () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()});
+	const paces = createGatewayPaces({
+		settings, metrics, others, runningForMs: standstill.runningForMs, now, random,
+	});
 	const registry = createUpstreamRegistry({
 		now,
 		links,
+		paces,
 		maxConnectionsFor: service => Math.max(minConnections, Math.floor((storedState.findService(service)?.maxConnections ?? 0) / countHosts())),
 		link: upstream => adapter.openConnectionPool(upstream.address, () => {
 			metrics.connections.inc({service: upstream.service});
@@ -378,7 +386,8 @@
 			domain, registry, serviceOf: storedState.findService, getLatencyModel,
 			getStaleForMs: (model, version) => areWeightsListed() ? weightAges.getStaleForMs(model, version) : Number.POSITIVE_INFINITY,
 			versionMs: () => liveSettings.bounds.versionMs, now, random,
-			others: () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()}),
+			others,
+			paces,
 			planKvReuse: createKvReusePlanner({
 				registry, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
 				weightsConfirmedAt: stateSync.weightsConfirmedAt, kvSharing: storedState.kvSharing, clocks,
@@ -423,6 +432,7 @@
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
 		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
 		recordGauges() {
+			paces.recordGauges();
 			recordWeightsMetrics(metrics, {
 				weights: storedState.weights(), upstreams: registry.listAll(), getAgeMs: ({model, version}) => weightAges.getStaleForMs(model, version - 1) ?? 0,
 			});
--- a/test/registry/upstream-registry.test.ts
+++ b/test/registry/upstream-registry.test.ts
@@ -60,6 +60,62 @@
 	});
 });
 
+// Guards against outcomes that the limit does not hear of, and against refusals and lost links that it takes for slow or failing upstreams.
+describe('the limit on requests in flight', () => {
+	const head = {
+		status: 200, headers: [], announcement: {}, isNotRun: false,
+	} as unknown as Parameters<ResponseListener['onHead']>[0];
+	test.each([
+		['an answer', (listener: ResponseListener) => {
+			listener.onHead(head);
+		}, ['head true false']],
+		['an answer that states a failure', (listener: ResponseListener) => {
+			listener.onHead({...head, status: 500});
+		}, ['head true true']],
+		['a refusal', (listener: ResponseListener) => {
+			listener.onHead({...head, status: 503, isNotRun: true});
+		}, []],
+		['a refused connection', (listener: ResponseListener) => {
+			listener.onFail(Object.assign(new Error('refused'), {code: 'ECONNREFUSED'}), false);
+		}, ['failure true']],
+		['a silent one', (listener: ResponseListener) => {
+			listener.onFail(Object.assign(new Error('silent'), {code: 'ETIMEDOUT'}), false);
+		}, []],
+		['a broken one', (listener: ResponseListener) => {
+			listener.onFail(Object.assign(new Error('broken'), {code: 'ECONNRESET'}), true);
+		}, ['failure false']],
+	] as const)('hears of %s', async (_name, respond, expected) => {
+		const heard: string[] = [];
+		const registry = createTestRegistry((_request, listener) => {
+			queueMicrotask(() => {
+				respond(listener);
+			});
+			return running;
+		}, () => 0, () => 4, {
+			add: () => undefined, update: () => undefined, remove: () => undefined, view: () => ({limit: 3, isLimited: true}), tryTake: () => true,
+			track: (_id, {expectedMs}) => ({
+				recordHead(isFailure) {
+					heard.push(`head ${expectedMs === 70} ${isFailure}`);
+				},
+				recordFailure(isLost) {
+					heard.push(`failure ${isLost}`);
+				},
+			}),
+			listReported: () => undefined, recordReported: () => undefined, countLimited: () => new Map(),
+		});
+		registry.send(placed, {
+			id: 'request', method: 'GET', target: '/', headers: [], body: undefined,
+		}, {
+			waitingTokens: 0, heldTokens: 0, priority: 0, expectedMs: 70,
+		}, {
+			onHead: () => undefined, onData: () => true, onEnd: () => true, onFail: () => undefined,
+		});
+		await Promise.resolve();
+		expect(heard).toEqual(expected);
+		expect(registry.listAvailable('app', 0, 0)[0]!.pace).toEqual({limit: 3, isLimited: true});
+	});
+});
+
 // A host that read its upstreams before the configuration refused most requests for good: it kept the few connections that it then assumed.
 describe('the connections to an upstream', () => {
 	test.each([
--- a/test/reports/host-message.test.ts
+++ b/test/reports/host-message.test.ts
@@ -18,7 +18,9 @@
 	test('is unchanged after encoding and decoding', () => {
 		fc.assert(fc.property(fc.array(load, {maxLength: 9}), loads => {
 			const news: LoadReport = {
-				loads, loading: [['i', 'm', 2]], weights: [], crashes: [],
+				loads, loading: [['i', 'm', 2]], weights: [], crashes: [], paces: [{
+					id: 'i', startedAt: 3, setbacks: 1, limit: 4, onTime: 2, slow: 0,
+				}],
 			};
 			const messages: readonly HostMessage[] = [
 				{report: {...status, ...news}, isForSum: true},
--- a/test/reports/malformed-messages.test.ts
+++ b/test/reports/malformed-messages.test.ts
@@ -46,7 +46,7 @@
 	epoch: 0, changes: {}, contentVersions: {}, weightsAgeMs: 0, weightAges: [],
 };
 const news = {
-	loads: [], loading: [], weights: [], crashes: [], clearedParts: [], condemnedParts: [], limits: [], versions: [],
+	loads: [], loading: [], weights: [], crashes: [], clearedParts: [], condemnedParts: [], limits: [], versions: [], paces: [],
 };
 const report = {...status, ...news};
 const sum = {source: {host: 'odd', domain: 'domain-a', everyMs: 100}, news, members: [{status, ageMs: 0}]};
--- a/test/settings/watch.test.ts
+++ b/test/settings/watch.test.ts
@@ -21,6 +21,7 @@
 		['without changes', {}, [], []],
 		['with another retry ratio and other seeds', {bounds: {retryRatio: 0.1}, seeds: ['127.0.0.1:9']}, ['seeds', 'bounds.retryRatio'], []],
 		['with another address', {callers: '127.0.0.1:7'}, [], ['callers']],
+		['with a pace, which all of the process rests on', {pace: {}}, [], ['pace']],
 		['with another lease time, on which hosts must agree', {bounds: {leaseMs: 1}}, [], ['bounds.leaseMs']],
 	];
 	test.each(cases)('lists the changed keys of settings %s, by whether they take effect at once', (_name, changed, live, atStart) => {
@@ -28,6 +29,20 @@
 	});
 });
 
+describe('the pace of upstreams', () => {
+	test.each([
+		[undefined, undefined],
+		[{}, {initialShare: 0.125, slowFactor: 2, quietMs: 2000}],
+		[{initialShare: 0.5, slowFactor: null}, {initialShare: 0.5, slowFactor: 2, quietMs: 2000}],
+	])('is off unless it is set: %j', (pace, expected) => {
+		expect(createSettings({pace}).pace).toEqual(expected);
+	});
+
+	test.each([{initialShare: 0}, {initialShare: 1.1}, {slowFactor: 1}, {quietMs: 0}, {unknown: 1}])('is refused with %j', pace => {
+		expect(() => createSettings({pace})).toThrow();
+	});
+});
+
 describe('a settings file', () => {
 	let directory: string;
 	let file: string;
--- a/test/support/create-test-registry.ts
+++ b/test/support/create-test-registry.ts
@@ -1,6 +1,7 @@
 import {type UpstreamConnectionPool} from '../../src/forwarding/upstream-connection-pool.js';
 import {type Upstream} from '../../src/forwarding/upstream.js';
 import {createUpstreamLinks} from '../../src/links/create-upstream-links.js';
+import {type UpstreamPaces} from '../../src/pace/upstream-paces.js';
 import {createUpstreamRegistry} from '../../src/registry/create-upstream-registry.js';
 import {type UpstreamRegistry} from '../../src/registry/upstream-registry.js';
 
@@ -10,7 +11,7 @@
 };
 
 /** Creates a registry with one upstream, whose requests `send` takes. */
-export function createTestRegistry(send: UpstreamConnectionPool['send'], now: () => number = () => 0, maxConnectionsFor: (service: string) => number = () => 4): UpstreamRegistry {
+export function createTestRegistry(send: UpstreamConnectionPool['send'], now: () => number = () => 0, maxConnectionsFor: (service: string) => number = () => 4, paces?: UpstreamPaces): UpstreamRegistry {
 	const links = createUpstreamLinks({
 		ping: async () => true, chargeProbe: () => 0, now, random: () => 0,
 	});
@@ -19,6 +20,7 @@
 		now,
 		links,
 		maxConnectionsFor,
+		paces,
 		link: () => ({
 			send, hasIdle: () => false, closeIdle: () => undefined, close: () => undefined,
 		}),
