--- a/src/pace/create-upstream-paces.ts
+++ b/src/pace/create-upstream-paces.ts
@@ -230,7 +230,7 @@
 		recordReported(source, reported) {
 			for (const report of reported) {
 				const entry = entries.get(report.id);
-				const pace = entry?.upstream.startedAt === (report.startedAt ?? undefined) && entry && findPace(entry);
+				const pace = entry?.upstream.startedAt === report.startedAt && entry && findPace(entry);
 				if (entry && pace) {
 					entry.dueUntil = report.setbacks < pace.state().setbacks ? now() + reportWarmMs : entry.dueUntil;
 					change(entry, pace, 'reported', () => {
--- a/src/reports/find-message-fault.ts
+++ b/src/reports/find-message-fault.ts
@@ -38,9 +38,7 @@
 	limits: isOptional(isListOf(isShaped({
 		id: isText, startedAt: isOptional(isNumber), perS: isOptional(isNumber), askedAgeMs: isNumber, answeredAgeMs: isNumber,
 	}))),
-	paces: isOptional(isListOf(isShaped({
-		id: isText, startedAt: isOptional(isNumber), setbacks: isWhole, limit: isNumber, onTime: isWhole, slow: isWhole,
-	}))),
+	paces: isOptional(isListOf(isTuple(isText, isOptional(isNumber), isWhole, isNumber, isWhole, isWhole))),
 	versions: isOptional(isListOf(isShaped({service: isText, version: isString, ageMs: isNumber}))),
 };
 
