--- a/src/decide/pace/choose-within-pace.ts
+++ b/src/decide/pace/choose-within-pace.ts
@@ -33,8 +33,8 @@
 const isUsable = ({view}: PacedCandidate): boolean => !view.isUnresponsive && !view.isEjected;
 
 /**
-Chooses the upstream of a request within the limits on requests in flight. Those at their limit are left out while another one is usable and in time. Where none
-is, the least loaded of all is used, except that a limited upstream takes no more than `lateFactor` times its limit while others are usable. Load
+Chooses the upstream of a request within the limits on requests in flight. Those at their limit are left out while another one is usable and in time, then those that are
+not warm. Where none is, the least loaded of all is used, except that a limited upstream takes no more than `lateFactor` times its limit while others are usable. Load
 pattern: upstreams that start while the others are busy, so that the shortest queue is that of the upstream which is slowest.
 */
 export function chooseWithinPace<T extends PacedCandidate>(candidates: readonly T[], {choose, isLate, tryTake}: PacedChoiceOptions<T>): T | undefined {
@@ -43,9 +43,8 @@
 	}
 
 	let left = candidates.filter(({view}) => !view.pace || view.inFlight < view.pace.limit);
-	let best: T | undefined;
 	for (let tried = 0; tried < maxTried; tried++) {
-		best = choose(left);
+		const best = choose(left);
 		if (!best || !isUsable(best) || isLate(best)) {
 			break;
 		}
@@ -55,12 +54,11 @@
 			return best;
 		}
 
-		best = undefined;
 		left = left.filter(({view}) => view.upstream.id !== id);
 	}
 
-	const warmOnly = left.filter(({view}) => !view.pace?.isLimited);
-	const warm = best && warmOnly.length === left.length ? best : choose(warmOnly);
+	// Warm ones that are full come before those that are not warm: their queues move at full speed.
+	const warm = choose(candidates.filter(({view}) => !view.pace?.isLimited));
 	if (warm && isUsable(warm) && !isLate(warm)) {
 		return warm;
 	}
--- a/src/pace/create-upstream-paces.ts
+++ b/src/pace/create-upstream-paces.ts
@@ -50,6 +50,7 @@
 	upstream: Upstream;
 	/** Set while requests to it are limited by its answers. */
 	pace: UpstreamPace | undefined;
+	/** Choices of this upstream by this host while it was limited. */
 	readonly choices: ReturnType<typeof createUnreportedWorkEstimator>;
 	loggedAt: number;
 	/** Whether neither this host can reach it nor another one has anything in flight there. */
@@ -61,6 +62,8 @@
 /** Creates the limits on the requests in flight at each upstream, which this host and the others derive together from answers. */
 export function createUpstreamPaces({settings, isPaced, isCold, others, onSetback, onTurnedAway, runningForMs, now, random}: UpstreamPacesOptions): UpstreamPaces {
 	const entries = new Map<string, Entry>();
+	/** Requests that this host has sent to each service. */
+	const sentOf = memoize((_service: string) => createUnreportedWorkEstimator());
 	const baselineOf = memoize((_service: string) => createLatencyBaseline());
 
 	const logLimit = ({upstream}: Entry, pace: UpstreamPace, cause: PaceCause): void => {
@@ -109,6 +112,26 @@
 		}
 	};
 
+	const countLimited = (): ReadonlyMap<string, number> => {
+		const counts = new Map<string, number>();
+		for (const {upstream: {service}, pace} of entries.values()) {
+			counts.set(service, (counts.get(service) ?? 0) + (pace?.isLimited() ? 1 : 0));
+		}
+
+		return counts;
+	};
+
+	/**
+	Returns how often other hosts may have chosen a limited upstream since their reports: as often as this one, and at least as if all requests of the service
+	chose one of the limited upstreams, whose queues are the shortest. By its own choices alone, 8 and 60 hosts sent 13 to 16 requests at once where 4 were allowed.
+	*/
+	const estimateUnreported = ({upstream: {service}, choices}: Entry): number => {
+		const {count, reportAgeMs} = others();
+		const byChoices = choices.estimatePerUpstreamMs({otherHosts: count, reportAgeMs, upstreams: 1}, now());
+		const limited = countLimited().get(service) ?? 1;
+		return Math.max(byChoices, sentOf(service).estimatePerUpstreamMs({otherHosts: count, reportAgeMs, upstreams: limited}, now()));
+	};
+
 	const isDue = ({dueUntil}: Entry, pace: UpstreamPace): boolean => pace.isLimited() || now() < Math.max(dueUntil, pace.changedAt() + reportWarmMs);
 
 	return {
@@ -161,9 +184,8 @@
 				return true;
 			}
 
-			const {count, reportAgeMs} = others();
 			entry.choices.record(1, now());
-			const unreported = entry.choices.estimatePerUpstreamMs({otherHosts: count, reportAgeMs, upstreams: 1}, now());
+			const unreported = estimateUnreported(entry);
 			const isTaken = random() < computePaceChance({limit, inFlight, unreported});
 			if (!isTaken) {
 				onTurnedAway(entry.upstream.service);
@@ -174,6 +196,10 @@
 		track(id, {expectedMs, inFlight}) {
 			const sentAt = now();
 			const entry = entries.get(id);
+			if (entry && findPace(entry)) {
+				sentOf(entry.upstream.service).record(1, sentAt);
+			}
+
 			const record = (cause: PaceCause, run: (pace: UpstreamPace) => void): void => {
 				const pace = entry && findPace(entry);
 				if (pace) {
@@ -239,13 +265,6 @@
 				}
 			}
 		},
-		countLimited() {
-			const counts = new Map<string, number>();
-			for (const {upstream: {service}, pace} of entries.values()) {
-				counts.set(service, (counts.get(service) ?? 0) + (pace?.isLimited() ? 1 : 0));
-			}
-
-			return counts;
-		},
+		countLimited,
 	};
 }
--- a/test/decide/pace/choose-within-pace.test.ts
+++ b/test/decide/pace/choose-within-pace.test.ts
@@ -29,6 +29,7 @@
 		['a warm one, if it does not', [candidate('a', 100, 9, warm), candidate('b', 50, 0, cold)], false, 'a'],
 		['a warm one, where the cold one is at its limit', [candidate('a', 700, 9, warm), candidate('b', 50, 4, cold)], true, 'a'],
 		['a warm one with a free slot', [candidate('a', 100, 31, warm), candidate('b', 50, 32, warm)], true, 'a'],
+		['a full warm one that is in time before a cold one at its limit', [candidate('a', 300, 40, warm), candidate('b', 50, 4, cold)], true, 'a'],
 		['the least loaded, where all are at their limit', [candidate('a', 300, 40, warm), candidate('b', 350, 33, warm)], true, 'a'],
 		['a cold one at its limit, where the others are late and the draw allows it', [candidate('a', 1500, 40, warm), candidate('b', 500, 4, cold)], true, 'b'],
 		['a late one, where the draw does not', [candidate('a', 1500, 31, warm), candidate('b', 500, 4, cold)], false, 'a'],
