--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -8,6 +8,7 @@
 import {type Upstream} from '../forwarding/upstream.js';
 import {type UpstreamLinks} from '../links/upstream-links.js';
 import {log} from '../observe/log.js';
+import {type UpstreamPaces} from '../pace/upstream-paces.js';
 import {type UpstreamLoad} from '../reports/upstream-load.js';
 import {createColdGate} from './create-cold-gate.js';
 import {createHeadLatencies} from './create-head-latencies.js';
@@ -36,15 +37,18 @@
 	readonly findColdLimit?: (service: string) => Pick<Service, 'coldPerS' | 'coldStartMs'> | undefined;
 	/** Whether a failure domain is out of service, so that nothing more is sent to its upstreams. */
 	readonly isEvacuated?: (domain: string) => boolean;
+	/** Limits on requests in flight that follow the upstreams' answers; `undefined` for none. */
+	readonly paces?: UpstreamPaces | undefined;
 };
 
 /** Creates the registry of upstreams, with their connections and loads. */
 export function createUpstreamRegistry({
-	now, link, maxConnectionsFor, links, findColdLimit = () => undefined, isEvacuated = () => false,
+	now, link, maxConnectionsFor, links, findColdLimit = () => undefined, isEvacuated = () => false, paces,
 }: UpstreamRegistryOptions): UpstreamRegistry {
 	const entries = new Map<string, UpstreamEntry>();
 	const headLatencies = createHeadLatencies();
 	const remoteLoads = createLoadTotals();
+	let hasList = false;
 
 	const coldnessRecorder = createColdnessRecorder({wallClock: Date.now, now});
 
@@ -58,6 +62,7 @@
 		entries.delete(id);
 		coldnessRecorder.recordRemoved(id);
 		links.remove(id);
+		paces?.remove(id);
 		entry.isGone = true;
 		closeWhenIdle(entry);
 		log.info({
@@ -77,7 +82,8 @@
 		return announcements;
 	};
 
-	const add = (upstream: Upstream): void => {
+	const add = (upstream: Upstream, hasStarted: boolean): void => {
+		paces?.add(upstream, hasStarted);
 		const silenceListeners = new Set<() => void>();
 		const coldGate = createColdGate(upstream, () => findColdLimit(upstream.service));
 		coldnessRecorder.recordAdded(coldGate, upstream);
@@ -115,16 +121,16 @@
 		}, 'upstream joined');
 	};
 
-	const update = (upstream: Upstream): void => {
+	const update = (upstream: Upstream, hasStarted: boolean): void => {
 		const known = entries.get(upstream.id);
 		if (known && (known.upstream.address !== upstream.address || known.upstream.startedAt !== upstream.startedAt)) {
 			remove(upstream.id, known, 'started again');
-			add(upstream);
+			add(upstream, true);
 			return;
 		}
 
 		if (!known) {
-			add(upstream);
+			add(upstream, hasStarted);
 			return;
 		}
 
@@ -136,6 +142,7 @@
 		const isLeaving = upstream.isLeaving || (known.upstream.isLeaving && upstream.startedAt !== undefined);
 		coldnessRecorder.recordListed(known.coldGate, upstream);
 		known.upstream = {...upstream, isLeaving, weights: mergeWeights(known.upstream.weights, upstream.weights)};
+		paces?.update(known.upstream);
 	};
 
 	const toLoad = ({upstream, inFlight, waitingTokens, heldTokens}: UpstreamEntry): UpstreamLoad => ({
@@ -152,7 +159,8 @@
 	const findByAddress = (address: string): UpstreamEntry | undefined => [...entries.values()].find(({upstream}) => upstream.address === address);
 
 	const toView = (entry: UpstreamEntry, at: number, priority: number): UpstreamView => toUpstreamView(entry, at, {
-		others: remoteLoads.of(entry.upstream.id, at), connections: maxConnectionsFor(entry.upstream.service), isReachable: isReachable(entry), meanHeadLatencyMs: headLatencies.mean(entry.upstream.service), priority,
+		others: remoteLoads.of(entry.upstream.id, at), connections: maxConnectionsFor(entry.upstream.service), isReachable: isReachable(entry), meanHeadLatencyMs: headLatencies.mean(entry.upstream.service),
+		priority, paces,
 	});
 
 	return {
@@ -164,8 +172,11 @@
 				}
 			}
 
+			// What a host that has just started finds may be warm; what joins later has started.
+			const hasStarted = hasList;
+			hasList ||= listed.size > 0;
 			for (const upstream of listed.values()) {
-				update(upstream);
+				update(upstream, hasStarted);
 			}
 		},
 		listAvailable: (service, at, priority) => [...entries.values()]
@@ -179,7 +190,8 @@
 			return closed.length > 0 ? Math.min(...closed) : undefined;
 		},
 		send: createUpstreamSender({
-			entries, links, headLatencies, closeWhenIdle, isEvacuated, now,
+			entries, links, headLatencies, closeWhenIdle, isEvacuated, now, paces,
+			inFlight: id => (entries.get(id)?.inFlight ?? 0) + (remoteLoads.of(id, now())?.inFlight ?? 0),
 		}),
 		ejectUntil(id, untilMs) {
 			const entry = entries.get(id);
--- a/src/registry/create-upstream-sender.ts
+++ b/src/registry/create-upstream-sender.ts
@@ -5,6 +5,7 @@
 import {type UpstreamRequest} from '../forwarding/upstream-request.js';
 import {type LinkLoss} from '../links/link-loss.js';
 import {type UpstreamLinks} from '../links/upstream-links.js';
+import {type UpstreamPaces} from '../pace/upstream-paces.js';
 import {addTokens} from './add-tokens.js';
 import {type createHeadLatencies} from './create-head-latencies.js';
 import {recordAnnouncement} from './record-announcement.js';
@@ -27,6 +28,9 @@
 	/** Whether a failure domain is out of service. */
 	readonly isEvacuated: (domain: string) => boolean;
 	readonly now: () => number;
+	readonly paces: Pick<UpstreamPaces, 'track'> | undefined;
+	/** Returns the requests of all hosts in flight at an upstream, as far as known. */
+	readonly inFlight: (id: string) => number;
 };
 
 function describeLoss(error: Error & {code?: string}): LinkLoss {
@@ -44,7 +48,7 @@
 }
 
 /** Creates the function that sends a request to the upstream it was placed at, and counts it as in flight until it ends. */
-export function createUpstreamSender({entries, links, headLatencies, closeWhenIdle, isEvacuated, now}: UpstreamSenderOptions) {
+export function createUpstreamSender({entries, links, headLatencies, closeWhenIdle, isEvacuated, now, paces, inFlight}: UpstreamSenderOptions) {
 	const findObstacle = (entry: UpstreamEntry | undefined, startedAt: number | undefined): string | undefined => {
 		if (!entry || entry.upstream.startedAt !== startedAt) {
 			return 'the upstream has left';
@@ -53,7 +57,7 @@
 		return isEvacuated(entry.upstream.domain) ? 'the failure domain of the upstream is out of service' : undefined;
 	};
 
-	return ({id, startedAt}: PlacedUpstream, request: UpstreamRequest, {waitingTokens, heldTokens, priority}: RequestCost, listener: ResponseListener): InFlightRequest => {
+	return ({id, startedAt}: PlacedUpstream, request: UpstreamRequest, {waitingTokens, heldTokens, priority, expectedMs}: RequestCost, listener: ResponseListener): InFlightRequest => {
 		const entry = entries.get(id);
 		const obstacle = findObstacle(entry, startedAt);
 		if (!entry || obstacle !== undefined) {
@@ -79,6 +83,7 @@
 		addTokens(entry.waitingTokens, priority, waitingTokens);
 		entry.heldTokens += heldTokens;
 		entry.waiting.add(waitStart);
+		const paced = paces?.track(id, {expectedMs, inFlight: inFlight(id)});
 		const recordAnswered = (): void => {
 			if (entry.waiting.delete(waitStart)) {
 				addTokens(entry.waitingTokens, priority, -waitingTokens);
@@ -103,6 +108,10 @@
 				use.recordContact();
 				recordAnnouncement(entry, head, waitStart.since, now());
 				headLatencies.record(entry.upstream.service, now() - waitStart.since);
+				if (!head.isNotRun) {
+					paced?.recordHead(hasFailed);
+				}
+
 				listener.onHead(head);
 			},
 			onData(chunk) {
@@ -121,9 +130,15 @@
 					entry.coldGate.recordBroken(now());
 				}
 
+				const loss = !wasSent && isConnectError(error) ? describeLoss(error) : undefined;
+				// A silent link may be this host's fault and says nothing of the upstream.
+				if (!isAborted && (wasSent || loss === 'refused')) {
+					paced?.recordFailure(loss === 'refused');
+				}
+
 				const isSuspect = !hasHead || entry.coldGate.forMs(now()) > 0;
-				if (!isAborted && !wasSent && isConnectError(error)) {
-					links.recordConnectFailure(id, describeLoss(error));
+				if (!isAborted && loss) {
+					links.recordConnectFailure(id, loss);
 				} else if (!isAborted && wasSent && isSuspect && isReset(error)) {
 					links.recordBroken(id);
 				}
--- a/test/evacuations/requests-that-waited.test.ts
+++ b/test/evacuations/requests-that-waited.test.ts
@@ -91,7 +91,7 @@
 }
 
 const createPlacement = (upstream: Upstream, fetchFrom: ReadonlyArray<string | undefined> = []): Placement => ({
-	upstream, missingTokens: 0, fetchedTokens: 0, heldTokens: 0, priority: 0, firstByteMs: 1, unseenMs: 0, isQueueing: false, inFlight: 0, isHome: false, weights: undefined,
+	upstream, missingTokens: 0, fetchedTokens: 0, heldTokens: 0, priority: 0, firstByteMs: 1, unseenMs: 0, isQueueing: false, inFlight: 0, inFlightLimit: undefined, isHome: false, weights: undefined,
 	options: {
 		upstreamId: upstream.id, workspace: undefined, priority: undefined, weightVersion: undefined, scope: undefined, fetchFrom, fetchUntil: undefined, saveTo: [],
 	},
@@ -108,7 +108,7 @@
 			listener.onFail(new Error('not sent'), false);
 		});
 		return {abort: () => undefined, resume: () => undefined};
-	}, () => 0, () => 4, undefined, evacuations.isEvacuated);
+	}, () => 0, () => 4, {isEvacuated: evacuations.isEvacuated});
 	registry.updateUpstreams([kept, evacuated]);
 	let hasWaited = false;
 	const wait = async (): Promise<void> => {
--- a/test/registry/cold-upstreams.test.ts
+++ b/test/registry/cold-upstreams.test.ts
@@ -18,7 +18,7 @@
 		sent.push(request.id);
 		fail = listener.onFail;
 		return {abort: () => undefined, resume: () => undefined};
-	}, () => clock.now, () => 40, () => limit);
+	}, () => clock.now, () => 40, {findColdLimit: () => limit});
 	return {
 		clock,
 		sent,
--- a/test/registry/mark-domain-cold.test.ts
+++ b/test/registry/mark-domain-cold.test.ts
@@ -8,7 +8,9 @@
 	['another domain', 'another', 3000, 0],
 	['its own domain, a service without cold starts', testUpstream.domain, undefined, 0],
 ])('an upstream is cold for as long as a start after the return of %s', (_name, domain, coldStartMs, expectedMs) => {
-	const registry = createTestRegistry(() => ({abort: () => undefined, resume: () => undefined}), () => 0, () => 4, () => ({coldPerS: 11, ...(coldStartMs !== undefined && {coldStartMs})}));
+	const registry = createTestRegistry(() => ({abort: () => undefined, resume: () => undefined}), () => 0, () => 4, {
+		findColdLimit: () => ({coldPerS: 11, ...(coldStartMs !== undefined && {coldStartMs})}),
+	});
 	registry.updateUpstreams([testUpstream]);
 	markDomainCold(registry, domain, () => coldStartMs, 100);
 	expect(registry.coldGate(testUpstream.id)?.forMs(100)).toBe(expectedMs);
--- a/test/support/create-test-registry.ts
+++ b/test/support/create-test-registry.ts
@@ -14,8 +14,7 @@
 	send: UpstreamConnectionPool['send'],
 	now: () => number = () => 0,
 	maxConnectionsFor: (service: string) => number = () => 4,
-	findColdLimit?: Parameters<typeof createUpstreamRegistry>[0]['findColdLimit'],
-	isEvacuated: (domain: string) => boolean = () => false,
+	options: Pick<Parameters<typeof createUpstreamRegistry>[0], 'findColdLimit' | 'isEvacuated' | 'paces'> = {},
 ): UpstreamRegistry {
 	const links = createUpstreamLinks({
 		ping: async () => true, chargeProbe: () => 0, now, random: () => 0,
@@ -24,9 +23,8 @@
 	const registry = createUpstreamRegistry({
 		now,
 		links,
-		isEvacuated,
 		maxConnectionsFor,
-		...(findColdLimit && {findColdLimit}),
+		...options,
 		link: () => ({
 			send, hasIdle: () => false, closeIdle: () => undefined, close: () => undefined,
 		}),
