--- a/src/announcements/create-cold-permit-task.ts
+++ b/src/announcements/create-cold-permit-task.ts
@@ -54,9 +54,12 @@
 	readonly random: () => number;
 };
 
-/** A host outside a majority tries a cold upstream once between these times after it was first kept from it, so that it is not left for good. */
-const minTrialAfterMs = 10_000;
-const trialSpreadMs = 20_000;
+/**
+A host outside a majority tries a cold upstream so long after it was first kept from it, so that it is not left for good: these times for each
+host that it knows. All hosts, each alone, try it three times a second together.
+*/
+const minTrialAfterMs = 166;
+const trialSpreadMs = 333;
 /** A trial that was due longer ago belongs to an earlier time. */
 const maxTrialDelayMs = 2000;
 
@@ -99,7 +102,6 @@
 		return election.mayIssue(id, suspendAwareNow()) ? issuer.take(id, host, rate) : noIssuer;
 	};
 
-	/** Sixty hosts that are each alone try an upstream three times a second, all together. */
 	const tryWithoutIssuer = (id: string): PermitResult => {
 		const dueAt = trials.get(id);
 		const at = now();
@@ -107,7 +109,7 @@
 			return noIssuer;
 		}
 
-		trials.set(id, at + minTrialAfterMs + (random() * trialSpreadMs));
+		trials.set(id, at + ((listOthers().length + 1) * (minTrialAfterMs + (random() * trialSpreadMs))));
 		return dueAt !== undefined && at <= dueAt + maxTrialDelayMs ? {isGranted: true, retryAfterMs: 0} : noIssuer;
 	};
 
--- a/src/registry/create-cold-gate.ts
+++ b/src/registry/create-cold-gate.ts
@@ -48,7 +48,7 @@
 			return permits.shift() !== undefined;
 		},
 		closeUntil(at) {
-			closedUntil = at;
+			closedUntil = Math.max(closedUntil, at);
 		},
 		closedForMs: now => forMs(now) > 0 ? Math.max(0, closedUntil - now) : 0,
 	};
--- a/test/announcements/cold-upstreams.test.ts
+++ b/test/announcements/cold-upstreams.test.ts
@@ -58,6 +58,7 @@
 	}],
 	['hosts stand still, one after the other, and wake', {isFrozen: (host, at) => isBetween(at, 5000 + (host * 300), 7000 + (host * 300)) && host < 5}],
 	['half of the hosts stand still and wake', {isFrozen: (host, at) => host < 6 && isBetween(at, 5500, 7500)}],
+	['the issuer gets no news of the list', {newsMs: host => host === issuer ? forever : 300}],
 	['the issuer ends', {isFrozen: (host, at) => host === issuer && at >= 5500}],
 	['the issuer ended just before', {isFrozen: (host, at) => host === issuer && at >= 4900}],
 	['the issuer is cut off', {isCut: (a, b, at) => (a === issuer) !== (b === issuer) && isBetween(at, 5500, 9000)}],
--- a/test/platform/boundary.test.ts
+++ b/test/platform/boundary.test.ts
@@ -33,6 +33,10 @@
 	'server-leaving',
 	'server-limit',
 	'\'resumes\'',
+	'cold_remaining_ms',
+	'cold_start_s',
+	'cold_per_s',
+	'cold-ms',
 ];
 
 const files = (folder: string): readonly string[] => readdirSync(folder, {recursive: true, encoding: 'utf8'})
