--- a/test/platform/boundary.test.ts
+++ b/test/platform/boundary.test.ts
@@ -35,6 +35,10 @@
 	'\'resumes\'',
 	'\'evacuations\'',
 	'evacuate_ms',
+	'cold_remaining_ms',
+	'cold_start_s',
+	'cold_per_s',
+	'cold-ms',
 ];
 
 const files = (folder: string): readonly string[] => readdirSync(folder, {recursive: true, encoding: 'utf8'})
