--- a/src/decide/collecting/create-load-aggregator.ts
+++ b/src/decide/collecting/create-load-aggregator.ts
@@ -133,7 +133,8 @@
 		},
 		members: now => [...reports.values()].map(({report, at}) => {
 			const {
-				loads: _loads, loading: _loading, weights: _weights, crashes: _crashes, clearedParts: _cleared, condemnedParts: _condemned, limits: _limits, versions: _versions, paces: _paces, ...status
+				loads: _loads, loading: _loading, weights: _weights, crashes: _crashes, clearedParts: _cleared, condemnedParts: _condemned, limits: _limits, versions: _versions,
+				paces: _paces, ...status
 			} = report;
 			return {status, ageMs: Math.round(now - at)};
 		}),
--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -136,8 +136,8 @@
 	const findByAddress = (address: string): UpstreamEntry | undefined => [...entries.values()].find(({upstream}) => upstream.address === address);
 
 	const toView = (entry: UpstreamEntry, at: number, priority: number): UpstreamView => toUpstreamView(entry, at, {
-		others: remoteLoads.of(entry.upstream.id, at), connections: maxConnectionsFor(entry.upstream.service), isReachable: isReachable(entry), meanHeadLatencyMs: headLatencies.mean(entry.upstream.service),
-		priority, paces,
+		others: remoteLoads.of(entry.upstream.id, at), connections: maxConnectionsFor(entry.upstream.service), isReachable: isReachable(entry),
+		meanHeadLatencyMs: headLatencies.mean(entry.upstream.service), priority, paces,
 	});
 
 	return {
