--- a/src/settings/configuration-check/find-changes.ts
+++ b/src/settings/configuration-check/find-changes.ts
@@ -104,7 +104,7 @@
 
 /** Finds what differs from the configuration in force, field by field, and what callers notice of it. */
 export function findChanges(before: CheckedConfiguration, after: CheckedConfiguration): readonly ConfigurationFinding[] {
-	const toServices = ({services, coldStarts}: CheckedConfiguration) => services.map((service, index) => ({...service, ...coldStarts[index]}));
+	const toServices = ({services, coldStarts}: CheckedConfiguration) => services.map(({coldStartMs, coldPerS, ...service}, index) => ({...service, ...coldStarts[index]}));
 	return [
 		...(after.version > before.version ? [] : [toFinding(['version'], `version ${after.version} is not higher than ${before.version}, the one in force: the configuration is ignored`)]),
 		...findRouteChanges(before, after),
