Hosts claim places at upstreams where load reports are too old for the load

Cause: with 27 hosts, reports are 450 ms old while a request is at an upstream for 100 to 200 ms; the random term of the choice then outweighs the queue and the kept KV cache. Change: one host per upstream keeps a ledger of claims; a host claims a place, predicts again with the quoted load and tries up to two more upstreams. Measured: type check, 237 tests in test/settings, test/reports, test/decide/forwarding and upstreams.test.ts pass.

--- a/src/decide/forwarding/choose-upstream.ts
+++ b/src/decide/forwarding/choose-upstream.ts
@@ -1,37 +1,11 @@
+import {rankCandidates, type RankOptions} from './rank-candidates.js';
 import {type UpstreamCandidate} from './upstream-candidate.js';
-import {rankUpstreams} from './rank-upstreams.js';
-import {shortlistCandidates} from './shortlist-candidates.js';
 
 /**
-Width of the random term in the ranking, as a multiple of the estimated unreported work. `shortlist` is used to form the shortlist, `final`
-to choose from it, or from all candidates without `context`. The shortlist is close to a uniform random sample, since many hosts choose
-at once; the best of a few random upstreams is nearly as good as the best of all would be with fresh reports (Mitzenmacher, 2000).
-*/
-const spreadFactors = {shortlist: 16, final: 4} as const;
-
-/** Inputs of the choice besides the candidates. */
-type ChoiceOptions = {
-	readonly random: () => number;
-	/** Estimated unreported work per upstream, that is, work that other hosts have placed since their last reports, in milliseconds. */
-	readonly unseenMs: number;
-	/** The KV cache of a prompt: which upstreams may hold part of it, and the prediction that takes it into account. */
-	readonly context: {
-		readonly mayHold: (candidate: UpstreamCandidate) => boolean;
-		readonly predictWithKvCache: (candidate: UpstreamCandidate) => UpstreamCandidate;
-	} | undefined;
-};
-
-/**
-Chooses the upstream of a request. For a prompt, ranks all candidates as if each had the whole prompt cached, then ranks a shortlist of
-them by the prediction that takes the KV cache of each into account.
+Chooses the upstream of a request by reported loads.
 
 @returns `undefined` where no candidate has a free connection.
 */
-export function chooseUpstream(candidates: readonly UpstreamCandidate[], {random, unseenMs, context}: ChoiceOptions): UpstreamCandidate | undefined {
-	if (!context) {
-		return rankUpstreams(candidates, random, unseenMs * spreadFactors.final)[0];
-	}
-
-	const shortlist = shortlistCandidates(rankUpstreams(candidates, random, unseenMs * spreadFactors.shortlist), context.mayHold);
-	return rankUpstreams(shortlist.map(candidate => context.predictWithKvCache(candidate)), random, unseenMs * spreadFactors.final)[0];
+export function chooseUpstream(candidates: readonly UpstreamCandidate[], options: Omit<RankOptions, 'isClaimed'>): UpstreamCandidate | undefined {
+	return rankCandidates(candidates, options)[0];
 }
--- a/src/decide/forwarding/rank-upstreams.ts
+++ b/src/decide/forwarding/rank-upstreams.ts
@@ -1,9 +1,6 @@
+import {computeRankMs} from './compute-rank-ms.js';
 import {type UpstreamCandidate} from './upstream-candidate.js';
 
-/** Penalty of an upstream whose recent requests all failed. */
-const failurePenaltyMs = 400;
-const unresponsivePenaltyMs = 1e5;
-const ejectedPenaltyMs = 1e6;
 /** Breaks ties at random. */
 const minSpreadMs = 1;
 
@@ -13,12 +10,7 @@
 hosts place at once based on delayed reports, so each score gets a random term of up to `spreadMs`.
 */
 export function rankUpstreams(candidates: readonly UpstreamCandidate[], random: () => number, spreadMs = 0): readonly UpstreamCandidate[] {
-	const score = ({view: {isUnresponsive, isEjected, failureShare}, firstByteMs, staleWeightsPenaltyMs}: UpstreamCandidate): number => firstByteMs
-		+ staleWeightsPenaltyMs
-		+ (failureShare * failurePenaltyMs)
-		+ (isUnresponsive ? unresponsivePenaltyMs : 0)
-		+ (isEjected ? ejectedPenaltyMs : 0)
-		+ (random() * Math.max(minSpreadMs, spreadMs));
+	const score = (candidate: UpstreamCandidate): number => computeRankMs(candidate) + (random() * Math.max(minSpreadMs, spreadMs));
 	return candidates
 		.filter(({view}) => view.freeConnections > 0)
 		.map(candidate => ({candidate, score: score(candidate)}))
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -18,6 +18,7 @@
 import {createRequestReporter} from './create-request-reporter.js';
 import {createSender} from './create-sender.js';
 import {describeAttempts} from './describe-attempts.js';
+import {describeClaim} from './describe-claim.js';
 import {describeWeights} from './describe-weights.js';
 import {type ForwardingProgress} from './forwarding-progress.js';
 import {minTimeLeftMs} from './min-time-left-ms.js';
@@ -173,7 +174,7 @@
 			...describeAttempts(progress), maxAttempts: route.maxAttempts, isRelayed: admitted.isRelayed, inFlight: placement.inFlight,
 			missingTokens: placement.missingTokens, fetchedTokens: placement.fetchedTokens, isHome: placement.isHome,
 			firstByteMs: Math.round(placement.firstByteMs), unseenMs: Math.round(placement.unseenMs),
-			...describeWeights(placement),
+			...describeWeights(placement), ...describeClaim(placement),
 			leftMs: Math.round(progress.endsAt - now()),
 		}, 'placed');
 		const sentAt = now();
--- a/src/forwarding/create-gateway-metrics.ts
+++ b/src/forwarding/create-gateway-metrics.ts
@@ -21,6 +21,9 @@
 		refusalsTotal: new Counter({
 			name: 'hemlockpier_refusals_total', help: 'Requests refused before they were placed, by error kind', labelNames: ['kind'], registers,
 		}),
+		claimsTotal: new Counter({
+			name: 'hemlockpier_claims_total', help: 'Requests for which a place at an upstream was to be claimed, by outcome', labelNames: ['outcome'], registers,
+		}),
 		platformCallsTotal: new Counter({
 			name: 'hemlockpier_platform_calls_total', help: 'Calls of the platform by method, kind of objects and what they are for', labelNames: ['method', 'kind', 'operation'], registers,
 		}),
--- a/src/forwarding/create-placement-finder.ts
+++ b/src/forwarding/create-placement-finder.ts
@@ -21,7 +21,7 @@
 
 /** Creates the function that finds where a request goes next: to an upstream, to another host, or nowhere. */
 export function createPlacementFinder({
-	registry, crashes, getRetryBudget, getUrgentObjectiveMs, place, acquirePermit, acquireRoom, confirmCutOff, relay, now, random,
+	registry, crashes, getRetryBudget, getUrgentObjectiveMs, place, claimPlace, acquirePermit, acquireRoom, confirmCutOff, relay, now, random,
 }: PlacementFinderOptions): (admitted: AdmittedRequest, progress: ForwardingProgress) => Promise<PlacementResult> {
 	const findHelper = ({isRelayed}: AdmittedRequest, {service, idleHelpers, usedHelpers, attempts}: ForwardingProgress): KnownHost | undefined =>
 		isRelayed || idleHelpers.size >= maxIdleHelpers
@@ -68,7 +68,7 @@
 			return {reason: 'time-over'};
 		}
 
-		const placement = place(admitted, progress);
+		const {placement, endClaim} = claimPlace ? await claimPlace(admitted, progress) : {placement: place(admitted, progress), endClaim: () => undefined};
 		if (!placement) {
 			return leaveUnplaced(admitted, progress);
 		}
@@ -81,6 +81,7 @@
 			urgentObjectiveMs: isTakenUp ? undefined : getUrgentObjectiveMs(route, progress.service), draw: random(),
 		});
 		if (progress.attempts.spent().runs === 0 && !admission.isAdmitted) {
+			endClaim();
 			const reach = registry.getReach(progress.service, progress.softwareVersion);
 			const helper = reach.reachable * 2 < reach.upstreams ? findHelper(admitted, progress) : undefined;
 			if (helper) {
@@ -93,15 +94,23 @@
 
 		const room = await acquireRoom(placement.upstream.id, admitted.request.id!);
 		if (!room.isGranted) {
+			endClaim();
 			return findPlacement(admitted, progress);
 		}
 
 		if (!await acquirePermit(placement.upstream.id, admitted.request.id!)) {
 			room.release();
+			endClaim();
 			return findPlacement(admitted, progress);
 		}
 
-		return {placement, releaseRoom: room.release};
+		return {
+			placement,
+			releaseRoom() {
+				room.release();
+				endClaim();
+			},
+		};
 	};
 
 	/** Refuses requests that crash upstreams. Sending a request again takes from the retry budget. */
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -1,4 +1,8 @@
+import {applyQuote} from '../decide/claims/apply-quote.js';
+import {type LoadQuote} from '../decide/claims/load-quote.js';
 import {chooseUpstream} from '../decide/forwarding/choose-upstream.js';
+import {computeRankMs} from '../decide/forwarding/compute-rank-ms.js';
+import {rankCandidates} from '../decide/forwarding/rank-candidates.js';
 import {createUnreportedWorkEstimator} from '../decide/forwarding/create-unreported-work-estimator.js';
 import {predictFirstByte} from '../decide/forwarding/predict-first-byte.js';
 import {type UpstreamCandidate} from '../decide/forwarding/upstream-candidate.js';
@@ -92,7 +96,11 @@
 		return ({weights}: Upstream): number | undefined => staleOf(String(prompt ? weights.get(prompt.model) ?? 0 : 0)).forMs;
 	};
 
-	return (admitted: AdmittedRequest, {service, triedUpstreams: tried, softwareVersion}: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>): Placement | undefined => {
+	return (
+		admitted: AdmittedRequest,
+		{service, triedUpstreams: tried, softwareVersion}: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>,
+		usesClaims?: (unseenMs: number) => boolean,
+	): Placement | undefined => {
 		const {request: {prompt}, route, workspace} = admitted;
 		const priority = Math.min(lowestPriority, Math.max(highestPriority, workspace?.priority ?? route.priority));
 		const engine = serviceOf(service)?.engine;
@@ -111,12 +119,16 @@
 		const staleForMsOf = createStaleness(admitted);
 		const predict = (view: UpstreamView, promptReadyMs: number): number => predictFirstByte(view, {promptReadyMs, heldTokens, kvCapacityTokens: engine?.memoryTokens}, parameters, domain);
 
+		const computePromptReadyMs = (id: string): number => {
+			const readMs = plans.get(id)?.parts.reduce((sum, part) => sum + part.readyMs, 0) ?? 0;
+			return id === sharedPartOwner ? readMs * ownerReadFactor : readMs;
+		};
+
 		const predictWithKvCache = (candidate: UpstreamCandidate): UpstreamCandidate => {
 			const {id} = candidate.view.upstream;
 			const plan = reusePlans!.at(candidate.view.upstream);
 			plans.set(id, plan);
-			const readMs = plan.parts.reduce((sum, part) => sum + part.readyMs, 0);
-			return {...candidate, firstByteMs: predict(candidate.view, id === sharedPartOwner ? readMs * ownerReadFactor : readMs)};
+			return {...candidate, firstByteMs: predict(candidate.view, computePromptReadyMs(id))};
 		};
 
 		const unseenMs = estimateUnreportedMs(service, views.length);
@@ -134,30 +146,54 @@
 		}
 
 		const isLikelyToHold = ({view: {upstream}}: UpstreamCandidate): boolean => upstream.id === sharedPartOwner || reusePlans!.isLikelyCachedAt(upstream);
-		const best = chooseUpstream(candidates, {random, unseenMs, context: reusePlans && {mayHold: isLikelyToHold, predictWithKvCache}});
-		if (!best) {
-			return undefined;
-		}
+		const choice = {random, unseenMs, context: reusePlans && {mayHold: isLikelyToHold, predictWithKvCache}};
 
-		const {view, firstByteMs} = best;
-		const plan = plans.get(view.upstream.id);
-		return {
-			upstream: view.upstream,
-			missingTokens: plan?.missingTokens ?? 0,
-			fetchedTokens: plan?.fetchedTokens ?? 0,
-			heldTokens,
-			priority,
-			firstByteMs,
-			unseenMs,
-			isQueueing: view.isQueueing,
-			inFlight: view.inFlight,
-			isHome: view.upstream.id === sharedPartOwner,
-			weights: prompt && {version: view.upstream.weights.get(prompt.model) ?? 0, staleForMs: staleForMsOf(view.upstream)},
-			options: toOptions(admitted, view, priority, plan),
-			recordSent() {
-				estimatorOf(service).record(computeAddedMs(view, plan, parameters), now());
-				plan?.recordSent();
-			},
+		const toPlacement = ({view, firstByteMs}: UpstreamCandidate, claimable?: Placement['claimable']): Placement => {
+			const plan = plans.get(view.upstream.id);
+			return {
+				upstream: view.upstream,
+				missingTokens: plan?.missingTokens ?? 0,
+				fetchedTokens: plan?.fetchedTokens ?? 0,
+				heldTokens,
+				priority,
+				firstByteMs,
+				unseenMs,
+				isQueueing: view.isQueueing,
+				inFlight: view.inFlight,
+				isHome: view.upstream.id === sharedPartOwner,
+				weights: prompt && {version: view.upstream.weights.get(prompt.model) ?? 0, staleForMs: staleForMsOf(view.upstream)},
+				options: toOptions(admitted, view, priority, plan),
+				claimable,
+				recordSent() {
+					estimatorOf(service).record(computeAddedMs(view, plan, parameters), now());
+					plan?.recordSent();
+				},
+			};
+		};
+
+		/** Returns the placement at the best of ranked candidates, from which the others can be claimed in turn. */
+		const toClaimable = ([candidate, ...rest]: readonly UpstreamCandidate[]): Placement | undefined => {
+			if (!candidate) {
+				return undefined;
+			}
+
+			const describe = (ranked: UpstreamCandidate): Placement['claimable'] => ({
+				rankMs: computeRankMs(ranked), waitMs: ranked.view.waitingTokens / parameters.prefillTokensPerMs, predictWithQuote, next: () => toClaimable(rest),
+			});
+			const predictWithQuote = (quote: LoadQuote): Placement => {
+				const view = applyQuote(candidate.view, quote);
+				const quoted = {...candidate, view, firstByteMs: predict(view, computePromptReadyMs(view.upstream.id))};
+				return toPlacement(quoted, describe(quoted));
+			};
+
+			return toPlacement(candidate, describe(candidate));
 		};
+
+		if (prompt && usesClaims?.(unseenMs)) {
+			return toClaimable(rankCandidates(candidates, {...choice, isClaimed: true}));
+		}
+
+		const best = chooseUpstream(candidates, choice);
+		return best && toPlacement(best);
 	};
 }
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -62,6 +62,7 @@
 				},
 				onDelivery({status}) {
 					stopAttemptTimer();
+					placement.claim?.recordAnswered();
 					getLatencyModel(service).recordFirstByte(placement.firstByteMs, now() - sentAt);
 					log.info({
 						requestId: request.id!, upstream: placement.upstream.id, softwareVersion: placement.upstream.softwareVersion, status,
--- a/src/forwarding/placement-finder-options.ts
+++ b/src/forwarding/placement-finder-options.ts
@@ -1,4 +1,5 @@
 import {type RoomTask} from '../announcements/room-task.js';
+import {type ClaimedPlacement} from '../claims/claimed-placement.js';
 import {type SlidingWindowRetryBudget} from '../decide/retries/sliding-window-retry-budget.js';
 import {type PoisonRequestDetector} from '../poison/poison-request-detector.js';
 import {type RelayClient} from '../relay/relay-client.js';
@@ -17,6 +18,8 @@
 	readonly getUrgentObjectiveMs: (route: Route, service: string) => number | undefined;
 	/** Chooses an upstream of a service, and which KV cache the request fetches and saves there. */
 	readonly place: (admitted: AdmittedRequest, progress: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>) => Placement | undefined;
+	/** Chooses an upstream and claims a place there; `undefined` where nothing is claimed. */
+	readonly claimPlace?: ((admitted: AdmittedRequest, progress: ForwardingProgress) => Promise<ClaimedPlacement>) | undefined;
 	/** Returns whether an upstream's limit on requests leaves room for this one now. */
 	readonly acquirePermit: (upstreamId: string, requestId: string) => Promise<boolean>;
 	/** Takes a slot of an upstream that states that it is brittle. */
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -1,4 +1,6 @@
+import {type LoadQuote} from '../decide/claims/load-quote.js';
 import {type PlacedWeights} from './placed-weights.js';
+import {type PlacementClaim} from './placement-claim.js';
 import {type UpstreamRequestOptions} from './upstream-request-options.js';
 import {type Upstream} from './upstream.js';
 
@@ -29,6 +31,19 @@
 	readonly isHome: boolean;
 	/** Weights of the upstream for the request's model; `undefined` for a request without a prompt. */
 	readonly weights: PlacedWeights | undefined;
+	/** What a claim of the place takes; `undefined` where the request is placed by reports. */
+	readonly claimable?: {
+		/** Time by which the upstream is ranked: predicted time to the first byte and penalties, in milliseconds. */
+		readonly rankMs: number;
+		/** Time until the upstream has prefilled the prompts ahead, in milliseconds. */
+		readonly waitMs: number;
+		/** Predicts again with the load that the ledger of the upstream quotes. */
+		readonly predictWithQuote: (quote: LoadQuote) => Placement;
+		/** Returns the placement at the upstream ranked next by reports. */
+		readonly next: () => Placement | undefined;
+	} | undefined;
+	/** How the place was claimed. */
+	readonly claim?: PlacementClaim | undefined;
 	/** Records that the request is sent. */
 	readonly recordSent: () => void;
 };
--- a/src/registry/to-upstream-view.ts
+++ b/src/registry/to-upstream-view.ts
@@ -1,10 +1,8 @@
+import {lowerPriorityShare} from '../decide/forwarding/lower-priority-share.js';
 import {type UpstreamView} from '../decide/forwarding/upstream-view.js';
 import {isUnresponsive} from './is-unresponsive.js';
 import {type UpstreamEntry} from './upstream-entry.js';
 
-/** Share of lower-priority prompt tokens that still run ahead of a request, since engines don't interrupt a prefill chunk in progress. */
-const lowerPriorityShare = 0.25;
-
 /** The load that other hosts put on an upstream. */
 type RemoteLoad = {
 	readonly inFlight: number;
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -1,3 +1,4 @@
+import {type ClaimMessage} from '../claims/claim-message.js';
 import {log} from '../observe/log.js';
 import {every} from '../util/every.js';
 import {type ObjectStore} from '../object-store/object-store.js';
@@ -45,11 +46,13 @@
 	readonly onKvStoreUpdate: (update: KvStoreUpdate) => void;
 	/** Called with streams that another host has begun. */
 	readonly onStreams: (groups: readonly StreamGroup[]) => void;
+	/** Called with claims of places at upstreams, or the answers to such claims. */
+	readonly onClaims: (message: ClaimMessage) => void;
 };
 
 /** Registers this host in the object store, lists the other hosts from there, and exchanges reports with them. */
 export function createHostReportExchange({
-	self, store, kind, getEpoch, onHeard, now, makeReport, onStatus, onLoads, onKvStoreUpdate, onStreams,
+	self, store, kind, getEpoch, onHeard, now, makeReport, onStatus, onLoads, onKvStoreUpdate, onStreams, onClaims,
 }: HostReportExchangeOptions): HostReportExchange {
 	const registry = createHostRegistry({
 		self, store, kind, getEpoch, onHeard, now,
@@ -86,6 +89,10 @@
 			handleDomainReport(sum);
 		}
 
+		if (message.claims ?? message.quotes) {
+			onClaims(message);
+		}
+
 		if (streams) {
 			onStreams(streams);
 		}
@@ -133,6 +140,9 @@
 		tellStreams(host, streams) {
 			socket.send({streams}, [host.reports]);
 		},
+		sendClaims(message, address) {
+			socket.send(message, [address]);
+		},
 		refreshAndList: registry.refreshAndList,
 		reportAgeMs: () => sender === direct ? directReportAgeMs : collectedReportAgeMs,
 		countHosts,
--- a/src/reports/find-message-fault.ts
+++ b/src/reports/find-message-fault.ts
@@ -7,6 +7,7 @@
 const isText: Check = value => typeof value === 'string' && value !== '';
 const isNumber: Check = value => Number.isFinite(value);
 const isWhole: Check = value => Number.isSafeInteger(value);
+const isCount: Check = value => Number.isSafeInteger(value) && (value as number) >= 0;
 const isFlag: Check = value => typeof value === 'boolean';
 const isObject: Check = value => typeof value === 'object' && value !== null && !Array.isArray(value);
 const isListOf = (check: Check): Check => value => Array.isArray(value) && value.every(item => check(item));
@@ -41,6 +42,8 @@
 	versions: isOptional(isListOf(isShaped({service: isText, version: isString, ageMs: isNumber}))),
 };
 
+const isClaim = isTuple(isCount, isText, isWhole, isCount, isCount);
+
 const messageChecks: Readonly<Record<string, Check>> = {
 	report: isOptional(isShaped({...statusChecks, ...newsChecks})),
 	sums: isOptional(isListOf(isShaped({
@@ -48,6 +51,10 @@
 		news: isShaped(newsChecks),
 		members: isListOf(isShaped({status: isShaped(statusChecks), ageMs: isNumber})),
 	}))),
+	claims: isOptional(isShaped({
+		h: isText, m: isCount, c: isOptional(isListOf(isClaim)), n: isOptional(isListOf(isClaim)), a: isOptional(isListOf(isCount)), e: isOptional(isListOf(isCount)),
+	})),
+	quotes: isOptional(isShaped({h: isText, q: isListOf(isTuple(isCount, isCount, isCount, isCount, isCount, isCount))})),
 	streams: isOptional(isListOf(isShaped({service: isText, version: isString, ids: isListOf(isText)}))),
 	kept: isOptional(isListOf(isShaped({
 		store: isText, peers: isDialable, since: isNumber,
--- a/src/reports/host-message.ts
+++ b/src/reports/host-message.ts
@@ -1,10 +1,11 @@
+import {type ClaimMessage} from '../claims/claim-message.js';
 import {type StreamGroup} from '../streams/stream-group.js';
 import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
 import {type DomainReport} from './domain-report.js';
 import {type HostReport} from './host-report.js';
 
 /** A datagram between hosts. */
-export type HostMessage = {
+export type HostMessage = ClaimMessage & {
 	/** The sender's own report. */
 	readonly report?: HostReport | undefined;
 	/** Whether the receiver is to include the report in its domain report to other hosts. */
--- a/src/reports/host-report-exchange.ts
+++ b/src/reports/host-report-exchange.ts
@@ -1,3 +1,4 @@
+import {type ClaimMessage} from '../claims/claim-message.js';
 import {type StreamGroup} from '../streams/stream-group.js';
 import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
 import {type KnownHost} from './known-host.js';
@@ -14,6 +15,8 @@
 	readonly listOthers: () => readonly KnownHost[];
 	/** Tells a host of streams that this one has begun. */
 	readonly tellStreams: (host: KnownHost, streams: readonly StreamGroup[]) => void;
+	/** Sends claims or quotes to the address for reports of another host. */
+	readonly sendClaims: (message: ClaimMessage, address: string) => void;
 	/** Reads the store again, then returns all other hosts known from the store or a report. */
 	readonly refreshAndList: () => Promise<readonly KnownHost[]>;
 	/** Returns the mean age of the known loads of other hosts, in milliseconds. */
--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -24,6 +24,11 @@
 	metricsPort: z.int().min(0).max(65_535),
 	/** Address of the platform's object store. */
 	objectStore: addressSchema,
+	/** How requests are placed. All hosts should have the same. */
+	placement: z.strictObject({
+		/** Whether hosts claim places at upstreams where load reports are too old for the load. */
+		claims: z.boolean().nullish().transform(value => value ?? false),
+	}).prefault({}),
 	/** Limits and times that the deployment requires. */
 	bounds: z.strictObject({
 		retryRatio: numberOrDefault(0.2),
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {respectRest} from './announcements/respect-rest.js';
 import {createPermitTask} from './announcements/create-permit-task.js';
+import {createClaims} from './claims/create-claims.js';
 import {createStatementLearner} from './announcements/create-statement-learner.js';
 import {createRoomTask} from './announcements/create-room-task.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
@@ -178,6 +179,15 @@
 		onStreams(groups) {
 			streams.receive(groups);
 		},
+		onClaims: meter('taking in claims', message => {
+			claims.receive(message);
+		}),
+	});
+	const claims = createClaims({
+		settings, reportExchange, now,
+		onOutcome(outcome) {
+			metrics.claimsTotal.inc({outcome});
+		},
 	});
 	const toNames = memoizeLast((peers: readonly KnownHost[]) => peers.map(peer => peer.host));
 	const listOtherNames = (): readonly string[] => toNames(reportExchange.alive());
@@ -368,22 +378,24 @@
 		domain, alive: reportExchange.alive, openPool: address => adapter.openConnectionPool(address, () => undefined), now, random,
 	});
 	const keptBytes = createByteBudget(responseLimits.keptBytes, responseLimits.freeBytes);
+	const place = meter('placement', createRequestPlacer({
+		domain, registry, serviceOf: storedState.findService, getLatencyModel,
+		getStaleForMs: (model, version) => areWeightsListed() ? weightAges.getStaleForMs(model, version) : Number.POSITIVE_INFINITY,
+		versionMs: () => liveSettings.bounds.versionMs, now, random,
+		others: () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()}),
+		planKvReuse: createKvReusePlanner({
+			registry, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
+			weightsConfirmedAt: stateSync.weightsConfirmedAt, kvSharing: storedState.kvSharing, clocks,
+		}),
+	}));
 	const forward = createForwarder({
 		registry,
 		crashes,
 		getRetryBudget,
 		now,
 		random,
-		place: meter('placement', createRequestPlacer({
-			domain, registry, serviceOf: storedState.findService, getLatencyModel,
-			getStaleForMs: (model, version) => areWeightsListed() ? weightAges.getStaleForMs(model, version) : Number.POSITIVE_INFINITY,
-			versionMs: () => liveSettings.bounds.versionMs, now, random,
-			others: () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()}),
-			planKvReuse: createKvReusePlanner({
-				registry, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
-				weightsConfirmedAt: stateSync.weightsConfirmedAt, kvSharing: storedState.kvSharing, clocks,
-			}),
-		})),
+		place,
+		claimPlace: claims.createClaimPlace(place),
 		getLatencyModel,
 		acquirePermit: permits.acquire,
 		acquireRoom: rooms.acquire,
@@ -433,6 +445,7 @@
 		for (const component of [
 			...watchers,
 			reportExchange,
+			claims,
 			stateSync,
 			rolloutTask,
 			weightAgeTask,
