--- a/src/claims/create-claims.ts
+++ b/src/claims/create-claims.ts
@@ -44,7 +44,9 @@
 	});
 	return {
 		receive: task.receive,
-		createClaimPlace: place => createPlacementClaimer({task, place, onOutcome}),
+		createClaimPlace: place => createPlacementClaimer({
+			task, place, onOutcome, now,
+		}),
 		stop: task.stop,
 	};
 }
--- a/src/claims/create-placement-claimer.ts
+++ b/src/claims/create-placement-claimer.ts
@@ -1,9 +1,11 @@
 import {type Claim} from '../decide/claims/claim.js';
 import {createClaimSwitch} from '../decide/claims/create-claim-switch.js';
+import {createQuoteMemory} from '../decide/claims/create-quote-memory.js';
 import {decideAfterClaim} from '../decide/claims/decide-after-claim.js';
 import {type AdmittedRequest} from '../forwarding/admitted-request.js';
 import {type ForwardingProgress} from '../forwarding/forwarding-progress.js';
 import {type Placement} from '../forwarding/placement.js';
+import {type PlacementClaims} from '../forwarding/placement-claims.js';
 import {memoize} from '../util/memoize.js';
 import {type ClaimResult, type ClaimTask, type HeldClaim} from './claim-task.js';
 import {type ClaimedPlacement} from './claimed-placement.js';
@@ -14,13 +16,15 @@
 /** Dependencies of the claimer. */
 type PlacementClaimerOptions = {
 	readonly task: Pick<ClaimTask, 'claim' | 'note'>;
-	/** Chooses an upstream; ready to be claimed where `usesClaims` says so. */
+	/** Chooses an upstream; ready to be claimed where `claims` are used. */
 	readonly place: (
 		admitted: AdmittedRequest,
 		progress: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>,
-		usesClaims?: (unseenMs: number) => boolean,
+		claims?: PlacementClaims,
 	) => Placement | undefined;
 	readonly onOutcome: (outcome: ClaimOutcome) => void;
+	/** Monotonic clock in milliseconds. */
+	readonly now: () => number;
 };
 
 /** A place that a request has claimed. */
@@ -45,7 +49,8 @@
 }
 
 /** Creates the function that chooses an upstream and, where reports are too old for the load, claims a place there and predicts again. */
-export function createPlacementClaimer({task, place, onOutcome}: PlacementClaimerOptions) {
+export function createPlacementClaimer({task, place, onOutcome, now}: PlacementClaimerOptions) {
+	const memory = createQuoteMemory();
 	const switchOf = memoize((_serviceAndRoute: string) => createClaimSwitch());
 
 	/** Places a request by reports, and lets it count in the ledger. */
@@ -57,7 +62,10 @@
 	return async (admitted: AdmittedRequest, progress: ForwardingProgress): Promise<ClaimedPlacement> => {
 		const {route} = admitted;
 		const usesClaims = switchOf(`${progress.service}\n${route.name}`);
-		const first = place(admitted, progress, unseenMs => usesClaims(unseenMs, route.objectiveMs));
+		const first = place(admitted, progress, {
+			isUsed: unseenMs => usesClaims(unseenMs, route.objectiveMs),
+			applyQuotes: (view, priority) => memory.apply(view, priority, now()),
+		});
 		if (!first?.claimable) {
 			return {placement: first, ...unclaimed};
 		}
@@ -74,6 +82,7 @@
 				break;
 			}
 
+			memory.record(candidate.upstream.id, candidate.priority, result.quote, now());
 			quoted.push({placement: candidate.claimable.predictWithQuote(result.quote), held: result.held});
 			const next: Placement | undefined = candidate.claimable.next();
 			const decision = decideAfterClaim({quotedMs: quoted.map(({placement}) => placement.claimable!.rankMs), nextMs: next?.claimable?.rankMs});
--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -20,6 +20,7 @@
 import {type KvReusePlan} from './kv-reuse-plan.js';
 import {type KvReusePlanner} from './kv-reuse-planner.js';
 import {type Placement} from './placement.js';
+import {type PlacementClaims} from './placement-claims.js';
 import {type Prompt} from './prompt.js';
 import {type Service} from './service.js';
 import {type Upstream} from './upstream.js';
@@ -99,7 +100,7 @@
 	return (
 		admitted: AdmittedRequest,
 		{service, triedUpstreams: tried, softwareVersion}: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>,
-		usesClaims?: (unseenMs: number) => boolean,
+		claims?: PlacementClaims,
 	): Placement | undefined => {
 		const {request: {prompt}, route, workspace} = admitted;
 		const priority = Math.min(lowestPriority, Math.max(highestPriority, workspace?.priority ?? route.priority));
@@ -108,7 +109,10 @@
 		const available = registry.listAvailable(service, now(), priority)
 			.filter(view => view.isReachable && view.closedForMs === 0 && (softwareVersion === undefined || view.upstream.softwareVersion === softwareVersion));
 		const untried = available.filter(view => !tried.has(view.upstream.id));
-		const views = untried.length > 0 ? untried : available;
+		const reported = untried.length > 0 ? untried : available;
+		const unseenMs = estimateUnreportedMs(service, reported.length);
+		const isClaimed = prompt !== undefined && claims?.isUsed(unseenMs) === true;
+		const views = isClaimed ? reported.map(view => claims!.applyQuotes(view, priority)) : reported;
 		const sharedPart = findSharedPart(prompt);
 		// All hosts compute the same owner, so requests that share the part go to the same upstream. One with a limit can't take them.
 		const ownerCandidates = views.filter(view => view.requestsPerS === undefined);
@@ -131,7 +135,6 @@
 			return {...candidate, firstByteMs: predict(candidate.view, computePromptReadyMs(id))};
 		};
 
-		const unseenMs = estimateUnreportedMs(service, views.length);
 		const candidates = views.flatMap((view): readonly UpstreamCandidate[] => {
 			const firstByteMs = predict(view, 0);
 			const staleWeightsPenaltyMs = computeStaleWeightsPenalty({
@@ -189,7 +192,7 @@
 			return toPlacement(candidate, describe(candidate));
 		};
 
-		if (prompt && usesClaims?.(unseenMs)) {
+		if (isClaimed) {
 			return toClaimable(rankCandidates(candidates, {...choice, isClaimed: true}));
 		}
 
