--- a/src/claims/create-claim-outbox.ts
+++ b/src/claims/create-claim-outbox.ts
@@ -103,8 +103,15 @@
 		},
 		end(host: string, address: string, number: number): void {
 			open.get(host)?.delete(number);
-			find(host, address).ended.push(number);
-			flushLater();
+			const to = find(host, address);
+			const unsentAt = to.notes.findIndex(([unsent]) => unsent === number);
+			if (unsentAt === -1) {
+				to.ended.push(number);
+				flushLater();
+			} else {
+				// Ends are read before claims, so one in the same datagram would come too early.
+				to.notes.splice(unsentAt, 1);
+			}
 		},
 	};
 }
--- a/src/claims/create-claim-task.ts
+++ b/src/claims/create-claim-task.ts
@@ -159,16 +159,6 @@
 
 	const receiveClaims = ({h: host, m: lowest, c: claims = [], n: notes = [], a: answered = [], e: ended = []}: NonNullable<ClaimMessage['claims']>): void => {
 		reviewLedger();
-		const quotes = claims.map(claim => toWireQuote(claim[0], ledger.claim(host, claim[0], toClaim(claim), now())));
-		const address = listAddresses(listOthers()).get(host);
-		if (quotes.length > 0 && address !== undefined) {
-			send({quotes: {h: self.host, q: quotes}}, address);
-		}
-
-		for (const note of notes) {
-			ledger.claim(host, note[0], toClaim(note), now());
-		}
-
 		for (const number of answered) {
 			ledger.recordAnswered(host, number);
 		}
@@ -178,6 +168,15 @@
 		}
 
 		ledger.endBelow(host, lowest);
+		const quotes = claims.map(claim => toWireQuote(claim[0], ledger.claim(host, claim[0], toClaim(claim), now())));
+		const address = listAddresses(listOthers()).get(host);
+		if (quotes.length > 0 && address !== undefined) {
+			send({quotes: {h: self.host, q: quotes}}, address);
+		}
+
+		for (const note of notes) {
+			ledger.claim(host, note[0], toClaim(note), now());
+		}
 	};
 
 	return {
