--- a/test/reports/host-message.test.ts
+++ b/test/reports/host-message.test.ts
@@ -29,6 +29,12 @@
 					}],
 					isToPassOn: true,
 				},
+				{
+					claims: {
+						h: 'a', m: 4, c: [[5, 'u', 1, 700, 900]], n: [[6, 'u', 0, 0, 0]], a: [4], e: [3],
+					},
+					quotes: {h: 'a', q: [[5, 2, 300, 400, 1, 0]]},
+				},
 			];
 			for (const message of messages) {
 				expect(decodeHostMessage(encodeHostMessage(message))).toEqual(message);
@@ -36,3 +42,20 @@
 		}), {seed: 61});
 	});
 });
+
+/** Guards against claims that would make the sums of a ledger wrong for all hosts. */
+describe('claims in a message', () => {
+	test.each([
+		['a negative number of tokens', {claims: {h: 'a', m: 1, c: [[1, 'u', 1, -5, 0]]}}],
+		['a part of a token', {claims: {h: 'a', m: 1, c: [[1, 'u', 1, 0.5, 0]]}}],
+		['no upstream', {claims: {h: 'a', m: 1, c: [[1, '', 1, 5, 0]]}}],
+		['too few fields', {claims: {h: 'a', m: 1, n: [[1, 'u', 1, 5]]}}],
+		['no host', {claims: {m: 1, e: [1]}}],
+		['no lowest number', {claims: {h: 'a', e: [1]}}],
+		['an end that is no number', {claims: {h: 'a', m: 1, e: ['1']}}],
+		['a quote of a negative load', {quotes: {h: 'a', q: [[1, -1, 0, 0, 0, 0]]}}],
+		['a quote without flags', {quotes: {h: 'a', q: [[1, 1, 0, 0]]}}],
+	])('are rejected with %s', (_name, message) => {
+		expect(() => decodeHostMessage(Buffer.from(JSON.stringify(message)))).toThrow('malformed');
+	});
+});
--- a/test/reports/malformed-messages.test.ts
+++ b/test/reports/malformed-messages.test.ts
@@ -26,7 +26,8 @@
 	upstreams = await Promise.all([createUpstreamServer(), createUpstreamServer()]);
 	store.put('config', 'main', platformObjects.configuration(5));
 	store.put('servers', 'i-0', platformObjects.upstream(upstreams[0]!.address));
-	gateways = [await startTestGateway(store.address), await startTestGateway(store.address)];
+	const settings = {placement: {claims: true}};
+	gateways = [await startTestGateway(store.address, settings), await startTestGateway(store.address, settings)];
 	await waitUntilReady(...gateways);
 	uncaught = recordUncaughtErrors();
 });
@@ -81,6 +82,12 @@
 		},
 	}).map(varied => ({kept: [varied], isToPassOn: true})),
 	vary({service: 'app', version: 'v1', ids: ['a']}).map(varied => ({streams: [varied]})),
+	vary({
+		h: 'odd', m: 1, c: [[1, 'i-0', 0, 100, 100]], n: [[2, 'i-0', 0, 100, 100]], a: [1], e: [2],
+	}).map(varied => ({claims: varied})),
+	fc.tuple(odd, odd, odd, odd, odd).map(claim => ({claims: {h: 'odd', m: 1, c: [claim]}})),
+	vary({h: 'odd', q: [[1, 0, 0, 0, 0, 0]]}).map(varied => ({quotes: varied})),
+	fc.tuple(odd, odd, odd, odd, odd, odd).map(quote => ({quotes: {h: 'odd', q: [quote]}})),
 );
 
 async function sendAll(messages: readonly string[]): Promise<void> {
