--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -112,7 +112,7 @@
 		const reported = untried.length > 0 ? untried : available;
 		const unseenMs = estimateUnreportedMs(service, reported.length);
 		const isClaimed = prompt !== undefined && claims?.isUsed(unseenMs) === true;
-		const views = isClaimed ? reported.map(view => claims!.applyQuotes(view, priority)) : reported;
+		const views = isClaimed ? reported.map(view => claims.applyQuotes(view, priority)) : reported;
 		const sharedPart = findSharedPart(prompt);
 		// All hosts compute the same owner, so requests that share the part go to the same upstream. One with a limit can't take them.
 		const ownerCandidates = views.filter(view => view.requestsPerS === undefined);
--- a/test/claims/claim-task.test.ts
+++ b/test/claims/claim-task.test.ts
@@ -23,6 +23,7 @@
 		result = await network.tasks.get(host)!.claim(toClaim(upstreamId, prefillTokens), 'd');
 		endedAt = network.now();
 	})();
+
 	await network.run(30);
 	return {...result!, tookMs: endedAt - startedAt};
 }
@@ -48,7 +49,11 @@
 		const first = await claimFrom(network, 'a', upstream, 100);
 		const second = await claimFrom(network, 'c', upstream, 50);
 		expect(first).toMatchObject({kind: 'quoted', quote: nothing, tookMs: 2});
-		expect(second).toMatchObject({kind: 'quoted', quote: {inFlight: 1, aheadTokens: 100, heldTokens: 500, isQueueing: true, isFilling: true}});
+		expect(second).toMatchObject({
+			kind: 'quoted', quote: {
+				inFlight: 1, aheadTokens: 100, heldTokens: 500, isQueueing: true, isFilling: true,
+			},
+		});
 		if (first.kind === 'quoted' && second.kind === 'quoted') {
 			first.held.recordAnswered();
 			await network.run(20);
@@ -216,6 +221,7 @@
 		void (async () => {
 			result = await network.tasks.get('a')!.claim(toClaim(upstream), 'd');
 		})();
+
 		network.setFate(({quotes}) => quotes ? [] : [1]);
 		await network.run(1);
 		network.frozen.add('a');
@@ -233,6 +239,7 @@
 		void (async () => {
 			result = await network.tasks.get('a')!.claim(toClaim(findUpstream('b')), 'd');
 		})();
+
 		await network.run(1);
 		network.frozen.add('a');
 		await network.run(500);
--- a/test/claims/claims-between-hosts.test.ts
+++ b/test/claims/claims-between-hosts.test.ts
@@ -27,6 +27,7 @@
 		upstream.answer = (received, socket) => {
 			sendSignedResponse(received, socket);
 		};
+
 		store.put('servers', `i-${index}`, platformObjects.upstream(upstream.address, {models: [{name: 'm', version: 1, adapters: []}]}));
 	}
 });
@@ -51,7 +52,7 @@
 			const {status} = await sendRawRequest(callers, buildRawRequest({
 				method: 'POST', target: '/ask/x', body: 'prompt', headers: 'Model: m\r\nToken-Count: 9000,64\r\nPrompt-Prefix: aa:8000,bb:1000\r\n',
 			}));
-			statuses.push(status!);
+			statuses.push(status);
 		}
 	}
 
--- a/test/claims/placement-claimer.test.ts
+++ b/test/claims/placement-claimer.test.ts
@@ -122,7 +122,7 @@
 		const findPlacement = createPlacementFinder({
 			registry: {getReach: () => ({upstreams: 1, reachable: 1}), closedForMs: () => undefined},
 			crashes: {findCause: () => undefined},
-			getRetryBudget: () => ({deposit: () => undefined, tryWithdraw: () => true}) as never,
+			getRetryBudget: () => ({deposit: () => undefined, tryWithdraw: () => true}),
 			getUrgentObjectiveMs: () => undefined,
 			place,
 			claimPlace,
--- a/test/decide/claims/ledger.test.ts
+++ b/test/decide/claims/ledger.test.ts
@@ -128,18 +128,24 @@
 			let now = 0;
 			for (const {kind, host, number, tokens, priority, upstreamId, afterMs} of messages) {
 				now += afterMs;
-				if (kind === 'claim') {
-					ledger.claim(host, number, toClaim(tokens, priority, upstreamId), now);
-				} else if (kind === 'answered') {
-					ledger.recordAnswered(host, number);
-				} else if (kind === 'end') {
-					ledger.end(host, number);
-				} else if (kind === 'endBelow') {
-					ledger.endBelow(host, number);
-				} else {
-					ledger.review(other => other === 'c', now);
-				}
-
+				const record: Readonly<Record<typeof kind, () => void>> = {
+					claim() {
+						ledger.claim(host, number, toClaim(tokens, priority, upstreamId), now);
+					},
+					answered() {
+						ledger.recordAnswered(host, number);
+					},
+					end() {
+						ledger.end(host, number);
+					},
+					endBelow() {
+						ledger.endBelow(host, number);
+					},
+					review() {
+						ledger.review(other => other === 'c', now);
+					},
+				};
+				record[kind]();
 				const quotes = ['u', 'v'].map(id => readQuote(ledger, now, 9, id));
 				for (const quote of quotes) {
 					expect(Math.min(quote.inFlight, quote.aheadTokens, quote.heldTokens)).toBeGreaterThanOrEqual(0);
--- a/test/support/replay-claims.ts
+++ b/test/support/replay-claims.ts
@@ -63,8 +63,12 @@
 /** Number of contexts of which an upstream keeps the KV cache. */
 const keptContexts = 6;
 const kinds = [
-	{perS: 200, sharedTokens: 9000, ownTokens: 3000, priority: 1},
-	{perS: 560, sharedTokens: 0, ownTokens: 1500, priority: 0},
+	{
+		perS: 200, sharedTokens: 9000, ownTokens: 3000, priority: 1,
+	},
+	{
+		perS: 560, sharedTokens: 0, ownTokens: 1500, priority: 0,
+	},
 ] as const;
 const parameters = {
 	prefillTokensPerMs: tokensPerMs, baseMs: 20, perRequestMs: 3, crossDomainMs: 3, residenceMs: 200,
