--- a/test/claims/placement-claimer.test.ts
+++ b/test/claims/placement-claimer.test.ts
@@ -2,6 +2,7 @@
 import {type HeldClaim} from '../../src/claims/claim-task.js';
 import {createPlacementClaimer} from '../../src/claims/create-placement-claimer.js';
 import {type LoadQuote} from '../../src/decide/claims/load-quote.js';
+import {type UpstreamView} from '../../src/decide/forwarding/upstream-view.js';
 import {type AdmittedRequest} from '../../src/forwarding/admitted-request.js';
 import {createPlacementFinder} from '../../src/forwarding/create-placement-finder.js';
 import {type ForwardingProgress} from '../../src/forwarding/forwarding-progress.js';
@@ -20,6 +21,8 @@
 function createCase(upstreams: ReadonlyArray<readonly [id: string, reportedMs: number, quotedMs?: number | undefined]>, {unseenMs = 100} = {}) {
 	const events: string[] = [];
 	const outcomes: string[] = [];
+	/** Waiting tokens that the choice took from quotes; -1 without one. */
+	const known: number[] = [];
 	const hold = (id: string): HeldClaim => ({
 		recordAnswered() {
 			events.push(`answered ${id}`);
@@ -42,6 +45,10 @@
 	const place = (_admitted: AdmittedRequest, _progress: unknown, claims?: PlacementClaims): Placement | undefined => {
 		const isClaimable = claims?.isUsed(unseenMs) ?? false;
 		events.push(isClaimable ? 'place for claims' : 'place by reports');
+		for (const [id] of isClaimable ? upstreams : []) {
+			known.push(claims!.applyQuotes({upstream: {id}, waitingTokens: -1} as UpstreamView, 1).waitingTokens);
+		}
+
 		return upstreams.length > 0 ? toPlacement(0, upstreams[0]![1], isClaimable, false) : undefined;
 	};
 
@@ -64,7 +71,7 @@
 		now: () => 0,
 	});
 	return {
-		claimPlace, place, events, outcomes,
+		claimPlace, place, events, outcomes, known,
 	};
 }
 
@@ -90,6 +97,14 @@
 		expect(events.slice(-2)).toEqual([`answered ${chosen}`, `end ${chosen}`]);
 	});
 
+	/** Guards against each request of a host asking first where earlier ones have found a queue. */
+	test('takes the quotes of earlier requests into account', async () => {
+		const {claimPlace, known} = createCase([['a', 50, 500], ['b', 70, 80], ['c', 90, 0]]);
+		await claimPlace(admitted, createProgress());
+		await claimPlace(admitted, createProgress());
+		expect(known).toEqual([-1, -1, -1, 500, 80, -1]);
+	});
+
 	test('is placed by reports where the first owner does not answer, and counts in the ledger', async () => {
 		const {claimPlace, events, outcomes} = createCase([['a', 50], ['b', 70, 0]]);
 		const {placement, endClaim} = await claimPlace(admitted, createProgress());
