--- a/src/forwarding/create-request-placer.ts
+++ b/src/forwarding/create-request-placer.ts
@@ -1,7 +1,12 @@
 import {avoidColdUpstreams} from '../decide/cold/avoid-cold-upstreams.js';
+import {applyQuote} from '../decide/claims/apply-quote.js';
+import {type LoadQuote} from '../decide/claims/load-quote.js';
 import {chooseUpstream} from '../decide/forwarding/choose-upstream.js';
+import {computeRankMs} from '../decide/forwarding/compute-rank-ms.js';
+import {rankCandidates} from '../decide/forwarding/rank-candidates.js';
 import {createUnreportedWorkEstimator} from '../decide/forwarding/create-unreported-work-estimator.js';
 import {chooseWithinPace} from '../decide/pace/choose-within-pace.js';
+import {preferWithRoom} from '../decide/pace/prefer-with-room.js';
 import {predictFirstByte} from '../decide/forwarding/predict-first-byte.js';
 import {type UpstreamCandidate} from '../decide/forwarding/upstream-candidate.js';
 import {type LatencyParameters} from '../decide/forwarding/latency-parameters.js';
@@ -19,6 +24,7 @@
 import {type KvReusePlan} from './kv-reuse-plan.js';
 import {type KvReusePlanner} from './kv-reuse-planner.js';
 import {type Placement} from './placement.js';
+import {type PlacementClaims} from './placement-claims.js';
 import {type Prompt} from './prompt.js';
 import {type Service} from './service.js';
 import {type Upstream} from './upstream.js';
@@ -96,7 +102,11 @@
 		return ({weights}: Upstream): number | undefined => staleOf(String(prompt ? weights.get(prompt.model) ?? 0 : 0)).forMs;
 	};
 
-	return (admitted: AdmittedRequest, {service, triedUpstreams: tried, softwareVersion}: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>): Placement | undefined => {
+	return (
+		admitted: AdmittedRequest,
+		{service, triedUpstreams: tried, softwareVersion}: Pick<ForwardingProgress, 'service' | 'triedUpstreams' | 'softwareVersion'>,
+		claims?: PlacementClaims,
+	): Placement | undefined => {
 		const {request: {prompt}, route, workspace} = admitted;
 		const priority = Math.min(lowestPriority, Math.max(highestPriority, workspace?.priority ?? route.priority));
 		const engine = serviceOf(service)?.engine;
@@ -104,7 +114,10 @@
 		const available = registry.listAvailable(service, now(), priority)
 			.filter(view => view.isReachable && view.closedForMs === 0 && (softwareVersion === undefined || view.upstream.softwareVersion === softwareVersion));
 		const untried = available.filter(view => !tried.has(view.upstream.id));
-		const views = untried.length > 0 ? untried : available;
+		const reported = untried.length > 0 ? untried : available;
+		const unseenMs = estimateUnreportedMs(service, reported.length);
+		const isClaimed = prompt !== undefined && claims?.isUsed(unseenMs) === true;
+		const views = isClaimed ? reported.map(view => claims.applyQuotes(view, priority)) : reported;
 		const sharedPart = findSharedPart(prompt);
 		// All hosts compute the same owner, so requests that share the part go to the same upstream. One with a limit can't take them.
 		const ownerCandidates = views.filter(view => view.requestsPerS === undefined && !view.isCold);
@@ -115,15 +128,18 @@
 		const staleForMsOf = createStaleness(admitted);
 		const predict = (view: UpstreamView, promptReadyMs: number): number => predictFirstByte(view, {promptReadyMs, heldTokens, kvCapacityTokens: engine?.memoryTokens}, parameters, domain);
 
+		const computePromptReadyMs = (id: string): number => {
+			const readMs = plans.get(id)?.parts.reduce((sum, part) => sum + part.readyMs, 0) ?? 0;
+			return id === sharedPartOwner ? readMs * ownerReadFactor : readMs;
+		};
+
 		const predictWithKvCache = (candidate: UpstreamCandidate): UpstreamCandidate => {
 			const {id} = candidate.view.upstream;
 			const plan = reusePlans!.at(candidate.view.upstream);
 			plans.set(id, plan);
-			const readMs = plan.parts.reduce((sum, part) => sum + part.readyMs, 0);
-			return {...candidate, firstByteMs: predict(candidate.view, id === sharedPartOwner ? readMs * ownerReadFactor : readMs)};
+			return {...candidate, firstByteMs: predict(candidate.view, computePromptReadyMs(id))};
 		};
 
-		const unseenMs = estimateUnreportedMs(service, views.length);
 		const candidates = views.flatMap((view): readonly UpstreamCandidate[] => {
 			const firstByteMs = predict(view, 0);
 			const staleWeightsPenaltyMs = computeStaleWeightsPenalty({
@@ -138,35 +154,59 @@
 		}
 
 		const isLikelyToHold = ({view: {upstream}}: UpstreamCandidate): boolean => upstream.id === sharedPartOwner || reusePlans!.isLikelyCachedAt(upstream);
+		const choice = {random, unseenMs, context: reusePlans && {mayHold: isLikelyToHold, predictWithKvCache}};
+
+		const toPlacement = ({view, firstByteMs}: UpstreamCandidate, claimable?: Placement['claimable']): Placement => {
+			const plan = plans.get(view.upstream.id);
+			return {
+				upstream: view.upstream,
+				missingTokens: plan?.missingTokens ?? 0,
+				fetchedTokens: plan?.fetchedTokens ?? 0,
+				heldTokens,
+				priority,
+				firstByteMs,
+				unseenMs,
+				isQueueing: view.isQueueing,
+				inFlight: view.inFlight,
+				inFlightLimit: view.pace?.limit,
+				isHome: view.upstream.id === sharedPartOwner,
+				weights: prompt && {version: view.upstream.weights.get(prompt.model) ?? 0, staleForMs: staleForMsOf(view.upstream)},
+				options: toOptions(admitted, view, priority, plan),
+				claimable,
+				recordSent() {
+					estimatorOf(service).record(computeAddedMs(view, plan, parameters), now());
+					plan?.recordSent();
+				},
+			};
+		};
+
+		/** Returns the placement at the best of ranked candidates, from which the others can be claimed in turn. */
+		const toClaimable = ([candidate, ...rest]: readonly UpstreamCandidate[]): Placement | undefined => {
+			if (!candidate) {
+				return undefined;
+			}
+
+			const describe = (ranked: UpstreamCandidate): Placement['claimable'] => ({
+				rankMs: computeRankMs(ranked), waitMs: ranked.view.waitingTokens / parameters.prefillTokensPerMs, predictWithQuote, next: () => toClaimable(rest),
+			});
+			const predictWithQuote = (quote: LoadQuote): Placement => {
+				const view = applyQuote(candidate.view, quote);
+				const quoted = {...candidate, view, firstByteMs: predict(view, computePromptReadyMs(view.upstream.id))};
+				return toPlacement(quoted, describe(quoted));
+			};
+
+			return toPlacement(candidate, describe(candidate));
+		};
+
+		if (isClaimed) {
+			return toClaimable(rankCandidates(preferWithRoom(avoidColdUpstreams(candidates, route.objectiveMs)), {...choice, isClaimed: true}));
+		}
+
 		const best = chooseWithinPace(avoidColdUpstreams(candidates, route.objectiveMs), {
-			choose: among => chooseUpstream(among, {random, unseenMs, context: reusePlans && {mayHold: isLikelyToHold, predictWithKvCache}}),
+			choose: among => chooseUpstream(among, choice),
 			isLate: ({firstByteMs}) => firstByteMs + now() - admitted.receivedAt > route.objectiveMs,
 			tryTake: ({upstream, inFlight}, limit) => paces?.tryTake(upstream.id, {limit, inFlight}) ?? true,
 		});
-		if (!best) {
-			return undefined;
-		}
-
-		const {view, firstByteMs} = best;
-		const plan = plans.get(view.upstream.id);
-		return {
-			upstream: view.upstream,
-			missingTokens: plan?.missingTokens ?? 0,
-			fetchedTokens: plan?.fetchedTokens ?? 0,
-			heldTokens,
-			priority,
-			firstByteMs,
-			unseenMs,
-			isQueueing: view.isQueueing,
-			inFlight: view.inFlight,
-			inFlightLimit: view.pace?.limit,
-			isHome: view.upstream.id === sharedPartOwner,
-			weights: prompt && {version: view.upstream.weights.get(prompt.model) ?? 0, staleForMs: staleForMsOf(view.upstream)},
-			options: toOptions(admitted, view, priority, plan),
-			recordSent() {
-				estimatorOf(service).record(computeAddedMs(view, plan, parameters), now());
-				plan?.recordSent();
-			},
-		};
+		return best && toPlacement(best);
 	};
 }
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -2,6 +2,7 @@
 import {respectRest} from './announcements/respect-rest.js';
 import {createColdPermitTask} from './announcements/create-cold-permit-task.js';
 import {createPermitTask} from './announcements/create-permit-task.js';
+import {createClaims} from './claims/create-claims.js';
 import {createStatementLearner} from './announcements/create-statement-learner.js';
 import {createRoomTask} from './announcements/create-room-task.js';
 import {createGatewayPaces} from './pace/create-gateway-paces.js';
@@ -184,6 +185,15 @@
 		onStreams(groups) {
 			streams.receive(groups);
 		},
+		onClaims: meter('taking in claims', message => {
+			claims.receive(message);
+		}),
+	});
+	const claims = createClaims({
+		settings, reportExchange, now,
+		onOutcome(outcome) {
+			metrics.claimsTotal.inc({outcome});
+		},
 	});
 	const toNames = memoizeLast((peers: readonly KnownHost[]) => peers.map(peer => peer.host));
 	const listOtherNames = (): readonly string[] => toNames(reportExchange.alive());
@@ -402,6 +412,17 @@
 		domain, alive: reportExchange.alive, openPool: address => adapter.openConnectionPool(address, () => undefined), now, random,
 	});
 	const keptBytes = createByteBudget(responseLimits.keptBytes, responseLimits.freeBytes);
+	const place = meter('placement', createRequestPlacer({
+		domain, registry, serviceOf: storedState.findService, getLatencyModel,
+		getStaleForMs: (model, version) => areWeightsListed() ? weightAges.getStaleForMs(model, version) : Number.POSITIVE_INFINITY,
+		versionMs: () => liveSettings.bounds.versionMs, now, random,
+		others,
+		paces,
+		planKvReuse: createKvReusePlanner({
+			registry, isEvacuated: evacuations.isEvacuated, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
+			weightsConfirmedAt: stateSync.weightsConfirmedAt, kvSharing: storedState.kvSharing, clocks,
+		}),
+	}));
 	const forward = createForwarder({
 		registry,
 		evacuations,
@@ -409,17 +430,8 @@
 		getRetryBudget,
 		now,
 		random,
-		place: meter('placement', createRequestPlacer({
-			domain, registry, serviceOf: storedState.findService, getLatencyModel,
-			getStaleForMs: (model, version) => areWeightsListed() ? weightAges.getStaleForMs(model, version) : Number.POSITIVE_INFINITY,
-			versionMs: () => liveSettings.bounds.versionMs, now, random,
-			others,
-			paces,
-			planKvReuse: createKvReusePlanner({
-				registry, isEvacuated: evacuations.isEvacuated, kept: kvStoreTracker, findNewerWeights: storedState.findNewerWeights,
-				weightsConfirmedAt: stateSync.weightsConfirmedAt, kvSharing: storedState.kvSharing, clocks,
-			}),
-		})),
+		place,
+		claimPlace: claims.createClaimPlace(place),
 		getLatencyModel,
 		acquirePermit: permits.acquire,
 		acquireRoom: rooms.acquire,
@@ -474,6 +486,7 @@
 		for (const component of [
 			...watchers,
 			reportExchange,
+			claims,
 			stateSync,
 			rolloutTask,
 			weightAgeTask,
