--- a/test/support/create-test-registry.ts
+++ b/test/support/create-test-registry.ts
@@ -12,7 +12,10 @@
 
 /** Creates a registry with one upstream, whose requests `send` takes. */
 export function createTestRegistry(
-	send: UpstreamConnectionPool['send'], now: () => number = () => 0, maxConnectionsFor: (service: string) => number = () => 4, paces?: UpstreamPaces,
+	send: UpstreamConnectionPool['send'],
+	now: () => number = () => 0,
+	maxConnectionsFor: (service: string) => number = () => 4,
+	paces?: UpstreamPaces,
 ): UpstreamRegistry {
 	const links = createUpstreamLinks({
 		ping: async () => true, chargeProbe: () => 0, now, random: () => 0,
