A gateway host bounds what callers take of its memory and descriptors

Cause: a body kept each chunk as an object until its end (a body of 4 MiB in chunks of one byte ended the process), the bytes of all bodies and the open connections had no bound, each byte renewed the time of a body, and buffers outside of the heap stayed until 64 MB of garbage had gathered.

Change: bodies of callers, of relayed requests and of calls between hosts are gathered in blocks that are used again, within one budget that responses share; without room the socket is not read, then the request is refused (503) in 2 s at most. A refusal with part of the body unread is sent and followed by the end of the connection. Connections of all servers are bounded, those not in use are closed first. Young garbage is collected after each 8 MiB of bodies read.

--- a/src/forwarding/create-gateway-caller-server.ts
+++ b/src/forwarding/create-gateway-caller-server.ts
@@ -7,17 +7,20 @@
 import {authorizeRequest} from '../decide/forwarding/authorize-request.js';
 import {mayRepeat} from '../decide/forwarding/may-repeat.js';
 import {Refusal} from '../errors/refusal.js';
+import {createEndingConnections} from '../http/create-ending-connections.js';
+import {limitConnections} from '../http/limit-connections.js';
 import {listen} from '../http/listen.js';
 import {parseAddress} from '../http/parse-address.js';
+import {readRequestBody} from '../http/read-request-body.js';
 import {log} from '../observe/log.js';
 import {sleep} from '../util/sleep.js';
 import {toDelayMs} from '../util/to-delay-ms.js';
 import {type IndexedConfiguration} from '../object-store/indexed-configuration.js';
+import {type CallerLoadLimits} from '../callers/caller-load-limits.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type CallerRequest} from './caller-request.js';
 import {createAttemptTracker} from './create-attempt-tracker.js';
 import {createCallerResponse} from './create-caller-response.js';
-import {readRequestBody} from './read-request-body.js';
 import {type Route} from './route.js';
 import {stoppingRetryAfterMs} from './stopping-retry-after-ms.js';
 
@@ -52,6 +55,8 @@
 	readonly acceptsFrom: (ip: string) => boolean;
 	/** Further requests are refused at once. */
 	readonly maxInFlight: number;
+	readonly maxConnections: number;
+	readonly load: CallerLoadLimits;
 	readonly forward: (admitted: AdmittedRequest) => Promise<void>;
 	readonly now: () => number;
 	readonly onRefusal: (refusal: Refusal) => void;
@@ -91,7 +96,7 @@
 
 /** Starts the server for callers, which checks each request, reads its body and forwards it. */
 export async function createGatewayCallerServer(options: GatewayCallerServerOptions): Promise<GatewayCallerServer> {
-	const {address, state, decode, createRefusalHeaders, isRelay, encodeSpentAttempts, acceptsFrom, maxInFlight, forward, now, onRefusal} = options;
+	const {address, state, decode, createRefusalHeaders, isRelay, encodeSpentAttempts, acceptsFrom, maxInFlight, maxConnections, load, forward, now, onRefusal} = options;
 	let draining: {readonly acceptAllUntil: number; readonly stopAt: number} | undefined;
 	const stopping = new AbortController();
 	// Each request under way listens, and stops listening at its end.
@@ -100,6 +105,7 @@
 	let underWay = 0;
 	const busySockets = new Set<Socket>();
 	const openSockets = new Set<Socket>();
+	const ending = createEndingConnections();
 
 	/** A host of an earlier build, which states no attempts, would pass the headers on to its caller. */
 	const createAttemptHeaders = (request: CallerRequest | undefined, spent: SpentAttempts | undefined): readonly string[] =>
@@ -121,6 +127,8 @@
 		}
 	};
 
+	const createStopRefusal = (): Refusal => new Refusal('not-ready', 'this host shuts down before the body has arrived', 'no', stoppingRetryAfterMs);
+
 	const checkAndForward = async (req: IncomingMessage, res: ServerResponse, request: CallerRequest, receivedAt: number): Promise<void> => {
 		const current = state();
 		if (!current) {
@@ -151,30 +159,37 @@
 				callerGone.abort();
 			}
 		});
-		const body = await readRequestBody(req, limits.bodyBytes, limits.idleTimeoutMs, stopping.signal);
-		// After a blocked event loop, the request and the caller's disconnect are both pending; the disconnect is read in a later iteration.
-		await setImmediate();
-		await setImmediate();
-		if (callerGone.signal.aborted || req.socket.readableEnded) {
-			log.info({requestId: request.id ?? '', route: route.name, afterMs: Math.round(now() - receivedAt)}, 'caller disconnected before its request was forwarded');
-			res.destroy();
-			return;
-		}
-
-		// The stop may have been announced while the body arrived.
-		checkStop(route, endsAt);
-		const attempts = createAttemptTracker(limitAttempts({maxAttempts: route.maxAttempts, isRelayed: isRelay, stated: request.attempts}));
-		await forward({
-			request, route, workspace, body, receivedAt, endsAt, signal: callerGone.signal, stop: {allows: endsBeforeStop, signal: stopping.signal},
-			answer: createCallerResponse(
-				res,
-				refusal => createRefusalHeaders(request, refusal),
-				() => draining !== undefined,
-				() => createAttemptHeaders(request, attempts.spent()),
-			),
-			isRelayed: isRelay,
-			attempts,
+		const body = await readRequestBody(req, {
+			limitBytes: limits.bodyBytes, pauseMs: limits.idleTimeoutMs, minBytesPerS: load.minBodyBytesPerS, budget: load.bodies,
+			owner: workspace?.name ?? req.socket.remoteAddress ?? '', stop: {signal: stopping.signal, createRefusal: createStopRefusal}, onLimit: load.onLimit, now,
 		});
+		try {
+			// After a blocked event loop, the request and the caller's disconnect are both pending; the disconnect is read in a later iteration.
+			await setImmediate();
+			await setImmediate();
+			if (callerGone.signal.aborted || req.socket.readableEnded) {
+				log.info({requestId: request.id ?? '', route: route.name, afterMs: Math.round(now() - receivedAt)}, 'caller disconnected before its request was forwarded');
+				res.destroy();
+				return;
+			}
+
+			// The stop may have been announced while the body arrived.
+			checkStop(route, endsAt);
+			const attempts = createAttemptTracker(limitAttempts({maxAttempts: route.maxAttempts, isRelayed: isRelay, stated: request.attempts}));
+			await forward({
+				request, route, workspace, body: body?.bytes, receivedAt, endsAt, signal: callerGone.signal, stop: {allows: endsBeforeStop, signal: stopping.signal},
+				answer: createCallerResponse(
+					res,
+					refusal => createRefusalHeaders(request, refusal),
+					() => draining !== undefined,
+					() => createAttemptHeaders(request, attempts.spent()),
+				),
+				isRelayed: isRelay,
+				attempts,
+			});
+		} finally {
+			body?.release();
+		}
 	};
 
 	const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
@@ -197,10 +212,15 @@
 			}, 'refused');
 			onRefusal(refusal);
 			// Closes the connection if part of the body is unread, so that it is not parsed as the next request.
+			const isBodyUnread = !req.complete;
+			if (isBodyUnread) {
+				ending.endAfterAnswer(req);
+			}
+
 			createCallerResponse(
 				res,
 				ofRefusal => createRefusalHeaders(request, ofRefusal),
-				() => draining !== undefined || !req.complete,
+				() => draining !== undefined || isBodyUnread,
 				() => createAttemptHeaders(request, request?.attempts?.spent),
 			).refuse(refusal);
 		} finally {
@@ -216,8 +236,19 @@
 		insecureHTTPParser: false,
 		requireHostHeader: true,
 	}, (req, res) => {
+		if (ending.has(req.socket)) {
+			req.socket.destroy();
+			return;
+		}
+
 		void handle(req, res);
 	});
+	limitConnections(server, {
+		maxConnections,
+		isBusy: socket => busySockets.has(socket),
+		freeOne: () => load.bodies.giveUpOne(now()),
+		onLimit: load.onLimit,
+	});
 	server.on('connection', socket => {
 		if (!acceptsFrom(socket.remoteAddress ?? '')) {
 			log.warn({address: socket.remoteAddress ?? '', isRelay}, 'connection from an unknown host closed');
@@ -225,6 +256,7 @@
 			return;
 		}
 
+		server.headersTimeout = state()?.configuration.limits.headerTimeoutMs ?? server.headersTimeout;
 		openSockets.add(socket);
 		socket.once('close', () => openSockets.delete(socket));
 	});
--- a/src/forwarding/open-request-servers.ts
+++ b/src/forwarding/open-request-servers.ts
@@ -1,3 +1,4 @@
+import {type CallerLoadLimits} from '../callers/caller-load-limits.js';
 import {type Refusal} from '../errors/refusal.js';
 import {type IndexedConfiguration} from '../object-store/indexed-configuration.js';
 import {type GatewaySettings} from '../settings/gateway-settings.js';
@@ -17,18 +18,21 @@
 	readonly forward: (admitted: AdmittedRequest) => Promise<void>;
 	/** Returns whether an IP address is that of another host of the system. */
 	readonly isKnownHost: (ip: string) => boolean;
+	readonly load: CallerLoadLimits;
+	readonly connections: {readonly callers: number; readonly relayed: number};
 	readonly now: () => number;
 	readonly onRefusal: (refusal: Refusal) => void;
 };
 
 /** Opens the server for callers, and that for requests that other hosts hand on, over TCP at the address of reports. */
-export async function openRequestServers({settings, adapter, state, forward, isKnownHost, now, onRefusal}: RequestServersOptions) {
+export async function openRequestServers({settings, adapter, state, forward, isKnownHost, load, connections, now, onRefusal}: RequestServersOptions) {
 	const createIdHeaders = (request: CallerRequest | undefined): readonly string[] => request ? adapter.createRequestIdHeaders(request) : [];
 	const shared = {
-		state, decode: adapter.decodeRequest, encodeSpentAttempts: adapter.encodeSpentAttempts, forward, now, onRefusal,
+		state, decode: adapter.decodeRequest, encodeSpentAttempts: adapter.encodeSpentAttempts, forward, load, now, onRefusal,
 	};
 	const callers = await createGatewayCallerServer({
 		...shared, address: settings.callers, createRefusalHeaders: createIdHeaders, isRelay: false, acceptsFrom: () => true, maxInFlight: Number.POSITIVE_INFINITY,
+		maxConnections: connections.callers,
 	});
 	const relayed = await createGatewayCallerServer({
 		...shared,
@@ -37,6 +41,7 @@
 		isRelay: true,
 		acceptsFrom: isKnownHost,
 		maxInFlight: maxRelayedInFlight,
+		maxConnections: connections.relayed,
 	});
 	const both = [callers, relayed] as const;
 	return {
--- a/src/forwarding/open-status-servers.ts
+++ b/src/forwarding/open-status-servers.ts
@@ -17,16 +17,24 @@
 	readonly metrics: ReturnType<typeof createGatewayMetrics>;
 	/** Returns the number of requests in flight. */
 	readonly underWay: () => number;
+	/** Bound on the connections of each server. */
+	readonly maxConnections: number;
 	/** Called before the metrics are read. */
 	readonly recordGauges: () => void;
 };
 
 /** Opens the servers for the balancer's readiness check and for metrics. */
 export async function openStatusServers(options: StatusServersOptions): Promise<{readonly stop: () => void}> {
-	const {readiness, readinessPath, isReady, callers, metricsPort, metrics, underWay, recordGauges} = options;
+	const {readiness, readinessPath, isReady, callers, metricsPort, metrics, underWay, maxConnections, recordGauges} = options;
+	const limits = {
+		maxConnections,
+		onLimit(reason: string) {
+			metrics.callerLimitsTotal.inc({reason});
+		},
+	};
 	const readinessServer = await createStatusServer(readiness, [
 		{path: readinessPath, answer: () => ({status: isReady() ? 200 : 503, text: ''})},
-	]);
+	], limits);
 	const {host} = parseAddress(callers);
 	const metricsServer = await createStatusServer(`${host}:${metricsPort}`, [{
 		path: '/metrics',
@@ -37,7 +45,7 @@
 			metrics.cpuSeconds.inc({job: 'all'}, readCpuUs() / usPerS);
 			return {status: 200, text: await metrics.registry.metrics()};
 		},
-	}]);
+	}], limits);
 	return {
 		stop() {
 			readinessServer.stop();
--- a/src/forwarding/response-limits.ts
+++ b/src/forwarding/response-limits.ts
@@ -8,8 +8,6 @@
 	eventBytes: bytesPerMiB,
 	/** Body of a failure, which is kept until the request is known not to be sent again. */
 	failureBytes: bytesPerMiB,
-	/** What all responses together may keep: bodies of failures, unfinished events, bytes that callers have not read. */
-	keptBytes: 32 * bytesPerMiB,
 	/** What one response may keep besides; more than a caller leaves unread whose upstream is paused. */
 	freeBytes: 96 * 1024,
 	/** Rest of a response that is read only to keep its connection. */
--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -24,6 +24,15 @@
 	metricsPort: z.int().min(0).max(65_535),
 	/** Address of the platform's object store. */
 	objectStore: addressSchema,
+	/** Limits of the machine, and what callers may take of it. */
+	limits: z.strictObject({
+		/** Memory for this process; by default 5/3 of the limit of its heap. */
+		memoryMb: z.number().positive().nullish().transform(value => value ?? undefined),
+		/** File descriptors for this process; by default what the system allows. */
+		maxFds: z.number().positive().nullish().transform(value => value ?? undefined),
+		/** Least rate of a request's body over its whole time, once the configured idle timeout has passed. */
+		minBodyBytesPerS: numberOrDefault(8192),
+	}).prefault({}),
 	/** Limits and times that the deployment requires. */
 	bounds: z.strictObject({
 		retryRatio: numberOrDefault(0.2),
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -3,6 +3,7 @@
 import {createPermitTask} from './announcements/create-permit-task.js';
 import {createStatementLearner} from './announcements/create-statement-learner.js';
 import {createRoomTask} from './announcements/create-room-task.js';
+import {createCallerLimits} from './callers/create-caller-limits.js';
 import {createServiceLatencyModel} from './decide/forwarding/create-service-latency-model.js';
 import {createSlidingWindowRetryBudget} from './decide/retries/create-sliding-window-retry-budget.js';
 import {listRecentWeightAges} from './decide/weights/list-recent-weight-ages.js';
@@ -57,7 +58,6 @@
 import {createStreamArchive} from './streams/create-stream-archive.js';
 import {createStreamVersions} from './streams/create-stream-versions.js';
 import {createVersionKnowledge} from './streams/create-version-knowledge.js';
-import {createByteBudget} from './util/create-byte-budget.js';
 import {createStandstillDetector} from './util/create-standstill-detector.js';
 import {createClocks} from './util/create-clocks.js';
 import {memoizeLast} from './util/memoize-last.js';
@@ -367,7 +367,18 @@
 	const relay = createRelayClient({
 		domain, alive: reportExchange.alive, openPool: address => adapter.openConnectionPool(address, () => undefined), now, random,
 	});
-	const keptBytes = createByteBudget(responseLimits.keptBytes, responseLimits.freeBytes);
+	const callerLimits = createCallerLimits({
+		stated: settings.limits,
+		freeResponseBytes: responseLimits.freeBytes,
+		onLimit(reason) {
+			metrics.callerLimitsTotal.inc({reason});
+		},
+		recordPeaks({heldBytes, descriptors}) {
+			metrics.peakHeldBytes.set(heldBytes);
+			metrics.peakDescriptors.set(descriptors);
+		},
+	});
+	const {keptBytes} = callerLimits;
 	const forward = createForwarder({
 		registry,
 		crashes,
@@ -405,7 +416,7 @@
 
 	const peerServer = await createPeerServer(settings.peers, undefined, createGatewayMethods({
 		stateSync, ownLease, currentEpoch: epochs.current, listStatements: () => registry.listStatements(now()), listWeightAges: weightAges.list, rooms, permits, upstreamChecks, streams, kvStoreTracker,
-	}), () => false);
+	}), () => false, {load: callerLimits.load, maxConnections: callerLimits.connections.peers});
 	await reportExchange.start();
 	const {callers, relayed, requests} = await openRequestServers({
 		settings,
@@ -413,6 +424,8 @@
 		state: storedState.state,
 		forward,
 		isKnownHost: ip => reportExchange.listOthers().some(({peers}) => parseAddress(peers).host === ip),
+		load: callerLimits.load,
+		connections: callerLimits.connections,
 		now,
 		onRefusal(refusal) {
 			metrics.refusalsTotal.inc({kind: refusal.kind});
@@ -421,7 +434,7 @@
 	const isReady = (): boolean => !isDraining && storedState.state() !== undefined && registry.listAll().length > 0 && statementLearner.hasLearned() && weightAgeTask.hasLearned();
 	const statusServers = await openStatusServers({
 		readiness: settings.readiness, readinessPath: adapter.readinessPath, isReady,
-		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay,
+		callers: settings.callers, metricsPort: settings.metricsPort, metrics, underWay: callers.underWay, maxConnections: callerLimits.connections.status,
 		recordGauges() {
 			recordWeightsMetrics(metrics, {
 				weights: storedState.weights(), upstreams: registry.listAll(), getAgeMs: ({model, version}) => weightAges.getStaleForMs(model, version - 1) ?? 0,
@@ -445,6 +458,7 @@
 			relay,
 			links,
 			statusServers,
+			callerLimits,
 		]) {
 			component.stop();
 		}
--- a/src/util/byte-budget.ts
+++ b/src/util/byte-budget.ts
@@ -13,4 +13,6 @@
 /** A budget of memory for bytes that are kept for many requests at once. */
 export type ByteBudget = {
 	readonly open: () => ByteAccount;
+	/** Returns what all holders together keep beyond what is not counted. */
+	readonly totalBytes: () => number;
 };
--- a/src/util/create-byte-budget.ts
+++ b/src/util/create-byte-budget.ts
@@ -5,9 +5,10 @@
 
 @param limitBytes - What all holders together may keep beyond that.
 */
-export function createByteBudget(limitBytes: number, freeBytes: number): ByteBudget {
+export function createByteBudget(limitBytes: () => number, freeBytes: number): ByteBudget {
 	let totalBytes = 0;
 	return {
+		totalBytes: () => totalBytes,
 		open() {
 			let ownBytes = 0;
 			const resize = (bytes: number): void => {
@@ -18,7 +19,7 @@
 			return {
 				keep(bytes) {
 					const counted = Math.max(0, bytes - freeBytes);
-					if (counted > ownBytes && totalBytes + counted - ownBytes > limitBytes) {
+					if (counted > ownBytes && totalBytes + counted - ownBytes > limitBytes()) {
 						return false;
 					}
 
