The own wire bounds what callers take of a host

Cause: bodies kept each chunk as an object, the bytes of all bodies together had no bound, and at the bound on connections new ones were refused while others sent nothing.

Change: completions, plain requests and calls between hosts use the budget of bodies; at settings.limits.connections the connections not in use are closed first; after a refusal with part of the body unread, the answer and the end of the connection are sent, and what follows on it is not run.

--- a/src/callers/create-caller-server.ts
+++ b/src/callers/create-caller-server.ts
@@ -5,10 +5,12 @@
 import {errorStatuses} from '../errors/error-statuses.js';
 import {createRefusalBody} from '../errors/refusal-body.js';
 import {Refusal} from '../errors/refusal.js';
-import {BodyTooLargeError} from '../http/body-too-large-error.js';
+import {createEndingConnections} from '../http/create-ending-connections.js';
+import {limitConnections} from '../http/limit-connections.js';
 import {listen} from '../http/listen.js';
 import {parseAddress} from '../http/parse-address.js';
-import {readBody} from '../http/read-body.js';
+import {readRequestBody} from '../http/read-request-body.js';
+import {type ReceivedBody} from '../http/received-body.js';
 import {sendJson} from '../http/send-json.js';
 import {type DecisionLog} from '../observe/decision-log.js';
 import {log} from '../observe/log.js';
@@ -16,6 +18,7 @@
 import {type ConfigSnapshot} from '../publishing/config-snapshot.js';
 import {type HostSettings} from '../settings/host-settings.js';
 import {sleep} from '../util/sleep.js';
+import {type CallerLoadLimits} from './caller-load-limits.js';
 import {type createCompletionHandler} from './create-completion-handler.js';
 import {type createPlainHandler} from './create-plain-handler.js';
 import {findWorkspaces} from './find-workspaces.js';
@@ -33,6 +36,7 @@
 	readonly handlePlain: ReturnType<typeof createPlainHandler>;
 	readonly decisions: DecisionLog;
 	readonly metrics: Metrics;
+	readonly load: CallerLoadLimits;
 };
 
 /** The HTTP server for callers. */
@@ -61,17 +65,13 @@
 		return error;
 	}
 
-	if (error instanceof BodyTooLargeError) {
-		return new Refusal('too-large', error.message, 'no');
-	}
-
 	log.error({error: String((error as Error).stack)}, 'request failed');
 	return new Refusal('internal', 'internal error', 'unknown');
 }
 
 function sendRefusal(res: ServerResponse, refusal: Refusal): void {
 	const {status, comeBack} = errorStatuses[refusal.kind];
-	const closesConnection = refusal.kind === 'too-large' || refusal.kind === 'slow-caller';
+	const closesConnection = !res.req.complete || refusal.kind === 'too-large' || refusal.kind === 'slow-caller';
 	sendJson(res, status, createRefusalBody(refusal), {
 		...(comeBack && refusal.retryAfterMs !== undefined ? {'retry-after': String(Math.ceil(refusal.retryAfterMs / 1000))} : {}),
 		...(closesConnection ? {connection: 'close'} : {}),
@@ -80,25 +80,18 @@
 
 /** Starts the HTTP server for callers. */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
-	const {settings, snapshot, handleCompletion, handlePlain, decisions, metrics} = options;
+	const {settings, snapshot, handleCompletion, handlePlain, decisions, metrics, load} = options;
+	const ending = createEndingConnections();
+	const busySockets = new Set<Socket>();
 	const {limits} = settings;
 	let underWay = 0;
 	let isDraining = false;
 
 	/** Reads the body within the limits on its size and time. */
-	const readText = async (req: IncomingMessage): Promise<string> => {
-		if (Number(req.headers['content-length'] ?? 0) > limits.bodyBytes) {
-			throw new BodyTooLargeError(limits.bodyBytes);
-		}
-
-		const bodyTimeout = sleep(limits.bodyMs).then(() => {
-			throw new Refusal('slow-caller', `the body did not arrive within ${limits.bodyMs} ms`, 'no');
-		});
-		bodyTimeout.catch(() => undefined);
-		const bodyText = readBody(req, limits.bodyBytes);
-		bodyText.catch(() => undefined);
-		return Promise.race([bodyText, bodyTimeout]);
-	};
+	const read = async (req: IncomingMessage, owner: string): Promise<ReceivedBody | undefined> => readRequestBody(req, {
+		limitBytes: limits.bodyBytes, pauseMs: limits.bodyMs, maxMs: limits.bodyMs, minBytesPerS: load.minBodyBytesPerS, budget: load.bodies, owner,
+		onLimit: load.onLimit, now: () => performance.now(),
+	});
 
 	/** Checks the bearer key, reads the body and calls the handler. */
 	const authenticateAndHandle = async (req: IncomingMessage, res: ServerResponse, requestId: string, handle: Handler): Promise<void> => {
@@ -117,10 +110,15 @@
 		res.on('close', () => {
 			callerGone.abort();
 		});
-		const text = await readText(req);
-		await handle(req, res, {
-			requestId, snapshot: currentSnapshot, workspaces, text, receivedAt, signal: callerGone.signal,
-		});
+		const [workspace] = workspaces.values();
+		const body = await read(req, workspace?.name ?? req.socket.remoteAddress ?? '');
+		try {
+			await handle(req, res, {
+				requestId, snapshot: currentSnapshot, workspaces, text: body?.bytes.toString('utf8') ?? '', receivedAt, signal: callerGone.signal,
+			});
+		} finally {
+			body?.release();
+		}
 	};
 
 	/** Wraps a handler: sets the request id, counts the request while it runs, and responds to errors with a refusal. */
@@ -132,6 +130,7 @@
 			res.setHeader('connection', 'close');
 		}
 
+		busySockets.add(req.socket);
 		underWay++;
 		metrics.underWay.set(underWay);
 		try {
@@ -140,8 +139,13 @@
 			const refusal = toRefusal(error);
 			metrics.refusals.inc({kind: refusal.kind});
 			decisions.record({requestId, what: 'refuse', reason: `${refusal.kind} (ran: ${refusal.ran}): ${refusal.message}`});
+			if (!req.complete) {
+				ending.endAfterAnswer(req);
+			}
+
 			sendRefusal(res, refusal);
 		} finally {
+			busySockets.delete(req.socket);
 			underWay--;
 			metrics.underWay.set(underWay);
 		}
@@ -164,7 +168,12 @@
 		requestTimeout: 2 * limits.bodyMs,
 		connectionsCheckingInterval: 1000,
 	});
-	server.maxConnections = limits.connections;
+	limitConnections(server, {
+		maxConnections: limits.connections,
+		isBusy: socket => busySockets.has(socket),
+		freeOne: () => load.bodies.giveUpOne(performance.now()),
+		onLimit: load.onLimit,
+	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 		if (socket.writable) {
 			const kind = error.code === 'HPE_HEADER_OVERFLOW' ? 'too-large' : 'bad-request';
@@ -188,6 +197,11 @@
 
 	app.all('/services/*', wrapHandler(handlePlain) as never);
 	server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+		if (ending.has(req.socket)) {
+			req.socket.destroy();
+			return;
+		}
+
 		try {
 			app.handler(req as never, res);
 		} catch {
--- a/src/observe/create-metrics.ts
+++ b/src/observe/create-metrics.ts
@@ -37,6 +37,11 @@
 		peerBytes: new Counter({
 			name: 'hemlockpier_peer_bytes_total', help: 'Bytes of calls to peers by method', labelNames: ['method'], registers,
 		}),
+		callerLimits: new Counter({
+			name: 'hemlockpier_caller_limits_total', help: 'Requests refused and connections closed because of a limit on what callers take of the host, by reason', labelNames: ['reason'], registers,
+		}),
+		peakHeldBytes: new Gauge({name: 'hemlockpier_peak_held_bytes', help: 'Most bytes that bodies of requests have held at once', registers}),
+		peakDescriptors: new Gauge({name: 'hemlockpier_peak_descriptors', help: 'Most file descriptors that were open, of samples', registers}),
 		underWay: new Gauge({name: 'hemlockpier_requests_under_way', help: 'Requests under way', registers}),
 	};
 }
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -21,6 +21,10 @@
 	readonly peerCalls: Counter<'method'>;
 	/** Bytes of calls to peers by method. */
 	readonly peerBytes: Counter<'method'>;
+	/** Requests refused and connections closed because of a limit on what callers take of the host, by reason. */
+	readonly callerLimits: Counter<'reason'>;
+	readonly peakHeldBytes: Gauge;
+	readonly peakDescriptors: Gauge;
 	/** Requests in flight. */
 	readonly underWay: Gauge;
 };
--- a/src/start-host.ts
+++ b/src/start-host.ts
@@ -22,6 +22,7 @@
 import {isMarkedLeaving} from './membership/is-marked-leaving.js';
 import {createOwnerResolver} from './membership/create-owner-resolver.js';
 import {createDecisionLog} from './observe/create-decision-log.js';
+import {createHostCallerLimits} from './callers/create-host-caller-limits.js';
 import {createMetrics} from './observe/create-metrics.js';
 import {createTraceRecorder} from './observe/create-trace-recorder.js';
 import {type Decision} from './observe/decision.js';
@@ -231,9 +232,10 @@
 		...poison.handlers,
 		explain: async ({requestId}) => ({decisions: decisions.listByRequest(requestId)}),
 	};
-	const peers = await createPeerServer(settings.peers, credentials, handlers, () => faults.cutPeers === 'all');
+	const callerLimits = createHostCallerLimits(metrics);
+	const peers = await createPeerServer(settings.peers, credentials, handlers, () => faults.cutPeers === 'all', {load: callerLimits.load, maxConnections: callerLimits.connections.peers});
 	const callers = await createCallerServer({
-		settings, snapshot, decisions, metrics,
+		settings, snapshot, decisions, metrics, load: callerLimits.load,
 		handleCompletion: createCompletionHandler(runCompletion),
 		handlePlain: createPlainHandler(runRetrying, runAtMostOnce),
 	});
@@ -243,6 +245,7 @@
 		await Promise.all([membership.stop(), config.stop(), engineOwner.stop(), slotRequester.stop(), pieceIndex.stop(), domainController.stop()]);
 		await Promise.all([callers.stop(), operators.stop(), peers.stop()]);
 		await peerClient.stop();
+		callerLimits.stop();
 	};
 
 	const drain = async (): Promise<void> => {
