Heads that do not end are bounded from the first connection on; crowds at the other addresses

Cause: the times and sizes of heads were taken from the configuration only once a request had arrived, and the parser kept up to 64 KiB of each head.

Change: they are set for each connection, and the parser keeps up to twice the configured limit.

--- a/src/forwarding/create-gateway-caller-server.ts
+++ b/src/forwarding/create-gateway-caller-server.ts
@@ -29,6 +29,8 @@
 const stopAnswerMs = 300;
 /** Size limit of a request head in the HTTP parser; the configured limit is checked after parsing. */
 const maxParserHeaderBytes = 64 * 1024;
+/** The parser keeps up to this multiple of the configured limit; a crowd of heads that do not end would take 64 KiB each. */
+const parserHeaderFactor = 2;
 /** Separator and line end of one header: `: ` and CRLF. */
 const headerOverheadBytes = 4;
 const headerName = /^(?:[\w!#$%'*+\-.^`\|~]|&)+$/v;
@@ -249,6 +251,15 @@
 		freeOne: () => load.bodies.giveUpOne(now()),
 		onLimit: load.onLimit,
 	});
+	/** Heads that do not end are bounded from the first connections on, not only once a whole request has arrived. */
+	const limitHeads = (): void => {
+		const limits = state()?.configuration.limits;
+		if (limits) {
+			server.headersTimeout = limits.headerTimeoutMs;
+			(server as {maxHeaderSize?: number}).maxHeaderSize = Math.min(maxParserHeaderBytes, parserHeaderFactor * (limits.headerBytes + relayHeaderBytes));
+		}
+	};
+
 	server.on('connection', socket => {
 		if (!acceptsFrom(socket.remoteAddress ?? '')) {
 			log.warn({address: socket.remoteAddress ?? '', isRelay}, 'connection from an unknown host closed');
@@ -256,7 +267,7 @@
 			return;
 		}
 
-		server.headersTimeout = state()?.configuration.limits.headerTimeoutMs ?? server.headersTimeout;
+		limitHeads();
 		openSockets.add(socket);
 		socket.once('close', () => openSockets.delete(socket));
 	});
