--- a/test/links/upstream-links.test.ts
+++ b/test/links/upstream-links.test.ts
@@ -77,3 +77,25 @@
 		expect(charged).toBe(probes);
 	});
 });
+
+// Guards against a link that counts as lost, or as back, after a probe that a cold upstream had no permit for.
+describe('a probe that may not be sent now', () => {
+	test.each([
+		['a link that is lost', true, false],
+		['a link that is in use', false, true],
+	])('changes nothing: %s', async (_name, isLost, expected) => {
+		let time = 0;
+		const links = createUpstreamLinks({
+			ping: async () => undefined, chargeProbe: () => 0, now: () => time, random: () => 0.5,
+		});
+		links.add(createUpstream('i-0'), () => undefined);
+		if (isLost) {
+			links.recordConnectFailure('i-0', 'refused');
+		}
+
+		time = 5000;
+		expect(await links.verify('i-0')).toBe(expected);
+		links.stop();
+		expect(links.isReachable('i-0', false)).toBe(expected);
+	});
+});
