Tests of claims: fixed host names, order of the event loop, settings

Change: names are fixed and checked; the fake network runs timers, messages and deferred functions in the order of the event loop.

--- a/test/claims/claim-task.test.ts
+++ b/test/claims/claim-task.test.ts
@@ -151,6 +151,14 @@
 		await network.run(300);
 		expect(await readLedger(network, 'b', upstream)).toEqual(nothing);
 		expect(await claimFrom(network, 'a', upstream)).toMatchObject({kind: 'quoted', quote: nothing});
+
+		// The next time, the pause is no longer than the first one.
+		fail(network);
+		expect(await claimFrom(network, 'a', upstream)).toMatchObject({kind: 'no-answer'});
+		network.frozen.clear();
+		network.setFate(() => [1]);
+		await network.run(200);
+		expect(await claimFrom(network, 'a', upstream)).toMatchObject({kind: 'quoted'});
 	});
 
 	test('claims and answers that arrive twice change nothing', async () => {
--- a/test/claims/claims-between-hosts.test.ts
+++ b/test/claims/claims-between-hosts.test.ts
@@ -1,6 +1,7 @@
 import {
 	afterEach, beforeEach, describe, expect, test,
 } from 'vitest';
+import {findOwner} from '../../src/decide/membership/find-owner.js';
 import {createObjectStoreServer, type ObjectStoreServer} from '../support/create-object-store-server.js';
 import {createUpstreamServer, sendSignedResponse, type UpstreamServer} from '../support/create-upstream-server.js';
 import {buildRawRequest} from '../support/build-raw-request.js';
@@ -11,6 +12,7 @@
 import {waitUntilReady} from '../support/wait-until-ready.js';
 
 const rounds = 20;
+const names = ['host-1', 'host-2'] as const;
 
 let store: ObjectStoreServer;
 let upstreams: readonly UpstreamServer[];
@@ -40,8 +42,9 @@
 	}
 });
 
+/** Starts a host; names are fixed, since they decide which host keeps the ledger of which upstream. */
 async function start(claims: boolean): Promise<void> {
-	gateways.push(await startTestGateway(store.address, {placement: {claims}}));
+	gateways.push(await startTestGateway(store.address, {name: names[gateways.length], placement: {claims}}));
 }
 
 /** Sends prompts to all hosts in turn; returns the statuses of the responses. */
@@ -66,6 +69,10 @@
 
 /** Guards against claims that get no answer over real sockets, for example since one side does not know a field or an address. */
 describe('hosts that claim places', () => {
+	test('each keep the ledger of some of the upstreams', () => {
+		expect(new Set(upstreams.map((_, index) => findOwner(names, `i-${index}`)))).toEqual(new Set(names));
+	});
+
 	test('quote each other, and all requests are answered', async () => {
 		await start(true);
 		await start(true);
--- a/test/settings/watch.test.ts
+++ b/test/settings/watch.test.ts
@@ -21,6 +21,7 @@
 		['without changes', {}, [], []],
 		['with another retry ratio and other seeds', {bounds: {retryRatio: 0.1}, seeds: ['127.0.0.1:9']}, ['seeds', 'bounds.retryRatio'], []],
 		['with another address', {callers: '127.0.0.1:7'}, [], ['callers']],
+		['with claims of places, which hosts answer to each other', {placement: {claims: true}}, [], ['placement']],
 		['with another lease time, on which hosts must agree', {bounds: {leaseMs: 1}}, [], ['bounds.leaseMs']],
 	];
 	test.each(cases)('lists the changed keys of settings %s, by whether they take effect at once', (_name, changed, live, atStart) => {
@@ -28,6 +29,19 @@
 	});
 });
 
+/** Guards against claims in deployments whose settings say nothing of them. */
+describe('settings of claims', () => {
+	test.each([
+		[{}, false],
+		[{placement: {}}, false],
+		[{placement: {claims: null}}, false],
+		[{placement: {claims: false}}, false],
+		[{placement: {claims: true}}, true],
+	])('%j', (changed, expected) => {
+		expect(createSettings(changed).placement.claims).toBe(expected);
+	});
+});
+
 describe('a settings file', () => {
 	let directory: string;
 	let file: string;
--- a/test/support/create-claim-network.ts
+++ b/test/support/create-claim-network.ts
@@ -22,19 +22,23 @@
 };
 
 const transitMs = 1;
+/** Order of what is due at once, as the event loop has it: timers, then messages, then deferred functions. */
+const phases = {timer: 0, message: 1, deferred: 2} as const;
 
 /** Creates hosts of one failure domain `d` that exchange claims. */
 export function createClaimNetwork(names: readonly string[]): ClaimNetwork {
 	let now = 10_000;
 	let fate: Fate = () => [transitMs];
-	let timers: Array<{readonly at: number; readonly host: string; readonly run: () => void}> = [];
+	let timers: Array<{readonly at: number; readonly host: string; readonly phase: number; readonly run: () => void}> = [];
 	const sent: Array<{readonly message: ClaimMessage; readonly from: string; readonly to: string}> = [];
 	const frozen = new Set<string>();
 	const dead = new Set<string>();
 	const tasks = new Map<string, ClaimTask>();
 	const known = names.map(host => ({host, domain: 'd', reports: host}) as KnownHost);
-	const at = (time: number, host: string, run: () => void): void => {
-		timers.push({at: time, host, run});
+	const at = (time: number, host: string, phase: keyof typeof phases, run: () => void): void => {
+		timers.push({
+			at: time, host, phase: phases[phase], run,
+		});
 	};
 
 	let aliveKey = '';
@@ -60,7 +64,7 @@
 				for (const delay of fate(message, host, to)) {
 					// What is sent is what arrives, also where the sender changes it later.
 					const copy = structuredClone(message);
-					at(now + delay, to, () => {
+					at(now + delay, to, 'message', () => {
 						tasks.get(to)!.receive(copy);
 					});
 				}
@@ -68,10 +72,10 @@
 			firstNumber: 1000,
 			now: () => now,
 			after(run, ms) {
-				at(now + ms, host, run);
+				at(now + ms, host, 'timer', run);
 			},
 			defer(run) {
-				at(now, host, run);
+				at(now, host, 'deferred', run);
 			},
 		}));
 	}
@@ -91,7 +95,7 @@
 				await new Promise(resolve => {
 					setImmediate(resolve);
 				});
-				const next = timers.filter(timer => timer.at <= end && !frozen.has(timer.host)).toSorted((a, b) => a.at - b.at)[0];
+				const next = timers.filter(timer => timer.at <= end && !frozen.has(timer.host)).toSorted((a, b) => Math.max(now, a.at) - Math.max(now, b.at) || a.phase - b.phase || a.at - b.at)[0];
 				if (!next) {
 					break;
 				}
