--- a/test/evacuations/requests-that-waited.test.ts
+++ b/test/evacuations/requests-that-waited.test.ts
@@ -140,7 +140,7 @@
 		},
 		streams: {recordBegin: () => undefined, findRequired: async () => ({kind: 'any', version: undefined}) as never},
 		encode: (_request, {upstreamId}) => [upstreamId],
-		keptBytes: createByteBudget(1000, 1000),
+		keptBytes: createByteBudget(() => 1000, 1000),
 		onEnd: () => undefined,
 		...create(wait),
 	})(createAdmitted(kind, isRelayed, () => undefined));
--- a/test/settings/watch.test.ts
+++ b/test/settings/watch.test.ts
@@ -22,6 +22,7 @@
 		['with another retry ratio and other seeds', {bounds: {retryRatio: 0.1}, seeds: ['127.0.0.1:9']}, ['seeds', 'bounds.retryRatio'], []],
 		['with another address', {callers: '127.0.0.1:7'}, [], ['callers']],
 		['with a pace, which all of the process rests on', {pace: {}}, [], ['pace']],
+		['with claims of places, which hosts answer to each other', {placement: {claims: true}}, [], ['placement']],
 		['with another lease time, on which hosts must agree', {bounds: {leaseMs: 1}}, [], ['bounds.leaseMs']],
 	];
 	test.each(cases)('lists the changed keys of settings %s, by whether they take effect at once', (_name, changed, live, atStart) => {
@@ -40,6 +41,16 @@
 
 	test.each([{initialShare: 0}, {initialShare: 1.1}, {slowFactor: 1}, {quietMs: 0}, {unknown: 1}])('is refused with %j', pace => {
 		expect(() => createSettings({pace})).toThrow();
+/** Guards against claims in deployments whose settings say nothing of them. */
+describe('settings of claims', () => {
+	test.each([
+		[{}, false],
+		[{placement: {}}, false],
+		[{placement: {claims: null}}, false],
+		[{placement: {claims: false}}, false],
+		[{placement: {claims: true}}, true],
+	])('%j', (changed, expected) => {
+		expect(createSettings(changed).placement.claims).toBe(expected);
 	});
 });
 
