--- a/test/settings/watch.test.ts
+++ b/test/settings/watch.test.ts
@@ -41,6 +41,9 @@
 
 	test.each([{initialShare: 0}, {initialShare: 1.1}, {slowFactor: 1}, {quietMs: 0}, {unknown: 1}])('is refused with %j', pace => {
 		expect(() => createSettings({pace})).toThrow();
+	});
+});
+
 /** Guards against claims in deployments whose settings say nothing of them. */
 describe('settings of claims', () => {
 	test.each([
