Revert: less urgent prompts held against the queue alone where hosts agree on the load

The long prompts that it let in made the queues longer. Upstreams prefill urgent prompts first only in part; what a long prompt delays has to count.

--- a/src/decide/forwarding/decide-admission.ts
+++ b/src/decide/forwarding/decide-admission.ts
@@ -7,11 +7,7 @@
 	/** Time to the first byte that the caller aims for. */
 	readonly objectiveMs: number;
 	/** Shortest objective among the more urgent routes of the same service; `undefined` where there are none. */
-	readonly urgentObjectiveMs?: number | undefined;
-	/**
-	Time that the prompts ahead of this one take at the upstream, where hosts agree on its load; `undefined` where it is known from reports only.
-	*/
-	readonly queueMs?: number | undefined;
+	readonly urgentObjectiveMs: number | undefined;
 	/** Whether requests already wait at the best upstream. */
 	readonly isQueueing: boolean;
 	/** Uniform random number, at least 0 and less than 1. */
@@ -35,15 +31,12 @@
 /**
 Admits a request, or refuses it at once when its first byte would come too late to be useful. Load pattern: more prompts than the
 engines can prefill, where each late response delays the following ones; refusing requests that would be late keeps the others on time.
-Less urgent requests are refused before they make more urgent ones late: upstreams prefill these first, so what counts against their objective is
-the queue, where it is known, and not the prompt of the less urgent request itself. The retry time is when the queue is expected to have drained,
+Less urgent requests are refused before they make more urgent ones late. The retry time is when the queue is expected to have drained,
 with a random part so that callers refused together do not retry together.
 */
-export function decideAdmission({firstByteMs, waitedMs, objectiveMs, urgentObjectiveMs = Number.POSITIVE_INFINITY, queueMs, isQueueing, draw}: AdmissionInput): Admission {
-	const limitMs = Math.min(objectiveMs * maxLatenessFactor, urgentObjectiveMs);
-	const isInTime = firstByteMs + waitedMs <= objectiveMs * maxLatenessFactor;
-	const leavesRoom = (queueMs ?? firstByteMs) + waitedMs <= urgentObjectiveMs;
-	if (!isQueueing || (isInTime && leavesRoom)) {
+export function decideAdmission({firstByteMs, waitedMs, objectiveMs, urgentObjectiveMs, isQueueing, draw}: AdmissionInput): Admission {
+	const limitMs = Math.min(objectiveMs * maxLatenessFactor, urgentObjectiveMs ?? Number.POSITIVE_INFINITY);
+	if (!isQueueing || firstByteMs + waitedMs <= limitMs) {
 		return {isAdmitted: true};
 	}
 
--- a/src/forwarding/create-placement-finder.ts
+++ b/src/forwarding/create-placement-finder.ts
@@ -83,7 +83,7 @@
 		// A stream that is taken up has had its first byte: it only has to end in time.
 		const isTakenUp = request.resumeAfter !== undefined;
 		const admission = decideAdmission({
-			firstByteMs, queueMs: placement.claim?.quotedWaitMs, isQueueing, waitedMs: now() - receivedAt, objectiveMs: isTakenUp ? progress.endsAt - receivedAt : route.objectiveMs,
+			firstByteMs, isQueueing, waitedMs: now() - receivedAt, objectiveMs: isTakenUp ? progress.endsAt - receivedAt : route.objectiveMs,
 			urgentObjectiveMs: isTakenUp ? undefined : getUrgentObjectiveMs(route, progress.service), draw: random(),
 		});
 		if (progress.attempts.spent().runs === 0 && !admission.isAdmitted) {
