--- a/test/claims/prefill-end.test.ts
+++ b/test/claims/prefill-end.test.ts
@@ -23,7 +23,7 @@
 		getLatencyModel: () => createServiceLatencyModel(),
 		encode: () => [],
 		recordBegin: () => undefined,
-		keptBytes: createByteBudget(1000, 1000),
+		keptBytes: createByteBudget(() => 1000, 1000),
 		now: () => 0,
 	});
 	const admitted = {
