--- a/test/end-to-end/build-from-a-clean-clone.test.ts
+++ b/test/end-to-end/build-from-a-clean-clone.test.ts
@@ -1,5 +1,7 @@
 import {execFileSync, spawnSync} from 'node:child_process';
-import {cpSync, mkdtempSync, rmSync, symlinkSync} from 'node:fs';
+import {
+	cpSync, mkdtempSync, rmSync, symlinkSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
