--- a/src/settings/read-machine-limits.ts
+++ b/src/settings/read-machine-limits.ts
@@ -24,13 +24,15 @@
 	}
 }
 
-/** Returns the stated limits of the machine; by default, what follows from the limit of the heap, and the descriptors that the system allows the process. */
+/**
+Returns the stated limits of the machine; by default, what follows from the limit of the heap, and the descriptors that the system allows the process.
+What is stated holds also where the system shows less: on machines whose sockets are not kept in the process's table, it shows those for files only.
+*/
 export function readMachineLimits(stated: {readonly memoryMb?: number | undefined; readonly maxFds?: number | undefined}): MachineLimits {
 	const constrained = process.constrainedMemory();
 	const assumed = Math.min(getHeapStatistics().heap_size_limit * memoryPerHeapByte, constrained > 0 ? constrained : Number.POSITIVE_INFINITY);
-	const allowed = readDescriptorLimit();
 	return {
 		memoryBytes: stated.memoryMb === undefined ? assumed : stated.memoryMb * bytesPerMiB,
-		descriptors: Math.min(stated.maxFds ?? allowed, allowed),
+		descriptors: stated.maxFds ?? readDescriptorLimit(),
 	};
 }
