Hosts claim places only with half a core or more, and only while all hosts heard do

A ledger that misses the requests of some hosts misleads the others, so hosts state in their reports whether they claim.

--- a/src/reports/host-status.ts
+++ b/src/reports/host-status.ts
@@ -22,6 +22,8 @@
 	readonly countsAttempts?: boolean;
 	/** Whether the host shares KV cache by groups of workspaces (`KvSharing`). Hosts of an earlier build don't. */
 	readonly sharesKvByGroup?: boolean;
+	/** Whether the host claims places at upstreams and keeps ledgers of claims. Hosts of an earlier build don't. */
+	readonly claimsPlaces?: boolean;
 	/** Time since the store last confirmed the newest desired weights, in milliseconds; `undefined` when it never did. */
 	readonly weightsAgeMs: number | undefined;
 	/** The same for the list of upstreams. Hosts of an earlier build state none. */
--- a/src/settings/gateway-settings-schema.ts
+++ b/src/settings/gateway-settings-schema.ts
@@ -34,6 +34,9 @@
 	limits: z.strictObject({
 		/** Memory for this process; by default 5/3 of the limit of its heap. */
 		memoryMb: z.number().positive().nullish().transform(value => value ?? undefined),
+		/** Share of each core that this process gets, and the number of cores; by default one whole core. */
+		cpuShare: z.number().positive().nullish().transform(value => value ?? undefined),
+		cores: z.number().positive().nullish().transform(value => value ?? undefined),
 		/** File descriptors for this process; by default what the system allows. */
 		maxFds: z.number().positive().nullish().transform(value => value ?? undefined),
 		/** Least rate of a request's body over its whole time, once the configured idle timeout has passed. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -155,6 +155,7 @@
 				lostServices: listLostServices(),
 				countsAttempts: true,
 				sharesKvByGroup: true,
+				claimsPlaces: claims.isOn,
 				weightAges: listRecentWeightAges(weightAges.list()),
 				isStoreLost: watchers.some(watch => watch.isStoreUnreachable()),
 			};
