--- a/src/pace/create-gateway-paces.ts
+++ b/src/pace/create-gateway-paces.ts
@@ -8,8 +8,6 @@
 /** Dependencies of the limits of a gateway host. */
 type GatewayPacesOptions = {
 	readonly settings: GatewaySettings;
-	/** Returns how long an upstream of a service is cold after a start, in milliseconds; `undefined` where the configuration does not say. */
-	readonly getColdStartMs: (service: string) => number | undefined;
 	/** Returns whether an upstream is taken to be cold. */
 	readonly isCold: (upstreamId: string) => boolean;
 	readonly metrics: ReturnType<typeof createGatewayMetrics>;
@@ -20,9 +18,9 @@
 };
 
 /** Creates the limits that follow upstreams' answers for a gateway host, with their metrics. */
-export function createGatewayPaces({settings: {pace}, getColdStartMs, isCold, metrics, others, runningForMs, now, random}: GatewayPacesOptions): UpstreamPaces & {readonly recordGauges: () => void} {
-	// The only place that decides which upstreams are paced: by the settings, by what a service states of cold starts, or by an entry.
-	const isPaced = ({service, coldForMs = 0}: Upstream): boolean => pace !== undefined || coldForMs > 0 || (getColdStartMs(service) ?? 0) > 0;
+export function createGatewayPaces({settings: {pace}, isCold, metrics, others, runningForMs, now, random}: GatewayPacesOptions): UpstreamPaces & {readonly recordGauges: () => void} {
+	// The only place that decides which upstreams are paced. Those that state that they are cold have permits of their own.
+	const isPaced = (_upstream: Upstream): boolean => pace !== undefined;
 	const paces = createUpstreamPaces({
 		settings: pace ?? defaultPaceSettings, isPaced, isCold: ({id}) => isCold(id), others, runningForMs, now, random,
 		onSetback(service, cause) {
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -219,7 +219,6 @@
 	const others = () => ({count: reportExchange.alive().length, reportAgeMs: reportExchange.reportAgeMs()});
 	const paces = createGatewayPaces({
 		settings, metrics, others, runningForMs: standstill.runningForMs, now, random,
-		getColdStartMs: service => storedState.findService(service)?.coldStartMs,
 		isCold: id => (registry.coldGate(id)?.forMs(now()) ?? 0) > 0,
 	});
 	const registry = createUpstreamRegistry({
