--- a/src/pace/create-gateway-paces.ts
+++ b/src/pace/create-gateway-paces.ts
@@ -1,6 +1,5 @@
 import {defaultPaceSettings} from '../decide/pace/default-pace-settings.js';
 import {type createGatewayMetrics} from '../forwarding/create-gateway-metrics.js';
-import {type Upstream} from '../forwarding/upstream.js';
 import {type GatewaySettings} from '../settings/gateway-settings.js';
 import {createUpstreamPaces} from './create-upstream-paces.js';
 import {type UpstreamPaces} from './upstream-paces.js';
@@ -19,10 +18,9 @@
 
 /** Creates the limits that follow upstreams' answers for a gateway host, with their metrics. */
 export function createGatewayPaces({settings: {pace}, isCold, metrics, others, runningForMs, now, random}: GatewayPacesOptions): UpstreamPaces & {readonly recordGauges: () => void} {
-	// The only place that decides which upstreams are paced. Those that state that they are cold have permits of their own.
-	const isPaced = (_upstream: Upstream): boolean => pace !== undefined;
 	const paces = createUpstreamPaces({
-		settings: pace ?? defaultPaceSettings, isPaced, isCold: ({id}) => isCold(id), others, runningForMs, now, random,
+		// Upstreams that state that they are cold have permits of their own; only the setting asks for a pace.
+		settings: pace ?? defaultPaceSettings, isPaced: () => pace !== undefined, isCold: ({id}) => isCold(id), others, runningForMs, now, random,
 		onSetback(service, cause) {
 			metrics.paceSetbacksTotal.inc({service, cause});
 		},
