--- a/test/callers/crowds-at-other-addresses.test.ts
+++ b/test/callers/crowds-at-other-addresses.test.ts
@@ -1,202 +1,46 @@
 // Guards against crowds at the addresses for other hosts and for status, which anybody who reaches them can send to: docs/design/untrusted-callers.md.
-import {spawn, type ChildProcess} from 'node:child_process';
-import {once} from 'node:events';
-import {
-	mkdtempSync, readdirSync, readFileSync, writeFileSync,
-} from 'node:fs';
-import {connect, type Socket} from 'node:net';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
-import process from 'node:process';
 import {
 	afterEach, beforeEach, describe, expect, test,
 } from 'vitest';
 import {sleep} from '../../src/util/sleep.js';
-import {buildRawRequest} from '../support/build-raw-request.js';
-import {createObjectStoreServer, type ObjectStoreServer} from '../support/create-object-store-server.js';
-import {findTestPorts} from '../support/find-test-ports.js';
-import {createUpstreamServer, type UpstreamServer} from '../support/create-upstream-server.js';
-import {platformObjects} from '../support/platform-objects.js';
-import {sendRawRequest} from '../support/send-raw-request.js';
-import {waitUntilReady} from '../support/wait-until-ready.js';
+import {startCrowdedHost, type CrowdedHost, type CrowdSender} from '../support/start-crowded-host.js';
 
-const bytesPerMiB = 1024 * 1024;
-/** Memory of a small machine: 160 MiB, the smallest, and what this bundle takes beyond the deployed one, which holds one role only (10 to 20 MB when idle). */
-const memoryLimitKb = 192 * 1024;
-const deployedNodeArgs = ['--max-old-space-size=96', '--min-semi-space-size=4', '--max-semi-space-size=4'];
-/** Soft and hard limit of the process, so that a crowd of two hundred reaches it. */
-const descriptorLimit = 256;
-const maxBodyBytes = 4 * bytesPerMiB;
-/** A crowd sends for so long at most; what it has not sent by then stays unsent and its connections stay open. */
-const crowdMs = 12_000;
-const sampleMs = 50;
-const requestMs = 20_000;
+const maxBodyBytes = 4 * 1024 * 1024;
 /** Bodies are sent from one piece of memory. */
 const filler = Buffer.alloc(64 * 1024, 'x');
 const smallChunk = Buffer.from('1\r\nx\r\n'.repeat(8192));
 const largeChunk = Buffer.concat([Buffer.from(`${filler.length.toString(16)}\r\n`), filler, Buffer.from('\r\n')]);
 
-/** What one connection sends: its head, then `piece` again and again up to `bytes`, after which it stays open. */
-type Sender = {
-	readonly head: string;
-	readonly piece: Buffer;
-	readonly bytes: number;
-};
-
-let store: ObjectStoreServer;
-let upstream: UpstreamServer;
-let host: ChildProcess;
-let callers: string;
-let peers: string;
-let relayed: string;
-let readiness: string;
-let metrics: string;
-let sockets: Socket[];
-let output: string[];
-let peakDescriptors: number;
-let peakUnreadBytes: number;
-let sampler: NodeJS.Timeout;
-
-const countDescriptors = (): number => {
-	try {
-		return readdirSync(`/proc/${host.pid}/fd`).length;
-	} catch {
-		return 0;
-	}
-};
-
-/** Field `tx_queue:rx_queue` of a line in /proc/net/tcp. */
-const queuesField = 4;
-
-/** Returns the bytes that the system has received for the host and that the process has not read. */
-const countUnreadBytes = (): number => {
-	const localPorts = [callers, peers, relayed, readiness, metrics].map(address => `:${Number(address.split(':')[1]).toString(16).toUpperCase().padStart(4, '0')}`);
-	return readFileSync('/proc/net/tcp', 'utf8').split('\n').map(line => line.trim().split(/\s+/v))
-		.filter(([, local]) => localPorts.some(port => local?.endsWith(port)))
-		.reduce((sum, fields) => sum + Number.parseInt(fields[queuesField]!.split(':')[1]!, 16), 0);
-};
+let host: CrowdedHost;
 
 beforeEach(async () => {
-	store = await createObjectStoreServer();
-	upstream = await createUpstreamServer();
-	sockets = [];
-	output = [];
-	peakDescriptors = 0;
-	peakUnreadBytes = 0;
-	const slow = {timeout_ms: 60_000, goal_ms: 60_000};
-	store.put('config', 'main', platformObjects.configuration(1, {
-		routes: [platformObjects.route(slow), platformObjects.route({
-			...slow, name: 'r-once', path_prefix: '/book/', kind: 'non_idempotent', max_attempts: 1,
-		})],
-		limits: {
-			max_header_bytes: 8192, max_body_bytes: maxBodyBytes, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-		},
-	}));
-	store.put('servers', 'i-0', platformObjects.upstream(upstream.address, {slots: 64}));
-	const [callerPort, readinessPort, peerPort, reportPort, metricsPort] = await findTestPorts(5);
-	callers = `127.0.0.1:${callerPort}`;
-	readiness = `127.0.0.1:${readinessPort}`;
-	peers = `127.0.0.1:${peerPort}`;
-	relayed = `127.0.0.1:${reportPort}`;
-	metrics = `127.0.0.1:${metricsPort}`;
-	const settings = {
-		name: 'host-1', domain: 'domain-a', region: 'region-a', callers, readiness,
-		peers, reports: relayed, metricsPort, objectStore: store.address,
-	};
-	const file = path.join(mkdtempSync(path.join(tmpdir(), 'host-')), 'host.jsonc');
-	writeFileSync(file, JSON.stringify(settings));
-	// The shell sets the limit and is replaced by the process.
-	const command = `ulimit -n ${descriptorLimit}; exec "$0" "$@"`;
-	host = spawn('sh', ['-c', command, process.execPath, ...deployedNodeArgs, 'dist/hemlockpier.cjs', 'gateway', '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
-	for (const stream of [host.stdout!, host.stderr!]) {
-		stream.on('data', (chunk: Buffer) => {
-			output.push(chunk.toString());
-			output.splice(0, output.length - 200);
-		});
-	}
-
-	await waitUntilReady(settings);
-	sampler = setInterval(() => {
-		peakDescriptors = Math.max(peakDescriptors, countDescriptors());
-		peakUnreadBytes = Math.max(peakUnreadBytes, countUnreadBytes());
-	}, sampleMs);
+	host = await startCrowdedHost();
 });
 
 afterEach(async () => {
-	clearInterval(sampler);
-	for (const socket of sockets) {
-		socket.destroy();
-	}
-
-	if (host.exitCode === null && host.signalCode === null) {
-		host.kill('SIGKILL');
-		await once(host, 'exit');
-	}
-
-	store.stop();
-	upstream.stop();
+	await host.stop();
 });
 
-const readPeakMemoryKb = (): number => Number(/^VmHWM:\s+(\d+) kB/mv.exec(readFileSync(`/proc/${host.pid}/status`, 'utf8'))?.[1]);
-
-/** Sends as much as the host takes, until all is sent, the connection is closed or the crowd's time is over. */
-async function send(address: string, {head, piece, bytes}: Sender, endsAt: number): Promise<void> {
-	const [ip, port] = address.split(':');
-	const socket = connect({host: ip!, port: Number(port)});
-	sockets.push(socket);
-	socket.on('error', () => undefined);
-	socket.resume();
-	let rest = bytes;
-	let canWrite = socket.write(head);
-	while (rest > 0 && !socket.destroyed && socket.writable && performance.now() < endsAt) {
-		if (canWrite) {
-			const part = rest < piece.length ? piece.subarray(0, rest) : piece;
-			rest -= part.length;
-			canWrite = socket.write(part);
-			await sleep(0);
-		} else {
-			await sleep(1);
-			canWrite = !socket.writableNeedDrain;
-		}
-	}
-}
-
-async function sendAll(address: string, senders: readonly Sender[]): Promise<void> {
-	const endsAt = performance.now() + crowdMs;
-	await Promise.all(senders.map(async sender => send(address, sender, endsAt)));
-}
-
-const times = (count: number, create: () => Sender): readonly Sender[] => Array.from({length: count}, create);
+const times = (count: number, create: () => CrowdSender): readonly CrowdSender[] => Array.from({length: count}, create);
 const post = (headers: string): string => `POST / HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n${headers}\r\n`;
-const wholeBodies = (count: number): readonly Sender[] => times(count, () => ({head: post(`Content-Length: ${maxBodyBytes}\r\n`), piece: filler, bytes: maxBodyBytes - 1}));
-const largeChunks = (count: number): readonly Sender[] => times(count, () => ({head: post('Transfer-Encoding: chunked\r\n'), piece: largeChunk, bytes: 63 * largeChunk.length}));
-const smallChunks = (count: number): readonly Sender[] => times(count, () => ({head: post('Transfer-Encoding: chunked\r\n'), piece: smallChunk, bytes: 32 * smallChunk.length}));
-const silent = (count: number): readonly Sender[] => times(count, () => ({head: '', piece: filler, bytes: 0}));
-
-const ask = async () => sendRawRequest(callers, buildRawRequest({
-	method: 'POST', id: 'ordinary', target: '/read/x', deadlineMs: requestMs, body: 'prompt '.repeat(100),
-}));
-
-function expectSound(): void {
-	expect([host.exitCode, host.signalCode], output.join('').slice(-3000)).toEqual([null, null]);
-	const unreadKb = Math.ceil(peakUnreadBytes / 1024);
-	expect(readPeakMemoryKb() + unreadKb).toBeLessThan(memoryLimitKb);
-	expect(peakDescriptors).toBeLessThan(descriptorLimit);
-}
+const wholeBodies = (count: number): readonly CrowdSender[] => times(count, () => ({head: post(`Content-Length: ${maxBodyBytes}\r\n`), piece: filler, bytes: maxBodyBytes - 1}));
+const largeChunks = (count: number): readonly CrowdSender[] => times(count, () => ({head: post('Transfer-Encoding: chunked\r\n'), piece: largeChunk, bytes: 63 * largeChunk.length}));
+const smallChunks = (count: number): readonly CrowdSender[] => times(count, () => ({head: post('Transfer-Encoding: chunked\r\n'), piece: smallChunk, bytes: 32 * smallChunk.length}));
+const silent = (count: number): readonly CrowdSender[] => times(count, () => ({head: '', piece: filler, bytes: 0}));
 
 describe('a crowd at an address that is not for callers does not end a host, exceed its machine or keep out an ordinary caller', () => {
 	test.each([
-		['for peers', () => peers],
-		['for relayed requests', () => relayed],
-		['of the readiness check', () => readiness],
-		['of the metrics', () => metrics],
-	])('%s', async (_name, getAddress) => {
-		const sending = sendAll(getAddress(), [...wholeBodies(32), ...largeChunks(16), ...smallChunks(8), ...silent(200)]);
+		['for peers', 'peers'],
+		['for relayed requests', 'relayed'],
+		['of the readiness check', 'readiness'],
+		['of the metrics', 'metrics'],
+	] as const)('%s', async (_name, address) => {
+		const sending = host.sendAll(host.addresses[address], [...wholeBodies(32), ...largeChunks(16), ...smallChunks(8), ...silent(200)]);
 		await sleep(200);
-		const beside = await ask();
+		const beside = await host.ask();
 		await sending;
-		const after = await ask();
-		expectSound();
+		const after = await host.ask();
+		host.expectSound();
 		expect([beside.status, after.status]).toEqual([200, 200]);
 	}, 90_000);
 });
