--- a/review/kit-2/deployment.js
+++ b/review/kit-2/deployment.js
@@ -53,12 +53,14 @@
 	const store = await startStore(storeAddress);
 	stoppers.push(store.stop);
 	store.put('config', 'main', createConfiguration(routes, services));
+	const engines = [];
 	for (const {name, versions, work} of services) {
 		const ports = await findPorts('127.0.0.1', versions.length);
 		for (const [index, version] of versions.entries()) {
 			const engine = await startEngine({
 				store, id: `i-${name}-${index + 1}`, service: name, address: `127.0.0.1:${ports[index]}`, zone: zones[index % zones.length], version, slots: 64, work, onEvent,
 			});
+			engines.push(engine);
 			stoppers.push(engine.stop);
 		}
 	}
@@ -83,6 +85,6 @@
 	const balancer = createBalancer(hosts);
 	stoppers.push(balancer.stop);
 	return {
-		store, hosts, balancer, areReady, runs, reached, dropped,
+		store, engines, hosts, balancer, areReady, runs, reached, dropped,
 	};
 }
--- a/review/kit-2/engine.js
+++ b/review/kit-2/engine.js
@@ -1,15 +1,18 @@
 /* eslint camelcase: off -- The names on the wire are those of the platform's pages. */
 /** Stand-in for an engine: runs requests one after the other or side by side, answers with its seal, drops a request when its connection closes. */
 import {createServer} from 'node:http';
+import {sleep} from './tools.js';
+
+const registerRetryMs = 200;
 
 /**
 Starts an engine and registers it in the store.
 
-`work(request)` returns what it does: `{workMs}` for one answer, or `{pieces, gapMs}` for a stream of events.
+`work(request)` returns what it does: `{workMs}` for one answer, with `answerBytes` for its length, or `{pieces, gapMs}` for a stream of events.
 `onEvent(event)` is called with what it receives and runs.
 */
 export async function startEngine({store, id, service, address, zone, version = 'v1', slots = 16, work, onEvent}) {
-	const entry = {
+	let entry = {
 		service, address, zone, version, slots, state: 'ready', cold_remaining_ms: 0, seq: 1, born: Date.now(),
 	};
 	let sealNumber = 0;
@@ -33,13 +36,13 @@
 		});
 	};
 
-	const stream = (res, requestId, {pieces, gapMs}) => {
+	const stream = (res, requestId, {pieces, gapMs}, lastEventId) => {
 		res.writeHead(200, {...createHead(requestId), 'Content-Type': 'text/event-stream'});
-		let piece = 0;
+		let piece = lastEventId;
 		const timer = setInterval(() => {
 			piece++;
-			res.write(`id: ${piece}\ndata: ${requestId} ${piece}\n\n`);
-			if (piece === pieces) {
+			res.write(`id: ${piece}\ndata: ${entry.version} ${requestId} ${piece}\n\n`);
+			if (piece >= pieces) {
 				clearInterval(timer);
 				onEvent({type: 'ended', id, requestId});
 				res.end();
@@ -75,19 +78,42 @@
 			onEvent({type: 'runs', id, requestId});
 			const doing = work({requestId, url: req.url});
 			if (doing.pieces === undefined) {
-				answer(res, requestId, `${id} did ${requestId}\n`, doing.workMs);
+				answer(res, requestId, `${id} did ${requestId}\n`.padEnd(doing.answerBytes ?? 0, '.'), doing.workMs);
 			} else {
-				stream(res, requestId, doing);
+				stream(res, requestId, doing, Number(req.headers['last-event-id'] ?? 0));
 			}
 		});
 	});
 	const [host, port] = address.split(':');
-	await new Promise(resolve => {
+	const listen = async () => new Promise(resolve => {
 		server.listen(Number(port), host, resolve);
 	});
-	store.put('servers', id, entry);
+
+	/** Writes the entry, again until the store takes it. */
+	const register = async () => {
+		while (store.faults.isSilent) {
+			await sleep(registerRetryMs);
+		}
+
+		store.put('servers', id, entry);
+	};
+
+	await listen();
+	await register();
 	return {
 		id,
+		/** Ends, and starts again after a while under its id, with a version of its software. */
+		async restart(nextVersion, downMs) {
+			onEvent({type: 'ends', id, requestId: ''});
+			server.close();
+			server.closeAllConnections();
+			await sleep(downMs);
+			entry = {...entry, version: nextVersion, born: Date.now()};
+			await listen();
+			onEvent({type: `starts again as ${nextVersion}`, id, requestId: ''});
+			await register();
+			onEvent({type: 'is registered', id, requestId: ''});
+		},
 		stop() {
 			server.close();
 			server.closeAllConnections();
--- a/review/kit-2/store.js
+++ b/review/kit-2/store.js
@@ -4,11 +4,11 @@
 
 const maxWaitMs = 30_000;
 
-/** Starts the store. `faults.delayMs` delays each response. */
+/** Starts the store. `faults.delayMs` delays each response; while `faults.isSilent`, calls get none. */
 export async function startStore(address) {
 	const kinds = new Map();
 	const watchers = new Set();
-	const faults = {delayMs: 0};
+	const faults = {delayMs: 0, isSilent: false};
 	const changes = [];
 	let revision = 1;
 
@@ -59,6 +59,10 @@
 
 	const send = (res, status, body) => {
 		setTimeout(() => {
+			if (faults.isSilent) {
+				return;
+			}
+
 			res.writeHead(status, {'content-type': 'application/json'});
 			res.end(JSON.stringify(body));
 		}, faults.delayMs);
@@ -113,6 +117,10 @@
 			text += chunk;
 		});
 		req.on('end', () => {
+			if (faults.isSilent) {
+				return;
+			}
+
 			if (req.method !== 'GET') {
 				write(res, req.method, kind, name, text);
 			} else if (name !== undefined) {
