--- a/review/kit-2/engine.js
+++ b/review/kit-2/engine.js
@@ -114,6 +114,7 @@
 			await register();
 			onEvent({type: 'is registered', id, requestId: ''});
 		},
+		register,
 		stop() {
 			server.close();
 			server.closeAllConnections();
--- a/review/kit-2/play.js
+++ b/review/kit-2/play.js
@@ -8,6 +8,21 @@
 	const record = createRecord(path.join(directory, 'record.txt'));
 	const {folder, remove} = createFolder();
 	const stoppers = [remove];
+
+	const end = result => {
+		for (const stop of stoppers.toReversed()) {
+			stop();
+		}
+
+		record.add(`result ${result}`);
+		record.write();
+		process.exit(result);
+	};
+
+	process.once('uncaughtException', error => {
+		record.add(`error: ${error.stack}`);
+		end(2);
+	});
 	let result = 2;
 	try {
 		result = await run({
@@ -17,11 +32,5 @@
 		record.add(`error: ${error.stack}`);
 	}
 
-	for (const stop of stoppers.toReversed()) {
-		stop();
-	}
-
-	record.add(`result ${result}`);
-	record.write();
-	process.exit(result);
+	end(result);
 }
--- a/review/kit-2/store.js
+++ b/review/kit-2/store.js
@@ -9,7 +9,8 @@
 	const kinds = new Map();
 	const watchers = new Set();
 	const faults = {delayMs: 0, isSilent: false};
-	const changes = [];
+	let changes = [];
+	let era = 1;
 	let revision = 1;
 
 	const objectsOf = kind => {
@@ -58,17 +59,23 @@
 	};
 
 	const send = (res, status, body) => {
+		const statedEra = String(era);
 		setTimeout(() => {
 			if (faults.isSilent) {
 				return;
 			}
 
-			res.writeHead(status, {'content-type': 'application/json'});
+			res.writeHead(status, {'content-type': 'application/json', 'store-era': statedEra});
 			res.end(JSON.stringify(body));
 		}, faults.delayMs);
 	};
 
 	const watch = (res, kind, from, waitMs) => {
+		if (from > revision) {
+			send(res, 410, {});
+			return;
+		}
+
 		const findEvents = () => changes.filter(change => change.kind === kind && change.revision > from).map(({object, removed}) => ({object, removed}));
 		const respond = () => {
 			watchers.delete(notify);
@@ -140,6 +147,21 @@
 	return {
 		faults, put, remove,
 		get: (kind, name) => objectsOf(kind).get(name),
+		/** Copies all objects. */
+		copy: () => ({revision, kinds: [...kinds].map(([kind, objects]) => [kind, [...objects]])}),
+		/** Returns from a copy: what was written since is lost, revisions are given out again, and waiting watches are cut off. */
+		restore(copy) {
+			era++;
+			revision = copy.revision;
+			changes = changes.filter(change => change.revision <= revision);
+			kinds.clear();
+			for (const [kind, objects] of copy.kinds) {
+				kinds.set(kind, new Map(objects));
+			}
+
+			watchers.clear();
+			server.closeAllConnections();
+		},
 		stop() {
 			server.close();
 			server.closeAllConnections();
