--- a/review/7/main.js
+++ b/review/7/main.js
@@ -1,24 +1,32 @@
 /* eslint camelcase: off -- The names on the wire are those of the platform's pages. */
-/** Engines start again with a new version of their software while the store is down: streams of the old version go on at the new one. */
+/** During a release the store returns from a copy of before it, and all hosts are killed: streams of the new version go on at the old one. */
 import {createCaller} from '../kit-2/client.js';
 import {
 	createRoute, hostName, key, startDeployment,
 } from '../kit-2/deployment.js';
+import {startEngine} from '../kit-2/engine.js';
+import {startHost} from '../kit-2/host.js';
 import {play} from '../kit-2/play.js';
-import {sleep} from '../kit-2/tools.js';
+import {findPorts, sleep} from '../kit-2/tools.js';
 
-const work = () => ({pieces: 40, gapMs: 100});
+const work = () => ({pieces: 110, gapMs: 100});
 const callersPerHost = 8;
-const maxPauseMs = 300;
 const deadlineMs = 15_000;
-const maxTries = 4;
-const steadyMs = 4500;
-const storeDownMs = 8000;
-/** From the begin of the outage to the end of the first engine, and between the ends of two. */
-const beforeFirstMs = 500;
-const betweenMs = 3500;
-const engineDownMs = 1000;
-const afterMs = 4000;
+/** A caller comes back this often and for so long after its stream has broken off: four times the objective. */
+const returnEveryMs = 400;
+const maxGapMs = 3200;
+const steadyMs = 3000;
+/** The store is copied this long before the new engines join. */
+const copyAgeMs = 500;
+/** Time in which the callers begin their streams after that. */
+const beginMs = 3500;
+/** From the joining of the new engines to the store's absence. */
+const drillAfterMs = 6500;
+const storeDownMs = 500;
+/** The engines write again what the store has lost. */
+const rewriteMs = 1800;
+const killAfterMs = 500;
+const restartMs = 300;
 const maxMixed = 2;
 
 /** Versions of the events in a body. */
@@ -34,79 +42,105 @@
 	const {store, engines, hosts, areReady} = await startDeployment({
 		record, folder, stoppers,
 		routes: [createRoute({
-			name: 'draft', path_prefix: '/draft/', kind: 'streaming', service: 'model', resumable: true, sticky: true, timeout_ms: deadlineMs, goal_ms: 2000, max_attempts: 2,
+			name: 'draft', path_prefix: '/draft/', kind: 'streaming', service: 'model', resumable: true, sticky: true, timeout_ms: deadlineMs, goal_ms: 800, max_attempts: 2,
 		})],
-		services: [{name: 'model', versions: ['v1', 'v1', 'v1'], work}],
+		services: [{name: 'model', versions: ['v1', 'v1'], work}],
 	});
 	if (!areReady) {
 		return 2;
 	}
 
 	const streams = [];
-	let isOver = false;
 
-	/** Takes a stream up again, as its pages have it, until it is complete or refused. */
-	const readStream = async (caller, name, number, home) => {
-		const stream = {name: `${name}-${number}`, versions: [], isWhole: false};
+	/** Reads a stream; takes it up again where its connection broke, until it is complete or given up. */
+	const readStream = async (name, home) => {
+		const caller = createCaller({
+			key, host: hostName, onEvent({type, id, address, status, isComplete, body, error = ''}) {
+				record.add(type === 'sent' ? `sent ${id} to ${address}` : `${id} ended, status ${status}, whole ${isComplete}, versions ${[...new Set(listVersions(body))].join(' ')} ${error}`);
+			},
+		});
+		const stream = {name, versions: [], isWhole: false};
 		streams.push(stream);
 		let lastId;
 		let begunBy;
-		for (let attempt = 0; attempt < maxTries && !stream.isWhole; attempt++) {
-			const id = `${stream.name}-${attempt}`;
+		let brokeAt = performance.now();
+		for (let attempt = 0; !stream.isWhole && performance.now() - brokeAt < maxGapMs; attempt++) {
+			const id = `${name}-${attempt}`;
 			const {status, body, isComplete} = await caller.send({
 				id, path: '/draft/terms', body: 'route file', deadlineMs, to: () => home.settings.callers,
 				headers: lastId === undefined ? {} : {'Last-Event-Id': lastId, Resumes: begunBy},
 			});
 			const versions = status === 200 ? listVersions(body) : [];
 			stream.versions.push(...versions);
-			lastId = findLastId(status === 200 ? body : '') ?? lastId;
-			begunBy ??= versions.length > 0 ? id : undefined;
 			stream.isWhole = isComplete && status === 200;
-			if (status !== undefined && status !== 200) {
-				break;
+			lastId = findLastId(status === 200 ? body : '') ?? lastId;
+			if (versions.length > 0) {
+				begunBy ??= id;
+				brokeAt = performance.now();
 			}
+
+			await sleep(returnEveryMs);
 		}
+
+		caller.end();
 	};
 
-	const call = async (name, home) => {
-		const caller = createCaller({
-			key, host: hostName, onEvent({type, id, address, status, isComplete, body, error = ''}) {
-				record.add(type === 'sent' ? `sent ${id} to ${address}` : `${id} ended, status ${status}, whole ${isComplete}, versions ${[...new Set(listVersions(body))].join(' ')} ${error}`);
+	await sleep(steadyMs);
+	const copy = store.copy();
+	await sleep(copyAgeMs);
+	const ports = await findPorts('127.0.0.1', 2);
+	for (const [index, port] of ports.entries()) {
+		const engine = await startEngine({
+			store, id: `i-model-new-${index + 1}`, service: 'model', address: `127.0.0.1:${port}`, zone: 'zone-c', version: 'v2', slots: 64, work,
+			onEvent({type, id, requestId}) {
+				record.add(`engine ${id}: ${type} ${requestId}`);
 			},
 		});
-		await sleep(Math.random() * 3000);
-		for (let number = 0; !isOver; number++) {
-			await readStream(caller, name, number, home);
-			await sleep(Math.random() * maxPauseMs);
-		}
+		engines.push(engine);
+		stoppers.push(engine.stop);
+	}
 
-		caller.end();
+	record.add('engines of v2 have joined');
+	const drillAt = sleep(drillAfterMs);
+	await sleep(copyAgeMs);
+	const reads = hosts.flatMap((home, zone) => Array.from({length: callersPerHost}, async (_, index) => {
+		await sleep(Math.random() * beginMs);
+		await readStream(`c${zone}.${index}`, home);
+	}));
+	await drillAt;
+
+	const drill = async () => {
+		record.add('the store is away');
+		store.faults.isSilent = true;
+		await sleep(storeDownMs);
+		store.restore(copy);
+		store.faults.isSilent = false;
+		record.add('the store is back from a copy');
+		await sleep(rewriteMs);
+		await Promise.all(engines.map(async engine => engine.register()));
+		record.add('the engines have written their entries again');
 	};
 
-	const calls = hosts.flatMap((home, zone) => Array.from({length: callersPerHost}, async (_, index) => call(`c${zone}.${index}`, home)));
-	await sleep(steadyMs);
-	record.add(hasTrouble ? 'the store is down' : 'the store stays up');
-	store.faults.isSilent = hasTrouble;
-	const storeEnd = sleep(storeDownMs);
-	await sleep(beforeFirstMs);
-	const restarts = [];
-	for (const engine of engines) {
-		restarts.push(engine.restart('v2', engineDownMs));
-		await sleep(betweenMs);
+	const drilled = hasTrouble ? drill() : undefined;
+	await sleep(storeDownMs + killAfterMs);
+	record.add('all hosts are killed');
+	for (const host of hosts) {
+		host.signal('SIGKILL');
 	}
 
-	await storeEnd;
-	store.faults.isSilent = false;
-	record.add('the store is back');
-	await Promise.all(restarts);
-	await sleep(afterMs);
-	isOver = true;
-	await Promise.all(calls);
+	await Promise.all(hosts.map(async host => host.exited));
+	await sleep(restartMs);
+	for (const {settings} of hosts) {
+		const host = startHost(settings, folder);
+		stoppers.push(() => host.signal('SIGKILL'));
+	}
 
+	await Promise.all([...reads, drilled]);
 	const mixed = streams.filter(({versions}) => new Set(versions).size > 1);
 	const whole = streams.filter(({isWhole}) => isWhole);
-	record.add(`${streams.length} streams, ${whole.length} whole, ${mixed.length} with events of two versions: ${mixed.map(({name}) => name).join(' ')}`);
-	if (whole.length === 0) {
+	const began = streams.filter(({versions}) => versions[0] === 'v2');
+	record.add(`${streams.length} streams, ${began.length} begun at v2, ${whole.length} whole, ${mixed.length} with events of two versions: ${mixed.map(({name}) => name).join(' ')}`);
+	if (began.length === 0) {
 		return 2;
 	}
 
