--- a/review/kit-2/client.js
+++ b/review/kit-2/client.js
@@ -1,9 +1,13 @@
 /** A caller of a host: sends requests over kept connections and records how each one ends. */
 import {Agent, request} from 'node:http';
 
-/** Creates a caller with at most one connection. `route(id)` returns the address to connect to; a kept connection is used until it closes. */
-export function createCaller({key, host, onEvent}) {
+/**
+Creates a caller with at most one connection. `to()` of a request returns the address for a new connection; a kept one is used until it closes, or has carried
+`requestsPerConnection`.
+*/
+export function createCaller({key, host, onEvent, requestsPerConnection = Number.POSITIVE_INFINITY}) {
 	let agent;
+	let carried = 0;
 	let address;
 
 	const end = () => {
@@ -16,10 +20,12 @@
 		if (!agent) {
 			agent = new Agent({keepAlive: true, maxSockets: 1});
 			address = to();
+			carried = 0;
 		}
 
 		const [ip, port] = address.split(':');
 		const used = agent;
+		carried++;
 		return new Promise(resolve => {
 			const outcome = {
 				id, address, status: undefined, body: '', isComplete: false, wasSent: false, error: undefined, sentAt: performance.now(), endedAt: 0,
@@ -34,7 +40,7 @@
 				clearTimeout(timer);
 				outcome.endedAt = performance.now();
 				onEvent({type: 'answered', ...outcome});
-				if (!outcome.isComplete && agent === used) {
+				if ((!outcome.isComplete || carried >= requestsPerConnection) && agent === used) {
 					end();
 				}
 
@@ -44,7 +50,7 @@
 			const req = request({
 				agent: used, host: ip, port: Number(port), method, path,
 				headers: {
-					Host: host, 'Request-Id': id, 'Deadline-Ms': String(deadlineMs), 'X-Api-Key': key, 'Content-Length': Buffer.byteLength(body), ...headers,
+					Host: host, 'Request-Id': id, 'Deadline-Ms': String(deadlineMs), 'Content-Length': Buffer.byteLength(body), ...(key !== undefined && {'X-Api-Key': key}), ...headers,
 				},
 			});
 			const timer = setTimeout(() => {
--- a/review/kit-2/deployment.js
+++ b/review/kit-2/deployment.js
@@ -20,7 +20,7 @@
 	};
 }
 
-function createConfiguration(routes, services) {
+function createConfiguration(routes, services, hasKeys) {
 	return {
 		version: 1,
 		routes,
@@ -30,15 +30,16 @@
 		limits: {
 			max_header_bytes: 8192, max_body_bytes: 100_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
 		},
-		tenants: [{name: 'carrier', api_keys: [key]}],
+		...(hasKeys && {tenants: [{name: 'carrier', api_keys: [key]}]}),
 	};
 }
 
 /**
-Starts a deployment. `services` has `{name, versions, work}`, with one engine for each of the `versions`; `hostZones` has the zone of each host.
+Starts a deployment. `services` has `{name, versions, work}`, with one engine for each of the `versions`; `hostZones` has the zone of each host; without
+`hasKeys`, the configuration names no tenants, and requests need no key.
 Returns it with the ids of the requests that engines have run.
 */
-export async function startDeployment({record, folder, stoppers, routes, services, hostZones = zones}) {
+export async function startDeployment({record, folder, stoppers, routes, services, hostZones = zones, hasKeys = true}) {
 	const runs = new Set();
 	const reached = new Set();
 	const dropped = new Set();
@@ -52,7 +53,7 @@
 	const storeAddress = `127.0.0.1:${storePort}`;
 	const store = await startStore(storeAddress);
 	stoppers.push(store.stop);
-	store.put('config', 'main', createConfiguration(routes, services));
+	store.put('config', 'main', createConfiguration(routes, services, hasKeys));
 	const engines = [];
 	for (const {name, versions, work} of services) {
 		const ports = await findPorts('127.0.0.1', versions.length);
