--- a/review/10/main.js
+++ b/review/10/main.js
@@ -1,12 +1,12 @@
 /* eslint camelcase: off -- The names on the wire are those of the platform's pages. */
 /** The hosts of a zone are stopped and started in turn during a release, while the store is down: requests that a stopping host has passed on are cut. */
-import {createCaller} from '../kit-2/client.js';
+import {createCaller} from '../6/kit/client.js';
 import {
 	createRoute, hostName, startDeployment,
-} from '../kit-2/deployment.js';
-import {startHost} from '../kit-2/host.js';
-import {play} from '../kit-2/play.js';
-import {sleep} from '../kit-2/tools.js';
+} from '../6/kit/deployment.js';
+import {startHost} from '../6/kit/host.js';
+import {play} from '../6/kit/play.js';
+import {sleep} from '../6/kit/tools.js';
 
 const zone = 'zone-b';
 const callersOfKind = {check: 8, lookup: 15, reserve: 15};
--- a/review/7/main.js
+++ b/review/7/main.js
@@ -1,13 +1,13 @@
 /* eslint camelcase: off -- The names on the wire are those of the platform's pages. */
 /** During a release the store returns from a copy of before it, and all hosts are killed: streams of the new version go on at the old one. */
-import {createCaller} from '../kit-2/client.js';
+import {createCaller} from '../6/kit/client.js';
 import {
 	createRoute, hostName, key, startDeployment,
-} from '../kit-2/deployment.js';
-import {startEngine} from '../kit-2/engine.js';
-import {startHost} from '../kit-2/host.js';
-import {play} from '../kit-2/play.js';
-import {findPorts, sleep} from '../kit-2/tools.js';
+} from '../6/kit/deployment.js';
+import {startEngine} from '../6/kit/engine.js';
+import {startHost} from '../6/kit/host.js';
+import {play} from '../6/kit/play.js';
+import {findPorts, sleep} from '../6/kit/tools.js';
 
 const work = () => ({pieces: 110, gapMs: 100});
 const callersPerHost = 8;
