--- a/src/forwarding/create-gateway-caller-server.ts
+++ b/src/forwarding/create-gateway-caller-server.ts
@@ -13,7 +13,6 @@
 import {parseAddress} from '../http/parse-address.js';
 import {readRequestBody} from '../http/read-request-body.js';
 import {log} from '../observe/log.js';
-import {sleep} from '../util/sleep.js';
 import {toDelayMs} from '../util/to-delay-ms.js';
 import {type IndexedConfiguration} from '../object-store/indexed-configuration.js';
 import {type CallerLoadLimits} from '../callers/caller-load-limits.js';
@@ -37,7 +36,6 @@
 /** Room for what another host adds to the head of a request that it hands on. */
 const relayHeaderBytes = 4096;
 const connectionCheckIntervalMs = 500;
-const idleCheckIntervalMs = 50;
 /** Idle connections stay open for this long past the configured time, so that a request already sent still finds its connection open. */
 const keepAliveMarginMs = 500;
 
@@ -76,8 +74,6 @@
 	@param stopAt - When the process stops, on the same clock.
 	*/
 	readonly drain: (acceptAllUntil: number, stopAt: number) => void;
-	/** Resolves once no request is in flight. */
-	readonly waitUntilIdle: () => Promise<void>;
 	/** Returns the number of requests in flight. */
 	readonly underWay: () => number;
 	/** Closes connections that have no request in flight. */
@@ -297,11 +293,6 @@
 				stopping.abort();
 			}, toDelayMs(stopAt - stopAnswerMs - now()));
 		},
-		async waitUntilIdle() {
-			while (underWay > 0) {
-				await sleep(idleCheckIntervalMs);
-			}
-		},
 		underWay: () => underWay,
 		closeIdleConnections() {
 			server.closeIdleConnections();
--- a/src/forwarding/open-request-servers.ts
+++ b/src/forwarding/open-request-servers.ts
@@ -54,9 +54,6 @@
 					server.drain(acceptAllUntil, stopAt);
 				}
 			},
-			async waitUntilIdle() {
-				await Promise.all(both.map(async server => server.waitUntilIdle()));
-			},
 			underWay: () => callers.underWay() + relayed.underWay(),
 			closeIdleConnections() {
 				for (const server of both) {
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -70,8 +70,6 @@
 import {refreshEvery} from './util/refresh-every.js';
 
 const msPerS = 1000;
-/** Time in which a stopping host stores the streams that it has begun; within what the drain leaves of the grace period. */
-const maxFlushMs = 300;
 /** Reports state anew this often which services this host can't reach. */
 const lostServicesMs = 300;
 /** An engine is ejected for this long after each report that it is loading weights. */
@@ -531,8 +529,9 @@
 			}
 
 			isDraining = true;
-			await drainGateway(name, requests, liveSettings.bounds.graceS * msPerS, now);
-			await streams.flush(maxFlushMs);
+			await drainGateway({
+				host: name, servers: requests, streams, graceMs: liveSettings.bounds.graceS * msPerS, now,
+			});
 			await stop();
 		},
 		stop,
--- a/src/streams/create-stream-archive.ts
+++ b/src/streams/create-stream-archive.ts
@@ -240,6 +240,7 @@
 				void writeVersions();
 			}
 		},
+		hasUnwritten: () => unwritten.length > 0,
 		async flush(timeoutMs) {
 			flushing.abort();
 			await Promise.race([written, sleep(timeoutMs)]);
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -264,6 +264,7 @@
 				reviewMixed();
 			}
 		},
+		hasUnstored: () => tellTimer !== undefined || archive.hasUnwritten(),
 		async flush(timeoutMs) {
 			clearTimeout(tellTimer);
 			tellNext();
--- a/src/streams/stream-archive.ts
+++ b/src/streams/stream-archive.ts
@@ -10,6 +10,8 @@
 	readonly findOnlyVersion: (service: string) => string | undefined;
 	/** Records which versions of each service are listed now. */
 	readonly recordListed: (listed: ReadonlyMap<string, ReadonlySet<string>>) => void;
+	/** Returns whether some stream is not in the store yet. */
+	readonly hasUnwritten: () => boolean;
 	/** Writes without pauses what is not in the store yet; resolves once it is there, at the latest after a time in milliseconds. */
 	readonly flush: (timeoutMs: number) => Promise<void>;
 	readonly stop: () => void;
--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -23,6 +23,8 @@
 	readonly reviewVersions: () => readonly SeenVersion[];
 	/** Records the versions that another host has seen. */
 	readonly recordSeenVersions: (seen: readonly SeenVersion[]) => void;
+	/** Returns whether others have not been told of some stream, or it is not stored yet. */
+	readonly hasUnstored: () => boolean;
 	/** Tells and stores what others don't know yet, before this host stops; resolves at the latest after a time in milliseconds. */
 	readonly flush: (timeoutMs: number) => Promise<void>;
 	readonly stop: () => void;
