Own wire: a stopping host ends at a moment without a request too

What callers saw: requests that a stopping host of the project's own wire took while the platform did not take its last outcomes were cut after up to 10 s.

Change: src/start-host.ts uses finishWork; the callers' server is closed first.

--- a/src/callers/create-caller-server.ts
+++ b/src/callers/create-caller-server.ts
@@ -17,15 +17,12 @@
 import {type Metrics} from '../observe/metrics.js';
 import {type ConfigSnapshot} from '../publishing/config-snapshot.js';
 import {type HostSettings} from '../settings/host-settings.js';
-import {sleep} from '../util/sleep.js';
 import {type CallerLoadLimits} from './caller-load-limits.js';
 import {type createCompletionHandler} from './create-completion-handler.js';
 import {type createPlainHandler} from './create-plain-handler.js';
 import {findWorkspaces} from './find-workspaces.js';
 
 const notReadyRetryAfterMs = 1000;
-/** Interval at which `waitUntilIdle` checks for requests in flight. */
-const idlePollMs = 20;
 const requestIdPattern = /^[\w\-]{1,64}$/v;
 
 /** Options of `createCallerServer`. */
@@ -44,8 +41,6 @@
 	readonly port: number;
 	/** Sends `connection: close` with all further responses. */
 	readonly drain: () => void;
-	/** Waits until no request is in flight. */
-	readonly waitUntilIdle: () => Promise<void>;
 	/** Returns the number of requests in flight. */
 	readonly underWay: () => number;
 	readonly stop: () => Promise<void>;
@@ -214,11 +209,6 @@
 		drain() {
 			isDraining = true;
 		},
-		async waitUntilIdle() {
-			while (underWay > 0) {
-				await sleep(idlePollMs);
-			}
-		},
 		underWay: () => underWay,
 		async stop() {
 			server.close();
--- a/src/commitments/create-ledger-task.ts
+++ b/src/commitments/create-ledger-task.ts
@@ -44,6 +44,8 @@
 		return journal;
 	};
 
+	const hasUnstored = (): boolean => pendingSettlements > 0 || [...journals.values()].some(journal => journal.pendingCount() > 0);
+
 	const ownerAddress = (shard: number): string | undefined => {
 		const owner = owners.inSystem(`ledger/${shard}`);
 		return owner && owner.name !== self ? owner.peers : undefined;
@@ -110,9 +112,10 @@
 			const object = await platform.read(response.object);
 			return object?.value;
 		},
+		hasUnstored,
 		async flush(ms) {
 			const until = Date.now() + ms;
-			while ((pendingSettlements > 0 || [...journals.values()].some(journal => journal.pendingCount() > 0)) && Date.now() < until) {
+			while (hasUnstored() && Date.now() < until) {
 				await sleep(flushPollMs);
 			}
 		},
--- a/src/commitments/ledger-task.ts
+++ b/src/commitments/ledger-task.ts
@@ -20,6 +20,8 @@
 	readonly storeResponse: (claim: IdempotencyClaim, response: StoredResponse) => Promise<StoredResponse>;
 	/** Returns the body of a stored response; `undefined` when it is no longer stored. */
 	readonly readResponseBody: (response: StoredResponse) => Promise<string | undefined>;
+	/** Returns whether some outcome of this host is not written to the platform yet. */
+	readonly hasUnstored: () => boolean;
 	/** Waits until every outcome of this host is written to the platform, at most `ms` milliseconds. */
 	readonly flush: (ms: number) => Promise<void>;
 	readonly handlers: Pick<PeerHandlers, 'commit.claim' | 'commit.settle'>;
--- a/src/start-host.ts
+++ b/src/start-host.ts
@@ -44,6 +44,7 @@
 import {createHttpCacheStore} from './upstreams/create-http-cache-store.js';
 import {createClocks} from './util/create-clocks.js';
 import {memoize} from './util/memoize.js';
+import {finishWork} from './util/finish-work.js';
 import {sleep} from './util/sleep.js';
 
 const slotRequestFanout = 2;
@@ -242,8 +243,8 @@
 	let isLeaving = false;
 
 	const stop = async (): Promise<void> => {
-		await Promise.all([membership.stop(), config.stop(), engineOwner.stop(), slotRequester.stop(), pieceIndex.stop(), domainController.stop()]);
-		await Promise.all([callers.stop(), operators.stop(), peers.stop()]);
+		await Promise.all([callers.stop(), membership.stop(), config.stop(), engineOwner.stop(), slotRequester.stop(), pieceIndex.stop(), domainController.stop()]);
+		await Promise.all([operators.stop(), peers.stop()]);
 		await peerClient.stop();
 		callerLimits.stop();
 	};
@@ -258,8 +259,10 @@
 		membership.leave();
 		callers.drain();
 		await sleep(settings.drainMs);
-		await callers.waitUntilIdle();
-		await ledger.flush(flushTimeoutMs);
+		await finishWork({
+			underWay: callers.underWay, hasUnstored: ledger.hasUnstored, store: ledger.flush, maxStoreMs: flushTimeoutMs,
+			endsAt: Number.POSITIVE_INFINITY, now: () => performance.now(),
+		});
 		log.info({host: name}, 'left');
 		await stop();
 	};
