Stopping hosts: only the last answer of a connection says that it closes

What callers saw: of two requests on one connection, the second one was cut during a planned stop after it had been passed on to an upstream.

Cause: each answer of a draining host said `Connection: close`, after which Node.js closes the connection, whatever follows.

Change: createEndingConnections knows the last request accepted on each connection; only its answer announces the end, and later requests there are not run. One place for the check in all four servers.

--- a/src/callers/create-caller-server.ts
+++ b/src/callers/create-caller-server.ts
@@ -121,7 +121,7 @@
 		const suppliedId = req.headers['x-request-id'];
 		const requestId = typeof suppliedId === 'string' && requestIdPattern.test(suppliedId) ? suppliedId : randomUUID();
 		res.setHeader('x-request-id', requestId);
-		if (isDraining) {
+		if (isDraining && ending.announceEnd(req)) {
 			res.setHeader('connection', 'close');
 		}
 
@@ -192,8 +192,7 @@
 
 	app.all('/services/*', wrapHandler(handlePlain) as never);
 	server.on('request', (req: IncomingMessage, res: ServerResponse) => {
-		if (ending.has(req.socket)) {
-			req.socket.destroy();
+		if (!ending.accept(req)) {
 			return;
 		}
 
--- a/src/forwarding/create-gateway-caller-server.ts
+++ b/src/forwarding/create-gateway-caller-server.ts
@@ -127,6 +127,9 @@
 
 	const createStopRefusal = (): Refusal => new Refusal('not-ready', 'this host shuts down before the body has arrived', 'no', stoppingRetryAfterMs);
 
+	/** A stopping host ends each connection, after the answer to the last request that it has accepted there. */
+	const isLastOnConnection = (req: IncomingMessage): boolean => draining !== undefined && ending.announceEnd(req);
+
 	const checkAndForward = async (req: IncomingMessage, res: ServerResponse, request: CallerRequest, receivedAt: number): Promise<void> => {
 		const current = state();
 		if (!current) {
@@ -179,7 +182,7 @@
 				answer: createCallerResponse(
 					res,
 					refusal => createRefusalHeaders(request, refusal),
-					() => draining !== undefined,
+					() => isLastOnConnection(req),
 					() => createAttemptHeaders(request, attempts.spent()),
 				),
 				isRelayed: isRelay,
@@ -218,7 +221,7 @@
 			createCallerResponse(
 				res,
 				ofRefusal => createRefusalHeaders(request, ofRefusal),
-				() => draining !== undefined || isBodyUnread,
+				() => isBodyUnread || isLastOnConnection(req),
 				() => createAttemptHeaders(request, request?.attempts?.spent),
 			).refuse(refusal);
 		} finally {
@@ -234,12 +237,9 @@
 		insecureHTTPParser: false,
 		requireHostHeader: true,
 	}, (req, res) => {
-		if (ending.has(req.socket)) {
-			req.socket.destroy();
-			return;
+		if (ending.accept(req)) {
+			void handle(req, res);
 		}
-
-		void handle(req, res);
 	});
 	limitConnections(server, {
 		maxConnections,
--- a/src/forwarding/create-status-server.ts
+++ b/src/forwarding/create-status-server.ts
@@ -49,8 +49,7 @@
 
 	server.on('request', (req: IncomingMessage, res) => {
 		const {socket} = req;
-		if (ending.has(socket)) {
-			socket.destroy();
+		if (!ending.accept(req)) {
 			return;
 		}
 
--- a/src/peers/create-peer-server.ts
+++ b/src/peers/create-peer-server.ts
@@ -92,8 +92,7 @@
 
 	const handleRequest: RequestListener = async (req, res) => {
 		const {socket} = req;
-		if (ending.has(socket)) {
-			socket.destroy();
+		if (!ending.accept(req)) {
 			return;
 		}
 
--- a/test/forwarding/requests-at-the-end-of-a-drain.test.ts
+++ b/test/forwarding/requests-at-the-end-of-a-drain.test.ts
@@ -1,4 +1,6 @@
 // Guards against docs/incidents/requests-cut-while-a-stopping-host-stores.md.
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {
 	afterEach, beforeEach, describe, expect, test,
 } from 'vitest';
@@ -123,3 +125,43 @@
 		expect(cut.map(({id}) => id)).toEqual([]);
 	});
 });
+
+/** Sends two requests in one write on one connection, the second one with another time of work; returns all that is answered. */
+async function sendTwo({callers}: TestGateway, targets: readonly [string, string], betweenMs: number): Promise<string> {
+	const [host, port] = callers.split(':');
+	const [first, second] = targets.map((target, index) => buildRawRequest({
+		target, id: `pipelined-${index}`, deadlineMs: 1500, keepAlive: true,
+	}));
+	const socket = connect({host: host!, port: Number(port)});
+	let text = '';
+	socket.on('data', chunk => {
+		text += chunk.toString('latin1');
+	});
+	socket.on('error', () => undefined);
+	const closed = once(socket, 'close');
+	socket.write(first!);
+	if (betweenMs > 0) {
+		await sleep(betweenMs);
+	}
+
+	socket.write(second!);
+	await closed;
+	return text;
+}
+
+/** The first answer said that the connection closes, and the second request was cut after it had been passed on. */
+describe('a stopping host cuts no request that follows another on its connection and that it has passed on', () => {
+	test.each([
+		['both before the first answer', 0],
+		['the second just after the first answer', workMs + 5],
+		['the second while the first is under way', workMs / 2],
+	])('%s', async (_name, betweenMs) => {
+		const [host] = hosts as readonly [TestGateway];
+		drained.add(host);
+		const stopping = host.drain();
+		const text = await sendTwo(host, ['/read/first', '/read/second'], betweenMs);
+		const answers = text.split('whole answer').length - 1;
+		expect(answers).toBe(hasReached('pipelined-1') ? 2 : 1);
+		await stopping;
+	});
+});
