A request is under way until its answer has left the host

What callers saw: an answer that its caller reads slowly could be cut by a planned stop (by reading; the kernel's buffers hide it for small answers).

Cause: a request counted as ended once its answer was written in the process.

Change: both request servers wait for the end of the response.

--- a/src/callers/create-caller-server.ts
+++ b/src/callers/create-caller-server.ts
@@ -12,6 +12,7 @@
 import {readRequestBody} from '../http/read-request-body.js';
 import {type ReceivedBody} from '../http/received-body.js';
 import {sendJson} from '../http/send-json.js';
+import {waitUntilClosed} from '../http/wait-until-closed.js';
 import {type DecisionLog} from '../observe/decision-log.js';
 import {log} from '../observe/log.js';
 import {type Metrics} from '../observe/metrics.js';
@@ -41,7 +42,7 @@
 	readonly port: number;
 	/** Sends `connection: close` with all further responses. */
 	readonly drain: () => void;
-	/** Returns the number of requests in flight. */
+	/** Returns the number of requests whose answers have not left this host. */
 	readonly underWay: () => number;
 	readonly stop: () => Promise<void>;
 };
@@ -141,6 +142,7 @@
 			sendRefusal(res, refusal);
 		} finally {
 			busySockets.delete(req.socket);
+			await waitUntilClosed(res);
 			underWay--;
 			metrics.underWay.set(underWay);
 		}
--- a/src/forwarding/create-gateway-caller-server.ts
+++ b/src/forwarding/create-gateway-caller-server.ts
@@ -12,6 +12,7 @@
 import {listen} from '../http/listen.js';
 import {parseAddress} from '../http/parse-address.js';
 import {readRequestBody} from '../http/read-request-body.js';
+import {waitUntilClosed} from '../http/wait-until-closed.js';
 import {log} from '../observe/log.js';
 import {toDelayMs} from '../util/to-delay-ms.js';
 import {type IndexedConfiguration} from '../object-store/indexed-configuration.js';
@@ -74,7 +75,7 @@
 	@param stopAt - When the process stops, on the same clock.
 	*/
 	readonly drain: (acceptAllUntil: number, stopAt: number) => void;
-	/** Returns the number of requests in flight. */
+	/** Returns the number of requests whose answers have not left this host. */
 	readonly underWay: () => number;
 	/** Closes connections that have no request in flight. */
 	readonly closeIdleConnections: () => void;
@@ -225,8 +226,9 @@
 				() => createAttemptHeaders(request, request?.attempts?.spent),
 			).refuse(refusal);
 		} finally {
-			underWay--;
 			busySockets.delete(socket);
+			await waitUntilClosed(res);
+			underWay--;
 		}
 	};
 
