--- a/src/decide/streams/merge-served-versions.ts
+++ b/src/decide/streams/merge-served-versions.ts
@@ -1,4 +1,4 @@
-import {type ServedVersion} from '../../streams/served-version.js';
+import {type ServedVersion} from './served-version.js';
 
 /**
 Merges the stored versions with those that are listed now. Versions of a service that is listed and that are not listed themselves have ended; those that
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -9,6 +9,7 @@
 import {type PoisonRequestDetector} from '../poison/poison-request-detector.js';
 import {type RelayClient} from '../relay/relay-client.js';
 import {type KnownHost} from '../reports/known-host.js';
+import {type RequiredVersion} from '../streams/required-version.js';
 import {type StreamVersions} from '../streams/stream-versions.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type ByteBudget} from '../util/byte-budget.js';
@@ -83,23 +84,23 @@
 	/**
 	Finds the version at which a stream must go on that its caller takes up, or that another host began for this request.
 
-	@returns Whether it may go on; not if the version matters and is not known.
+	@returns What keeps it from going on, if the version matters and is not known.
 	*/
-	const requireVersion = async ({request, route, endsAt}: AdmittedRequest, progress: ForwardingProgress): Promise<boolean> => {
+	const requireVersion = async ({request, route, endsAt}: AdmittedRequest, progress: ForwardingProgress): Promise<Extract<RequiredVersion, {kind: 'unknown'}> | undefined> => {
 		const begunBy = progress.isVersionUnknown ? request.begunBy ?? request.id : request.begunBy;
 		if (route.kind !== 'stream' || (request.resumeAfter === undefined && !progress.isVersionUnknown)) {
-			return true;
+			return undefined;
 		}
 
 		const required = await streams.findRequired(progress.service, begunBy, request.id!, endsAt);
 		if (required.kind === 'unknown') {
 			progress.lastReason = 'the software version that began the stream is not known';
-			return false;
+			return required;
 		}
 
 		progress.softwareVersion = required.version;
 		progress.isVersionUnknown = false;
-		return true;
+		return undefined;
 	};
 
 	const decideNext = ({route, answer}: AdmittedRequest, progress: ForwardingProgress, outcome: SendOutcome): RetryDecision => decideRetry(outcome, {
@@ -236,8 +237,9 @@
 				return;
 			}
 
-			if ((isFirst || progress.isVersionUnknown) && !await requireVersion(admitted, progress)) {
-				reporter.refuse(admitted, progress, 'no-upstream', 'never');
+			const unknown = isFirst || progress.isVersionUnknown ? await requireVersion(admitted, progress) : undefined;
+			if (unknown) {
+				reporter.refuse(admitted, progress, 'no-upstream', unknown.retryAfterMs ?? 'never');
 				return;
 			}
 
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -283,15 +283,16 @@
 	const rooms = createRoomTask({
 		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, call: peerClient.call, now, random,
 	});
+	const knowledge = createVersionKnowledge({
+		confirmedAgeMs: () => getAgeMs(stateSync.upstreamsConfirmedAt()),
+		refresh: async () => refreshKind(kinds.upstreams),
+		listHeard: reportExchange.listHeard, now, standstill,
+	});
 	const streams = createStreamVersions({
 		listUpstreams: registry.listAll, listOthers: reportExchange.listOthers, alive: reportExchange.alive, call: peerClient.call,
-		knowledge: createVersionKnowledge({
-			confirmedAgeMs: () => getAgeMs(stateSync.upstreamsConfirmedAt()),
-			refresh: async () => refreshKind(kinds.upstreams),
-			listHeard: reportExchange.listHeard, now, standstill,
-		}),
+		knowledge,
 		openArchive: (retentionMs, onVersions) => createStreamArchive({
-			host: name, store, kind: kinds.streams, retentionMs, countHosts, random, onVersions,
+			host: name, store, kind: kinds.streams, epochs, retentionMs, countHosts, random, isInStep: knowledge.isInStep, onVersions,
 		}),
 		tell: reportExchange.tellStreams, now,
 	});
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -71,13 +71,16 @@
 		recordSeen(seen);
 	});
 
+	/** Whether a stream of a service may only be taken up where the version that began it is known. */
+	const mustBeKnown = (service: string): boolean => history.isMixed(service, now()) || archive.doubtMs() > 0;
+
 	const tellNext = (): void => {
 		tellTimer = undefined;
 		const known = untold.flatMap(id => {
 			const record = index.lookUp(id, now());
 			return record ? [{id, ...record}] : [];
 		});
-		const due = known.filter(({service}) => history.isMixed(service, now())).slice(0, maxToldAtOnce);
+		const due = known.filter(({service}) => mustBeKnown(service)).slice(0, maxToldAtOnce);
 		for (const {id, service, version} of due) {
 			archive.add(id, service, version);
 		}
@@ -195,7 +198,8 @@
 			return {kind: 'unknown'};
 		}
 
-		if (!known && !history.isMixed(service, now())) {
+		const doubtMs = archive.doubtMs();
+		if (!known && doubtMs === 0 && !history.isMixed(service, now())) {
 			const required = knowledge.isInStep() ? anyOf(service) : await findInDoubt(service, begunBy, requestId, leftMs);
 			if (required !== 'mixed') {
 				return required;
@@ -204,9 +208,13 @@
 
 		const found = known ? {version: known.version, from: 'here'} : await findElsewhere(service, begunBy, leftMs);
 		log.info({
-			requestId, service, begunBy, version: found?.version, from: found?.from, ageMs: known && Math.round(now() - known.at),
+			requestId, service, begunBy, version: found?.version, from: found?.from, ageMs: known && Math.round(now() - known.at), doubtMs: Math.round(doubtMs),
 		}, found ? 'stream goes on at its version' : 'stream cannot go on, its version is unknown');
-		return found ? {kind: 'one', version: found.version} : {kind: 'unknown'};
+		if (found) {
+			return {kind: 'one', version: found.version};
+		}
+
+		return doubtMs > 0 ? {kind: 'unknown', retryAfterMs: doubtMs} : {kind: 'unknown'};
 	};
 
 	const recordSeen = (seen: readonly SeenVersion[]): void => {
@@ -234,7 +242,7 @@
 		recordBegin(requestId, service, version) {
 			index.add(requestId, service, version, now());
 			untold.push(requestId);
-			if (history.isMixed(service, now())) {
+			if (mustBeKnown(service)) {
 				scheduleTelling();
 			}
 		},
--- a/src/streams/required-version.ts
+++ b/src/streams/required-version.ts
@@ -2,4 +2,5 @@
 export type RequiredVersion
 	= | {readonly kind: 'any'; readonly version: string | undefined}
 		| {readonly kind: 'one'; readonly version: string}
-		| {readonly kind: 'unknown'};
+		/** With a time in which it may become known, in milliseconds. */
+		| {readonly kind: 'unknown'; readonly retryAfterMs?: number};
--- a/src/streams/stream-archive.ts
+++ b/src/streams/stream-archive.ts
@@ -6,6 +6,8 @@
 	readonly waitUntilRead: (timeoutMs: number) => Promise<boolean>;
 	/** Reads the version that began a stream; `undefined` where the store does not tell. */
 	readonly lookUp: (id: string) => Promise<string | undefined>;
+	/** Returns for how long, in milliseconds, streams may be unknown that began at versions which the store has lost; 0 if there are none. */
+	readonly doubtMs: () => number;
 	/** Returns the version of a service where it was the only one until this host started; `undefined` where there were several, or none is known. */
 	readonly findOnlyVersion: (service: string) => string | undefined;
 	/** Records which versions of each service are listed now. */
--- a/test/streams/stream-archive.test.ts
+++ b/test/streams/stream-archive.test.ts
@@ -1,5 +1,6 @@
 // Guards against docs/incidents/streams-after-the-death-of-all-hosts.md.
 import {describe, expect, test} from 'vitest';
+import {createEpochTracker} from '../../src/object-store/create-epoch-tracker.js';
 import {type StoredObject} from '../../src/object-store/stored-object.js';
 import {createStreamArchive} from '../../src/streams/create-stream-archive.js';
 import {sleep} from '../../src/util/sleep.js';
@@ -41,6 +42,7 @@
 
 const openArchive = (store: Store, host: string, hosts = 1) => createStreamArchive({
 	host, store, kind: 'streams', retentionMs: 60_000, countHosts: () => hosts, random: () => 0, onVersions: () => undefined,
+	epochs: createEpochTracker(() => performance.now()), isInStep: () => true,
 });
 
 describe('begun streams are in the store', () => {
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -15,7 +15,7 @@
 
 /** A store that tells nothing. */
 const emptyArchive: StreamArchive = {
-	add: () => undefined, waitUntilRead: async () => true, lookUp: async () => undefined, findOnlyVersion: () => undefined, recordListed: () => undefined, hasUnwritten: () => false, flush: async () => undefined, stop: () => undefined,
+	add: () => undefined, waitUntilRead: async () => true, lookUp: async () => undefined, findOnlyVersion: () => undefined, recordListed: () => undefined, doubtMs: () => 0, hasUnwritten: () => false, flush: async () => undefined, stop: () => undefined,
 };
 
 /** Hosts of which nothing is hidden. */
--- a/test/support/create-release.ts
+++ b/test/support/create-release.ts
@@ -9,6 +9,13 @@
 export function createRelease() {
 	const upstreams: Upstream[] = [];
 	let refusalDelayMs: number | undefined;
+	/** Writes the entry of each upstream; one that is there already stays as it is. */
+	const register = (store: ObjectStoreServer): void => {
+		for (const [index, {id, version, server}] of upstreams.entries()) {
+			store.put('servers', id, platformObjects.upstream(server.address, {version, slots: 32, born: 1_700_000_000_001 + index}));
+		}
+	};
+
 	const add = async (store: ObjectStoreServer, version: Version): Promise<void> => {
 		const server = await createUpstreamServer();
 		server.answer = (received, socket) => {
@@ -21,9 +28,8 @@
 			respondWithVersion(version, received, socket);
 		};
 
-		const upstream = {id: `i-${upstreams.length}`, version, server};
-		upstreams.push(upstream);
-		store.put('servers', upstream.id, platformObjects.upstream(server.address, {version, slots: 32, born: 1_700_000_000_000 + upstreams.length}));
+		upstreams.push({id: `i-${upstreams.length}`, version, server});
+		register(store);
 	};
 
 	const addBoth = async (store: ObjectStoreServer, version: Version): Promise<void> => {
@@ -41,6 +47,7 @@
 	};
 
 	return {
+		register,
 		prepare: async (store: ObjectStoreServer) => addBoth(store, 'v1'),
 		releases: {
 			async added(store: ObjectStoreServer) {
