--- a/src/decide/forwarding/classify-response.ts
+++ b/src/decide/forwarding/classify-response.ts
@@ -1,4 +1,5 @@
 import {type ResponseHead} from '../../forwarding/response-head.js';
+import {isFinalStatus} from './is-final-status.js';
 import {type ResponseClass} from './response-class.js';
 
 /** Statuses that promise the caller that the request was not run. */
@@ -9,7 +10,7 @@
 request or are corrupted.
 */
 export function classifyResponse(head: ResponseHead, requestId: string | undefined): ResponseClass {
-	if (head.isMerged) {
+	if (head.isMerged || !isFinalStatus(head.status)) {
 		return 'unusable';
 	}
 
--- a/src/upstreams/call-plain-service.ts
+++ b/src/upstreams/call-plain-service.ts
@@ -1,4 +1,5 @@
 import {Client} from 'undici';
+import {isFinalStatus} from '../decide/forwarding/is-final-status.js';
 import {createConnectionObserver} from '../http/create-connection-observer.js';
 import {getResponseFraming} from '../http/get-response-framing.js';
 import {readBody} from '../http/read-body.js';
@@ -35,6 +36,10 @@
 			reset: true,
 		});
 		const text = await readBody(body, maxResponseBytes);
+		if (!isFinalStatus(statusCode)) {
+			throw new Error(`the response has status ${statusCode}`);
+		}
+
 		const framing = getResponseFraming({
 			method: req.method, status: statusCode, transferEncoding: headers['transfer-encoding']?.toString(), contentLength: headers['content-length']?.toString(),
 		});
--- a/test/support/start-linked-system.ts
+++ b/test/support/start-linked-system.ts
@@ -2,6 +2,7 @@
 import {adapter} from '../../platform/adapter.js';
 import {type GatewayAdapter} from '../../src/forwarding/gateway-adapter.js';
 import {sleep} from '../../src/util/sleep.js';
+import {createLinkedAdapter} from './create-linked-adapter.js';
 import {createLink, type Link, type LinkFault} from './create-link.js';
 import {createObjectStoreServer, type ObjectStoreServer} from './create-object-store-server.js';
 import {createUpstreamServer, type ReceivedRequest, type UpstreamServer} from './create-upstream-server.js';
@@ -47,21 +48,6 @@
 	readonly changed?: Partial<GatewayAdapter>;
 };
 
-function createLinkedAdapter(toLink: (address: string) => string): GatewayAdapter {
-	return {
-		...adapter,
-		openConnectionPool: (address, onConnect) => adapter.openConnectionPool(toLink(address), onConnect),
-		openEngineClient() {
-			const client = adapter.openEngineClient(() => undefined);
-			return {
-				...client,
-				ping: async (address, target, timeoutMs) => client.ping(toLink(address), target, timeoutMs),
-				isUp: async address => client.isUp(toLink(address)),
-			};
-		},
-	};
-}
-
 /** Starts a store, upstreams and hosts. */
 export async function startLinkedSystem({domains, upstreams: count = 3, respond, configuration = {}, bounds = {}, changed = {}}: LinkedSystemOptions): Promise<LinkedSystem> {
 	const store = await createObjectStoreServer();
--- a/test/upstreams/upstream-responses.test.ts
+++ b/test/upstreams/upstream-responses.test.ts
@@ -3,6 +3,7 @@
 } from 'vitest';
 import {callPlainService} from '../../src/upstreams/call-plain-service.js';
 import {readServerSentEvents} from '../../src/upstreams/read-server-sent-events.js';
+import {createEarlyUpstream, type EarlyUpstream} from '../support/create-early-upstream.js';
 import {createUpstreamServer, type RequestHandler, type UpstreamServer} from '../support/create-upstream-server.js';
 
 const timeoutMs = 1000;
@@ -62,6 +63,45 @@
 	});
 });
 
+/** The caller got a part of an answer, or a status that is none, as an answer. */
+describe('the response of a plain service to a long upload', () => {
+	const longBody = 'x'.repeat(16 * 1024 * 1024);
+	let early: EarlyUpstream;
+
+	beforeEach(async () => {
+		early = await createEarlyUpstream();
+	});
+
+	afterEach(() => {
+		early.stop();
+	});
+
+	const upload = async (body: string) => callPlainService(`http://${early.address}`, {
+		requestId: 'r', workspace: 'w', method: 'POST', path: '/x', contentType: 'text/plain', body, idempotencyKey: undefined,
+	} as Parameters<typeof callPlainService>[1], timeoutMs);
+
+	const parts = ['', 'Connection: close\r\n', 'Content-Length: 8\r\n', 'Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4'];
+	test.each(parts.flatMap(headers => [0, 30].map(afterMs => [headers, afterMs] as const)))('broken off before its end is an error: %j, reset after %i ms', async (headers, afterMs) => {
+		early.answer = (_, socket) => {
+			socket.write(`${head}${headers}\r\nbody`, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, afterMs);
+			});
+		};
+
+		await expect(upload(longBody)).rejects.toMatchObject({mayHaveRun: true});
+	});
+
+	test.each(['000', '099', '0', '20', '2000', '-200', '2x0', '199', '600', '999'])('with the status %s is an error', async status => {
+		early.answer = (_, socket) => {
+			socket.end(`HTTP/1.1 ${status} Odd\r\nContent-Length: 4\r\n\r\nbody`);
+		};
+
+		await expect(upload('body')).rejects.toMatchObject({mayHaveRun: true});
+	});
+});
+
 async function collect(pieces: readonly string[]): Promise<readonly string[]> {
 	const events: string[] = [];
 	async function * toBody(): AsyncGenerator<Uint8Array> {
