--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -67,6 +67,7 @@
 import {createClocks} from './util/create-clocks.js';
 import {memoizeLast} from './util/memoize-last.js';
 import {memoize} from './util/memoize.js';
+import {once} from './util/once.js';
 import {refreshEvery} from './util/refresh-every.js';
 
 const msPerS = 1000;
@@ -91,7 +92,7 @@
 
 /** A running gateway host. */
 type Gateway = {
-	/** Fails the readiness check, finishes the requests in flight and stops. */
+	/** Fails the readiness check, finishes the requests in flight and stops; each call resolves once that is done. */
 	readonly drain: () => Promise<void>;
 	readonly stop: () => Promise<void>;
 	/** Applies changed settings while the host runs; logs those that need a restart. */
@@ -524,17 +525,13 @@
 		host: name, domain, callers: settings.callers, store: settings.objectStore,
 	}, 'host started');
 	return {
-		async drain() {
-			if (isDraining) {
-				return;
-			}
-
+		drain: once(async () => {
 			isDraining = true;
 			await drainGateway({
 				host: name, servers: requests, streams, graceMs: liveSettings.bounds.graceS * msPerS, now,
 			});
 			await stop();
-		},
+		}),
 		stop,
 		reload(changed) {
 			const difference = compareGatewaySettings(liveSettings, changed);
--- a/src/start-host.ts
+++ b/src/start-host.ts
@@ -45,6 +45,7 @@
 import {createClocks} from './util/create-clocks.js';
 import {memoize} from './util/memoize.js';
 import {finishWork} from './util/finish-work.js';
+import {once} from './util/once.js';
 import {sleep} from './util/sleep.js';
 
 const slotRequestFanout = 2;
@@ -249,11 +250,7 @@
 		callerLimits.stop();
 	};
 
-	const drain = async (): Promise<void> => {
-		if (isLeaving) {
-			return;
-		}
-
+	const drain = once(async () => {
 		isLeaving = true;
 		log.info({host: name, underWay: callers.underWay()}, 'leaving');
 		membership.leave();
@@ -265,7 +262,7 @@
 		});
 		log.info({host: name}, 'left');
 		await stop();
-	};
+	});
 
 	const operators = await createOperatorServer(settings.operators, {
 		isReady: () => !isLeaving && snapshot() !== undefined,
