--- a/src/streams/create-stream-slices.ts
+++ b/src/streams/create-stream-slices.ts
@@ -54,7 +54,7 @@
 	let unwritten: ArchivedStream[] = [];
 	/** Streams that the store has taken, the oldest first. */
 	let kept: ArchivedStream[] = [];
-	/** Number of streams that the store has lost and not taken again. */
+	/** Number of streams that the store has lost and that are written again without long pauses. */
 	let lost = 0;
 	let isWriting = false;
 	let isFlushing = false;
@@ -102,6 +102,8 @@
 		} catch (error) {
 			// A write without an answer may have been made: the object's revision is not known any more.
 			own.set(name, {at, stored: undefined});
+			// A store that does not take writes is not hurried.
+			lost = 0;
 			const dropped = unwritten.splice(0, Math.max(0, unwritten.length - maxUnwritten)).length;
 			logFailure(error, {unwritten: unwritten.length, dropped}, 'begun streams could not be stored');
 		}
