--- a/test/support/wait-until-ready.ts
+++ b/test/support/wait-until-ready.ts
@@ -7,15 +7,21 @@
 /** A probe without a response is repeated. */
 const probeTimeoutMs = 5000;
 
-async function isReady({readiness}: Host): Promise<boolean> {
-	const {status} = await fetch(`http://${readiness}/v1/readiness`, {signal: createTimeoutSignal(probeTimeoutMs)});
-	return status === 200;
+/** Asks a host whether it is ready; returns the status of its answer, or why there is none. */
+async function probe({readiness}: Host): Promise<string> {
+	try {
+		const {status} = await fetch(`http://${readiness}/v1/readiness`, {signal: createTimeoutSignal(probeTimeoutMs)});
+		return String(status);
+	} catch (error) {
+		return `${String(error)}, ${String((error as Error).cause)}`;
+	}
 }
 
 /** Waits until all hosts report that they are ready. */
 export async function waitUntilReady(...gateways: readonly Host[]): Promise<void> {
+	let answers: readonly string[] = [];
 	await waitUntil('the hosts to be ready', async () => {
-		const readiness = await Promise.all(gateways.map(async gateway => isReady(gateway)));
-		return readiness.every(Boolean);
-	});
+		answers = await Promise.all(gateways.map(async gateway => probe(gateway)));
+		return answers.every(answer => answer === '200');
+	}, undefined, () => gateways.map(({readiness}, index) => `${readiness}: ${answers[index]}`).join('; '));
 }
