Tests get no port that fetch refuses

Cause: the readiness probe of the tests uses fetch, which refuses port 10080 before it connects; tests got ports from 10000 on. Which test got it depended on the id of its process.

No source of the product changed.

--- a/test/support/find-test-ports.ts
+++ b/test/support/find-test-ports.ts
@@ -1,10 +1,9 @@
 import {createServer, type Server} from 'node:net';
 import process from 'node:process';
 import {listen} from '../../src/http/listen.js';
+import {testPortRange} from './test-port-range.js';
 
-/** Below the ephemeral ports, so that no outgoing connection takes a port between the check and its use. */
-const firstPort = 10_000;
-const portCount = 22_000;
+const {first, count: portCount} = testPortRange;
 /** Where a port is claimed; tests listen on other addresses. */
 const claimHost = '127.0.0.2';
 
@@ -43,7 +42,7 @@
 			throw new Error(`fewer than ${count} ports are free`);
 		}
 
-		const port = firstPort + (nextOffset % portCount);
+		const port = first + (nextOffset % portCount);
 		nextOffset++;
 		if (await claim(port)) {
 			ports.push(port);
