Streams go on only at the start of an upstream whose version is known

The store is silent, and upstreams end one after the other and start again under their ids as v2: 17 to 23 streams held events of both versions.

Cause: the software version of an upstream was taken from its entry in the list, also after contact with it had been lost since the last confirmation.

Change: the registry notes when a connection to an upstream was opened and when one broke; create-start-verifier.ts asks the upstream when it started where that may have changed since the list was confirmed. A start that the list does not show has a version of its own until it does.

The stand-in of heads-that-stop.test.ts answers reports now, as engines do, instead of throwing; its cases are unchanged. The control calls that a resting upstream must not get include the new one.

--- a/src/announcements/respect-rest.ts
+++ b/src/announcements/respect-rest.ts
@@ -21,6 +21,10 @@
 			check(address);
 			return client.report(address);
 		},
+		async readStart(address) {
+			check(address);
+			return client.readStart(address);
+		},
 		async order(address, upstreamId, order) {
 			check(address);
 			return client.order(address, upstreamId, order);
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -11,6 +11,7 @@
 import {type KnownHost} from '../reports/known-host.js';
 import {type RequiredVersion} from '../streams/required-version.js';
 import {type StreamVersions} from '../streams/stream-versions.js';
+import {type StartVerifier} from '../registry/start-verifier.js';
 import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {type ByteBudget} from '../util/byte-budget.js';
 import {type AdmittedRequest} from './admitted-request.js';
@@ -46,11 +47,12 @@
 	readonly getLatencyModel: (service: string) => ServiceLatencyModel;
 	/** Returns whether the link to an upstream works; checks it first if it has carried nothing for a while. */
 	readonly verifyLink: (upstreamId: string) => Promise<boolean>;
+	readonly verifyStart: StartVerifier;
 	readonly relay: Pick<RelayClient, 'recordRefusal'>;
 	/** Hands a request on to another host once. */
 	readonly sendRelayed: (admitted: AdmittedRequest, progress: ForwardingProgress, helper: KnownHost) => Promise<SendOutcome>;
 	/** The software versions that began streams. */
-	readonly streams: Pick<StreamVersions, 'recordBegin' | 'findRequired'>;
+	readonly streams: Pick<StreamVersions, 'recordBegin' | 'findRequired' | 'toListed'>;
 	readonly encode: (request: CallerRequest, options: UpstreamRequestOptions) => string[];
 	/** What the host keeps of responses, all together. */
 	readonly keptBytes: ByteBudget;
@@ -59,7 +61,7 @@
 
 /** Creates the function that forwards a caller's request, retries it where that is safe, and sends the final response. */
 export function createForwarder(options: ForwarderOptions): (admitted: AdmittedRequest) => Promise<void> {
-	const {registry, evacuations, crashes, getRetryBudget, getLatencyModel, verifyLink, relay, sendRelayed, streams, encode, keptBytes, now, random, onEnd} = options;
+	const {registry, evacuations, crashes, getRetryBudget, getLatencyModel, verifyLink, verifyStart, relay, sendRelayed, streams, encode, keptBytes, now, random, onEnd} = options;
 	const reporter = createRequestReporter({now, random, onEnd});
 	const findNext = createPlacementFinder(options);
 	const send = createSender({
@@ -171,7 +173,11 @@
 			return false;
 		}
 
-		// The request may have waited for a permit, a slot or the check of the link since it was placed.
+		if (route.kind === 'stream' && !await verifyStart(placement.upstream, progress.softwareVersion !== undefined)) {
+			return false;
+		}
+
+		// The request may have waited for a permit, a slot or a check of the upstream since it was placed.
 		if (!evacuations.maySend(request.id!, progress.service, placement)) {
 			return false;
 		}
@@ -243,6 +249,7 @@
 				return;
 			}
 
+			progress.softwareVersion = streams.toListed(progress.service, progress.softwareVersion);
 			const result = await findNext(admitted, progress);
 			if (!maySend(admitted)) {
 				progress.lastReason = 'this host stops';
--- a/src/forwarding/engine-client.ts
+++ b/src/forwarding/engine-client.ts
@@ -7,6 +7,8 @@
 export type EngineClient = {
 	/** Reads the weights and the state of an engine. */
 	readonly report: (address: string) => Promise<EngineReport>;
+	/** Reads when an engine started, in Unix milliseconds; `undefined` when it responds and does not say. */
+	readonly readStart: (address: string) => Promise<number | undefined>;
 	/** Sends an order that only the engine with this id accepts. */
 	readonly order: (address: string, upstreamId: string, order: WeightUpdateOrder) => Promise<OrderResult>;
 	/** Waits up to `waitMs` for events of a KV cache store after number `since`. */
--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -1,3 +1,4 @@
+import {nameUnlistedVersion} from '../decide/streams/name-unlisted-version.js';
 import {createUpstreamAnnouncements} from '../announcements/create-upstream-announcements.js';
 import {takeDueLimits} from '../announcements/take-due-limits.js';
 import {type UpstreamAnnouncements} from '../announcements/upstream-announcements.js';
@@ -16,6 +17,7 @@
 import {createColdnessRecorder} from './create-coldness-recorder.js';
 import {recordAnnouncement} from './record-announcement.js';
 import {toUpstreamView} from './to-upstream-view.js';
+import {type UpstreamContact} from './upstream-contact.js';
 import {type UpstreamEntry} from './upstream-entry.js';
 import {type UpstreamRegistry} from './upstream-registry.js';
 
@@ -24,11 +26,18 @@
 	return new Map([...registered].map(([model, version]) => [model, Math.max(version, existing.get(model) ?? 0)]));
 }
 
+/** What a connection pool tells of its connections. */
+type ConnectionListener = {
+	readonly onOpen: () => void;
+	/** Called when the upstream ends a connection on which nothing is under way. */
+	readonly onIdleEnd: () => void;
+};
+
 /** Dependencies of the upstream registry. */
 type UpstreamRegistryOptions = {
 	readonly now: () => number;
-	/** Creates the connection pool of an upstream, which calls `onIdleEnd` when the upstream ends a connection on which nothing is under way. */
-	readonly link: (upstream: Upstream, onIdleEnd: () => void) => UpstreamConnectionPool;
+	/** Creates the connection pool of an upstream. */
+	readonly link: (upstream: Upstream, listener: ConnectionListener) => UpstreamConnectionPool;
 	/** Returns the number of connections that this host may open to each upstream of a service. */
 	readonly maxConnectionsFor: (service: string) => number;
 	/** Tells which upstreams can be reached. */
@@ -87,15 +96,29 @@
 		const silenceListeners = new Set<() => void>();
 		const coldGate = createColdGate(upstream, () => findColdLimit(upstream.service));
 		coldnessRecorder.recordAdded(coldGate, upstream);
-		const pool = link(upstream, () => {
+		const never = Number.NEGATIVE_INFINITY;
+		const contact: UpstreamContact = {
+			openedAt: never, brokenAt: never, askedAt: never, toldAt: never, untoldAt: never,
+		};
+		const recordBroken = (): void => {
 			coldGate.recordBroken(now());
-			if (coldGate.forMs(now()) > 0) {
-				// A probe tells whether it has started again, or only closes idle connections.
-				links.recordBroken(upstream.id);
-			}
+			contact.brokenAt = now();
+		};
+
+		const pool = link(upstream, {
+			onOpen() {
+				contact.openedAt = now();
+			},
+			onIdleEnd() {
+				recordBroken();
+				if (coldGate.forMs(now()) > 0) {
+					// A probe tells whether it has started again, or only closes idle connections.
+					links.recordBroken(upstream.id);
+				}
+			},
 		});
 		links.add(upstream, () => {
-			coldGate.recordBroken(now());
+			recordBroken();
 			pool.closeIdle();
 			for (const listener of silenceListeners) {
 				listener();
@@ -114,6 +137,8 @@
 			failureShare: 0,
 			announcements: createAnnouncements(upstream),
 			coldGate,
+			contact,
+			unlistedStart: undefined,
 			isGone: false,
 		});
 		log.info({
@@ -141,7 +166,10 @@
 		// A start that leaves does not come back; an older copy of the store may not know that it leaves.
 		const isLeaving = upstream.isLeaving || (known.upstream.isLeaving && upstream.startedAt !== undefined);
 		coldnessRecorder.recordListed(known.coldGate, upstream);
-		known.upstream = {...upstream, isLeaving, weights: mergeWeights(known.upstream.weights, upstream.weights)};
+		const softwareVersion = known.unlistedStart === undefined ? upstream.softwareVersion : known.upstream.softwareVersion;
+		known.upstream = {
+			...upstream, isLeaving, softwareVersion, weights: mergeWeights(known.upstream.weights, upstream.weights),
+		};
 		paces?.update(known.upstream);
 	};
 
@@ -225,6 +253,32 @@
 				entry.upstream = {...entry.upstream, weights: new Map([...entry.upstream.weights, [model, version]])};
 			}
 		},
+		contact(id) {
+			const entry = entries.get(id);
+			return entry && {...entry.contact, hasIdle: entry.link.hasIdle()};
+		},
+		recordStart(id, startedAt, askedAt) {
+			const entry = entries.get(id);
+			if (!entry) {
+				return false;
+			}
+
+			if (startedAt === undefined) {
+				entry.contact.untoldAt = now();
+				return true;
+			}
+
+			entry.contact.askedAt = askedAt;
+			entry.contact.toldAt = now();
+			if (startedAt === (entry.unlistedStart ?? entry.upstream.startedAt)) {
+				return true;
+			}
+
+			log.warn({upstream: id, listed: entry.upstream.startedAt, startedAt}, 'upstream has started again and the list does not show it, its software version is not known');
+			entry.unlistedStart = startedAt;
+			entry.upstream = {...entry.upstream, softwareVersion: nameUnlistedVersion(id, startedAt)};
+			return false;
+		},
 		coldGate: id => entries.get(id)?.coldGate,
 		markCold(ids, forMs, at) {
 			for (const id of ids) {
--- a/src/registry/upstream-entry.ts
+++ b/src/registry/upstream-entry.ts
@@ -2,6 +2,7 @@
 import {type UpstreamConnectionPool} from '../forwarding/upstream-connection-pool.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {type ColdGate} from './cold-gate.js';
+import {type UpstreamContact} from './upstream-contact.js';
 
 /** An upstream, its connections and this host's observations of it. */
 export type UpstreamEntry = {
@@ -27,6 +28,9 @@
 	readonly announcements: UpstreamAnnouncements;
 	/** What keeps requests back while it is cold. */
 	readonly coldGate: ColdGate;
+	readonly contact: UpstreamContact;
+	/** Start time that the upstream states where the list has another one, in Unix milliseconds; its software version is not known then. */
+	unlistedStart: number | undefined;
 	/** Whether the upstream is no longer registered; its connections close after the last request. */
 	isGone: boolean;
 };
--- a/src/registry/upstream-registry.ts
+++ b/src/registry/upstream-registry.ts
@@ -12,6 +12,7 @@
 import {type Upstream} from '../forwarding/upstream.js';
 import {type RequestCost} from '../forwarding/request-cost.js';
 import {type ColdGate} from './cold-gate.js';
+import {type UpstreamContact} from './upstream-contact.js';
 
 /** Registry of the upstreams, with their state as known to this host and the connections to them. */
 export type UpstreamRegistry = {
@@ -43,6 +44,15 @@
 	readonly listLostServices: () => readonly string[];
 	/** Records a weight version found on an upstream. */
 	readonly recordWeights: (id: string, model: string, version: number) => void;
+	/** Returns this host's contact with an upstream, and whether an open connection to it is idle; `undefined` when it is not registered. */
+	readonly contact: (id: string) => Readonly<UpstreamContact> & {readonly hasIdle: boolean} | undefined;
+	/**
+	Records which start an upstream has just said it is, in Unix milliseconds, `undefined` if it did not say, and when it was asked. One that the list does not show has a software
+	version of its own until it does.
+
+	@returns Whether it is the start that this host took it for.
+	*/
+	readonly recordStart: (id: string, startedAt: number | undefined, askedAt: number) => boolean;
 	/** Returns the gate that keeps requests back while an upstream is cold; `undefined` when it is not registered. */
 	readonly coldGate: (id: string) => ColdGate | undefined;
 	/** Records that upstreams may be cold for this long from now on, unless a source that is asked later says otherwise. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -41,6 +41,7 @@
 import {createStoredState} from './object-store/create-stored-state.js';
 import {createWeightAgeTask} from './object-store/create-weight-age-task.js';
 import {createWeightAgeRecord} from './object-store/create-weight-age-record.js';
+import {createStartVerifier} from './registry/create-start-verifier.js';
 import {createUpstreamRegistry} from './registry/create-upstream-registry.js';
 import {markDomainCold} from './registry/mark-domain-cold.js';
 import {type GatewayAdapter} from './forwarding/gateway-adapter.js';
@@ -227,8 +228,9 @@
 		isEvacuated: evacuations.isEvacuated,
 		paces,
 		maxConnectionsFor: service => Math.max(minConnections, Math.floor((storedState.findService(service)?.maxConnections ?? 0) / countHosts())),
-		link: (upstream, onIdleEnd) => adapter.openConnectionPool(upstream.address, () => {
+		link: (upstream, {onOpen, onIdleEnd}) => adapter.openConnectionPool(upstream.address, () => {
 			metrics.connections.inc({service: upstream.service});
+			onOpen();
 		}, onIdleEnd),
 	});
 	const statementLearner = createStatementLearner({
@@ -447,6 +449,18 @@
 		acquirePermit: permits.acquire,
 		acquireRoom: rooms.acquire,
 		verifyLink: links.verify,
+		verifyStart: createStartVerifier({
+			registry, now, isInStep: knowledge.isInStep, verifyLink: links.verify,
+			confirmedAgeMs: () => getAgeMs(stateSync.upstreamsConfirmedAt()),
+			async readStart(id, address) {
+				permits.charge(id);
+				return engineClient.readStart(address);
+			},
+			confirmList: knowledge.confirm,
+			onUnlisted() {
+				streams.recordUpstreams(registry.listAll());
+			},
+		}),
 		confirmCutOff: links.confirmCutOff,
 		relay,
 		sendRelayed: createRelaySender({
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -2,6 +2,7 @@
 import {createStreamIndex} from '../decide/streams/create-stream-index.js';
 import {createVersionHistory} from '../decide/streams/create-version-history.js';
 import {groupStreams} from '../decide/streams/group-streams.js';
+import {nameUnlistedVersion} from '../decide/streams/name-unlisted-version.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {log} from '../observe/log.js';
@@ -246,6 +247,11 @@
 				scheduleTelling();
 			}
 		},
+		toListed(service, version) {
+			const isStart = (upstream: Upstream): boolean =>
+				upstream.service === service && upstream.startedAt !== undefined && nameUnlistedVersion(upstream.id, upstream.startedAt) === version;
+			return version === undefined ? undefined : listUpstreams().find(upstream => isStart(upstream))?.softwareVersion ?? version;
+		},
 		findRequired,
 		receive(groups) {
 			for (const {service, version, ids} of groups) {
--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -7,6 +7,8 @@
 export type StreamVersions = {
 	/** Records that the first event of a response has been delivered. */
 	readonly recordBegin: (requestId: string, service: string, version: string) => void;
+	/** Returns the software version of a start that the list did not show when a stream began there, if it does now; others as they are. */
+	readonly toListed: (service: string, version: string | undefined) => string | undefined;
 	/**
 	Returns the version at which a stream must go on.
 
--- a/test/announcements/control-calls-of-a-resting-upstream.test.ts
+++ b/test/announcements/control-calls-of-a-resting-upstream.test.ts
@@ -22,7 +22,7 @@
 	};
 
 	const client = respectRest({
-		report: record('report'), order: record('order'), pollKvEvents: record('events'), listKvParts: record('parts'), freeKvParts: record('free'),
+		report: record('report'), readStart: record('start'), order: record('order'), pollKvEvents: record('events'), listKvParts: record('parts'), freeKvParts: record('free'),
 		async ping() {
 			calls.push('ping');
 			return false;
@@ -48,11 +48,11 @@
 		registry.recordControlResponse(upstream.address, head, 0);
 		setTime(at);
 		expect(registry.listAvailable('app', at, 0)[0]!.closedForMs > 0).toBe(isResting);
-		const results = await Promise.allSettled([client.report(upstream.address), client.order(upstream.address, 'i-0', {} as WeightUpdateOrder)]);
-		expect(results.map(({status}) => status)).toEqual(isResting ? ['rejected', 'rejected'] : ['fulfilled', 'fulfilled']);
+		const results = await Promise.allSettled([client.report(upstream.address), client.order(upstream.address, 'i-0', {} as WeightUpdateOrder), client.readStart(upstream.address)]);
+		expect(results.map(({status}) => status)).toEqual(Array.from({length: 3}, () => isResting ? 'rejected' : 'fulfilled'));
 		// It has answered a moment ago, so its link works.
 		expect(await client.ping(upstream.address, '/health', 100)).toBe(isResting);
-		expect(calls).toEqual(isResting ? [] : ['report', 'order', 'ping']);
+		expect(calls).toEqual(isResting ? [] : ['report', 'order', 'start', 'ping']);
 	});
 
 	test.each([
--- a/test/evacuations/requests-that-waited.test.ts
+++ b/test/evacuations/requests-that-waited.test.ts
@@ -138,7 +138,8 @@
 		async sendRelayed() {
 			throw new Error('no other host');
 		},
-		streams: {recordBegin: () => undefined, findRequired: async () => ({kind: 'any', version: undefined}) as never},
+		verifyStart: async () => true,
+		streams: {recordBegin: () => undefined, findRequired: async () => ({kind: 'any', version: undefined}) as never, toListed: (_service, version) => version},
 		encode: (_request, {upstreamId}) => [upstreamId],
 		keptBytes: createByteBudget(() => 1000, 1000),
 		onEnd: () => undefined,
--- a/test/forwarding/heads-that-stop.test.ts
+++ b/test/forwarding/heads-that-stop.test.ts
@@ -34,7 +34,7 @@
 	system = await startLinkedSystem({
 		domains: ['domain-a', 'domain-a'], bounds: {retrySlack: 100_000},
 		respond(received, socket) {
-			if (received.target === '/health') {
+			if (received.target === '/health' || received.target === '/v1/report') {
 				sendSignedResponse(received, socket);
 				return;
 			}
--- a/test/support/create-upstream-server.ts
+++ b/test/support/create-upstream-server.ts
@@ -43,8 +43,8 @@
 	};
 }
 
-/** Starts the stand-in on a free port. */
-export async function createUpstreamServer(): Promise<UpstreamServer> {
+/** Starts the stand-in, on a free port if none is given. */
+export async function createUpstreamServer(port = 0): Promise<UpstreamServer> {
 	const sockets = new Set<Socket>();
 	const receivedRequests: ReceivedRequest[] = [];
 	const closedConnections: number[] = [];
@@ -82,7 +82,7 @@
 		});
 	});
 	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
+		server.listen(port, '127.0.0.1', resolve);
 	});
 	const standIn: UpstreamServer = {
 		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
