Review case 12: streams of a host that was cut off go on nowhere after its death

LOST is broken: none of 18 or 19 streams goes on that callers take up at three undisturbed hosts, while all new streams begin. The host that began them was partitioned from the store and the other hosts for 5.5 s, and killed.

--- a/review/cluster-3/create-hosts.mjs
+++ b/review/cluster-3/create-hosts.mjs
@@ -31,9 +31,10 @@
 /**
 Starts hosts as processes, with the command of the deploy file. Each pair of hosts has links of its own in both directions, and each host one to the store.
 
+@param cluster - Its `rewriteFor` is set before the first host starts.
 @param onExit - Called when a host ends that this program has not killed or stopped.
 */
-export async function createHosts({names, zoneOf, openStore, folder, settings = {}, onExit}) {
+export async function createHosts({names, zoneOf, openStore, folder, cluster, settings = {}, onExit}) {
 	const hosts = new Map();
 	const links = [];
 	const cut = new Set();
@@ -74,6 +75,7 @@
 		return rewritten;
 	};
 
+	cluster.rewriteFor = rewriteFor;
 	for (const host of hosts.values()) {
 		for (const [viewer, {reports}] of host.seenBy) {
 			const isCut = () => cut.has(viewer) || cut.has(host.name);
@@ -140,7 +142,6 @@
 
 	return {
 		get: name => hosts.get(name),
-		rewriteFor,
 		isReady: async name => ask(hosts.get(name)),
 		async waitUntilReady(timeoutMs = 15_000) {
 			const endsAt = performance.now() + timeoutMs;
--- a/review/cluster-3/follow-stream.mjs
+++ b/review/cluster-3/follow-stream.mjs
@@ -61,6 +61,9 @@
 	const events = [];
 	const tries = [];
 	let begunBy;
+	/** Tries that named an earlier event, and whether one of them brought a further one. */
+	let takenUp = 0;
+	let goneOn = false;
 	let lastAt = performance.now();
 	for (let attempt = 0; attempt <= maxRetries; attempt++) {
 		const leftMs = endsAt - performance.now();
@@ -70,6 +73,8 @@
 
 		const host = choosePort(attempt);
 		const resume = events.length > 0 ? {'last-event-id': String(events.at(-1).id), resumes: begunBy} : {};
+		takenUp += events.length > 0 ? 1 : 0;
+		const before = events.length;
 		const result = await readOnce({
 			port: host.port, path, key, headers: resume, deadlineMs: leftMs,
 			onEvent({requestId, id, version}) {
@@ -78,6 +83,7 @@
 				events.push({id, version, host: host.name});
 			},
 		});
+		goneOn ||= before > 0 && events.length > before;
 		tries.push({host: host.name, ...result});
 		record({
 			stream: begunBy ?? result.requestId, attempt, host: host.name, resumed: resume['last-event-id'], ...result, events: events.length,
@@ -92,5 +98,7 @@
 		});
 	}
 
-	return {events, tries};
+	return {
+		events, tries, takenUp, goneOn,
+	};
 }
