--- a/review/cluster-3/create-hosts.mjs
+++ b/review/cluster-3/create-hosts.mjs
@@ -8,17 +8,36 @@
 
 const restartMs = 500;
 
-async function findFreePorts(count) {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise(resolve => {
+/** Below the ports that the system gives to connections. */
+const firstPort = 12_000;
+const portCount = 16_000;
+const taken = new Set();
+
+async function isFree(port) {
+	return new Promise(resolve => {
 		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server);
+		server.once('error', () => {
+			resolve(false);
 		});
-	})));
-	const ports = servers.map(server => server.address().port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
+
+/** Finds free ports that stay free, since no connection gets them. */
+async function findFreePorts(count) {
+	const ports = [];
+	while (ports.length < count) {
+		const port = firstPort + Math.floor(Math.random() * portCount);
+		if (!taken.has(port) && await isFree(port)) {
+			taken.add(port);
+			ports.push(port);
+		}
+	}
+
 	return ports;
 }
 
