Review case 13: streams that begin at an engine's unlisted start go on at another version

The store is silent for 4.4 s; an engine to which no host has a connection starts again under its id as v2, callers come back, and it ends again.

--- a/review/cluster-3/create-store.mjs
+++ b/review/cluster-3/create-store.mjs
@@ -15,6 +15,7 @@
 	const servers = [];
 	let changes = [];
 	let revision = 1;
+	let isSilent = false;
 
 	const objectsOf = kind => {
 		const known = kinds.get(kind) ?? new Map();
@@ -110,6 +111,10 @@
 			const [kind = '', name] = url.pathname.split('/').slice(3).map(part => decodeURIComponent(part));
 			const send = (status, body) => {
 				setTimeout(() => {
+					if (isSilent) {
+						return;
+					}
+
 					res.writeHead(status, {'content-type': 'application/json', 'store-era': '1'});
 					res.end(JSON.stringify(body));
 				}, 4);
@@ -120,6 +125,10 @@
 				text += String(chunk);
 			});
 			req.on('end', () => {
+				if (isSilent) {
+					return;
+				}
+
 				if (req.method === 'POST' || req.method === 'PUT') {
 					const body = JSON.parse(text);
 					const result = write(req.method, kind, name ?? body.metadata.name, body);
@@ -148,6 +157,11 @@
 	};
 
 	return {
+		/** While the store is silent, it answers nobody, and takes nothing from engines either. */
+		setSilent(value) {
+			isSilent = value;
+		},
+		isSilent: () => isSilent,
 		put, remove, open, get: (kind, name) => objectsOf(kind).get(name),
 		stop() {
 			for (const server of servers) {
--- a/review/cluster-3/create-stream-engine.mjs
+++ b/review/cluster-3/create-stream-engine.mjs
@@ -10,9 +10,12 @@
 @param onEvent - Called with the id of the request for each event that it sends.
 */
 export async function createStreamEngine({id, service, zone, version, store, events, eventMs, onRun}) {
-	const born = Date.now();
+	let born = Date.now();
 	let seq = 1;
+	let current = version;
+	let isDown = false;
 	const server = createServer((req, res) => {
+		const serving = current;
 		if (req.url === '/v1/report') {
 			res.writeHead(200, {'content-type': 'application/json'});
 			res.end(JSON.stringify({
@@ -37,14 +40,14 @@
 
 		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
 		onRun({
-			requestId, engine: id, version, first,
+			requestId, engine: id, version: serving, first,
 		});
 		res.writeHead(200, {
 			'content-type': 'text/event-stream', 'request-id': requestId, 'response-seal': randomBytes(12).toString('hex'), 'instance-id': id,
 		});
 		let next = first;
 		const timer = setInterval(() => {
-			res.write(`id: ${next}\ndata: ${version}\n\n`);
+			res.write(`id: ${next}\ndata: ${serving}\n\n`);
 			next++;
 			if (next > events) {
 				clearInterval(timer);
@@ -55,18 +58,38 @@
 			clearInterval(timer);
 		});
 	});
-	await new Promise(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
+	const listen = async port => new Promise(resolve => {
+		server.listen(port, '127.0.0.1', resolve);
 	});
+	await listen(0);
+	const {port} = server.address();
 	const register = () => {
+		if (isDown || store.isSilent()) {
+			return;
+		}
+
 		store.put('servers', id, {
-			service, address: `127.0.0.1:${server.address().port}`, zone, version, slots: 64, state: 'ready', cold_remaining_ms: 0, seq: seq++, born,
+			service, address: `127.0.0.1:${port}`, zone, version: current, slots: 64, state: 'ready', cold_remaining_ms: 0, seq: seq++, born,
 		});
 	};
 
 	register();
 	const timer = setInterval(register, heartbeatMs);
 	return {
+		/** Ends the engine and starts it again under its id, where `next` is given with that software version. */
+		async restart(downMs, next = current) {
+			isDown = true;
+			server.close();
+			server.closeAllConnections();
+			await new Promise(resolve => {
+				setTimeout(resolve, downMs);
+			});
+			await listen(port);
+			born = Date.now();
+			current = next;
+			isDown = false;
+			register();
+		},
 		stop() {
 			clearInterval(timer);
 			server.close();
