--- a/review/11/main.mjs
+++ b/review/11/main.mjs
@@ -1,5 +1,5 @@
-import {playRelease} from '../cluster-3/play-release.mjs';
-import {runCase} from '../cluster-3/run-case.mjs';
+import {playRelease} from './cluster/play-release.mjs';
+import {runCase} from './cluster/run-case.mjs';
 
 /** More streams than these break the rule. */
 const maxMixed = 2;
