Entries at known positions are not compared again

When the list of upstreams comes from another host, its entries are new objects, and all of them were compared deeply though epoch and revision say that nothing changed. Their positions are compared now.

--- a/src/decide/object-store/create-removed-entry-filter.ts
+++ b/src/decide/object-store/create-removed-entry-filter.ts
@@ -1,4 +1,5 @@
 import {type StoredObject} from '../../object-store/stored-object.js';
+import {comparePositions} from './compare-positions.js';
 
 /** A copy that the store returns from is some seconds old; removals and starts before that are in it. */
 const retentionMs = 60_000;
@@ -61,7 +62,7 @@
 			const object = objects.get(name);
 			if (!object) {
 				removed.set(name, {object: before, at: now()});
-			} else if (object !== before && !isSameStart(before.value, object.value)) {
+			} else if (comparePositions(object, before) !== 0 && !isSameStart(before.value, object.value)) {
 				earlier.set(name, [...earlier.get(name) ?? [], {object: before, at: now()}]);
 			}
 		}
--- a/test/decide/removed-entry-filter.test.ts
+++ b/test/decide/removed-entry-filter.test.ts
@@ -45,3 +45,20 @@
 ])('a start that was known before the store came back from an older copy %s', (_name, steps, expected) => {
 	expect(applyAll(steps).map(({value}) => value)).toEqual([expected]);
 });
+
+test('entries at the positions that are known are not compared again, also as new objects from another host', () => {
+	let comparisons = 0;
+	const filter = createRemovedEntryFilter({
+		isSameStart(a, b) {
+			comparisons++;
+			return a === b;
+		},
+		now: () => 0,
+	});
+	const list = (): ReadonlyArray<{name: string; epoch: number; revision: number; value: unknown}> => Array.from({length: 98}, (_, index) => ({
+		name: `i-${index}`, epoch: 1, revision: index + 1, value: 1,
+	}));
+	filter(list(), 1);
+	filter(list(), 1);
+	expect(comparisons).toBe(0);
+});
