Calls that share a run while it lasts stand once

The crash checker and the start verifier each kept a map of calls in progress; both use src/util/share-running.ts. A broken connection is recorded by one call, the object of served versions is parsed once a write, and a wait is not called a start.

--- a/src/poison/create-crash-checker.ts
+++ b/src/poison/create-crash-checker.ts
@@ -1,3 +1,4 @@
+import {shareRunning} from '../util/share-running.js';
 import {sleep} from '../util/sleep.js';
 import {type EngineClient} from '../forwarding/engine-client.js';
 import {type Upstream} from '../forwarding/upstream.js';
@@ -25,16 +26,8 @@
 says nothing about the address, which is not probed then. An upstream that this host can't reach and others can has not crashed: the link is lost.
 */
 export function createCrashChecker({engineClient, registry, askOthers}: CrashCheckerOptions): CrashChecker {
-	/** Probes in progress, by address: all requests that were in flight at an upstream share one. */
-	const probes = new Map<string, Promise<boolean>>();
-
-	const probe = async (address: string): Promise<boolean> => {
-		const current = probes.get(address) ?? engineClient.isUp(address).finally(() => {
-			probes.delete(address);
-		});
-		probes.set(address, current);
-		return current;
-	};
+	/** All requests that were in flight at an upstream share a probe of its address. */
+	const probe = shareRunning(async (address: string) => engineClient.isUp(address));
 
 	const findSameStart = ({id, startedAt}: Upstream): Upstream | undefined => {
 		const registered = registry.get(id);
--- a/src/registry/create-start-verifier.ts
+++ b/src/registry/create-start-verifier.ts
@@ -1,5 +1,6 @@
 import {logFailure} from '../observe/log-failure.js';
 import {type Upstream} from '../forwarding/upstream.js';
+import {shareRunning} from '../util/share-running.js';
 import {sleep} from '../util/sleep.js';
 import {type StartVerifier} from './start-verifier.js';
 import {type UpstreamRegistry} from './upstream-registry.js';
@@ -41,8 +42,6 @@
 last confirmation.
 */
 export function createStartVerifier({registry, confirmedAgeMs, isInStep, readStart, confirmList, verifyLink, onUnlisted, now}: StartVerifierOptions): StartVerifier {
-	const checks = new Map<string, Promise<Finding>>();
-
 	const listConfirmedAt = (): number => now() - (confirmedAgeMs() ?? Number.POSITIVE_INFINITY);
 
 	/** Whether contact with an upstream has broken since the list was confirmed. */
@@ -64,7 +63,8 @@
 		return openedAt > Math.max(listConfirmedAt(), contact.toldAt, contact.untoldAt) + minRestartMs && (mustMatch || !isInStep());
 	};
 
-	const check = async ({id, address}: Upstream): Promise<Finding> => {
+	/** Requests that wait for the answer of an upstream share it. */
+	const check = shareRunning(async (id: string, address: string): Promise<Finding> => {
 		const askedAt = now();
 		try {
 			const startedAt = await readStart(id, address);
@@ -79,15 +79,7 @@
 			registry.recordStart(id, undefined, askedAt);
 			return await verifyLink(id) ? 'untold' : 'unreachable';
 		}
-	};
-
-	const checkOnce = async (upstream: Upstream): Promise<Finding> => {
-		const checking = checks.get(upstream.id) ?? check(upstream).finally(() => {
-			checks.delete(upstream.id);
-		});
-		checks.set(upstream.id, checking);
-		return checking;
-	};
+	});
 
 	/** Whether the list holds for an upstream that does not say which start it is. */
 	const isListed = async ({id}: Upstream): Promise<boolean> => {
@@ -105,9 +97,9 @@
 			return true;
 		}
 
-		const startedAt = now();
-		const finding = await checkOnce(upstream);
+		const waitsSince = now();
+		const finding = await check(upstream.id, upstream.address);
 		const isVerified = finding === 'same' || (finding === 'untold' && (!mustMatch || await isListed(upstream)));
-		return isVerified && now() - startedAt <= maxWaitMs;
+		return isVerified && now() - waitsSince <= maxWaitMs;
 	};
 }
--- a/src/registry/create-upstream-registry.ts
+++ b/src/registry/create-upstream-registry.ts
@@ -138,6 +138,7 @@
 			announcements: createAnnouncements(upstream),
 			coldGate,
 			contact,
+			recordBroken,
 			unlistedStart: undefined,
 			isGone: false,
 		});
--- a/src/registry/create-upstream-sender.ts
+++ b/src/registry/create-upstream-sender.ts
@@ -127,8 +127,7 @@
 				recordEnded(!isAborted);
 				if (!isAborted && isConnectError(error)) {
 					// Also after the request was sent: the upstream may have ended, and may start again under its id.
-					entry.coldGate.recordBroken(now());
-					entry.contact.brokenAt = now();
+					entry.recordBroken();
 				}
 
 				const loss = !wasSent && isConnectError(error) ? describeLoss(error) : undefined;
--- a/src/registry/upstream-entry.ts
+++ b/src/registry/upstream-entry.ts
@@ -29,6 +29,8 @@
 	/** What keeps requests back while it is cold. */
 	readonly coldGate: ColdGate;
 	readonly contact: UpstreamContact;
+	/** Records that a connection was refused or broke, so that the upstream may have ended and may start again under its id. */
+	readonly recordBroken: () => void;
 	/** Start time that the upstream states where the list has another one, in Unix milliseconds; its software version is not known then. */
 	unlistedStart: number | undefined;
 	/** Whether the upstream is no longer registered; its connections close after the last request. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -151,7 +151,7 @@
 			return {
 				loads: registry.loads(), loading, weights: rolloutTask.news(), limits: registry.takeDueLimits(now()), paces: paces.listReported(),
 				versions: streams.reviewVersions(), ...stateSync.status(),
-				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), upstreamsAgeMs: getAgeMs(stateSync.upstreamsConfirmedAt()), ...crashes.news(),
+				weightsAgeMs: getAgeMs(stateSync.weightsConfirmedAt()), upstreamsAgeMs: getUpstreamsAgeMs(), ...crashes.news(),
 				lostServices: listLostServices(),
 				countsAttempts: true,
 				sharesKvByGroup: true,
@@ -286,8 +286,9 @@
 	const rooms = createRoomTask({
 		self, upstreams: registry, listHeard: reportExchange.listHeard, alive: reportExchange.alive, call: peerClient.call, now, random,
 	});
+	const getUpstreamsAgeMs = (): number | undefined => getAgeMs(stateSync.upstreamsConfirmedAt());
 	const knowledge = createVersionKnowledge({
-		confirmedAgeMs: () => getAgeMs(stateSync.upstreamsConfirmedAt()),
+		confirmedAgeMs: getUpstreamsAgeMs,
 		refresh: async () => refreshKind(kinds.upstreams),
 		listHeard: reportExchange.listHeard, now, standstill,
 	});
@@ -451,7 +452,7 @@
 		verifyLink: links.verify,
 		verifyStart: createStartVerifier({
 			registry, now, isInStep: knowledge.isInStep, verifyLink: links.verify,
-			confirmedAgeMs: () => getAgeMs(stateSync.upstreamsConfirmedAt()),
+			confirmedAgeMs: getUpstreamsAgeMs,
 			async readStart(id, address) {
 				permits.charge(id);
 				return engineClient.readStart(address);
--- a/src/streams/create-version-record.ts
+++ b/src/streams/create-version-record.ts
@@ -99,7 +99,8 @@
 		doubtEndsAt = Number.NEGATIVE_INFINITY;
 	};
 
-	const apply = (object: StoredObject | undefined, epoch: number): void => {
+	/** @returns The versions that the object lists. */
+	const takeIn = (object: StoredObject | undefined, epoch: number): readonly ServedVersion[] => {
 		const {versions: stored, epoch: confirmed} = servedVersionsSchema.safeParse(object?.value).data ?? {versions: []};
 		const isFirst = initial === undefined;
 		const shown = isFirst || mergedIn === epoch ? stored : uniteServedVersions(versions, stored);
@@ -115,6 +116,7 @@
 		}
 
 		show(shown, confirmed, epoch);
+		return stored;
 	};
 
 	const merge = (): readonly ServedVersion[] => mergeServedVersions(versions, listed, retentionMs, Date.now());
@@ -124,8 +126,7 @@
 	const write = async (): Promise<void> => {
 		const object = await store.read(kind, name);
 		const epoch = object?.epoch ?? epochs.current();
-		apply(object, epoch);
-		const {versions: stored = []} = servedVersionsSchema.safeParse(object?.value).data ?? {};
+		const stored = takeIn(object, epoch);
 		const merged = merge();
 		const confirmed = doubtMs() === 0 && isInStep() ? epoch : confirmedIn;
 		if (differ(merged, stored) || confirmed !== confirmedIn) {
@@ -170,7 +171,9 @@
 	};
 
 	return {
-		apply,
+		apply(object, epoch) {
+			takeIn(object, epoch);
+		},
 		hasRead: () => initial !== undefined,
 		doubtMs,
 		findOnlyVersion(service) {
