Streams that are taken up: the log tells a stored version from a conclusion

'from: store' stood for both, a version that the store tells and one that is concluded where nobody knows the stream. They are apart now, and the hosts that answered are named.

--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -138,9 +138,12 @@
 			}));
 			return {found, silent: []};
 		} catch (error) {
-			log.info({begunBy: id, errors: (error as AggregateError).errors?.map(String)}, 'no host knows the version that began a stream');
 			const fine = new Set([...answered, ...alive().map(({host}) => host).filter(name => !asked.some(({host}) => host === name))]);
-			return {found: undefined, silent: knowledge.listHeard().map(({host}) => host).filter(name => !fine.has(name))};
+			const silent = knowledge.listHeard().map(({host}) => host).filter(name => !fine.has(name));
+			log.info({
+				begunBy: id, answered: [...answered], silent, errors: (error as AggregateError).errors?.map(String),
+			}, 'no host knows the version that began a stream');
+			return {found: undefined, silent};
 		}
 	};
 
@@ -157,8 +160,12 @@
 		}
 
 		const stored = await archive.lookUp(begunBy);
-		const version = stored ?? (silent.length > 0 ? undefined : archive.findOnlyVersion(service));
-		return version === undefined ? undefined : {version, from: 'store'};
+		if (stored !== undefined) {
+			return {version: stored, from: 'store'};
+		}
+
+		const only = silent.length > 0 ? undefined : archive.findOnlyVersion(service);
+		return only === undefined ? undefined : {version: only, from: 'only version before this host started'};
 	};
 
 	/** The version is kept, since another one may come before the stream has gone on. */
