Streams that nobody knows: a host that is cut off begins them at the oldest version

Callers saw streams that v2 had begun go on at v1, after the host that began them was cut off from store and hosts, killed, and started again. Cause: that host went on beginning streams at any version, though it could tell nobody; and the host that was asked took 'all answer, nobody knows it' for 'begun before the release', though the restarted host answers without remembering. Change: a host that hears no other one begins streams at the oldest version of the service only; an unknown stream is taken for one of it, if all but one of the hosts that were heard in the last minute remember the time with one version, and refused otherwise. Other versions' streams are told at once, and to hosts in reach.

--- a/src/decide/streams/is-in-step.ts
+++ b/src/decide/streams/is-in-step.ts
@@ -1,3 +1,5 @@
+import {versionKnowledgeLimits} from './version-knowledge-limits.js';
+
 /** How recent a host's knowledge is of the versions that serve. Times are in milliseconds. */
 type Knowledge = {
 	/** Time since the store confirmed the list of upstreams, directly or through another host; `undefined` when it never did. */
@@ -8,22 +10,19 @@
 	readonly heard: ReadonlyArray<{readonly ageMs: number; readonly everyMs: number}>;
 };
 
-/** Longest time between two confirmations where the store responds. */
-const maxConfirmedAgeMs = 2000;
 /** Time in which reports that came while this process stood still are read. */
 const minRunningMs = 1000;
 /** A host is silent after this long without a report, or after several of its report intervals if that is longer. */
 const minSilenceMs = 400;
 const silentIntervals = 4;
-/** A host that has been silent for longer is gone; what it learned before has been learned from the store meanwhile. */
-const maxSilenceMs = 10_000;
 
 /**
 Returns whether a host can be sure that it knows of each version that serves. Fault pattern: a host that is cut off, or stands still, while upstreams
 of a new version begin streams through other hosts.
 */
 export function isInStep({confirmedAgeMs, runningForMs, heard}: Knowledge): boolean {
+	const {goneAfterMs, maxConfirmedAgeMs} = versionKnowledgeLimits;
 	const isSilent = ({ageMs, everyMs}: Knowledge['heard'][number]): boolean =>
-		ageMs > Math.max(minSilenceMs, silentIntervals * everyMs) && ageMs < maxSilenceMs;
+		ageMs > Math.max(minSilenceMs, silentIntervals * everyMs) && ageMs < goneAfterMs;
 	return confirmedAgeMs !== undefined && confirmedAgeMs <= maxConfirmedAgeMs && runningForMs >= minRunningMs && !heard.some(host => isSilent(host));
 }
--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -52,7 +52,7 @@
 	/** Hands a request on to another host once. */
 	readonly sendRelayed: (admitted: AdmittedRequest, progress: ForwardingProgress, helper: KnownHost) => Promise<SendOutcome>;
 	/** The software versions that began streams. */
-	readonly streams: Pick<StreamVersions, 'recordBegin' | 'findRequired' | 'toListed'>;
+	readonly streams: Pick<StreamVersions, 'recordBegin' | 'findRequired' | 'findBeginVersion' | 'toListed'>;
 	readonly encode: (request: CallerRequest, options: UpstreamRequestOptions) => string[];
 	/** What the host keeps of responses, all together. */
 	readonly keptBytes: ByteBudget;
@@ -100,11 +100,17 @@
 			return required;
 		}
 
-		progress.softwareVersion = required.version;
+		progress.begunVersion = required.version;
 		progress.isVersionUnknown = false;
 		return undefined;
 	};
 
+	/** Finds the version that the next upstream must have. */
+	const findNeededVersion = async ({request, route}: AdmittedRequest, {service, begunVersion}: ForwardingProgress): Promise<string | undefined> => {
+		const begins = route.kind === 'stream' && request.resumeAfter === undefined && begunVersion === undefined;
+		return begins ? streams.findBeginVersion(service, request.id!) : begunVersion;
+	};
+
 	const decideNext = ({route, answer}: AdmittedRequest, progress: ForwardingProgress, outcome: SendOutcome): RetryDecision => decideRetry(outcome, {
 		kind: route.kind,
 		isResumable: route.isResumable,
@@ -148,7 +154,7 @@
 			return true;
 		}
 
-		progress.isVersionUnknown = progress.softwareVersion === undefined && progress.splitter?.lastEventId() !== undefined;
+		progress.isVersionUnknown = progress.begunVersion === undefined && progress.splitter?.lastEventId() !== undefined;
 		const status = 'head' in outcome ? outcome.head?.status : undefined;
 		log.info({
 			requestId: admitted.request.id!, helper: helper.host, outcome: outcome.kind, status, detail: progress.lastReason, begun: admitted.answer.isHeadSent(),
@@ -173,7 +179,7 @@
 			return false;
 		}
 
-		if (route.kind === 'stream' && !await verifyStart(placement.upstream, progress.softwareVersion !== undefined)) {
+		if (route.kind === 'stream' && !await verifyStart(placement.upstream, progress.begunVersion !== undefined)) {
 			return false;
 		}
 
@@ -249,7 +255,8 @@
 				return;
 			}
 
-			progress.softwareVersion = streams.toListed(progress.service, progress.softwareVersion);
+			progress.begunVersion = streams.toListed(progress.service, progress.begunVersion);
+			progress.softwareVersion = await findNeededVersion(admitted, progress);
 			const result = await findNext(admitted, progress);
 			if (!maySend(admitted)) {
 				progress.lastReason = 'this host stops';
--- a/src/forwarding/create-forwarding-progress.ts
+++ b/src/forwarding/create-forwarding-progress.ts
@@ -13,6 +13,7 @@
 		usedHelpers: new Set(),
 		endsAt,
 		splitter: route.kind === 'stream' ? createSseEventSplitter(route.isResumable) : undefined,
+		begunVersion: undefined,
 		softwareVersion: undefined,
 		isVersionUnknown: false,
 		paidSends: sends,
--- a/src/forwarding/create-placement-finder.ts
+++ b/src/forwarding/create-placement-finder.ts
@@ -55,8 +55,9 @@
 		}
 
 		if (closedForMs === undefined && softwareVersion !== undefined && registry.getReach(service).upstreams > 0) {
-			progress.lastReason = `no upstream of version ${softwareVersion}, which began the stream`;
-			return {reason: 'no-upstream', retryAfterMs: 'never'};
+			const hasBegun = progress.begunVersion !== undefined;
+			progress.lastReason = `no upstream of version ${softwareVersion}, ${hasBegun ? 'which began the stream' : 'the only one at which streams may begin here now'}`;
+			return hasBegun ? {reason: 'no-upstream', retryAfterMs: 'never'} : {reason: 'no-upstream'};
 		}
 
 		if (closedForMs === undefined) {
--- a/src/forwarding/create-sender.ts
+++ b/src/forwarding/create-sender.ts
@@ -59,8 +59,8 @@
 					waitingTokens: placement.missingTokens, heldTokens: placement.heldTokens, priority: placement.priority, expectedMs: placement.firstByteMs,
 				}, listener),
 				onFirstEvent() {
-					progress.softwareVersion ??= placement.upstream.softwareVersion;
-					recordBegin(request.id!, service, progress.softwareVersion);
+					progress.begunVersion ??= placement.upstream.softwareVersion;
+					recordBegin(request.id!, service, progress.begunVersion);
 				},
 				onDelivery({status}) {
 					stopAttemptTimer();
--- a/src/forwarding/forwarding-progress.ts
+++ b/src/forwarding/forwarding-progress.ts
@@ -17,6 +17,8 @@
 	/** Reads the events of a streaming route. */
 	readonly splitter: SseEventSplitter | undefined;
 	/** Software version that began the stream, once an event has reached the caller; only upstreams of it may go on. */
+	begunVersion: string | undefined;
+	/** Software version that the next upstream must have: the one that began the stream, or the only one at which it may begin here now. */
 	softwareVersion: string | undefined;
 	/** Whether another host began the stream, so that the version has to be asked for. */
 	isVersionUnknown: boolean;
--- a/src/peers/create-gateway-methods.ts
+++ b/src/peers/create-gateway-methods.ts
@@ -44,7 +44,7 @@
 		'gateway.permit': async request => permits.answer(request),
 		'gateway.coldPermit': async request => permits.answerCold(request),
 		'gateway.upstreamUp': async ({id, startedAt}) => ({opinion: await upstreamChecks.answer(id, startedAt)}),
-		'gateway.streamVersion': async ({id}) => ({version: streams.answer(id) ?? null}),
+		'gateway.streamVersion': async ({id, service}) => streams.answer(id, service),
 		'gateway.kept': async ({store, known}) => kvStoreTracker.listEvents(store, known),
 	};
 }
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -26,6 +26,9 @@
 /** Mean age of a report: half an interval plus network latency; a collector adds one interval, or several for other failure domains. */
 const directReportAgeMs = 60;
 const collectedReportAgeMs = 450;
+/** Time without a message of any other host that is no coincidence; where reports are collected, another collector is chosen within it. */
+const directSilenceMs = 4 * reportMs;
+const collectedSilenceMs = 6 * collectedReportMs;
 
 /** Options of `createHostReportExchange`. */
 type HostReportExchangeOptions = {
@@ -58,6 +61,7 @@
 		self, store, kind, getEpoch, onHeard, now,
 	});
 	const countHosts = (): number => registry.countKnown() + 1;
+	let heardAt: number | undefined;
 
 	const handleStatus = (status: HostStatus, ageMs: number): void => {
 		if (status.host !== self.host) {
@@ -79,6 +83,7 @@
 
 	const handleMessage = (message: HostMessage): void => {
 		const {report, sums = [], kept = [], streams} = message;
+		heardAt = now();
 		collecting.handleMessage(message);
 		if (report) {
 			handleStatus(report, 0);
@@ -135,7 +140,7 @@
 			stopSending = every(reportMs, 'reports to other hosts', sendReport);
 		},
 		alive: registry.alive,
-		listHeard: () => registry.listKnown().filter(({heardAt}) => heardAt !== undefined),
+		listHeard: () => registry.listKnown().filter(({heardAt: at}) => at !== undefined),
 		listOthers: registry.listKnown,
 		tellStreams(host, streams) {
 			socket.send({streams}, [host.reports]);
@@ -145,6 +150,8 @@
 		},
 		refreshAndList: registry.refreshAndList,
 		reportAgeMs: () => sender === direct ? directReportAgeMs : collectedReportAgeMs,
+		heardAgeMs: () => heardAt === undefined ? undefined : now() - heardAt,
+		silentAfterMs: () => sender === direct ? directSilenceMs : collectedSilenceMs,
 		countHosts,
 		publishKvUpdate(update) {
 			sender.sendKvUpdate(update);
--- a/src/reports/host-report-exchange.ts
+++ b/src/reports/host-report-exchange.ts
@@ -21,6 +21,10 @@
 	readonly refreshAndList: () => Promise<readonly KnownHost[]>;
 	/** Returns the mean age of the known loads of other hosts, in milliseconds. */
 	readonly reportAgeMs: () => number;
+	/** Returns the time since any message of another host arrived, in milliseconds; `undefined` when none has. */
+	readonly heardAgeMs: () => number | undefined;
+	/** Returns the time without a message after which this host is cut off from all others, in milliseconds. */
+	readonly silentAfterMs: () => number;
 	/** Returns the number of hosts known from the store or a report, including this one. */
 	readonly countHosts: () => number;
 	/** Sends an update of a KV cache store to all hosts. */
--- a/src/streams/create-stream-archive.ts
+++ b/src/streams/create-stream-archive.ts
@@ -139,7 +139,9 @@
 			return archived.get(id)?.version;
 		},
 		doubtMs: record.doubtMs,
-		findOnlyVersion: record.findOnlyVersion,
+		isFromBefore: record.isFromBefore,
+		findOldest: record.findOldest,
+		findOldestListed: record.findOldestListed,
 		recordListed: record.recordListed,
 		hasUnwritten: slices.hasUnwritten,
 		flush: slices.flush,
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -1,4 +1,6 @@
+import {setImmediate} from 'node:timers/promises';
 import {rankOwners} from '../decide/membership/rank-owners.js';
+import {canOnlyBeUntold} from '../decide/streams/can-only-be-untold.js';
 import {createStreamIndex} from '../decide/streams/create-stream-index.js';
 import {createVersionHistory} from '../decide/streams/create-version-history.js';
 import {groupStreams} from '../decide/streams/group-streams.js';
@@ -20,11 +22,11 @@
 const maxStreams = 50_000;
 /** Hosts that are told of each stream, besides the one that begins it. */
 const replicas = 4;
-/** Streams that begin within this time are told together. */
+/** Streams at the oldest version that begin within this time are told together. */
 const tellDelayMs = 20;
 const maxToldAtOnce = 100;
 const reviewIntervalMs = 1000;
-/** Hosts that are asked at once for the version of a stream. */
+/** Hosts that are asked at once for the version of a stream; the others only before it is concluded from their not knowing it. */
 const maxAsked = 12;
 const askTimeoutMs = 400;
 
@@ -33,6 +35,8 @@
 /** What other hosts have answered. */
 type Asked = {
 	readonly found: FoundVersion | undefined;
+	/** Names of the hosts that don't know the stream and have been there since before its service had several versions. */
+	readonly remember: ReadonlySet<string>;
 	/** Names of the hosts that were heard of late and may know better: those that were asked and have not answered, and those that are not heard any more. */
 	readonly silent: readonly string[];
 };
@@ -63,7 +67,8 @@
 	/** Versions listed here, and those that others report besides. */
 	const ownHistory = createVersionHistory(retentionMs);
 	const history = createVersionHistory(retentionMs);
-	/** Ids of this host's streams that no other host has been told of, the oldest first. */
+	const startedAt = now();
+	/** Ids of this host's streams that no other host has been told of, in the order in which they are told. */
 	let untold: string[] = [];
 	let tellTimer: NodeJS.Timeout | undefined;
 	let reviewedAt = Number.NEGATIVE_INFINITY;
@@ -75,6 +80,9 @@
 	/** Whether a stream of a service may only be taken up where the version that began it is known. */
 	const mustBeKnown = (service: string): boolean => history.isMixed(service, now()) || archive.doubtMs() > 0;
 
+	/** All that are known, where none has reported of late. */
+	const listReachable = (): readonly KnownHost[] => alive().length > 0 ? alive() : listOthers();
+
 	const tellNext = (): void => {
 		tellTimer = undefined;
 		const known = untold.flatMap(id => {
@@ -88,7 +96,7 @@
 
 		const dueIds = new Set(due.map(({id}) => id));
 		untold = known.filter(({id}) => !dueIds.has(id)).map(({id}) => id);
-		const hosts = new Map(listOthers().map(host => [host.host, host]));
+		const hosts = new Map(listReachable().map(host => [host.host, host]));
 		const names = [...hosts.keys()];
 		for (const [name, groups] of groupStreams(due.map(stream => ({...stream, hosts: rankOwners(names, stream.id).slice(0, replicas)})))) {
 			tell(hosts.get(name)!, groups);
@@ -103,6 +111,13 @@
 		tellTimer ??= setTimeout(tellNext, tellDelayMs);
 	};
 
+	/** A stream that nobody knows is taken for one of the oldest version, so that others are told of this one at once. */
+	const tellFirst = (id: string): void => {
+		untold.unshift(id);
+		clearTimeout(tellTimer);
+		tellTimer = setTimeout(tellNext, 0);
+	};
+
 	const reviewMixed = (): void => {
 		for (const service of new Set(listUpstreams().map(upstream => upstream.service))) {
 			const isMixed = history.isMixed(service, now());
@@ -117,55 +132,81 @@
 	};
 
 	/** Hosts that may have been told of a stream come first. */
-	const listAsked = (id: string, hosts: readonly KnownHost[]): readonly KnownHost[] => {
+	const rank = (id: string, hosts: readonly KnownHost[]): readonly KnownHost[] => {
 		const byName = new Map(hosts.map(host => [host.host, host]));
-		return rankOwners(listOthers().map(({host}) => host), id).flatMap(name => byName.get(name) ?? []).slice(0, maxAsked);
+		return rankOwners(listOthers().map(({host}) => host), id).flatMap(name => byName.get(name) ?? []);
 	};
 
 	/** Asks other hosts for the version that began a stream, until one knows it. */
-	const ask = async (id: string, hosts: readonly KnownHost[], timeoutMs: number): Promise<Asked> => {
-		const asked = listAsked(id, hosts);
+	const ask = async (id: string, service: string, asked: readonly KnownHost[], timeoutMs: number): Promise<Asked> => {
 		const answered = new Set<string>();
+		const remember = new Set<string>();
 		try {
 			const found = await Promise.any(asked.map(async ({host, peers}) => {
-				const {version} = await call(peers, 'gateway.streamVersion', {id}, {timeoutMs});
+				const {version, remembers = false} = await call(peers, 'gateway.streamVersion', {id, service}, {timeoutMs});
 				answered.add(host);
+				if (remembers) {
+					remember.add(host);
+				}
+
 				if (version === null) {
 					throw new Error(`${host} does not know the stream`);
 				}
 
 				return {version, from: host};
 			}));
-			return {found, silent: []};
+			return {found, remember, silent: []};
 		} catch (error) {
 			const fine = new Set([...answered, ...alive().map(({host}) => host).filter(name => !asked.some(({host}) => host === name))]);
 			const silent = knowledge.listHeard().map(({host}) => host).filter(name => !fine.has(name));
 			log.info({
-				begunBy: id, answered: [...answered], silent, errors: (error as AggregateError).errors?.map(String),
+				begunBy: id, answered: [...answered], remember: [...remember], silent, errors: (error as AggregateError).errors?.map(String),
 			}, 'no host knows the version that began a stream');
-			return {found: undefined, silent};
+			return {found: undefined, remember, silent};
 		}
 	};
 
-	/** Asks other hosts, then the store. A stream of a service that had one version only until this host started is of that version, if no host is silent that may know better. */
-	const findElsewhere = async (service: string, begunBy: string | undefined, timeoutMs: number): Promise<FoundVersion | undefined> => {
-		if (begunBy === undefined) {
+	/** Whether this host has been there since before a service had several versions, or for longer than streams are taken up. */
+	const remembers = (service: string): boolean => archive.isFromBefore(service) || now() - startedAt >= retentionMs;
+
+	/** Whether a stream that nobody knows can only have begun where no other host could be told of it. */
+	const isUntold = (service: string, remember: ReadonlySet<string>): boolean => canOnlyBeUntold([
+		{remembers: remembers(service)},
+		...knowledge.listHeard().map(({host}) => ({remembers: remember.has(host)})),
+	]);
+
+	/**
+	Finds the version of a stream that neither the hosts asked first nor the store know. A host that can tell no other one begins streams at the oldest version
+	only, so that a stream is of that version if nobody can have been told of it.
+	*/
+	const findUntold = async (service: string, begunBy: string, others: readonly KnownHost[], first: Asked, timeoutMs: number): Promise<FoundVersion | undefined> => {
+		const oldest = archive.findOldest(service);
+		if (oldest === undefined || first.silent.length > 0) {
 			return undefined;
 		}
 
-		const responsive = alive();
-		const {found, silent} = await ask(begunBy, responsive.length > 0 ? responsive : listOthers(), timeoutMs);
+		const {found, remember, silent} = await ask(begunBy, service, others, timeoutMs);
 		if (found) {
 			return found;
 		}
 
-		const stored = await archive.lookUp(begunBy);
-		if (stored !== undefined) {
-			return {version: stored, from: 'store'};
+		return silent.length === 0 && isUntold(service, new Set([...first.remember, ...remember])) ? {version: oldest, from: 'oldest version'} : undefined;
+	};
+
+	/** Asks other hosts, then the store. */
+	const findElsewhere = async (service: string, begunBy: string | undefined, timeoutMs: number): Promise<FoundVersion | undefined> => {
+		if (begunBy === undefined) {
+			return undefined;
+		}
+
+		const hosts = rank(begunBy, listReachable());
+		const first = await ask(begunBy, service, hosts.slice(0, maxAsked), timeoutMs);
+		if (first.found) {
+			return first.found;
 		}
 
-		const only = silent.length > 0 ? undefined : archive.findOnlyVersion(service);
-		return only === undefined ? undefined : {version: only, from: 'only version before this host started'};
+		const stored = await archive.lookUp(begunBy);
+		return stored === undefined ? findUntold(service, begunBy, hosts.slice(maxAsked), first, timeoutMs) : {version: stored, from: 'store'};
 	};
 
 	/** The version is kept, since another one may come before the stream has gone on. */
@@ -176,7 +217,7 @@
 	is listed there before it begins a stream; without the store, only all other hosts together do.
 	*/
 	const findInDoubt = async (service: string, begunBy: string | undefined, requestId: string, timeoutMs: number): Promise<RequiredVersion | 'mixed'> => {
-		const asking = ask(begunBy ?? '', knowledge.listHeard(), timeoutMs);
+		const asking = ask(begunBy ?? '', service, rank(begunBy ?? '', knowledge.listHeard()).slice(0, maxAsked), timeoutMs);
 		const [isConfirmed, stored] = await Promise.all([knowledge.confirm(timeoutMs), Promise.race([archive.lookUp(begunBy ?? ''), sleep(timeoutMs).then(() => undefined)])]);
 		if (isConfirmed && !history.isMixed(service, now())) {
 			return anyOf(service);
@@ -249,10 +290,29 @@
 		},
 		recordBegin(requestId, service, version) {
 			index.add(requestId, service, version, now());
-			untold.push(requestId);
-			if (mustBeKnown(service)) {
+			if (!mustBeKnown(service)) {
+				untold.push(requestId);
+			} else if (version === archive.findOldest(service)) {
+				untold.push(requestId);
 				scheduleTelling();
+			} else {
+				tellFirst(requestId);
+			}
+		},
+		async findBeginVersion(service, requestId) {
+			if (!history.isMixed(service, now()) || knowledge.canTellOthers()) {
+				return undefined;
 			}
+
+			// What others sent while this process was kept from running is read first.
+			await setImmediate();
+			if (knowledge.canTellOthers()) {
+				return undefined;
+			}
+
+			const version = archive.findOldestListed(service);
+			log.info({requestId, service, version}, 'this host can tell no other one of a stream, which begins at the oldest version');
+			return version;
 		},
 		toListed(service, version) {
 			const isStart = (upstream: Upstream): boolean =>
@@ -267,7 +327,9 @@
 				}
 			}
 		},
-		answer: begunBy => index.lookUp(begunBy, now())?.version,
+		answer: (begunBy, service) => ({
+			version: index.lookUp(begunBy, now())?.version ?? null, remembers: service !== undefined && remembers(service),
+		}),
 		reviewVersions() {
 			knowledge.tick();
 			if (now() - reviewedAt >= reviewIntervalMs) {
--- a/src/streams/create-version-knowledge.ts
+++ b/src/streams/create-version-knowledge.ts
@@ -1,3 +1,4 @@
+import {canTellOthers} from '../decide/streams/can-tell-others.js';
 import {isInStep} from '../decide/streams/is-in-step.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {logFailure} from '../observe/log-failure.js';
@@ -13,13 +14,17 @@
 	readonly refresh: () => Promise<void>;
 	/** Returns the other hosts that were heard of late. */
 	readonly listHeard: () => readonly KnownHost[];
+	/** Returns the time since any other host was heard, in milliseconds; `undefined` when none was. */
+	readonly heardAgeMs: () => number | undefined;
+	/** Returns the time without a message after which the other hosts are out of reach, in milliseconds. */
+	readonly silentAfterMs: () => number;
 	/** Monotonic clock in milliseconds, by which hosts are heard. */
 	readonly now: () => number;
 	readonly standstill: StandstillDetector;
 };
 
 /** Creates what tells a host that has heard of one version from one that can be sure that there is one. */
-export function createVersionKnowledge({confirmedAgeMs, refresh, listHeard, now, standstill}: VersionKnowledgeOptions): VersionKnowledge {
+export function createVersionKnowledge({confirmedAgeMs, refresh, listHeard, heardAgeMs, silentAfterMs, now, standstill}: VersionKnowledgeOptions): VersionKnowledge {
 	return {
 		isInStep() {
 			return isInStep({
@@ -36,6 +41,7 @@
 			return Promise.race([reading, sleep(timeoutMs).then(() => false)]);
 		},
 		listHeard,
+		canTellOthers: () => canTellOthers({heardAgeMs: heardAgeMs(), silentAfterMs: silentAfterMs(), confirmedAgeMs: confirmedAgeMs()}),
 		tick: standstill.tick,
 	};
 }
--- a/src/streams/create-version-record.ts
+++ b/src/streams/create-version-record.ts
@@ -48,8 +48,12 @@
 	readonly hasRead: () => boolean;
 	/** Returns for how long, in milliseconds, a version may have served that neither the store nor this host knows of; 0 if there is none. */
 	readonly doubtMs: () => number;
-	/** Returns the version of a service where it was the only one until this host started. */
-	readonly findOnlyVersion: (service: string) => string | undefined;
+	/** Returns whether a service had one version when this host started. */
+	readonly isFromBefore: (service: string) => boolean;
+	/** Returns the version of a service that has served the longest, where it still does. */
+	readonly findOldest: (service: string) => string | undefined;
+	/** Returns the version of a service that has served the longest of those that still do. */
+	readonly findOldestListed: (service: string) => string | undefined;
 	readonly recordListed: (listed: ReadonlyMap<string, ReadonlySet<string>>) => void;
 	/** Writes what differs from the store, if anything does. */
 	readonly update: () => void;
@@ -164,6 +168,10 @@
 		isWriting = false;
 	};
 
+	/** All hosts find the versions in one order, that in which the store took them. */
+	const listServed = (service: string): readonly ServedVersion[] => versions.filter(served => served.service === service);
+	const isListed = ({service, version}: ServedVersion): boolean => listed.get(service)?.has(version) ?? false;
+
 	const update = (): void => {
 		if (!isWriting) {
 			void writeWhileNeeded();
@@ -176,10 +184,15 @@
 		},
 		hasRead: () => initial !== undefined,
 		doubtMs,
-		findOnlyVersion(service) {
+		isFromBefore(service) {
 			const before = (initial ?? []).filter(served => served.service === service && (served.until === undefined || Date.now() - served.until < retentionMs));
-			return isInitialComplete && before.length === 1 ? before[0]!.version : undefined;
+			return isInitialComplete && before.length === 1;
+		},
+		findOldest(service) {
+			const [oldest] = listServed(service);
+			return isInitialComplete && oldest && isListed(oldest) ? oldest.version : undefined;
 		},
+		findOldestListed: service => listServed(service).find(served => isListed(served))?.version,
 		recordListed(current) {
 			listed = current;
 			update();
--- a/src/streams/stream-archive.ts
+++ b/src/streams/stream-archive.ts
@@ -8,8 +8,12 @@
 	readonly lookUp: (id: string) => Promise<string | undefined>;
 	/** Returns for how long, in milliseconds, streams may be unknown that began at versions which the store has lost; 0 if there are none. */
 	readonly doubtMs: () => number;
-	/** Returns the version of a service where it was the only one until this host started; `undefined` where there were several, or none is known. */
-	readonly findOnlyVersion: (service: string) => string | undefined;
+	/** Returns whether a service had one version when this host started; not so where none is known. */
+	readonly isFromBefore: (service: string) => boolean;
+	/** Returns the version of a service that has served the longest; `undefined` where it has ended, or the store may have lost another one. */
+	readonly findOldest: (service: string) => string | undefined;
+	/** Returns the version of a service that has served the longest of those that still do. */
+	readonly findOldestListed: (service: string) => string | undefined;
 	/** Records which versions of each service are listed now. */
 	readonly recordListed: (listed: ReadonlyMap<string, ReadonlySet<string>>) => void;
 	/** Returns whether some stream is not in the store yet. */
--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -1,6 +1,7 @@
 import {type Upstream} from '../forwarding/upstream.js';
 import {type RequiredVersion} from './required-version.js';
 import {type SeenVersion} from './seen-version.js';
+import {type StreamAnswer} from './stream-answer.js';
 import {type StreamGroup} from './stream-group.js';
 
 /** Which software version of its service began each stream, as far as this host and those it asks know. */
@@ -17,8 +18,13 @@
 	readonly findRequired: (service: string, begunBy: string | undefined, requestId: string, endsAt: number) => Promise<RequiredVersion>;
 	/** Records what another host tells of streams that it began. */
 	readonly receive: (groups: readonly StreamGroup[]) => void;
-	/** Returns the version that began a stream, as this host knows it. */
-	readonly answer: (begunBy: string) => string | undefined;
+	/**
+	Returns the only version at which a stream may begin here now; `undefined` where any will do. While this host can tell no other one of its streams, they
+	begin at the version of their service that has served the longest.
+	*/
+	readonly findBeginVersion: (service: string, requestId: string) => Promise<string | undefined>;
+	/** Returns what this host knows of a stream of a service, as far as the service is named. */
+	readonly answer: (begunBy: string, service: string | undefined) => StreamAnswer;
 	/** Records the versions that are listed. */
 	readonly recordUpstreams: (upstreams: readonly Upstream[]) => void;
 	/** Notes the versions that are listed now; returns those of services with several ones, for the report to other hosts. */
--- a/test/evacuations/requests-that-waited.test.ts
+++ b/test/evacuations/requests-that-waited.test.ts
@@ -139,7 +139,10 @@
 			throw new Error('no other host');
 		},
 		verifyStart: async () => true,
-		streams: {recordBegin: () => undefined, findRequired: async () => ({kind: 'any', version: undefined}) as never, toListed: (_service, version) => version},
+		streams: {
+			recordBegin: () => undefined, findRequired: async () => ({kind: 'any', version: undefined}) as never, findBeginVersion: async () => undefined,
+			toListed: (_service, version) => version,
+		},
 		encode: (_request, {upstreamId}) => [upstreamId],
 		keptBytes: createByteBudget(() => 1000, 1000),
 		onEnd: () => undefined,
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -15,12 +15,12 @@
 
 /** A store that tells nothing. */
 const emptyArchive: StreamArchive = {
-	add: () => undefined, waitUntilRead: async () => true, lookUp: async () => undefined, findOnlyVersion: () => undefined, recordListed: () => undefined, doubtMs: () => 0, hasUnwritten: () => false, flush: async () => undefined, stop: () => undefined,
+	add: () => undefined, waitUntilRead: async () => true, lookUp: async () => undefined, isFromBefore: () => false, findOldest: () => undefined, findOldestListed: () => undefined, recordListed: () => undefined, doubtMs: () => 0, hasUnwritten: () => false, flush: async () => undefined, stop: () => undefined,
 };
 
 /** Hosts of which nothing is hidden. */
 const knowsAll: VersionKnowledge = {
-	isInStep: () => true, confirm: async () => true, listHeard: () => [], tick: () => undefined,
+	isInStep: () => true, confirm: async () => true, listHeard: () => [], canTellOthers: () => true, tick: () => undefined,
 };
 
 const reportMs = 100;
@@ -37,14 +37,14 @@
 	const listOthers = (self: string): readonly KnownHost[] => [...hosts.keys()].filter(host => host !== self).map(host => toKnown(host));
 
 	const start = (name: string): void => {
-		const call = (async (address: string, _method: string, {id}: {readonly id: string}) => {
+		const call = (async (address: string, _method: string, {id, service}: {readonly id: string; readonly service: string}) => {
 			messages++;
 			const peer = hosts.get(address);
 			if (!peer || random() < lossShare) {
 				throw new Error('unreachable');
 			}
 
-			return {version: peer.answer(id) ?? null};
+			return peer.answer(id, service);
 		}) as unknown as PeerRpc;
 		const versions = createStreamVersions({
 			openArchive: () => emptyArchive, knowledge: knowsAll,
@@ -97,26 +97,43 @@
 }
 
 describe('a stream that nobody knows, of a service that had one version until this host started', () => {
-	const toHost = (index: number): KnownHost => ({host: `o-${index}`, peers: `o-${index}`}) as KnownHost;
-	const range = (count: number): readonly KnownHost[] => Array.from({length: count}, (_, index) => toHost(index));
-	test.each([
-		['is of that version where all other hosts answer', 3, 3, 3, 'v1'],
-		['is of that version where as many as are asked answer', 30, 30, 30, 'v1'],
-		['is of that version where hosts are registered that were never heard', 3, 0, 0, 'v1'],
-		['is of no known version where a host has fallen silent', 3, 3, 2, undefined],
-		['is of no known version where one of many hosts has fallen silent', 30, 30, 29, undefined],
-	] as const)('%s', async (_name, registered, heard, answering, expected) => {
-		const hosts = range(registered);
+	type Others = {
+		readonly registered: number;
+		readonly heard: number;
+		readonly answering: number;
+		/** Of those that answer, hosts that were there before the service had several versions. */
+		readonly remembering: number;
+	};
+	const three: Others = {
+		registered: 3, heard: 3, answering: 3, remembering: 3,
+	};
+	const many: Others = {
+		registered: 30, heard: 30, answering: 30, remembering: 30,
+	};
+	test.each<readonly [string, Others, string | undefined]>([
+		['is of that version where all other hosts answer', three, 'v1'],
+		['is of that version where as many as are asked answer', many, 'v1'],
+		['is of that version where hosts are registered that were never heard', {...three, heard: 0, answering: 0}, 'v1'],
+		['is of no known version where a host has fallen silent', {...three, answering: 2}, undefined],
+		['is of no known version where one of many hosts has fallen silent', {...many, answering: 29}, undefined],
+		['is of that version where one host has started again', {...three, remembering: 2}, 'v1'],
+		['is of that version where one of many hosts has started again', {...many, remembering: 29}, 'v1'],
+		['is of no known version where two hosts have started again', {...three, remembering: 1}, undefined],
+		['is of no known version where two of many hosts have started again', {...many, remembering: 28}, undefined],
+	])('%s', async (_name, others, expected) => {
+		const hosts = Array.from({length: others.registered}, (_, index) => ({host: `o-${index}`, peers: `o-${index}`}) as KnownHost);
+		const answering = hosts.slice(0, others.answering);
 		const versions = createStreamVersions({
-			openArchive: () => ({...emptyArchive, findOnlyVersion: () => 'v1'}),
-			knowledge: {...knowsAll, listHeard: () => hosts.slice(0, heard)},
-			listUpstreams: () => [], listOthers: () => hosts, alive: () => hosts.slice(0, answering), now: Date.now, tell: () => undefined,
+			openArchive: () => ({...emptyArchive, isFromBefore: () => true, findOldest: () => 'v1'}),
+			knowledge: {...knowsAll, listHeard: () => hosts.slice(0, others.heard)},
+			listUpstreams: () => [], listOthers: () => hosts, alive: () => answering, now: Date.now, tell: () => undefined,
 			async call(address: string) {
-				if (!hosts.slice(0, answering).some(({peers}) => peers === address)) {
+				const index = answering.findIndex(({peers}) => peers === address);
+				if (index === -1) {
 					throw new Error('unreachable');
 				}
 
-				return {version: null};
+				return {version: null, remembers: index < others.remembering} as never;
 			},
 		});
 		versions.recordUpstreams([toUpstream('v1', 0), toUpstream('v2', 1)]);
--- /dev/null
+++ b/test/streams/streams-begun-at-a-host-cut-off.test.ts
@@ -0,0 +1,224 @@
+// Guards against a stream that goes on at another software version after the host that began it was cut off and killed: docs/incidents/streams-begun-at-a-host-cut-off.md.
+import {describe, expect, test} from 'vitest';
+import {adapter} from '../../platform/adapter.js';
+import {sleep} from '../../src/util/sleep.js';
+import {type ObjectStoreServer} from '../support/create-object-store-server.js';
+import {createRelease} from '../support/create-release.js';
+import {type RawResponse} from '../support/send-raw-request.js';
+import {startSeparableSystem, type SeparableHost, type SeparableSystem} from '../support/start-separable-system.js';
+import {startTestGateway} from '../support/start-test-gateway.js';
+import {waitUntil} from '../support/wait-until.js';
+import {
+	type BegunStream, beginStream, listVersions, takeUpStream,
+} from '../support/versioned-streams.js';
+
+const streams = 12;
+/** Time in which hosts hear of a release, or that they are cut off. */
+const noticeMs = 900;
+
+type Release = ReturnType<typeof createRelease>;
+/** What a case is played with. */
+type Stage = {readonly system: SeparableSystem; readonly release: Release};
+
+const domains = ['domain-a', 'domain-a', 'domain-b', 'domain-b'];
+
+async function cutOff({hosts}: SeparableSystem, cut: readonly SeparableHost[], from: readonly string[] = ['store', 'hosts']): Promise<void> {
+	const others = hosts.filter(host => !cut.includes(host));
+	await Promise.all(cut.map(async host => {
+		if (from.includes('store')) {
+			await host.cutFromStore();
+		}
+
+		if (from.includes('hosts')) {
+			await host.cutFromHosts(others);
+			await Promise.all(others.map(async other => {
+				other.blockReportsFrom(host.reports);
+			}));
+		}
+	}));
+}
+
+const killAll = async (hosts: readonly SeparableHost[]): Promise<void> => {
+	await Promise.all(hosts.map(async host => host.kill()));
+};
+
+const healAll = async (hosts: readonly SeparableHost[]): Promise<void> => {
+	await Promise.all(hosts.map(async host => host.heal()));
+};
+
+type Case = {
+	readonly domains: readonly string[];
+	/** Whether both versions serve before the hosts start. */
+	readonly isMixedAtStart: boolean;
+	/** Cuts the host that begins the streams off, with others. */
+	readonly cut: (system: SeparableSystem) => Promise<void>;
+	/** What happens between the begin of the streams and their being taken up; returns the host at which they are. */
+	readonly change: (stage: Stage) => Promise<SeparableHost>;
+	/** Whether all streams go on; otherwise each of them may be refused. */
+	readonly goesOn: boolean;
+};
+
+const cutFirst: Case['cut'] = async system => cutOff(system, system.hosts.slice(0, 1));
+
+/** Kills the first hosts and starts others in their place. */
+const restart = (count: number, toName: (host: SeparableHost) => string | undefined = ({name}) => name) => async ({system}: Stage): Promise<readonly SeparableHost[]> => {
+	const killed = system.hosts.slice(0, count);
+	await killAll(killed);
+	await healAll(system.hosts.slice(count));
+	const started = await Promise.all(killed.map(async host => system.addHost(host.domain, toName(host))));
+	await sleep(noticeMs);
+	return started;
+};
+
+const defaults: Case = {
+	domains, isMixedAtStart: false, cut: cutFirst, goesOn: true,
+	async change(stage) {
+		await restart(1)(stage);
+		return stage.system.hosts[2]!;
+	},
+};
+
+/** Kills two hosts of different domains and starts them again. */
+async function restartTwo(stage: Stage): Promise<SeparableHost> {
+	const {hosts, addHost} = stage.system;
+	const [second, other] = hosts.slice(2);
+	await restart(1)(stage);
+	await second!.kill();
+	await addHost(second!.domain, second!.name);
+	await sleep(2 * noticeMs);
+	return other!;
+}
+
+const cases: ReadonlyArray<readonly [string, Partial<Case>]> = [
+	['it is back at once', {}],
+	['it is back, and they are taken up in its domain', {
+		async change(stage) {
+			await restart(1)(stage);
+			return stage.system.hosts[1]!;
+		},
+	}],
+	['it is back, and they are taken up there', {
+		async change(stage) {
+			const [started] = await restart(1)(stage);
+			return started!;
+		},
+	}],
+	['it is back under another name', {
+		async change(stage) {
+			await restart(1, () => undefined)(stage);
+			return stage.system.hosts[2]!;
+		},
+		goesOn: false,
+	}],
+	['it does not come back', {
+		async change({system}) {
+			await killAll(system.hosts.slice(0, 1));
+			return system.hosts[2]!;
+		},
+		goesOn: false,
+	}],
+	['it was cut off from the other hosts only', {
+		cut: async system => cutOff(system, system.hosts.slice(0, 1), ['hosts']),
+	}],
+	['it was cut off from the store only', {
+		cut: async system => cutOff(system, system.hosts.slice(0, 1), ['store']),
+	}],
+	['it lives on', {
+		async change({system}) {
+			await healAll(system.hosts);
+			await sleep(noticeMs);
+			return system.hosts[2]!;
+		},
+	}],
+	['it was cut off together with one of another domain, both are back', {
+		cut: async system => cutOff(system, [system.hosts[0]!, system.hosts[2]!]), change: restartTwo, goesOn: false,
+	}],
+	['another one was cut off alone as well, both are back', {
+		async cut(system) {
+			await cutOff(system, [system.hosts[0]!]);
+			await cutOff(system, [system.hosts[2]!]);
+		},
+		change: restartTwo, goesOn: false,
+	}],
+	['its domain was cut off as a whole, the others there live on', {
+		cut: async system => cutOff(system, system.hosts.slice(0, 2)),
+		async change(stage) {
+			await restart(1)(stage);
+			return stage.system.hosts[2]!;
+		},
+	}],
+	['its domain was cut off as a whole, and all hosts there are killed', {
+		cut: async system => cutOff(system, system.hosts.slice(0, 2)),
+		async change(stage) {
+			await restart(2)(stage);
+			return stage.system.hosts[2]!;
+		},
+		goesOn: false,
+	}],
+	['it is the only one of its domain', {
+		domains: ['domain-a', 'domain-b', 'domain-b'],
+		async change(stage) {
+			await restart(1)(stage);
+			return stage.system.hosts[1]!;
+		},
+	}],
+	['all hosts are killed with it', {
+		async change(stage) {
+			const [started] = await restart(4)(stage);
+			return started!;
+		},
+		goesOn: false,
+	}],
+	['both versions serve from the start', {isMixedAtStart: true, goesOn: false}],
+	['the first version leaves meanwhile', {
+		async change(stage) {
+			stage.release.removeOld(stage.system.store);
+			await restart(1)(stage);
+			return stage.system.hosts[2]!;
+		},
+		goesOn: false,
+	}],
+];
+
+/** The hosts under test are not the first ones of their system: another one has stored which versions serve. */
+async function recordVersions(store: ObjectStoreServer): Promise<void> {
+	const gateway = await startTestGateway(store.address);
+	await waitUntil('the versions that serve to be stored', () => store.copy().kinds.get(adapter.kinds.streams)?.has('.versions') === true);
+	await gateway.drain();
+}
+
+/** Begins streams at a host that is cut off while two versions serve, kills it and has them taken up elsewhere. */
+async function play({domains: of, isMixedAtStart, cut, change}: Case): Promise<ReadonlyArray<readonly [BegunStream, RawResponse]>> {
+	const release = createRelease();
+	const system = await startSeparableSystem(of, async store => {
+		await release.prepare(store);
+		if (isMixedAtStart) {
+			await release.releases.added(store);
+		}
+
+		await recordVersions(store);
+	});
+	if (!isMixedAtStart) {
+		await release.releases.added(system.store);
+		await sleep(noticeMs);
+	}
+
+	await cut(system);
+	await sleep(noticeMs);
+	const begun = await Promise.all(Array.from({length: streams}, async (_, index) => beginStream(system.hosts[0]!.gateway.callers, `cut-off-${index}`)));
+	const host = await change({system, release});
+	const responses = await Promise.all(begun.map(async (stream, index) => takeUpStream(host.gateway.callers, stream, index)));
+	await system.stop();
+	release.stop();
+	return begun.map((stream, index) => [stream, responses[index]!]);
+}
+
+describe.concurrent('streams that a host began while it was cut off, with two versions serving, go on at their version or are refused', () => {
+	test.each(cases)('%s', async (_name, changed) => {
+		const {goesOn, ...played} = {...defaults, ...changed};
+		const results = await play({...played, goesOn});
+		expect(results.filter(([{version}]) => version === undefined)).toEqual([]);
+		expect(results.flatMap(([{version}, {text}]) => listVersions(text).filter(each => each !== version))).toEqual([]);
+		expect(results.map(([, {status}]) => status).filter(status => status !== 200 && (goesOn || status !== 503))).toEqual([]);
+	});
+});
--- a/test/support/create-release.ts
+++ b/test/support/create-release.ts
@@ -67,6 +67,7 @@
 				// One version everywhere.
 			},
 		},
+		removeOld,
 		/** Upstreams of the first version refuse streams that are taken up, after a time in milliseconds. */
 		setRefusing(delayMs: number) {
 			refusalDelayMs = delayMs;
