Streams of a host that was cut off go on after its death

Callers saw none of some 20 streams go on at three undisturbed hosts while the host that began them was silent for good; all new streams began. Cause: an unknown stream was refused while any host was silent. Change: a silent host counts like one that has started again: one of both together may be missing, two may have told each other and the stream is refused.

--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -181,16 +181,16 @@
 	*/
 	const findUntold = async (service: string, begunBy: string, others: readonly KnownHost[], first: Asked, timeoutMs: number): Promise<FoundVersion | undefined> => {
 		const oldest = archive.findOldest(service);
-		if (oldest === undefined || first.silent.length > 0) {
+		if (oldest === undefined) {
 			return undefined;
 		}
 
-		const {found, remember, silent} = await ask(begunBy, service, others, timeoutMs);
+		const {found, remember} = await ask(begunBy, service, others, timeoutMs);
 		if (found) {
 			return found;
 		}
 
-		return silent.length === 0 && isUntold(service, new Set([...first.remember, ...remember])) ? {version: oldest, from: 'oldest version'} : undefined;
+		return isUntold(service, new Set([...first.remember, ...remember])) ? {version: oldest, from: 'oldest version'} : undefined;
 	};
 
 	/** Asks other hosts, then the store. */
