A stand-in of the tests answers when it is asked when it started

errors-after-a-stream-has-begun.test.ts threw 215 errors that no test caught in a run of its own: its upstreams took GET /v1/report for a request to the model and looked up a way to break off by its path. They answer it now, as those of heads-that-stop.test.ts do.

--- a/test/streams/errors-after-a-stream-has-begun.test.ts
+++ b/test/streams/errors-after-a-stream-has-begun.test.ts
@@ -90,7 +90,7 @@
 		domains: ['domain-a', 'domain-a'], upstreams: 4, bounds: {retrySlack: 100_000},
 		configuration: {routes: platformObjects.configuration(1).routes.map(route => ({...route, ...(route.kind === 'streaming' ? {max_attempts: 3} : {})}))},
 		respond(received, socket) {
-			if (received.target === '/health') {
+			if (!received.target.startsWith('/ask/')) {
 				sendSignedResponse(received, socket);
 				return;
 			}
