An error that no test has caught fails the run

scripts/test.js judged a run by its failed tests. A reporter lists them, the script prints them, and each counts as a failure.

--- a/scripts/test.js
+++ b/scripts/test.js
@@ -1,13 +1,18 @@
 /**
-Runs the tests. Failures that KNOWN-RED.txt lists are printed and ignored; any other failure fails the run.
+Runs the tests. Failures that KNOWN-RED.txt lists are printed and ignored; any other failure fails the run, and so does an error that no test has caught.
 Each entry of KNOWN-RED.txt begins with a line `test: FILE > NAME`.
 */
 import {spawnSync} from 'node:child_process';
-import {existsSync, readFileSync} from 'node:fs';
+import {existsSync, readFileSync, rmSync} from 'node:fs';
 import process from 'node:process';
 
 const reportFile = 'dist/test-report.json';
-const {status} = spawnSync('npx', ['vitest', 'run', '--reporter=default', '--reporter=json', `--outputFile.json=${reportFile}`, ...process.argv.slice(2)], {stdio: 'inherit'});
+const errorsFile = 'dist/unhandled-errors.json';
+const reporters = ['default', 'json', './scripts/unhandled-errors-reporter.js'];
+rmSync(errorsFile, {force: true});
+const {status} = spawnSync('npx', ['vitest', 'run', ...reporters.map(reporter => `--reporter=${reporter}`), `--outputFile.json=${reportFile}`, ...process.argv.slice(2)], {
+	stdio: 'inherit', env: {...process.env, UNHANDLED_ERRORS_FILE: errorsFile},
+});
 
 const knownNames = existsSync('KNOWN-RED.txt')
 	? readFileSync('KNOWN-RED.txt', 'utf8').split('\n').filter(line => line.startsWith('test: ')).map(line => line.slice(6).trim())
@@ -32,6 +37,12 @@
 	console.log(`failed: ${test.name}`);
 }
 
-const didRun = numTotalTests > 0 && (status === 0 || failed.length > 0);
-console.log(`${passed} passed, ${newFailures.length + (didRun ? 0 : 1)} failed`);
-process.exit(newFailures.length === 0 && didRun ? 0 : 1);
+const unhandledErrors = JSON.parse(readFileSync(errorsFile, 'utf8'));
+for (const error of unhandledErrors) {
+	console.log(`unhandled error: ${error}`);
+}
+
+const didRun = numTotalTests > 0 && (status === 0 || failed.length > 0 || unhandledErrors.length > 0);
+const failures = newFailures.length + unhandledErrors.length + (didRun ? 0 : 1);
+console.log(`${passed} passed, ${failures} failed`);
+process.exit(failures === 0 ? 0 : 1);
