--- a/test/streams/stream-archive.test.ts
+++ b/test/streams/stream-archive.test.ts
@@ -30,7 +30,7 @@
 	};
 
 	return {
-		list: async () => ({objects: [...objects.values()]}) as never,
+		list: async () => ({objects: [...objects.values()], epoch: 1}) as never,
 		read: async (_kind: string, name: string) => objects.get(name),
 		create: async (_kind: string, name: string, value: unknown) => objects.has(name) ? undefined : write(name, value),
 		replace: async (_kind: string, name: string, value: unknown, known: {readonly revision: number}) =>
@@ -112,3 +112,37 @@
 		expect(await openArchive(store, 'host-2').lookUp('a')).toBeUndefined();
 	});
 });
+
+describe('the versions that serve', () => {
+	const toListed = (versions: readonly string[]): ReadonlyMap<string, ReadonlySet<string>> => new Map([['app', new Set(versions)]]);
+
+	test.each([
+		['one version', ['v1'], ['v1'], ['v1', 'v1', true]],
+		['a version that joins another one', ['v1'], ['v2', 'v1'], ['v1', 'v1', true]],
+		['a version in place of another one', ['v1'], ['v2'], [undefined, 'v2', true]],
+		['several from the start', ['v2', 'v1'], ['v1', 'v2'], ['v2', 'v2', false]],
+	] as const)('are found in the order in which the store took them, at a host that starts after the first ones: %s', async (_name, first, later, expected) => {
+		const store = createStore([]);
+		const writer = openArchive(store, 'host-1');
+		await writer.waitUntilRead(1000);
+		writer.recordListed(toListed(first));
+		await sleep(pauseMs);
+		const reader = openArchive(store, 'host-2');
+		await reader.waitUntilRead(1000);
+		writer.recordListed(toListed(later));
+		await sleep(pauseMs);
+		reader.recordListed(toListed(later));
+		await sleep(pauseMs);
+		expect([reader.findOldest('app'), reader.findOldestListed('app'), reader.isFromBefore('app')]).toEqual(expected);
+		expect([writer.findOldest('app'), writer.findOldestListed('app')]).toEqual(expected.slice(0, 2));
+		writer.stop();
+		reader.stop();
+	});
+
+	test('are not known where the store has none', async () => {
+		const archive = openArchive(createStore([]), 'host-1');
+		await archive.waitUntilRead(1000);
+		expect([archive.findOldest('app'), archive.findOldestListed('app'), archive.isFromBefore('app')]).toEqual([undefined, undefined, false]);
+		archive.stop();
+	});
+});
--- a/test/streams/streams-begun-at-a-host-cut-off.test.ts
+++ b/test/streams/streams-begun-at-a-host-cut-off.test.ts
@@ -48,8 +48,9 @@
 
 type Case = {
 	readonly domains: readonly string[];
-	/** Whether both versions serve before the hosts start. */
-	readonly isMixedAtStart: boolean;
+	/** When the second version comes. */
+	readonly release: 'before the hosts start' | 'before the cut' | 'during the cut' | 'never';
+	readonly begins: 'before the cut' | 'during the cut';
 	/** Cuts the host that begins the streams off, with others. */
 	readonly cut: (system: SeparableSystem) => Promise<void>;
 	/** What happens between the begin of the streams and their being taken up; returns the host at which they are. */
@@ -71,7 +72,7 @@
 };
 
 const defaults: Case = {
-	domains, isMixedAtStart: false, cut: cutFirst, goesOn: true,
+	domains, release: 'before the cut', begins: 'during the cut', cut: cutFirst, goesOn: true,
 	async change(stage) {
 		await restart(1)(stage);
 		return stage.system.hosts[2]!;
@@ -168,7 +169,29 @@
 		},
 		goesOn: false,
 	}],
-	['both versions serve from the start', {isMixedAtStart: true, goesOn: false}],
+	['both versions serve from the start', {release: 'before the hosts start', goesOn: false}],
+	['the second version comes during the cut', {release: 'during the cut'}],
+	['there is one version only', {release: 'never'}],
+	['they began before the cut', {begins: 'before the cut'}],
+	['they began before the cut, and it does not come back', {
+		begins: 'before the cut',
+		async change({system}) {
+			await killAll(system.hosts.slice(0, 1));
+			return system.hosts[2]!;
+		},
+	}],
+	['others are restarted as planned before their callers return', {
+		async change(stage) {
+			const {hosts, addHost} = stage.system;
+			await restart(1)(stage);
+			const [stopped, other] = hosts.slice(2);
+			await stopped!.drain();
+			await addHost(stopped!.domain, stopped!.name);
+			await sleep(2 * noticeMs);
+			return other!;
+		},
+		goesOn: false,
+	}],
 	['the first version leaves meanwhile', {
 		async change(stage) {
 			stage.release.removeOld(stage.system.store);
@@ -187,24 +210,31 @@
 }
 
 /** Begins streams at a host that is cut off while two versions serve, kills it and has them taken up elsewhere. */
-async function play({domains: of, isMixedAtStart, cut, change}: Case): Promise<ReadonlyArray<readonly [BegunStream, RawResponse]>> {
+async function play({domains: of, release: comes, begins, cut, change}: Case): Promise<ReadonlyArray<readonly [BegunStream, RawResponse]>> {
 	const release = createRelease();
 	const system = await startSeparableSystem(of, async store => {
 		await release.prepare(store);
-		if (isMixedAtStart) {
+		if (comes === 'before the hosts start') {
 			await release.releases.added(store);
 		}
 
 		await recordVersions(store);
 	});
-	if (!isMixedAtStart) {
+	const begin = async (): Promise<readonly BegunStream[]> =>
+		Promise.all(Array.from({length: streams}, async (_, index) => beginStream(system.hosts[0]!.gateway.callers, `cut-off-${index}`)));
+	if (comes === 'before the cut') {
 		await release.releases.added(system.store);
 		await sleep(noticeMs);
 	}
 
+	const before = begins === 'before the cut' ? await begin() : [];
 	await cut(system);
+	if (comes === 'during the cut') {
+		await release.releases.added(system.store);
+	}
+
 	await sleep(noticeMs);
-	const begun = await Promise.all(Array.from({length: streams}, async (_, index) => beginStream(system.hosts[0]!.gateway.callers, `cut-off-${index}`)));
+	const begun = begins === 'during the cut' ? await begin() : before;
 	const host = await change({system, release});
 	const responses = await Promise.all(begun.map(async (stream, index) => takeUpStream(host.gateway.callers, stream, index)));
 	await system.stop();
--- a/test/support/start-separable-system.ts
+++ b/test/support/start-separable-system.ts
@@ -21,6 +21,8 @@
 	readonly heal: () => Promise<void>;
 	/** Ends the host at once: nothing is told or stored first. */
 	readonly kill: () => Promise<void>;
+	/** Stops the host as planned. */
+	readonly drain: () => Promise<void>;
 	/** Blocks reports that come from an address. */
 	readonly blockReportsFrom: (address: string) => void;
 	readonly reports: string;
@@ -80,6 +82,11 @@
 					await gateway.stop();
 				}
 			},
+			async drain() {
+				if (running.delete(host)) {
+					await gateway.drain();
+				}
+			},
 			blockReportsFrom(address) {
 				relay.block(address);
 			},
