A host that hears others and is not heard begins streams at the oldest version too

The host heard the others, so that it went on beginning streams at any version, and what it told was lost. After its death such streams went on at the oldest version. Change: reports name the hosts that have fallen silent for their sender (none in calm); a host that all hosts in reach name can tell nobody, and follows the same rule.

--- a/src/decide/streams/can-tell-others.ts
+++ b/src/decide/streams/can-tell-others.ts
@@ -6,6 +6,8 @@
 	readonly heardAgeMs: number | undefined;
 	/** Time without a message after which the other hosts are out of reach. */
 	readonly silentAfterMs: number;
+	/** Whether all hosts that are heard say that they don't hear this one. */
+	readonly isUnheard: boolean;
 	/** Time since the store confirmed the list of upstreams; `undefined` when it never did. */
 	readonly confirmedAgeMs: number | undefined;
 };
@@ -15,11 +17,15 @@
 from callers and upstreams, is killed, and its streams are taken up elsewhere. A store that responds to a host that hears no other one counts only once
 these may be gone: it is told in batches, of which the last one may be missing.
 */
-export function canTellOthers({heardAgeMs, silentAfterMs, confirmedAgeMs}: Reach): boolean {
+export function canTellOthers({heardAgeMs, silentAfterMs, isUnheard, confirmedAgeMs}: Reach): boolean {
 	const {goneAfterMs, maxConfirmedAgeMs} = versionKnowledgeLimits;
-	if (heardAgeMs === undefined || heardAgeMs <= silentAfterMs) {
+	if (heardAgeMs === undefined) {
 		return true;
 	}
 
+	if (heardAgeMs <= silentAfterMs) {
+		return !isUnheard;
+	}
+
 	return heardAgeMs > goneAfterMs && confirmedAgeMs !== undefined && confirmedAgeMs <= maxConfirmedAgeMs;
 }
--- a/src/decide/streams/is-in-step.ts
+++ b/src/decide/streams/is-in-step.ts
@@ -1,3 +1,4 @@
+import {isSilent} from './is-silent.js';
 import {versionKnowledgeLimits} from './version-knowledge-limits.js';
 
 /** How recent a host's knowledge is of the versions that serve. Times are in milliseconds. */
@@ -12,17 +13,11 @@
 
 /** Time in which reports that came while this process stood still are read. */
 const minRunningMs = 1000;
-/** A host is silent after this long without a report, or after several of its report intervals if that is longer. */
-const minSilenceMs = 400;
-const silentIntervals = 4;
 
 /**
 Returns whether a host can be sure that it knows of each version that serves. Fault pattern: a host that is cut off, or stands still, while upstreams
 of a new version begin streams through other hosts.
 */
 export function isInStep({confirmedAgeMs, runningForMs, heard}: Knowledge): boolean {
-	const {goneAfterMs, maxConfirmedAgeMs} = versionKnowledgeLimits;
-	const isSilent = ({ageMs, everyMs}: Knowledge['heard'][number]): boolean =>
-		ageMs > Math.max(minSilenceMs, silentIntervals * everyMs) && ageMs < goneAfterMs;
-	return confirmedAgeMs !== undefined && confirmedAgeMs <= maxConfirmedAgeMs && runningForMs >= minRunningMs && !heard.some(host => isSilent(host));
+	return confirmedAgeMs !== undefined && confirmedAgeMs <= versionKnowledgeLimits.maxConfirmedAgeMs && runningForMs >= minRunningMs && !heard.some(host => isSilent(host));
 }
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -1,3 +1,4 @@
+import {isSilent} from '../decide/streams/is-silent.js';
 import {type ClaimMessage} from '../claims/claim-message.js';
 import {log} from '../observe/log.js';
 import {every} from '../util/every.js';
@@ -62,10 +63,24 @@
 	});
 	const countHosts = (): number => registry.countKnown() + 1;
 	let heardAt: number | undefined;
+	/** Names of the hosts that say that they don't hear this one. */
+	const deaf = new Set<string>();
+
+	/** Names of the hosts that have fallen silent; `undefined` while there are none. */
+	const listUnheard = (): readonly string[] | undefined => {
+		const silent = registry.listKnown().filter(({heardAt: at, everyMs}) => at !== undefined && isSilent({ageMs: now() - at, everyMs}));
+		return silent.length > 0 ? silent.map(({host}) => host) : undefined;
+	};
 
 	const handleStatus = (status: HostStatus, ageMs: number): void => {
 		if (status.host !== self.host) {
 			registry.recordStatus(status, now() - ageMs);
+			if (status.unheard?.includes(self.host)) {
+				deaf.add(status.host);
+			} else {
+				deaf.delete(status.host);
+			}
+
 			const addAge = (statedMs: number | undefined): number | undefined => statedMs === undefined ? undefined : statedMs + ageMs;
 			onStatus({
 				...status, weightsAgeMs: addAge(status.weightsAgeMs), upstreamsAgeMs: addAge(status.upstreamsAgeMs),
@@ -130,7 +145,7 @@
 			log.info({hosts: countHosts(), direct: sender === direct}, 'way of reports changed');
 		}
 
-		sender.send({...self, ...makeReport()});
+		sender.send({...self, ...makeReport(), unheard: listUnheard()});
 	};
 
 	return {
@@ -151,6 +166,7 @@
 		refreshAndList: registry.refreshAndList,
 		reportAgeMs: () => sender === direct ? directReportAgeMs : collectedReportAgeMs,
 		heardAgeMs: () => heardAt === undefined ? undefined : now() - heardAt,
+		isUnheard: () => registry.alive().length > 0 && registry.alive().every(({host}) => deaf.has(host)),
 		silentAfterMs: () => sender === direct ? directSilenceMs : collectedSilenceMs,
 		countHosts,
 		publishKvUpdate(update) {
--- a/src/reports/find-message-fault.ts
+++ b/src/reports/find-message-fault.ts
@@ -24,7 +24,7 @@
 
 const statusChecks = {
 	host: isText, domain: isText, peers: isDialable, reports: isDialable, linkMbps: isNumber, everyMs: isNumber,
-	isStoreLost: isOptional(isFlag), lostServices: isOptional(isListOf(isText)), countsAttempts: isOptional(isFlag), sharesKvByGroup: isOptional(isFlag), claimsPlaces: isOptional(isFlag), epoch: isOptional(isNumber),
+	isStoreLost: isOptional(isFlag), lostServices: isOptional(isListOf(isText)), unheard: isOptional(isListOf(isText)), countsAttempts: isOptional(isFlag), sharesKvByGroup: isOptional(isFlag), claimsPlaces: isOptional(isFlag), epoch: isOptional(isNumber),
 	changes: isNumbers, contentVersions: isOptional(isNumbers), weightsAgeMs: isOptional(isNumber), upstreamsAgeMs: isOptional(isNumber),
 	weightAges: isOptional(isListOf(isTuple(isText, isWhole, isOptional(isNumber)))),
 };
--- a/src/reports/host-report-exchange.ts
+++ b/src/reports/host-report-exchange.ts
@@ -23,6 +23,8 @@
 	readonly reportAgeMs: () => number;
 	/** Returns the time since any message of another host arrived, in milliseconds; `undefined` when none has. */
 	readonly heardAgeMs: () => number | undefined;
+	/** Returns whether all hosts with a recent report say that they don't hear this one. */
+	readonly isUnheard: () => boolean;
 	/** Returns the time without a message after which this host is cut off from all others, in milliseconds. */
 	readonly silentAfterMs: () => number;
 	/** Returns the number of hosts known from the store or a report, including this one. */
--- a/src/reports/host-status.ts
+++ b/src/reports/host-status.ts
@@ -18,6 +18,8 @@
 	readonly isStoreLost: boolean;
 	/** Services of which the host can reach no upstream. Hosts of an earlier build state none. */
 	readonly lostServices?: readonly string[];
+	/** Hosts that have fallen silent for this one. Hosts of an earlier build state none. */
+	readonly unheard?: readonly string[] | undefined;
 	/** Whether the host counts the attempts of requests that others hand on to it. Hosts of an earlier build don't. */
 	readonly countsAttempts?: boolean;
 	/** Whether the host shares KV cache by groups of workspaces (`KvSharing`). Hosts of an earlier build don't. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -290,7 +290,8 @@
 	const knowledge = createVersionKnowledge({
 		confirmedAgeMs: getUpstreamsAgeMs,
 		refresh: async () => refreshKind(kinds.upstreams),
-		listHeard: reportExchange.listHeard, heardAgeMs: reportExchange.heardAgeMs, silentAfterMs: reportExchange.silentAfterMs, now, standstill,
+		listHeard: reportExchange.listHeard, heardAgeMs: reportExchange.heardAgeMs, silentAfterMs: reportExchange.silentAfterMs,
+		isUnheard: reportExchange.isUnheard, now, standstill,
 	});
 	const streams = createStreamVersions({
 		listUpstreams: registry.listAll, listOthers: reportExchange.listOthers, alive: reportExchange.alive, call: peerClient.call,
--- a/src/streams/create-version-knowledge.ts
+++ b/src/streams/create-version-knowledge.ts
@@ -18,13 +18,15 @@
 	readonly heardAgeMs: () => number | undefined;
 	/** Returns the time without a message after which the other hosts are out of reach, in milliseconds. */
 	readonly silentAfterMs: () => number;
+	/** Returns whether all hosts that are heard say that they don't hear this one. */
+	readonly isUnheard: () => boolean;
 	/** Monotonic clock in milliseconds, by which hosts are heard. */
 	readonly now: () => number;
 	readonly standstill: StandstillDetector;
 };
 
 /** Creates what tells a host that has heard of one version from one that can be sure that there is one. */
-export function createVersionKnowledge({confirmedAgeMs, refresh, listHeard, heardAgeMs, silentAfterMs, now, standstill}: VersionKnowledgeOptions): VersionKnowledge {
+export function createVersionKnowledge({confirmedAgeMs, refresh, listHeard, heardAgeMs, silentAfterMs, isUnheard, now, standstill}: VersionKnowledgeOptions): VersionKnowledge {
 	return {
 		isInStep() {
 			return isInStep({
@@ -41,7 +43,9 @@
 			return Promise.race([reading, sleep(timeoutMs).then(() => false)]);
 		},
 		listHeard,
-		canTellOthers: () => canTellOthers({heardAgeMs: heardAgeMs(), silentAfterMs: silentAfterMs(), confirmedAgeMs: confirmedAgeMs()}),
+		canTellOthers: () => canTellOthers({
+			heardAgeMs: heardAgeMs(), silentAfterMs: silentAfterMs(), isUnheard: isUnheard(), confirmedAgeMs: confirmedAgeMs(),
+		}),
 		tick: standstill.tick,
 	};
 }
--- a/test/decide/can-tell-others.test.ts
+++ b/test/decide/can-tell-others.test.ts
@@ -1,13 +1,14 @@
 import {expect, test} from 'vitest';
 import {canTellOthers} from '../../src/decide/streams/can-tell-others.js';
 
-const inTouch = {heardAgeMs: 50, silentAfterMs: 400, confirmedAgeMs: 100};
+const inTouch = {heardAgeMs: 50, silentAfterMs: 400, isUnheard: false, confirmedAgeMs: 100};
 
 test.each([
 	['hears others, and the store responds', {}, true],
 	['hears others, and the store does not respond', {confirmedAgeMs: 60_000}, true],
 	['has never heard another one', {heardAgeMs: undefined}, true],
 	['has never heard another one, and the store does not respond', {heardAgeMs: undefined, confirmedAgeMs: undefined}, true],
+	['hears others, none of which hears it', {isUnheard: true}, false],
 	['has missed some reports', {heardAgeMs: 400}, true],
 	['hears nobody, which the store may not have shown yet', {heardAgeMs: 401}, false],
 	['hears nobody while the store responds', {heardAgeMs: 9000}, false],
--- a/test/streams/streams-begun-at-a-host-cut-off.test.ts
+++ b/test/streams/streams-begun-at-a-host-cut-off.test.ts
@@ -123,6 +123,15 @@
 	['it was cut off from the store only', {
 		cut: async system => cutOff(system, system.hosts.slice(0, 1), ['store']),
 	}],
+	['it heard the others, which did not hear it', {
+		async cut({hosts}) {
+			const [first, ...others] = hosts;
+			await first!.cutFromStore();
+			for (const other of others) {
+				other.blockReportsFrom(first!.reports);
+			}
+		},
+	}],
 	['it lives on', {
 		async change({system}) {
 			await healAll(system.hosts);
