--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -1,6 +1,5 @@
 import {setImmediate} from 'node:timers/promises';
 import {rankOwners} from '../decide/membership/rank-owners.js';
-import {canOnlyBeUntold} from '../decide/streams/can-only-be-untold.js';
 import {createStreamIndex} from '../decide/streams/create-stream-index.js';
 import {createVersionHistory} from '../decide/streams/create-version-history.js';
 import {groupStreams} from '../decide/streams/group-streams.js';
@@ -15,6 +14,7 @@
 import {type StreamArchive} from './stream-archive.js';
 import {type StreamGroup} from './stream-group.js';
 import {type StreamVersions} from './stream-versions.js';
+import {createVersionFinder} from './create-version-finder.js';
 import {type VersionKnowledge} from './version-knowledge.js';
 
 /** A stream is taken up within its caller's deadline, which is far shorter. */
@@ -26,21 +26,8 @@
 const tellDelayMs = 20;
 const maxToldAtOnce = 100;
 const reviewIntervalMs = 1000;
-/** Hosts that are asked at once for the version of a stream; the others only before it is concluded from their not knowing it. */
-const maxAsked = 12;
 const askTimeoutMs = 400;
 
-/** The version that began a stream, and who said so. */
-type FoundVersion = {readonly version: string; readonly from: string};
-/** What other hosts have answered. */
-type Asked = {
-	readonly found: FoundVersion | undefined;
-	/** Names of the hosts that don't know the stream and have been there since before its service had several versions. */
-	readonly remember: ReadonlySet<string>;
-	/** Names of the hosts that were heard of late and may know better: those that were asked and have not answered, and those that are not heard any more. */
-	readonly silent: readonly string[];
-};
-
 /** Dependencies of the stream versions. */
 type StreamVersionsOptions = {
 	readonly listUpstreams: () => readonly Upstream[];
@@ -76,13 +63,17 @@
 	const archive = openArchive(retentionMs, seen => {
 		recordSeen(seen);
 	});
+	/** All that are known, where none has reported of late. */
+	const listReachable = (): readonly KnownHost[] => alive().length > 0 ? alive() : listOthers();
+	/** Whether this host has been there since before a service had several versions, or for longer than streams are taken up. */
+	const remembers = (service: string): boolean => archive.isFromBefore(service) || now() - startedAt >= retentionMs;
+	const finder = createVersionFinder({
+		listOthers, alive, listReachable, listHeard: knowledge.listHeard, call, archive, remembers,
+	});
 
 	/** Whether a stream of a service may only be taken up where the version that began it is known. */
 	const mustBeKnown = (service: string): boolean => history.isMixed(service, now()) || archive.doubtMs() > 0;
 
-	/** All that are known, where none has reported of late. */
-	const listReachable = (): readonly KnownHost[] => alive().length > 0 ? alive() : listOthers();
-
 	const tellNext = (): void => {
 		tellTimer = undefined;
 		const known = untold.flatMap(id => {
@@ -131,84 +122,6 @@
 		}
 	};
 
-	/** Hosts that may have been told of a stream come first. */
-	const rank = (id: string, hosts: readonly KnownHost[]): readonly KnownHost[] => {
-		const byName = new Map(hosts.map(host => [host.host, host]));
-		return rankOwners(listOthers().map(({host}) => host), id).flatMap(name => byName.get(name) ?? []);
-	};
-
-	/** Asks other hosts for the version that began a stream, until one knows it. */
-	const ask = async (id: string, service: string, asked: readonly KnownHost[], timeoutMs: number): Promise<Asked> => {
-		const answered = new Set<string>();
-		const remember = new Set<string>();
-		try {
-			const found = await Promise.any(asked.map(async ({host, peers}) => {
-				const {version, remembers = false} = await call(peers, 'gateway.streamVersion', {id, service}, {timeoutMs});
-				answered.add(host);
-				if (remembers) {
-					remember.add(host);
-				}
-
-				if (version === null) {
-					throw new Error(`${host} does not know the stream`);
-				}
-
-				return {version, from: host};
-			}));
-			return {found, remember, silent: []};
-		} catch (error) {
-			const fine = new Set([...answered, ...alive().map(({host}) => host).filter(name => !asked.some(({host}) => host === name))]);
-			const silent = knowledge.listHeard().map(({host}) => host).filter(name => !fine.has(name));
-			log.info({
-				begunBy: id, answered: [...answered], remember: [...remember], silent, errors: (error as AggregateError).errors?.map(String),
-			}, 'no host knows the version that began a stream');
-			return {found: undefined, remember, silent};
-		}
-	};
-
-	/** Whether this host has been there since before a service had several versions, or for longer than streams are taken up. */
-	const remembers = (service: string): boolean => archive.isFromBefore(service) || now() - startedAt >= retentionMs;
-
-	/** Whether a stream that nobody knows can only have begun where no other host could be told of it. */
-	const isUntold = (service: string, remember: ReadonlySet<string>): boolean => canOnlyBeUntold([
-		{remembers: remembers(service)},
-		...knowledge.listHeard().map(({host}) => ({remembers: remember.has(host)})),
-	]);
-
-	/**
-	Finds the version of a stream that neither the hosts asked first nor the store know. A host that can tell no other one begins streams at the oldest version
-	only, so that a stream is of that version if nobody can have been told of it.
-	*/
-	const findUntold = async (service: string, begunBy: string, others: readonly KnownHost[], first: Asked, timeoutMs: number): Promise<FoundVersion | undefined> => {
-		const oldest = archive.findOldest(service);
-		if (oldest === undefined) {
-			return undefined;
-		}
-
-		const {found, remember} = await ask(begunBy, service, others, timeoutMs);
-		if (found) {
-			return found;
-		}
-
-		return isUntold(service, new Set([...first.remember, ...remember])) ? {version: oldest, from: 'oldest version'} : undefined;
-	};
-
-	/** Asks other hosts, then the store. */
-	const findElsewhere = async (service: string, begunBy: string | undefined, timeoutMs: number): Promise<FoundVersion | undefined> => {
-		if (begunBy === undefined) {
-			return undefined;
-		}
-
-		const hosts = rank(begunBy, listReachable());
-		const first = await ask(begunBy, service, hosts.slice(0, maxAsked), timeoutMs);
-		if (first.found) {
-			return first.found;
-		}
-
-		const stored = await archive.lookUp(begunBy);
-		return stored === undefined ? findUntold(service, begunBy, hosts.slice(maxAsked), first, timeoutMs) : {version: stored, from: 'store'};
-	};
-
 	/** The version is kept, since another one may come before the stream has gone on. */
 	const anyOf = (service: string): RequiredVersion => ({kind: 'any', version: history.findOnly(service, now())});
 
@@ -217,7 +130,7 @@
 	is listed there before it begins a stream; without the store, only all other hosts together do.
 	*/
 	const findInDoubt = async (service: string, begunBy: string | undefined, requestId: string, timeoutMs: number): Promise<RequiredVersion | 'mixed'> => {
-		const asking = ask(begunBy ?? '', service, rank(begunBy ?? '', knowledge.listHeard()).slice(0, maxAsked), timeoutMs);
+		const asking = finder.askHeard(begunBy ?? '', service, timeoutMs);
 		const [isConfirmed, stored] = await Promise.all([knowledge.confirm(timeoutMs), Promise.race([archive.lookUp(begunBy ?? ''), sleep(timeoutMs).then(() => undefined)])]);
 		if (isConfirmed && !history.isMixed(service, now())) {
 			return anyOf(service);
@@ -255,7 +168,7 @@
 			}
 		}
 
-		const found = known ? {version: known.version, from: 'here'} : await findElsewhere(service, begunBy, leftMs);
+		const found = known ? {version: known.version, from: 'here'} : await finder.find(begunBy, service, leftMs);
 		log.info({
 			requestId, service, begunBy, version: found?.version, from: found?.from, ageMs: known && Math.round(now() - known.at), doubtMs: Math.round(doubtMs),
 		}, found ? 'stream goes on at its version' : 'stream cannot go on, its version is unknown');
--- /dev/null
+++ b/src/streams/create-version-finder.ts
@@ -0,0 +1,124 @@
+import {rankOwners} from '../decide/membership/rank-owners.js';
+import {canOnlyBeUntold} from '../decide/streams/can-only-be-untold.js';
+import {log} from '../observe/log.js';
+import {type PeerRpc} from '../peers/peer-rpc.js';
+import {type KnownHost} from '../reports/known-host.js';
+import {type StreamArchive} from './stream-archive.js';
+
+/** Hosts that are asked at once for the version of a stream; the others only before it is concluded from their not knowing it. */
+const maxAsked = 12;
+
+/** The version that began a stream, and who said so. */
+type FoundVersion = {readonly version: string; readonly from: string};
+/** What other hosts have answered. */
+type Asked = {
+	readonly found: FoundVersion | undefined;
+	/** Names of the hosts that don't know the stream and have been there since before its service had several versions. */
+	readonly remember: ReadonlySet<string>;
+	/** Names of the hosts that were heard of late and may know better: those that were asked and have not answered, and those that are not heard any more. */
+	readonly silent: readonly string[];
+};
+
+/** Dependencies of the finder. */
+type VersionFinderOptions = {
+	/** Returns all other hosts that are known, with or without a recent report. */
+	readonly listOthers: () => readonly KnownHost[];
+	/** Returns those with a recent report. */
+	readonly alive: () => readonly KnownHost[];
+	/** Returns those that are asked. */
+	readonly listReachable: () => readonly KnownHost[];
+	/** Returns those that were heard while streams may have begun that are taken up now. */
+	readonly listHeard: () => readonly KnownHost[];
+	readonly call: PeerRpc;
+	readonly archive: Pick<StreamArchive, 'lookUp' | 'findOldest'>;
+	/** Returns whether this host has been there since before a service had several versions. */
+	readonly remembers: (service: string) => boolean;
+};
+
+/** Finds the version of a stream that this host does not know. */
+type VersionFinder = {
+	/** Asks hosts that were heard of late. */
+	readonly askHeard: (begunBy: string, service: string, timeoutMs: number) => Promise<Asked>;
+	/** Asks other hosts, then the store; concludes the version where nobody can know it. */
+	readonly find: (begunBy: string | undefined, service: string, timeoutMs: number) => Promise<FoundVersion | undefined>;
+};
+
+/** Creates the finder. */
+export function createVersionFinder({listOthers, alive, listReachable, listHeard, call, archive, remembers}: VersionFinderOptions): VersionFinder {
+	/** Hosts that may have been told of a stream come first. */
+	const rank = (id: string, hosts: readonly KnownHost[]): readonly KnownHost[] => {
+		const byName = new Map(hosts.map(host => [host.host, host]));
+		return rankOwners(listOthers().map(({host}) => host), id).flatMap(name => byName.get(name) ?? []);
+	};
+
+	/** Asks other hosts for the version that began a stream, until one knows it. */
+	const ask = async (id: string, service: string, asked: readonly KnownHost[], timeoutMs: number): Promise<Asked> => {
+		const answered = new Set<string>();
+		const remember = new Set<string>();
+		try {
+			const found = await Promise.any(asked.map(async ({host, peers}) => {
+				const {version, remembers: isFromBefore = false} = await call(peers, 'gateway.streamVersion', {id, service}, {timeoutMs});
+				answered.add(host);
+				if (isFromBefore) {
+					remember.add(host);
+				}
+
+				if (version === null) {
+					throw new Error(`${host} does not know the stream`);
+				}
+
+				return {version, from: host};
+			}));
+			return {found, remember, silent: []};
+		} catch (error) {
+			const fine = new Set([...answered, ...alive().map(({host}) => host).filter(name => !asked.some(({host}) => host === name))]);
+			const silent = listHeard().map(({host}) => host).filter(name => !fine.has(name));
+			log.info({
+				begunBy: id, answered: [...answered], remember: [...remember], silent, errors: (error as AggregateError).errors?.map(String),
+			}, 'no host knows the version that began a stream');
+			return {found: undefined, remember, silent};
+		}
+	};
+
+	/** Whether a stream that nobody knows can only have begun where no other host could be told of it. */
+	const isUntold = (service: string, remember: ReadonlySet<string>): boolean => canOnlyBeUntold([
+		{remembers: remembers(service)},
+		...listHeard().map(({host}) => ({remembers: remember.has(host)})),
+	]);
+
+	/**
+	Finds the version of a stream that neither the hosts asked first nor the store know. A host that can tell no other one begins streams at the oldest version
+	only, so that a stream is of that version if nobody can have been told of it.
+	*/
+	const findUntold = async (begunBy: string, service: string, others: readonly KnownHost[], first: Asked, timeoutMs: number): Promise<FoundVersion | undefined> => {
+		const oldest = archive.findOldest(service);
+		if (oldest === undefined) {
+			return undefined;
+		}
+
+		const {found, remember} = await ask(begunBy, service, others, timeoutMs);
+		if (found) {
+			return found;
+		}
+
+		return isUntold(service, new Set([...first.remember, ...remember])) ? {version: oldest, from: 'oldest version'} : undefined;
+	};
+
+	return {
+		askHeard: async (begunBy, service, timeoutMs) => ask(begunBy, service, rank(begunBy, listHeard()).slice(0, maxAsked), timeoutMs),
+		async find(begunBy, service, timeoutMs) {
+			if (begunBy === undefined) {
+				return undefined;
+			}
+
+			const hosts = rank(begunBy, listReachable());
+			const first = await ask(begunBy, service, hosts.slice(0, maxAsked), timeoutMs);
+			if (first.found) {
+				return first.found;
+			}
+
+			const stored = await archive.lookUp(begunBy);
+			return stored === undefined ? findUntold(begunBy, service, hosts.slice(maxAsked), first, timeoutMs) : {version: stored, from: 'store'};
+		},
+	};
+}
--- a/test/decide/can-tell-others.test.ts
+++ b/test/decide/can-tell-others.test.ts
@@ -1,7 +1,9 @@
 import {expect, test} from 'vitest';
 import {canTellOthers} from '../../src/decide/streams/can-tell-others.js';
 
-const inTouch = {heardAgeMs: 50, silentAfterMs: 400, isUnheard: false, confirmedAgeMs: 100};
+const inTouch = {
+	heardAgeMs: 50, silentAfterMs: 400, isUnheard: false, confirmedAgeMs: 100,
+};
 
 test.each([
 	['hears others, and the store responds', {}, true],
