An unknown stream goes on at the oldest version only where the store lacks it too

A host that has heard no other one for 10 s begins streams at any version and tells the store alone, so that the store's word is needed.

--- a/src/streams/create-stream-archive.ts
+++ b/src/streams/create-stream-archive.ts
@@ -54,6 +54,8 @@
 	let readAt = Number.NEGATIVE_INFINITY;
 	let hasStopped = false;
 
+	const hasJustRead = (): boolean => performance.now() - readAt <= readIntervalMs;
+
 	const readAtStart = async (): Promise<void> => {
 		while (!record.hasRead() && !hasStopped) {
 			try {
@@ -129,7 +131,7 @@
 		},
 		async lookUp(id) {
 			try {
-				if (!archived.has(id) && performance.now() - readAt > readIntervalMs) {
+				if (!archived.has(id) && !hasJustRead()) {
 					await read();
 				}
 			} catch (error) {
@@ -138,6 +140,7 @@
 
 			return archived.get(id)?.version;
 		},
+		hasJustRead,
 		doubtMs: record.doubtMs,
 		isFromBefore: record.isFromBefore,
 		findOldest: record.findOldest,
--- a/src/streams/create-version-finder.ts
+++ b/src/streams/create-version-finder.ts
@@ -30,7 +30,7 @@
 	/** Returns those that were heard while streams may have begun that are taken up now. */
 	readonly listHeard: () => readonly KnownHost[];
 	readonly call: PeerRpc;
-	readonly archive: Pick<StreamArchive, 'lookUp' | 'findOldest'>;
+	readonly archive: Pick<StreamArchive, 'lookUp' | 'hasJustRead' | 'findOldest'>;
 	/** Returns whether this host has been there since before a service had several versions. */
 	readonly remembers: (service: string) => boolean;
 };
@@ -92,7 +92,7 @@
 	*/
 	const findUntold = async (begunBy: string, service: string, others: readonly KnownHost[], first: Asked, timeoutMs: number): Promise<FoundVersion | undefined> => {
 		const oldest = archive.findOldest(service);
-		if (oldest === undefined) {
+		if (oldest === undefined || !archive.hasJustRead()) {
 			return undefined;
 		}
 
--- a/src/streams/stream-archive.ts
+++ b/src/streams/stream-archive.ts
@@ -6,6 +6,8 @@
 	readonly waitUntilRead: (timeoutMs: number) => Promise<boolean>;
 	/** Reads the version that began a stream; `undefined` where the store does not tell. */
 	readonly lookUp: (id: string) => Promise<string | undefined>;
+	/** Returns whether the store has been read a moment ago, so that a stream that was not found is not there. */
+	readonly hasJustRead: () => boolean;
 	/** Returns for how long, in milliseconds, streams may be unknown that began at versions which the store has lost; 0 if there are none. */
 	readonly doubtMs: () => number;
 	/** Returns whether a service had one version when this host started; not so where none is known. */
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -15,7 +15,7 @@
 
 /** A store that tells nothing. */
 const emptyArchive: StreamArchive = {
-	add: () => undefined, waitUntilRead: async () => true, lookUp: async () => undefined, isFromBefore: () => false, findOldest: () => undefined, findOldestListed: () => undefined, recordListed: () => undefined, doubtMs: () => 0, hasUnwritten: () => false, flush: async () => undefined, stop: () => undefined,
+	add: () => undefined, waitUntilRead: async () => true, lookUp: async () => undefined, hasJustRead: () => true, isFromBefore: () => false, findOldest: () => undefined, findOldestListed: () => undefined, recordListed: () => undefined, doubtMs: () => 0, hasUnwritten: () => false, flush: async () => undefined, stop: () => undefined,
 };
 
 /** Hosts of which nothing is hidden. */
@@ -101,6 +101,8 @@
 		readonly registered: number;
 		readonly heard: number;
 		readonly answering: number;
+		/** Whether the store says that it does not know the stream either. */
+		readonly isStoreRead?: boolean;
 		/** Of those that answer, hosts that were there before the service had several versions. */
 		readonly remembering: number;
 	};
@@ -120,6 +122,7 @@
 		['is of no known version where two of many hosts have fallen silent', {...many, answering: 28}, undefined],
 		['is of no known version where one host has fallen silent and another one has started again', {...three, answering: 2, remembering: 1}, undefined],
 		['is of no known version where one of many hosts has fallen silent and another one has started again', {...many, answering: 29, remembering: 28}, undefined],
+		['is of no known version where the store does not respond', {...three, isStoreRead: false}, undefined],
 		['is of that version where one host has started again', {...three, remembering: 2}, 'v1'],
 		['is of that version where one of many hosts has started again', {...many, remembering: 29}, 'v1'],
 		['is of no known version where two hosts have started again', {...three, remembering: 1}, undefined],
@@ -128,7 +131,9 @@
 		const hosts = Array.from({length: others.registered}, (_, index) => ({host: `o-${index}`, peers: `o-${index}`}) as KnownHost);
 		const answering = hosts.slice(0, others.answering);
 		const versions = createStreamVersions({
-			openArchive: () => ({...emptyArchive, isFromBefore: () => true, findOldest: () => 'v1'}),
+			openArchive: () => ({
+				...emptyArchive, isFromBefore: () => true, findOldest: () => 'v1', hasJustRead: () => others.isStoreRead ?? true,
+			}),
 			knowledge: {...knowsAll, listHeard: () => hosts.slice(0, others.heard)},
 			listUpstreams: () => [], listOthers: () => hosts, alive: () => answering, now: Date.now, tell: () => undefined,
 			async call(address: string) {
