Who does not hear this host is kept with what else hosts say of themselves

The report exchange kept a set of its own beside the registry of hosts, which keeps what hosts state (lostServices and others) and lets the newest status count. The set goes; whether nobody hears this host is derived. host-registry.test.ts has a row for it. The order 'it heard the others, which did not hear it' and test/reports are green.

--- a/src/reports/create-host-registry.ts
+++ b/src/reports/create-host-registry.ts
@@ -34,7 +34,7 @@
 function isSameHost(a: KnownHost, b: Omit<KnownHost, 'heardAt'>): boolean {
 	return a.domain === b.domain && a.peers === b.peers && a.reports === b.reports && a.linkMbps === b.linkMbps && a.everyMs === b.everyMs
 		&& a.isStoreLost === b.isStoreLost && a.countsAttempts === b.countsAttempts && a.claimsPlaces === b.claimsPlaces
-		&& isSameList(a.lostServices ?? [], b.lostServices ?? []);
+		&& isSameList(a.lostServices ?? [], b.lostServices ?? []) && isSameList(a.unheard ?? [], b.unheard ?? []);
 }
 
 /** Options of `createHostRegistry`. */
@@ -122,7 +122,7 @@
 		},
 		recordStatus(status, heardAt) {
 			const {
-				host, domain, peers, reports, linkMbps, everyMs, isStoreLost, lostServices = [], countsAttempts = false, claimsPlaces = false,
+				host, domain, peers, reports, linkMbps, everyMs, isStoreLost, lostServices = [], unheard = [], countsAttempts = false, claimsPlaces = false,
 			} = status;
 			const previous = known.get(host);
 			if (host === self.host || (previous?.heardAt ?? Number.NEGATIVE_INFINITY) > heardAt) {
@@ -135,7 +135,7 @@
 			}
 
 			const described = {
-				host, domain, peers, reports, linkMbps, everyMs, isStoreLost, lostServices, countsAttempts, claimsPlaces,
+				host, domain, peers, reports, linkMbps, everyMs, isStoreLost, lostServices, unheard, countsAttempts, claimsPlaces,
 			};
 			if (previous?.heardAt !== undefined && isSameHost(previous, described)) {
 				previous.heardAt = heardAt;
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -63,8 +63,6 @@
 	});
 	const countHosts = (): number => registry.countKnown() + 1;
 	let heardAt: number | undefined;
-	/** Names of the hosts that say that they don't hear this one. */
-	const deaf = new Set<string>();
 
 	/** Names of the hosts that have fallen silent; `undefined` while there are none. */
 	const listUnheard = (): readonly string[] | undefined => {
@@ -75,12 +73,6 @@
 	const handleStatus = (status: HostStatus, ageMs: number): void => {
 		if (status.host !== self.host) {
 			registry.recordStatus(status, now() - ageMs);
-			if (status.unheard?.includes(self.host)) {
-				deaf.add(status.host);
-			} else {
-				deaf.delete(status.host);
-			}
-
 			const addAge = (statedMs: number | undefined): number | undefined => statedMs === undefined ? undefined : statedMs + ageMs;
 			onStatus({
 				...status, weightsAgeMs: addAge(status.weightsAgeMs), upstreamsAgeMs: addAge(status.upstreamsAgeMs),
@@ -166,7 +158,7 @@
 		refreshAndList: registry.refreshAndList,
 		reportAgeMs: () => sender === direct ? directReportAgeMs : collectedReportAgeMs,
 		heardAgeMs: () => heardAt === undefined ? undefined : now() - heardAt,
-		isUnheard: () => registry.alive().length > 0 && registry.alive().every(({host}) => deaf.has(host)),
+		isUnheard: () => registry.alive().length > 0 && registry.alive().every(({unheard = []}) => unheard.includes(self.host)),
 		silentAfterMs: () => sender === direct ? directSilenceMs : collectedSilenceMs,
 		countHosts,
 		publishKvUpdate(update) {
--- a/test/reports/host-registry.test.ts
+++ b/test/reports/host-registry.test.ts
@@ -32,6 +32,7 @@
 		['reports again that it reaches a service', {...status, lostServices: [...status.lostServices]}, true],
 		['has lost the store', {...status, isStoreLost: true}, false],
 		['has lost a service', {...status, lostServices: ['app']}, false],
+		['has stopped hearing a host', {...status, unheard: ['host-3']}, false],
 		['comes at another address', {...status, reports: '127.0.0.1:3'}, false],
 		['reports at another interval', {...status, everyMs: 500}, false],
 	])('is the same object only while its hosts are the same: one %s', (_, next, isSame) => {
