The hosts that are worth a call are listed in one place

The report exchange lists them now, and the streams and evacuations take one list in place of two. The finder ranks the hosts that it asks: rendezvous hashing gives them the order that they have among all. No change of behaviour.

--- a/src/evacuations/wire-evacuations.ts
+++ b/src/evacuations/wire-evacuations.ts
@@ -8,17 +8,16 @@
 type WiringOptions = Pick<Parameters<typeof createEvacuations>[0], 'kind' | 'listUpstreams' | 'onReturned' | 'now' | 'random'> & {
 	/** Time that the deployment allows for an evacuation; `undefined` on deployments without evacuations. */
 	readonly evacuateMs: number | undefined;
-	/** Returns the hosts with a recent report, and all that are known. */
-	readonly alive: () => readonly KnownHost[];
-	readonly listOthers: () => readonly KnownHost[];
+	/** Returns the hosts that are asked after a start. */
+	readonly listReachable: () => readonly KnownHost[];
 	readonly pull: (address: string) => Promise<void>;
 	readonly metrics: Pick<ReturnType<typeof createGatewayMetrics>, 'evacuationRequests'>;
 };
 
 /** Creates the evacuations of a gateway host. `confirm` asks other hosts once they are known. */
-export function wireEvacuations({evacuateMs, alive, listOthers, pull, metrics, ...options}: WiringOptions): Evacuations & {readonly confirm: () => void} {
+export function wireEvacuations({evacuateMs, listReachable, pull, metrics, ...options}: WiringOptions): Evacuations & {readonly confirm: () => void} {
 	const isEnabled = evacuateMs !== undefined;
-	const confirmation = createPeerConfirmation({listHosts: () => alive().length > 0 ? alive() : listOthers(), pull, random: options.random});
+	const confirmation = createPeerConfirmation({listHosts: listReachable, pull, random: options.random});
 	return {
 		...createEvacuations({
 			...options,
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -149,6 +149,7 @@
 		alive: registry.alive,
 		listHeard: () => registry.listKnown().filter(({heardAt: at}) => at !== undefined),
 		listOthers: registry.listKnown,
+		listReachable: () => registry.alive().length > 0 ? registry.alive() : registry.listKnown(),
 		tellStreams(host, streams) {
 			socket.send({streams}, [host.reports]);
 		},
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -210,7 +210,7 @@
 	});
 	const listLostServices = refreshEvery(lostServicesMs, now, () => registry.listLostServices());
 	const evacuations = wireEvacuations({
-		kind: kinds.evacuations, evacuateMs: settings.bounds.evacuateMs, alive: reportExchange.alive, listOthers: reportExchange.listOthers,
+		kind: kinds.evacuations, evacuateMs: settings.bounds.evacuateMs, listReachable: reportExchange.listReachable,
 		pull: async address => stateSync.pull(address), listUpstreams: () => registry.listAll(), metrics, now: suspendAwareNow, random,
 		onReturned(domain) {
 			markDomainCold(registry, domain, service => storedState.findService(service)?.coldStartMs, now());
@@ -268,7 +268,7 @@
 
 			return clockMs;
 		},
-		listHosts: () => reportExchange.alive().length > 0 ? reportExchange.alive() : reportExchange.listOthers(),
+		listHosts: reportExchange.listReachable,
 		now,
 		call: peerClient.call,
 		random,
@@ -294,7 +294,7 @@
 		isUnheard: reportExchange.isUnheard, now, standstill,
 	});
 	const streams = createStreamVersions({
-		listUpstreams: registry.listAll, listOthers: reportExchange.listOthers, alive: reportExchange.alive, call: peerClient.call,
+		listUpstreams: registry.listAll, listReachable: reportExchange.listReachable, alive: reportExchange.alive, call: peerClient.call,
 		knowledge,
 		openArchive: (retentionMs, onVersions) => createStreamArchive({
 			host: name, store, kind: kinds.streams, epochs, retentionMs, countHosts, random, isInStep: knowledge.isInStep, onVersions,
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -31,9 +31,9 @@
 /** Dependencies of the stream versions. */
 type StreamVersionsOptions = {
 	readonly listUpstreams: () => readonly Upstream[];
-	/** Returns all other hosts that are known, with or without a recent report. */
-	readonly listOthers: () => readonly KnownHost[];
-	/** Returns those with a recent report. */
+	/** Returns the other hosts that are told and asked. */
+	readonly listReachable: () => readonly KnownHost[];
+	/** Returns the other hosts with a recent report. */
 	readonly alive: () => readonly KnownHost[];
 	readonly call: PeerRpc;
 	readonly knowledge: VersionKnowledge;
@@ -49,7 +49,7 @@
 Creates the record of the software versions that began streams. Each host keeps those of its own streams; while a service has several versions, it
 tells each to a few other hosts, chosen by rendezvous hashing, so that it outlives this host. A host that doesn't know asks.
 */
-export function createStreamVersions({listUpstreams, listOthers, alive, call, knowledge, openArchive, tell, now}: StreamVersionsOptions): StreamVersions {
+export function createStreamVersions({listUpstreams, listReachable, alive, call, knowledge, openArchive, tell, now}: StreamVersionsOptions): StreamVersions {
 	const index = createStreamIndex(retentionMs, maxStreams);
 	/** Versions listed here, and those that others report besides. */
 	const ownHistory = createVersionHistory(retentionMs);
@@ -63,12 +63,10 @@
 	const archive = openArchive(retentionMs, seen => {
 		recordSeen(seen);
 	});
-	/** All that are known, where none has reported of late. */
-	const listReachable = (): readonly KnownHost[] => alive().length > 0 ? alive() : listOthers();
 	/** Whether this host has been there since before a service had several versions, or for longer than streams are taken up. */
 	const remembers = (service: string): boolean => archive.isFromBefore(service) || now() - startedAt >= retentionMs;
 	const finder = createVersionFinder({
-		listOthers, alive, listReachable, listHeard: knowledge.listHeard, call, archive, remembers,
+		alive, listReachable, listHeard: knowledge.listHeard, call, archive, remembers,
 	});
 
 	/** Whether a stream of a service may only be taken up where the version that began it is known. */
--- a/src/streams/create-version-finder.ts
+++ b/src/streams/create-version-finder.ts
@@ -21,9 +21,7 @@
 
 /** Dependencies of the finder. */
 type VersionFinderOptions = {
-	/** Returns all other hosts that are known, with or without a recent report. */
-	readonly listOthers: () => readonly KnownHost[];
-	/** Returns those with a recent report. */
+	/** Returns the other hosts with a recent report. */
 	readonly alive: () => readonly KnownHost[];
 	/** Returns those that are asked. */
 	readonly listReachable: () => readonly KnownHost[];
@@ -44,11 +42,11 @@
 };
 
 /** Creates the finder. */
-export function createVersionFinder({listOthers, alive, listReachable, listHeard, call, archive, remembers}: VersionFinderOptions): VersionFinder {
+export function createVersionFinder({alive, listReachable, listHeard, call, archive, remembers}: VersionFinderOptions): VersionFinder {
 	/** Hosts that may have been told of a stream come first. */
 	const rank = (id: string, hosts: readonly KnownHost[]): readonly KnownHost[] => {
 		const byName = new Map(hosts.map(host => [host.host, host]));
-		return rankOwners(listOthers().map(({host}) => host), id).flatMap(name => byName.get(name) ?? []);
+		return rankOwners([...byName.keys()], id).map(name => byName.get(name)!);
 	};
 
 	/** Asks other hosts for the version that began a stream, until one knows it. */
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -48,7 +48,7 @@
 		}) as unknown as PeerRpc;
 		const versions = createStreamVersions({
 			openArchive: () => emptyArchive, knowledge: knowsAll,
-			listUpstreams: () => upstreams, listOthers: () => listOthers(name), alive: () => listOthers(name), call, now: Date.now,
+			listUpstreams: () => upstreams, listReachable: () => listOthers(name), alive: () => listOthers(name), call, now: Date.now,
 			tell({host}, groups) {
 				messages++;
 				if (random() >= lossShare) {
@@ -135,7 +135,7 @@
 				...emptyArchive, isFromBefore: () => true, findOldest: () => 'v1', hasJustRead: () => others.isStoreRead ?? true,
 			}),
 			knowledge: {...knowsAll, listHeard: () => hosts.slice(0, others.heard)},
-			listUpstreams: () => [], listOthers: () => hosts, alive: () => answering, now: Date.now, tell: () => undefined,
+			listUpstreams: () => [], listReachable: () => answering.length > 0 ? answering : hosts, alive: () => answering, now: Date.now, tell: () => undefined,
 			async call(address: string) {
 				const index = answering.findIndex(({peers}) => peers === address);
 				if (index === -1) {
