No second round of questions where all hosts have been asked

With twelve other hosts or fewer, the finder asked an empty list before it concluded the version of an unknown stream, and wrote 'no host knows the version that began a stream' a second time, with nobody in it. It skips the round. A line is broken where it had passed 200 characters.

--- a/src/decide/collecting/create-due-status-filter.ts
+++ b/src/decide/collecting/create-due-status-filter.ts
@@ -5,7 +5,8 @@
 /** Returns whether two statuses of a host are equal in all fields whose changes are sent to other hosts at once. */
 function hasSameState(a: HostStatus, b: HostStatus): boolean {
 	return a.isStoreLost === b.isStoreLost && a.peers === b.peers && a.epoch === b.epoch
-		&& isDeepStrictEqual(a.lostServices, b.lostServices) && isDeepStrictEqual(a.unheard, b.unheard) && isDeepStrictEqual(a.changes, b.changes) && isDeepStrictEqual(a.contentVersions, b.contentVersions);
+		&& isDeepStrictEqual(a.lostServices, b.lostServices) && isDeepStrictEqual(a.unheard, b.unheard)
+		&& isDeepStrictEqual(a.changes, b.changes) && isDeepStrictEqual(a.contentVersions, b.contentVersions);
 }
 
 /**
--- a/src/streams/create-version-finder.ts
+++ b/src/streams/create-version-finder.ts
@@ -94,12 +94,12 @@
 			return undefined;
 		}
 
-		const {found, remember} = await ask(begunBy, service, others, timeoutMs);
-		if (found) {
-			return found;
+		const rest = others.length > 0 ? await ask(begunBy, service, others, timeoutMs) : undefined;
+		if (rest?.found) {
+			return rest.found;
 		}
 
-		return isUntold(service, new Set([...first.remember, ...remember])) ? {version: oldest, from: 'oldest version'} : undefined;
+		return isUntold(service, new Set([...first.remember, ...rest?.remember ?? []])) ? {version: oldest, from: 'oldest version'} : undefined;
 	};
 
 	return {
