What a host knows of its reach goes as one value

Three functions were passed one by one from the report exchange through the wiring to canTellOthers; they are one now.

--- a/src/decide/streams/can-tell-others.ts
+++ b/src/decide/streams/can-tell-others.ts
@@ -1,14 +1,9 @@
+import {type HostReach} from './host-reach.js';
 import {versionKnowledgeLimits} from './version-knowledge-limits.js';
 
-/** How a host reaches those that remember the streams that it begins. Times are in milliseconds. */
-type Reach = {
-	/** Time since any other host was heard; `undefined` when none was. */
-	readonly heardAgeMs: number | undefined;
-	/** Time without a message after which the other hosts are out of reach. */
-	readonly silentAfterMs: number;
-	/** Whether all hosts that are heard say that they don't hear this one. */
-	readonly isUnheard: boolean;
-	/** Time since the store confirmed the list of upstreams; `undefined` when it never did. */
+/** How a host reaches those that remember the streams that it begins. */
+type Reach = HostReach & {
+	/** Time since the store confirmed the list of upstreams, in milliseconds; `undefined` when it never did. */
 	readonly confirmedAgeMs: number | undefined;
 };
 
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -158,9 +158,11 @@
 		},
 		refreshAndList: registry.refreshAndList,
 		reportAgeMs: () => sender === direct ? directReportAgeMs : collectedReportAgeMs,
-		heardAgeMs: () => heardAt === undefined ? undefined : now() - heardAt,
-		isUnheard: () => registry.alive().length > 0 && registry.alive().every(({unheard = []}) => unheard.includes(self.host)),
-		silentAfterMs: () => sender === direct ? directSilenceMs : collectedSilenceMs,
+		getReach: () => ({
+			heardAgeMs: heardAt === undefined ? undefined : now() - heardAt,
+			silentAfterMs: sender === direct ? directSilenceMs : collectedSilenceMs,
+			isUnheard: registry.alive().length > 0 && registry.alive().every(({unheard = []}) => unheard.includes(self.host)),
+		}),
 		countHosts,
 		publishKvUpdate(update) {
 			sender.sendKvUpdate(update);
--- a/src/reports/host-report-exchange.ts
+++ b/src/reports/host-report-exchange.ts
@@ -1,3 +1,4 @@
+import {type HostReach} from '../decide/streams/host-reach.js';
 import {type ClaimMessage} from '../claims/claim-message.js';
 import {type StreamGroup} from '../streams/stream-group.js';
 import {type KvStoreUpdate} from '../forwarding/kv-store-update.js';
@@ -23,12 +24,8 @@
 	readonly refreshAndList: () => Promise<readonly KnownHost[]>;
 	/** Returns the mean age of the known loads of other hosts, in milliseconds. */
 	readonly reportAgeMs: () => number;
-	/** Returns the time since any message of another host arrived, in milliseconds; `undefined` when none has. */
-	readonly heardAgeMs: () => number | undefined;
-	/** Returns whether all hosts with a recent report say that they don't hear this one. */
-	readonly isUnheard: () => boolean;
-	/** Returns the time without a message after which this host is cut off from all others, in milliseconds. */
-	readonly silentAfterMs: () => number;
+	/** Returns whether this host and the others hear each other. */
+	readonly getReach: () => HostReach;
 	/** Returns the number of hosts known from the store or a report, including this one. */
 	readonly countHosts: () => number;
 	/** Sends an update of a KV cache store to all hosts. */
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -290,8 +290,7 @@
 	const knowledge = createVersionKnowledge({
 		confirmedAgeMs: getUpstreamsAgeMs,
 		refresh: async () => refreshKind(kinds.upstreams),
-		listHeard: reportExchange.listHeard, heardAgeMs: reportExchange.heardAgeMs, silentAfterMs: reportExchange.silentAfterMs,
-		isUnheard: reportExchange.isUnheard, now, standstill,
+		listHeard: reportExchange.listHeard, getReach: reportExchange.getReach, now, standstill,
 	});
 	const streams = createStreamVersions({
 		listUpstreams: registry.listAll, listReachable: reportExchange.listReachable, alive: reportExchange.alive, call: peerClient.call,
--- a/src/streams/create-version-knowledge.ts
+++ b/src/streams/create-version-knowledge.ts
@@ -1,4 +1,5 @@
 import {canTellOthers} from '../decide/streams/can-tell-others.js';
+import {type HostReach} from '../decide/streams/host-reach.js';
 import {isInStep} from '../decide/streams/is-in-step.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {logFailure} from '../observe/log-failure.js';
@@ -14,19 +15,15 @@
 	readonly refresh: () => Promise<void>;
 	/** Returns the other hosts that were heard of late. */
 	readonly listHeard: () => readonly KnownHost[];
-	/** Returns the time since any other host was heard, in milliseconds; `undefined` when none was. */
-	readonly heardAgeMs: () => number | undefined;
-	/** Returns the time without a message after which the other hosts are out of reach, in milliseconds. */
-	readonly silentAfterMs: () => number;
-	/** Returns whether all hosts that are heard say that they don't hear this one. */
-	readonly isUnheard: () => boolean;
+	/** Returns whether this host and the others hear each other. */
+	readonly getReach: () => HostReach;
 	/** Monotonic clock in milliseconds, by which hosts are heard. */
 	readonly now: () => number;
 	readonly standstill: StandstillDetector;
 };
 
 /** Creates what tells a host that has heard of one version from one that can be sure that there is one. */
-export function createVersionKnowledge({confirmedAgeMs, refresh, listHeard, heardAgeMs, silentAfterMs, isUnheard, now, standstill}: VersionKnowledgeOptions): VersionKnowledge {
+export function createVersionKnowledge({confirmedAgeMs, refresh, listHeard, getReach, now, standstill}: VersionKnowledgeOptions): VersionKnowledge {
 	return {
 		isInStep() {
 			return isInStep({
@@ -43,9 +40,7 @@
 			return Promise.race([reading, sleep(timeoutMs).then(() => false)]);
 		},
 		listHeard,
-		canTellOthers: () => canTellOthers({
-			heardAgeMs: heardAgeMs(), silentAfterMs: silentAfterMs(), isUnheard: isUnheard(), confirmedAgeMs: confirmedAgeMs(),
-		}),
+		canTellOthers: () => canTellOthers({...getReach(), confirmedAgeMs: confirmedAgeMs()}),
 		tick: standstill.tick,
 	};
 }
