A host that was there before a stream began remembers it

Cause: a host counted as one that remembers only if it was there before its service had two versions, or for 60 s.

Change: the host that asks names the longest age of the stream, the longest that callers of its route wait; a host that has been there for so long remembers. Hosts of an earlier build are answered as before.

--- a/src/forwarding/create-forwarder.ts
+++ b/src/forwarding/create-forwarder.ts
@@ -94,7 +94,9 @@
 			return undefined;
 		}
 
-		const required = await streams.findRequired(progress.service, begunBy, request.id!, endsAt);
+		const required = await streams.findRequired({
+			service: progress.service, begunBy, requestId: request.id!, route: route.name, waitMs: Math.max(route.timeoutMs, request.deadlineMs ?? 0), endsAt,
+		});
 		if (required.kind === 'unknown') {
 			progress.lastReason = 'the software version that began the stream is not known';
 			return required;
--- a/src/peers/create-gateway-methods.ts
+++ b/src/peers/create-gateway-methods.ts
@@ -44,7 +44,7 @@
 		'gateway.permit': async request => permits.answer(request),
 		'gateway.coldPermit': async request => permits.answerCold(request),
 		'gateway.upstreamUp': async ({id, startedAt}) => ({opinion: await upstreamChecks.answer(id, startedAt)}),
-		'gateway.streamVersion': async ({id, service}) => streams.answer(id, service),
+		'gateway.streamVersion': async search => streams.answer(search),
 		'gateway.kept': async ({store, known}) => kvStoreTracker.listEvents(store, known),
 	};
 }
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -24,6 +24,7 @@
 import {type WeightAge} from '../decide/weights/weight-age.js';
 import {type Decision} from '../observe/decision.js';
 import {type StreamAnswer} from '../streams/stream-answer.js';
+import {type StreamSearch} from '../streams/stream-search.js';
 
 /** Gossip entries by section. */
 type Sections = Readonly<Record<string, readonly GossipEntry[]>>;
@@ -149,7 +150,7 @@
 	/** Returns what the receiver can say of the upstream of this start. */
 	readonly 'gateway.upstreamUp': {readonly params: {readonly id: string; readonly startedAt?: number}; readonly result: {readonly opinion: UpstreamOpinion}};
 	/** Returns the software version that began a stream, `null` where the receiver does not know it. Hosts of an earlier build name no service, and don't say what they remember. */
-	readonly 'gateway.streamVersion': {readonly params: {readonly id: string; readonly service?: string}; readonly result: StreamAnswer};
+	readonly 'gateway.streamVersion': {readonly params: Pick<StreamSearch, 'id'> & Partial<StreamSearch>; readonly result: StreamAnswer};
 	/** Returns the receiver's decisions about a request. */
 	readonly explain: {
 		readonly params: {readonly requestId: string};
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -3,6 +3,7 @@
 import {createStreamIndex} from '../decide/streams/create-stream-index.js';
 import {createVersionHistory} from '../decide/streams/create-version-history.js';
 import {groupStreams} from '../decide/streams/group-streams.js';
+import {createLongestWaits} from '../decide/streams/create-longest-waits.js';
 import {nameUnlistedVersion} from '../decide/streams/name-unlisted-version.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type Upstream} from '../forwarding/upstream.js';
@@ -13,8 +14,10 @@
 import {type SeenVersion} from './seen-version.js';
 import {type StreamArchive} from './stream-archive.js';
 import {type StreamGroup} from './stream-group.js';
+import {type StreamSearch} from './stream-search.js';
 import {type StreamVersions} from './stream-versions.js';
 import {createVersionFinder} from './create-version-finder.js';
+import {type TakenUpStream} from './taken-up-stream.js';
 import {type VersionKnowledge} from './version-knowledge.js';
 
 /** A stream is taken up within its caller's deadline, which is far shorter. */
@@ -63,8 +66,9 @@
 	const archive = openArchive(retentionMs, seen => {
 		recordSeen(seen);
 	});
-	/** Whether this host has been there since before a service had several versions, or for longer than streams are taken up. */
-	const remembers = (service: string): boolean => archive.isFromBefore(service) || now() - startedAt >= retentionMs;
+	const longestWaits = createLongestWaits();
+	/** Whether this host has been there since before a service had several versions, or since before a stream can have begun. */
+	const remembers = ({service, maxAgeMs}: Omit<StreamSearch, 'id'>): boolean => archive.isFromBefore(service) || now() - startedAt >= maxAgeMs;
 	const finder = createVersionFinder({
 		alive, listReachable, listHeard: knowledge.listHeard, call, archive, remembers,
 	});
@@ -127,9 +131,10 @@
 	Finds the version of a stream where this host knows of one version only and can't be sure that there is no other. The store settles it, since a version
 	is listed there before it begins a stream; without the store, only all other hosts together do.
 	*/
-	const findInDoubt = async (service: string, begunBy: string | undefined, requestId: string, timeoutMs: number): Promise<RequiredVersion | 'mixed'> => {
-		const asking = finder.askHeard(begunBy ?? '', service, timeoutMs);
-		const [isConfirmed, stored] = await Promise.all([knowledge.confirm(timeoutMs), Promise.race([archive.lookUp(begunBy ?? ''), sleep(timeoutMs).then(() => undefined)])]);
+	const findInDoubt = async (search: StreamSearch, requestId: string, timeoutMs: number): Promise<RequiredVersion | 'mixed'> => {
+		const {id: begunBy, service} = search;
+		const asking = finder.askHeard(search, timeoutMs);
+		const [isConfirmed, stored] = await Promise.all([knowledge.confirm(timeoutMs), Promise.race([archive.lookUp(begunBy), sleep(timeoutMs).then(() => undefined)])]);
 		if (isConfirmed && !history.isMixed(service, now())) {
 			return anyOf(service);
 		}
@@ -150,7 +155,8 @@
 		return silent.length === 0 ? anyOf(service) : {kind: 'unknown'};
 	};
 
-	const findRequired = async (service: string, begunBy: string | undefined, requestId: string, endsAt: number): Promise<RequiredVersion> => {
+	const findRequired = async ({service, begunBy, requestId, route, waitMs, endsAt}: TakenUpStream): Promise<RequiredVersion> => {
+		const search = {id: begunBy ?? '', service, maxAgeMs: Math.min(retentionMs, longestWaits.extend(route, waitMs))};
 		const known = begunBy === undefined ? undefined : index.lookUp(begunBy, now());
 		const leftMs = Math.min(askTimeoutMs, Math.max(1, endsAt - now()));
 		if (!known && !await archive.waitUntilRead(leftMs)) {
@@ -160,13 +166,14 @@
 
 		const doubtMs = archive.doubtMs();
 		if (!known && doubtMs === 0 && !history.isMixed(service, now())) {
-			const required = knowledge.isInStep() ? anyOf(service) : await findInDoubt(service, begunBy, requestId, leftMs);
+			const required = knowledge.isInStep() ? anyOf(service) : await findInDoubt(search, requestId, leftMs);
 			if (required !== 'mixed') {
 				return required;
 			}
 		}
 
-		const found = known ? {version: known.version, from: 'here'} : await finder.find(begunBy, service, leftMs);
+		const ask = async () => begunBy === undefined ? undefined : finder.findVersion(search, leftMs);
+		const found = known ? {version: known.version, from: 'here'} : await ask();
 		log.info({
 			requestId, service, begunBy, version: found?.version, from: found?.from, ageMs: known && Math.round(now() - known.at), doubtMs: Math.round(doubtMs),
 		}, found ? 'stream goes on at its version' : 'stream cannot go on, its version is unknown');
@@ -238,8 +245,8 @@
 				}
 			}
 		},
-		answer: (begunBy, service) => ({
-			version: index.lookUp(begunBy, now())?.version ?? null, remembers: service !== undefined && remembers(service),
+		answer: ({id, service, maxAgeMs = retentionMs}) => ({
+			version: index.lookUp(id, now())?.version ?? null, remembers: service !== undefined && remembers({service, maxAgeMs}),
 		}),
 		reviewVersions() {
 			knowledge.tick();
--- a/src/streams/create-version-finder.ts
+++ b/src/streams/create-version-finder.ts
@@ -4,6 +4,7 @@
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type StreamArchive} from './stream-archive.js';
+import {type StreamSearch} from './stream-search.js';
 
 /** Hosts that are asked at once for the version of a stream; the others only before it is concluded from their not knowing it. */
 const maxAsked = 12;
@@ -13,7 +14,7 @@
 /** What other hosts have answered. */
 type Asked = {
 	readonly found: FoundVersion | undefined;
-	/** Names of the hosts that don't know the stream and have been there since before its service had several versions. */
+	/** Names of the hosts that don't know the stream and have been there since before it began. */
 	readonly remember: ReadonlySet<string>;
 	/** Names of the hosts that were heard of late and may know better: those that were asked and have not answered, and those that are not heard any more. */
 	readonly silent: readonly string[];
@@ -29,16 +30,16 @@
 	readonly listHeard: () => readonly KnownHost[];
 	readonly call: PeerRpc;
 	readonly archive: Pick<StreamArchive, 'lookUp' | 'hasJustRead' | 'findOldest'>;
-	/** Returns whether this host has been there since before a service had several versions. */
-	readonly remembers: (service: string) => boolean;
+	/** Returns whether this host has been there since before a stream began. */
+	readonly remembers: (search: StreamSearch) => boolean;
 };
 
 /** Finds the version of a stream that this host does not know. */
 type VersionFinder = {
 	/** Asks hosts that were heard of late. */
-	readonly askHeard: (begunBy: string, service: string, timeoutMs: number) => Promise<Asked>;
+	readonly askHeard: (search: StreamSearch, timeoutMs: number) => Promise<Asked>;
 	/** Asks other hosts, then the store; concludes the version where nobody can know it. */
-	readonly find: (begunBy: string | undefined, service: string, timeoutMs: number) => Promise<FoundVersion | undefined>;
+	readonly findVersion: (search: StreamSearch, timeoutMs: number) => Promise<FoundVersion | undefined>;
 };
 
 /** Creates the finder. */
@@ -50,12 +51,12 @@
 	};
 
 	/** Asks other hosts for the version that began a stream, until one knows it. */
-	const ask = async (id: string, service: string, asked: readonly KnownHost[], timeoutMs: number): Promise<Asked> => {
+	const ask = async (search: StreamSearch, asked: readonly KnownHost[], timeoutMs: number): Promise<Asked> => {
 		const answered = new Set<string>();
 		const remember = new Set<string>();
 		try {
 			const found = await Promise.any(asked.map(async ({host, peers}) => {
-				const {version, remembers: isFromBefore = false} = await call(peers, 'gateway.streamVersion', {id, service}, {timeoutMs});
+				const {version, remembers: isFromBefore = false} = await call(peers, 'gateway.streamVersion', search, {timeoutMs});
 				answered.add(host);
 				if (isFromBefore) {
 					remember.add(host);
@@ -72,15 +73,15 @@
 			const fine = new Set([...answered, ...alive().map(({host}) => host).filter(name => !asked.some(({host}) => host === name))]);
 			const silent = listHeard().map(({host}) => host).filter(name => !fine.has(name));
 			log.info({
-				begunBy: id, answered: [...answered], remember: [...remember], silent, errors: (error as AggregateError).errors?.map(String),
+				begunBy: search.id, maxAgeMs: search.maxAgeMs, answered: [...answered], remember: [...remember], silent, errors: (error as AggregateError).errors?.map(String),
 			}, 'no host knows the version that began a stream');
 			return {found: undefined, remember, silent};
 		}
 	};
 
 	/** Whether a stream that nobody knows can only have begun where no other host could be told of it. */
-	const isUntold = (service: string, remember: ReadonlySet<string>): boolean => canOnlyBeUntold([
-		{remembers: remembers(service)},
+	const isUntold = (search: StreamSearch, remember: ReadonlySet<string>): boolean => canOnlyBeUntold([
+		{remembers: remembers(search)},
 		...listHeard().map(({host}) => ({remembers: remember.has(host)})),
 	]);
 
@@ -88,35 +89,31 @@
 	Finds the version of a stream that neither the hosts asked first nor the store know. A host that can tell no other one begins streams at the oldest version
 	only, so that a stream is of that version if nobody can have been told of it.
 	*/
-	const findUntold = async (begunBy: string, service: string, others: readonly KnownHost[], first: Asked, timeoutMs: number): Promise<FoundVersion | undefined> => {
-		const oldest = archive.findOldest(service);
+	const findUntold = async (search: StreamSearch, others: readonly KnownHost[], first: Asked, timeoutMs: number): Promise<FoundVersion | undefined> => {
+		const oldest = archive.findOldest(search.service);
 		if (oldest === undefined || !archive.hasJustRead()) {
 			return undefined;
 		}
 
-		const rest = others.length > 0 ? await ask(begunBy, service, others, timeoutMs) : undefined;
+		const rest = others.length > 0 ? await ask(search, others, timeoutMs) : undefined;
 		if (rest?.found) {
 			return rest.found;
 		}
 
-		return isUntold(service, new Set([...first.remember, ...rest?.remember ?? []])) ? {version: oldest, from: 'oldest version'} : undefined;
+		return isUntold(search, new Set([...first.remember, ...rest?.remember ?? []])) ? {version: oldest, from: 'oldest version'} : undefined;
 	};
 
 	return {
-		askHeard: async (begunBy, service, timeoutMs) => ask(begunBy, service, rank(begunBy, listHeard()).slice(0, maxAsked), timeoutMs),
-		async find(begunBy, service, timeoutMs) {
-			if (begunBy === undefined) {
-				return undefined;
-			}
-
-			const hosts = rank(begunBy, listReachable());
-			const first = await ask(begunBy, service, hosts.slice(0, maxAsked), timeoutMs);
+		askHeard: async (search, timeoutMs) => ask(search, rank(search.id, listHeard()).slice(0, maxAsked), timeoutMs),
+		async findVersion(search, timeoutMs) {
+			const hosts = rank(search.id, listReachable());
+			const first = await ask(search, hosts.slice(0, maxAsked), timeoutMs);
 			if (first.found) {
 				return first.found;
 			}
 
-			const stored = await archive.lookUp(begunBy);
-			return stored === undefined ? findUntold(begunBy, service, hosts.slice(maxAsked), first, timeoutMs) : {version: stored, from: 'store'};
+			const stored = await archive.lookUp(search.id);
+			return stored === undefined ? findUntold(search, hosts.slice(maxAsked), first, timeoutMs) : {version: stored, from: 'store'};
 		},
 	};
 }
--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -3,6 +3,8 @@
 import {type SeenVersion} from './seen-version.js';
 import {type StreamAnswer} from './stream-answer.js';
 import {type StreamGroup} from './stream-group.js';
+import {type StreamSearch} from './stream-search.js';
+import {type TakenUpStream} from './taken-up-stream.js';
 
 /** Which software version of its service began each stream, as far as this host and those it asks know. */
 export type StreamVersions = {
@@ -10,12 +12,8 @@
 	readonly recordBegin: (requestId: string, service: string, version: string) => void;
 	/** Returns the software version of a start that the list did not show when a stream began there, if it does now; others as they are. */
 	readonly toListed: (service: string, version: string | undefined) => string | undefined;
-	/**
-	Returns the version at which a stream must go on.
-
-	@param begunBy - Id of the request whose response brought the first event, as its caller names it.
-	*/
-	readonly findRequired: (service: string, begunBy: string | undefined, requestId: string, endsAt: number) => Promise<RequiredVersion>;
+	/** Returns the version at which a stream must go on. */
+	readonly findRequired: (stream: TakenUpStream) => Promise<RequiredVersion>;
 	/** Records what another host tells of streams that it began. */
 	readonly receive: (groups: readonly StreamGroup[]) => void;
 	/**
@@ -23,8 +21,8 @@
 	begin at the version of their service that has served the longest.
 	*/
 	readonly findBeginVersion: (service: string, requestId: string) => Promise<string | undefined>;
-	/** Returns what this host knows of a stream of a service, as far as the service is named. */
-	readonly answer: (begunBy: string, service: string | undefined) => StreamAnswer;
+	/** Returns what this host knows of a stream of a service, as far as the service is named; a stream may be as old as any where its age is not named. */
+	readonly answer: (search: Pick<StreamSearch, 'id'> & Partial<StreamSearch>) => StreamAnswer;
 	/** Records the versions that are listed. */
 	readonly recordUpstreams: (upstreams: readonly Upstream[]) => void;
 	/** Notes the versions that are listed now; returns those of services with several ones, for the report to other hosts. */
