Streams of several lost hosts go on: newer versions begin only where enough hosts learn of them

Cause: a host that heard one other host began streams at any version and might tell that one only, so that an unknown stream could be concluded to be of the oldest version with one lost host at most.

Change: streams begin at another version than the oldest only while half of the hosts (four at most) and this one hear each other, and those are told. So one of them remembers, if no more than that number do not. A group that is too small begins at the oldest version too, and at any where it reaches none of that; a host that hears nobody refuses, as before.

--- a/src/decide/streams/can-tell-others.ts
+++ b/src/decide/streams/can-tell-others.ts
@@ -1,4 +1,5 @@
 import {type HostReach} from './host-reach.js';
+import {streamCopies} from './stream-copies.js';
 import {versionKnowledgeLimits} from './version-knowledge-limits.js';
 
 /** How a host reaches those that remember the streams that it begins. */
@@ -8,19 +9,13 @@
 };
 
 /**
-Returns whether a host can tell others of the streams that it begins. Fault pattern: a host that is cut off from the other hosts and the store, but not
-from callers and upstreams, is killed, and its streams are taken up elsewhere. A store that responds to a host that hears no other one counts only once
-these may be gone: it is told in batches, of which the last one may be missing.
+Returns whether a host can tell so many others of the streams that it begins that they outlive it, and others that are lost with it. Fault pattern: hosts
+that are cut off from the other hosts and the store, but not from callers and upstreams, are killed, and their streams are taken up elsewhere. Hosts that
+have been silent for long are left out only where the store responds; before that, the store that is told in batches may lack the last one.
 */
-export function canTellOthers({heardAgeMs, silentAfterMs, isUnheard, confirmedAgeMs}: Reach): boolean {
+export function canTellOthers({heardAgesMs, inReach, confirmedAgeMs}: Reach): boolean {
 	const {goneAfterMs, maxConfirmedAgeMs} = versionKnowledgeLimits;
-	if (heardAgeMs === undefined) {
-		return true;
-	}
-
-	if (heardAgeMs <= silentAfterMs) {
-		return !isUnheard;
-	}
-
-	return heardAgeMs > goneAfterMs && confirmedAgeMs !== undefined && confirmedAgeMs <= maxConfirmedAgeMs;
+	const mayBeGone = confirmedAgeMs !== undefined && confirmedAgeMs <= maxConfirmedAgeMs;
+	const others = mayBeGone ? heardAgesMs.filter(ageMs => ageMs <= goneAfterMs) : heardAgesMs;
+	return inReach >= streamCopies.fewest(others.length + 1);
 }
--- a/src/decide/streams/host-reach.ts
+++ b/src/decide/streams/host-reach.ts
@@ -1,9 +1,7 @@
-/** Whether a host and the others hear each other. Times are in milliseconds. */
+/** Whether a host and the others hear each other. */
 export type HostReach = {
-	/** Time since any message of another host arrived; `undefined` when none has. */
-	readonly heardAgeMs: number | undefined;
-	/** Time without a message after which the other hosts are out of reach. */
-	readonly silentAfterMs: number;
-	/** Whether all hosts with a recent report say that they don't hear this one. */
-	readonly isUnheard: boolean;
+	/** Time since each other host of the last minute was heard, in milliseconds. */
+	readonly heardAgesMs: readonly number[];
+	/** Number of other hosts that were heard a moment ago and do not report that they do not hear this one. */
+	readonly inReach: number;
 };
--- a/src/reports/create-host-report-exchange.ts
+++ b/src/reports/create-host-report-exchange.ts
@@ -13,6 +13,7 @@
 import {type HostReportExchange} from './host-report-exchange.js';
 import {type HostMessage} from './host-message.js';
 import {type HostStatus} from './host-status.js';
+import {type KnownHost} from './known-host.js';
 import {type LoadReport} from './load-report.js';
 import {type LoadReporter} from './load-reporter.js';
 import {type ReportFactory} from './report-factory.js';
@@ -27,7 +28,7 @@
 /** Mean age of a report: half an interval plus network latency; a collector adds one interval, or several for other failure domains. */
 const directReportAgeMs = 60;
 const collectedReportAgeMs = 450;
-/** Time without a message of any other host that is no coincidence; where reports are collected, another collector is chosen within it. */
+/** Time without a report of a host that is no coincidence; where reports are collected, another collector is chosen within it. */
 const directSilenceMs = 4 * reportMs;
 const collectedSilenceMs = 6 * collectedReportMs;
 
@@ -62,11 +63,16 @@
 		self, store, kind, getEpoch, onHeard, now,
 	});
 	const countHosts = (): number => registry.countKnown() + 1;
-	let heardAt: number | undefined;
+	const listHeard = (): readonly KnownHost[] => registry.listKnown().filter(({heardAt}) => heardAt !== undefined);
+
+	const listInReach = (): readonly KnownHost[] => {
+		const silenceMs = sender === direct ? directSilenceMs : collectedSilenceMs;
+		return listHeard().filter(({heardAt, unheard = []}) => now() - heardAt! <= silenceMs && !unheard.includes(self.host));
+	};
 
 	/** Names of the hosts that have fallen silent; `undefined` while there are none. */
 	const listUnheard = (): readonly string[] | undefined => {
-		const silent = registry.listKnown().filter(({heardAt: at, everyMs}) => at !== undefined && isSilent({ageMs: now() - at, everyMs}));
+		const silent = listHeard().filter(({heardAt, everyMs}) => isSilent({ageMs: now() - heardAt!, everyMs}));
 		return silent.length > 0 ? silent.map(({host}) => host) : undefined;
 	};
 
@@ -90,7 +96,6 @@
 
 	const handleMessage = (message: HostMessage): void => {
 		const {report, sums = [], kept = [], streams} = message;
-		heardAt = now();
 		collecting.handleMessage(message);
 		if (report) {
 			handleStatus(report, 0);
@@ -147,7 +152,7 @@
 			stopSending = every(reportMs, 'reports to other hosts', sendReport);
 		},
 		alive: registry.alive,
-		listHeard: () => registry.listKnown().filter(({heardAt: at}) => at !== undefined),
+		listHeard,
 		listOthers: registry.listKnown,
 		listReachable: () => registry.alive().length > 0 ? registry.alive() : registry.listKnown(),
 		tellStreams(host, streams) {
@@ -158,11 +163,8 @@
 		},
 		refreshAndList: registry.refreshAndList,
 		reportAgeMs: () => sender === direct ? directReportAgeMs : collectedReportAgeMs,
-		getReach: () => ({
-			heardAgeMs: heardAt === undefined ? undefined : now() - heardAt,
-			silentAfterMs: sender === direct ? directSilenceMs : collectedSilenceMs,
-			isUnheard: registry.alive().length > 0 && registry.alive().every(({unheard = []}) => unheard.includes(self.host)),
-		}),
+		listInReach,
+		getReach: () => ({heardAgesMs: listHeard().map(({heardAt}) => now() - heardAt!), inReach: listInReach().length}),
 		countHosts,
 		publishKvUpdate(update) {
 			sender.sendKvUpdate(update);
--- a/src/reports/host-report-exchange.ts
+++ b/src/reports/host-report-exchange.ts
@@ -14,6 +14,8 @@
 	readonly listHeard: () => readonly KnownHost[];
 	/** Returns all other hosts known from the store or a report. */
 	readonly listOthers: () => readonly KnownHost[];
+	/** Returns the hosts that were heard a moment ago and do not report that they do not hear this one. */
+	readonly listInReach: () => readonly KnownHost[];
 	/** Returns the hosts that are worth a call: those with a recent report; all that are known, where none has one. */
 	readonly listReachable: () => readonly KnownHost[];
 	/** Tells a host of streams that this one has begun. */
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -5,6 +5,7 @@
 import {groupStreams} from '../decide/streams/group-streams.js';
 import {createLongestWaits} from '../decide/streams/create-longest-waits.js';
 import {nameUnlistedVersion} from '../decide/streams/name-unlisted-version.js';
+import {streamCopies} from '../decide/streams/stream-copies.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type Upstream} from '../forwarding/upstream.js';
 import {log} from '../observe/log.js';
@@ -23,8 +24,6 @@
 /** A stream is taken up within its caller's deadline, which is far shorter. */
 const retentionMs = 60_000;
 const maxStreams = 50_000;
-/** Hosts that are told of each stream, besides the one that begins it. */
-const replicas = 4;
 /** Streams at the oldest version that begin within this time are told together. */
 const tellDelayMs = 20;
 const maxToldAtOnce = 100;
@@ -34,7 +33,11 @@
 /** Dependencies of the stream versions. */
 type StreamVersionsOptions = {
 	readonly listUpstreams: () => readonly Upstream[];
-	/** Returns the other hosts that are told and asked. */
+	/** Returns whether an upstream of a version that takes new work can be reached from this host. */
+	readonly canReach: (service: string, softwareVersion: string) => boolean;
+	/** Returns the other hosts that are told: those that this host and that hear each other. */
+	readonly listInReach: () => readonly KnownHost[];
+	/** Returns the other hosts that are asked, and told where none is in reach. */
 	readonly listReachable: () => readonly KnownHost[];
 	/** Returns the other hosts with a recent report. */
 	readonly alive: () => readonly KnownHost[];
@@ -52,7 +55,7 @@
 Creates the record of the software versions that began streams. Each host keeps those of its own streams; while a service has several versions, it
 tells each to a few other hosts, chosen by rendezvous hashing, so that it outlives this host. A host that doesn't know asks.
 */
-export function createStreamVersions({listUpstreams, listReachable, alive, call, knowledge, openArchive, tell, now}: StreamVersionsOptions): StreamVersions {
+export function createStreamVersions({listUpstreams, canReach, listInReach, listReachable, alive, call, knowledge, openArchive, tell, now}: StreamVersionsOptions): StreamVersions {
 	const index = createStreamIndex(retentionMs, maxStreams);
 	/** Versions listed here, and those that others report besides. */
 	const ownHistory = createVersionHistory(retentionMs);
@@ -89,9 +92,10 @@
 
 		const dueIds = new Set(due.map(({id}) => id));
 		untold = known.filter(({id}) => !dueIds.has(id)).map(({id}) => id);
-		const hosts = new Map(listReachable().map(host => [host.host, host]));
+		const inReach = listInReach();
+		const hosts = new Map((inReach.length > 0 ? inReach : listReachable()).map(host => [host.host, host]));
 		const names = [...hosts.keys()];
-		for (const [name, groups] of groupStreams(due.map(stream => ({...stream, hosts: rankOwners(names, stream.id).slice(0, replicas)})))) {
+		for (const [name, groups] of groupStreams(due.map(stream => ({...stream, hosts: rankOwners(names, stream.id).slice(0, streamCopies.most)})))) {
 			tell(hosts.get(name)!, groups);
 		}
 
@@ -229,8 +233,12 @@
 			}
 
 			const version = archive.findOldestListed(service);
-			log.info({requestId, service, version}, 'this host can tell no other one of a stream, which begins at the oldest version');
-			return version;
+			// Hosts that hear each other serve on without that version; one alone leaves the stream to a host that the others hear.
+			const isAny = version !== undefined && knowledge.isInReach() && !canReach(service, version);
+			log.info({
+				requestId, service, version, isAny,
+			}, 'this host cannot tell enough other ones of a stream, which begins at the oldest version');
+			return isAny ? undefined : version;
 		},
 		toListed(service, version) {
 			const isStart = (upstream: Upstream): boolean =>
--- a/src/streams/create-version-finder.ts
+++ b/src/streams/create-version-finder.ts
@@ -86,8 +86,8 @@
 	]);
 
 	/**
-	Finds the version of a stream that neither the hosts asked first nor the store know. A host that can tell no other one begins streams at the oldest version
-	only, so that a stream is of that version if nobody can have been told of it.
+	Finds the version of a stream that neither the hosts asked first nor the store know. A host that can't tell enough other ones begins streams at the oldest
+	version only, so that a stream is of that version if all that were told of another one can't be lost.
 	*/
 	const findUntold = async (search: StreamSearch, others: readonly KnownHost[], first: Asked, timeoutMs: number): Promise<FoundVersion | undefined> => {
 		const oldest = archive.findOldest(search.service);
--- a/src/streams/create-version-knowledge.ts
+++ b/src/streams/create-version-knowledge.ts
@@ -41,6 +41,7 @@
 		},
 		listHeard,
 		canTellOthers: () => canTellOthers({...getReach(), confirmedAgeMs: confirmedAgeMs()}),
+		isInReach: () => getReach().inReach > 0,
 		tick: standstill.tick,
 	};
 }
--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -17,8 +17,8 @@
 	/** Records what another host tells of streams that it began. */
 	readonly receive: (groups: readonly StreamGroup[]) => void;
 	/**
-	Returns the only version at which a stream may begin here now; `undefined` where any will do. While this host can tell no other one of its streams, they
-	begin at the version of their service that has served the longest.
+	Returns the only version at which a stream may begin here now; `undefined` where any will do. While this host can't tell enough other ones of its streams,
+	they begin at the version of their service that has served the longest.
 	*/
 	readonly findBeginVersion: (service: string, requestId: string) => Promise<string | undefined>;
 	/** Returns what this host knows of a stream of a service, as far as the service is named; a stream may be as old as any where its age is not named. */
--- a/src/streams/version-knowledge.ts
+++ b/src/streams/version-knowledge.ts
@@ -8,8 +8,10 @@
 	readonly confirm: (timeoutMs: number) => Promise<boolean>;
 	/** Returns the hosts that were heard of late: each of them may know of a version that this host doesn't. */
 	readonly listHeard: () => readonly KnownHost[];
-	/** Whether other hosts learn of the streams that this host begins. */
+	/** Whether so many other hosts learn of the streams that this host begins that their versions outlive it. */
 	readonly canTellOthers: () => boolean;
+	/** Whether this host and some other one hear each other. */
+	readonly isInReach: () => boolean;
 	/** Is called several times a second; a longer gap shows that this process stood still. */
 	readonly tick: () => void;
 };
