Streams begin at any version where the oldest one takes no new work

Cause: the oldest version was the first one listed, and upstreams that leave stay listed.

Change: where no upstream of the oldest version takes new work, streams begin at any. A stream that nobody knows is then not taken for one of the oldest version, which could not go on in any case.

--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -293,7 +293,7 @@
 		listHeard: reportExchange.listHeard, getReach: reportExchange.getReach, now, standstill,
 	});
 	const streams = createStreamVersions({
-		listUpstreams: registry.listAll, canReach: (service, softwareVersion) => registry.getReach(service, softwareVersion).reachable > 0,
+		listUpstreams: registry.listAll, getReach: registry.getReach,
 		listInReach: reportExchange.listInReach, listReachable: reportExchange.listReachable, alive: reportExchange.alive, call: peerClient.call, knowledge,
 		openArchive: (retentionMs, onVersions) => createStreamArchive({
 			host: name, store, kind: kinds.streams, epochs, retentionMs, countHosts, random, isInStep: knowledge.isInStep, onVersions,
--- a/src/streams/create-stream-versions.ts
+++ b/src/streams/create-stream-versions.ts
@@ -8,6 +8,7 @@
 import {streamCopies} from '../decide/streams/stream-copies.js';
 import {type KnownHost} from '../reports/known-host.js';
 import {type Upstream} from '../forwarding/upstream.js';
+import {type UpstreamRegistry} from '../registry/upstream-registry.js';
 import {log} from '../observe/log.js';
 import {type PeerRpc} from '../peers/peer-rpc.js';
 import {sleep} from '../util/sleep.js';
@@ -33,8 +34,8 @@
 /** Dependencies of the stream versions. */
 type StreamVersionsOptions = {
 	readonly listUpstreams: () => readonly Upstream[];
-	/** Returns whether an upstream of a version that takes new work can be reached from this host. */
-	readonly canReach: (service: string, softwareVersion: string) => boolean;
+	/** Returns how many upstreams of a version take new work, and how many of them can be reached from this host. */
+	readonly getReach: UpstreamRegistry['getReach'];
 	/** Returns the other hosts that are told: those that this host and that hear each other. */
 	readonly listInReach: () => readonly KnownHost[];
 	/** Returns the other hosts that are asked, and told where none is in reach. */
@@ -55,7 +56,7 @@
 Creates the record of the software versions that began streams. Each host keeps those of its own streams; while a service has several versions, it
 tells each to a few other hosts, chosen by rendezvous hashing, so that it outlives this host. A host that doesn't know asks.
 */
-export function createStreamVersions({listUpstreams, canReach, listInReach, listReachable, alive, call, knowledge, openArchive, tell, now}: StreamVersionsOptions): StreamVersions {
+export function createStreamVersions({listUpstreams, getReach, listInReach, listReachable, alive, call, knowledge, openArchive, tell, now}: StreamVersionsOptions): StreamVersions {
 	const index = createStreamIndex(retentionMs, maxStreams);
 	/** Versions listed here, and those that others report besides. */
 	const ownHistory = createVersionHistory(retentionMs);
@@ -73,7 +74,7 @@
 	/** Whether this host has been there since before a service had several versions, or since before a stream can have begun. */
 	const remembers = ({service, maxAgeMs}: Omit<StreamSearch, 'id'>): boolean => archive.isFromBefore(service) || now() - startedAt >= maxAgeMs;
 	const finder = createVersionFinder({
-		alive, listReachable, listHeard: knowledge.listHeard, call, archive, remembers,
+		alive, listReachable, listHeard: knowledge.listHeard, call, archive, remembers, takesNewWork: (service, version) => getReach(service, version).upstreams > 0,
 	});
 
 	/** Whether a stream of a service may only be taken up where the version that began it is known. */
@@ -233,8 +234,9 @@
 			}
 
 			const version = archive.findOldestListed(service);
-			// Hosts that hear each other serve on without that version; one alone leaves the stream to a host that the others hear.
-			const isAny = version !== undefined && knowledge.isInReach() && !canReach(service, version);
+			const reach = getReach(service, version);
+			// Hosts that hear each other serve on without reaching that version; one alone leaves the stream to a host that the others hear.
+			const isAny = reach.upstreams === 0 || (reach.reachable === 0 && knowledge.isInReach());
 			log.info({
 				requestId, service, version, isAny,
 			}, 'this host cannot tell enough other ones of a stream, which begins at the oldest version');
--- a/src/streams/create-version-finder.ts
+++ b/src/streams/create-version-finder.ts
@@ -30,6 +30,8 @@
 	readonly listHeard: () => readonly KnownHost[];
 	readonly call: PeerRpc;
 	readonly archive: Pick<StreamArchive, 'lookUp' | 'hasJustRead' | 'findOldest'>;
+	/** Returns whether an upstream of a version takes new work. */
+	readonly takesNewWork: (service: string, softwareVersion: string) => boolean;
 	/** Returns whether this host has been there since before a stream began. */
 	readonly remembers: (search: StreamSearch) => boolean;
 };
@@ -43,7 +45,7 @@
 };
 
 /** Creates the finder. */
-export function createVersionFinder({alive, listReachable, listHeard, call, archive, remembers}: VersionFinderOptions): VersionFinder {
+export function createVersionFinder({alive, listReachable, listHeard, call, archive, takesNewWork, remembers}: VersionFinderOptions): VersionFinder {
 	/** Hosts that may have been told of a stream come first. */
 	const rank = (id: string, hosts: readonly KnownHost[]): readonly KnownHost[] => {
 		const byName = new Map(hosts.map(host => [host.host, host]));
@@ -87,11 +89,11 @@
 
 	/**
 	Finds the version of a stream that neither the hosts asked first nor the store know. A host that can't tell enough other ones begins streams at the oldest
-	version only, so that a stream is of that version if all that were told of another one can't be lost.
+	version only, unless that takes no new work, so that a stream is of that version if all that were told of another one can't be lost.
 	*/
 	const findUntold = async (search: StreamSearch, others: readonly KnownHost[], first: Asked, timeoutMs: number): Promise<FoundVersion | undefined> => {
 		const oldest = archive.findOldest(search.service);
-		if (oldest === undefined || !archive.hasJustRead()) {
+		if (oldest === undefined || !takesNewWork(search.service, oldest) || !archive.hasJustRead()) {
 			return undefined;
 		}
 
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -26,6 +26,8 @@
 };
 
 const reportMs = 100;
+/** Upstreams of a version that take new work, and those of them that are reached. */
+const allReached = {upstreams: 2, reachable: 2};
 const waitMs = 5000;
 const toTakenUp = (begunBy: string | undefined): TakenUpStream => ({
 	service: 's', begunBy, requestId: 'r', route: 'draft', waitMs, endsAt: Date.now() + 1000,
@@ -54,7 +56,7 @@
 		}) as unknown as PeerRpc;
 		const versions = createStreamVersions({
 			openArchive: () => emptyArchive, knowledge: knowsAll,
-			listUpstreams: () => upstreams, canReach: () => true, listInReach: () => listOthers(name), listReachable: () => listOthers(name), alive: () => listOthers(name), call, now: Date.now,
+			listUpstreams: () => upstreams, getReach: () => allReached, listInReach: () => listOthers(name), listReachable: () => listOthers(name), alive: () => listOthers(name), call, now: Date.now,
 			tell({host}, groups) {
 				messages++;
 				if (random() >= lossShare) {
@@ -109,6 +111,8 @@
 		readonly answering: number;
 		/** Whether the store says that it does not know the stream either. */
 		readonly isStoreRead?: boolean;
+		/** Whether upstreams of the oldest version take new work, so that streams may have begun there. */
+		readonly isOldestLeaving?: boolean;
 		/** Of those that answer, hosts that were there before the service had several versions. */
 		readonly remembering: number;
 	};
@@ -132,6 +136,7 @@
 		['is of no known version where one host has fallen silent and two others have started again', {...three, answering: 2, remembering: 0}, undefined],
 		['is of no known version where one of many hosts has fallen silent and four others have started again', {...many, answering: 29, remembering: 25}, undefined],
 		['is of no known version where the store does not respond', {...three, isStoreRead: false}, undefined],
+		['is of no known version where the oldest takes no new work, so that it may be of another', {...three, isOldestLeaving: true}, undefined],
 		['is of that version where one host has started again', {...three, remembering: 2}, 'v1'],
 		['is of that version where one of many hosts has started again', {...many, remembering: 29}, 'v1'],
 		['is of that version where two hosts have started again', {...three, remembering: 1}, 'v1'],
@@ -152,7 +157,7 @@
 				...emptyArchive, isFromBefore: () => true, findOldest: () => 'v1', hasJustRead: () => others.isStoreRead ?? true,
 			}),
 			knowledge: {...knowsAll, listHeard: () => hosts.slice(0, others.heard)},
-			listUpstreams: () => [], canReach: () => true, listInReach: () => answering, listReachable: () => answering.length > 0 ? answering : hosts, alive: () => answering, now: Date.now, tell: () => undefined,
+			listUpstreams: () => [], getReach: () => others.isOldestLeaving ? {upstreams: 0, reachable: 0} : allReached, listInReach: () => answering, listReachable: () => answering.length > 0 ? answering : hosts, alive: () => answering, now: Date.now, tell: () => undefined,
 			async call(address: string) {
 				const index = answering.findIndex(({peers}) => peers === address);
 				if (index === -1) {
@@ -180,7 +185,7 @@
 		const asked: Array<number | undefined> = [];
 		const versions = createStreamVersions({
 			openArchive: () => emptyArchive, knowledge: knowsAll,
-			listUpstreams: () => [], canReach: () => true, listInReach: () => [], listReachable: () => [{host: 'o-1', peers: 'o-1'} as KnownHost], alive: () => [], now: Date.now, tell: () => undefined,
+			listUpstreams: () => [], getReach: () => allReached, listInReach: () => [], listReachable: () => [{host: 'o-1', peers: 'o-1'} as KnownHost], alive: () => [], now: Date.now, tell: () => undefined,
 			call: (async (_address: string, _method: string, {maxAgeMs}: StreamSearch) => {
 				asked.push(maxAgeMs);
 				return {version: null};
@@ -208,7 +213,7 @@
 		let time = startedAt;
 		const versions = createStreamVersions({
 			openArchive: () => ({...emptyArchive, isFromBefore: () => isFromBefore}), knowledge: knowsAll,
-			listUpstreams: () => [], canReach: () => true, listInReach: () => [], listReachable: () => [], alive: () => [], now: () => time, tell: () => undefined, call: async () => ({}),
+			listUpstreams: () => [], getReach: () => allReached, listInReach: () => [], listReachable: () => [], alive: () => [], now: () => time, tell: () => undefined, call: async () => ({}),
 		});
 		time = now;
 		expect(versions.answer({id: 'unknown', service: 's', ...(maxAgeMs === undefined ? {} : {maxAgeMs})})).toEqual({version: null, remembers: expected});
@@ -217,16 +222,21 @@
 });
 
 describe('a stream that begins while a service has several versions', () => {
-	test.each<readonly [string, Partial<VersionKnowledge>, boolean, string | undefined]>([
-		['may be of any where enough others are told', {}, true, undefined],
-		['is of the oldest where too few others are told', {canTellOthers: () => false}, true, 'v1'],
-		['is of the oldest where no other host is in reach', {canTellOthers: () => false, isInReach: () => false}, true, 'v1'],
-		['may be of any where too few others are told and the oldest is out of reach', {canTellOthers: () => false}, false, undefined],
-		['is of the oldest, and so refused, where neither another host nor that is in reach', {canTellOthers: () => false, isInReach: () => false}, false, 'v1'],
-	])('%s', async (_name, changed, isReached, expected) => {
+	const noneReached = {upstreams: 2, reachable: 0};
+	const noneLeft = {upstreams: 0, reachable: 0};
+	const alone = {canTellOthers: () => false, isInReach: () => false};
+	test.each<readonly [string, Partial<VersionKnowledge>, typeof allReached, string | undefined]>([
+		['may be of any where enough others are told', {}, allReached, undefined],
+		['is of the oldest where too few others are told', {canTellOthers: () => false}, allReached, 'v1'],
+		['is of the oldest where no other host is in reach', alone, allReached, 'v1'],
+		['may be of any where too few others are told and the oldest is out of reach', {canTellOthers: () => false}, noneReached, undefined],
+		['is of the oldest, and so refused, where neither another host nor that is in reach', alone, noneReached, 'v1'],
+		['may be of any where too few others are told and the oldest takes no new work', {canTellOthers: () => false}, noneLeft, undefined],
+		['may be of any where no other host is in reach and the oldest takes no new work', alone, noneLeft, undefined],
+	])('%s', async (_name, changed, reach, expected) => {
 		const versions = createStreamVersions({
 			openArchive: () => ({...emptyArchive, findOldestListed: () => 'v1'}), knowledge: {...knowsAll, ...changed},
-			listUpstreams: () => [], canReach: () => isReached, listInReach: () => [], listReachable: () => [], alive: () => [], now: Date.now, tell: () => undefined, call: async () => ({}),
+			listUpstreams: () => [], getReach: () => reach, listInReach: () => [], listReachable: () => [], alive: () => [], now: Date.now, tell: () => undefined, call: async () => ({}),
 		});
 		versions.recordUpstreams([toUpstream('v1', 0), toUpstream('v2', 1)]);
 		expect(await versions.findBeginVersion('s', 'r')).toBe(expected);
--- a/test/streams/streams-begun-at-a-host-cut-off.test.ts
+++ b/test/streams/streams-begun-at-a-host-cut-off.test.ts
@@ -52,7 +52,7 @@
 	/** Time between the start of the hosts and all that follows. */
 	readonly startsMsBefore: number;
 	/** When the second version comes. */
-	readonly release: 'before the hosts start' | 'before the cut' | 'during the cut' | 'never';
+	readonly release: 'before the hosts start' | 'before the cut' | 'before the cut, and the first one is leaving' | 'during the cut' | 'never';
 	readonly begins: 'before the cut' | 'during the cut';
 	/** Cuts the host that begins the streams off, with others. */
 	readonly cut: (system: SeparableSystem) => Promise<void>;
@@ -177,6 +177,10 @@
 	['both versions serve from the first start', {release: 'before the hosts start', isFirstStart: true, startsMsBefore: streamTimeoutMs}],
 	['all hosts started just before, as the first of their system', {isFirstStart: true, goesOn: false}],
 	['the second version comes during the cut', {release: 'during the cut'}],
+	['the first version is leaving', {release: 'before the cut, and the first one is leaving', goesOn: false}],
+	['the first version is leaving, and its domain was cut off as a whole', {
+		release: 'before the cut, and the first one is leaving', cut: async system => cutOff(system, system.hosts.slice(0, 2)), change: restartThenAt(2, 2), goesOn: false,
+	}],
 	['there is one version only', {release: 'never'}],
 	['they began before the cut', {begins: 'before the cut'}],
 	['they began before the cut, and it does not come back', {begins: 'before the cut', change: killFirst()}],
@@ -213,11 +217,16 @@
 	await sleep(startsMsBefore);
 	const begin = async (): Promise<readonly BegunStream[]> =>
 		Promise.all(Array.from({length: streams}, async (_, index) => beginStream(system.hosts[0]!.gateway.callers, `cut-off-${index}`)));
-	if (comes === 'before the cut') {
+	if (comes.startsWith('before the cut')) {
 		await release.releases.added(system.store);
 		await sleep(noticeMs);
 	}
 
+	if (comes.endsWith('is leaving')) {
+		release.leaveOld(system.store);
+		await sleep(noticeMs);
+	}
+
 	const before = begins === 'before the cut' ? await begin() : [];
 	await cut(system);
 	if (comes === 'during the cut') {
--- a/test/support/create-release.ts
+++ b/test/support/create-release.ts
@@ -46,8 +46,20 @@
 		return old;
 	};
 
+	/** Upstreams of the first version take no new work, and stay listed. */
+	const leaveOld = (store: ObjectStoreServer): void => {
+		for (const [index, {id, version, server}] of upstreams.entries()) {
+			if (version === 'v1') {
+				store.put('servers', id, platformObjects.upstream(server.address, {
+					version, slots: 32, born: 1_700_000_000_001 + index, state: 'draining',
+				}));
+			}
+		}
+	};
+
 	return {
 		register,
+		leaveOld,
 		prepare: async (store: ObjectStoreServer) => addBoth(store, 'v1'),
 		releases: {
 			async added(store: ObjectStoreServer) {
