A host that is cut off from everything does not take upstreams for crashed

Callers see (by reading): sound idempotent requests that were in flight at a host which is cut off from the upstreams and from the other hosts at once are condemned as crashing upstreams, and refused with 503.

Cause: where no other host answered whether an upstream is up, it counted as down, also at a host whose own links say that it is cut off.

Change: such a host's view is "unsure", and the registration of the upstream tells. A host that never heard another one decides by itself, as before.

The chain to the caller was not played.

--- a/src/poison/create-upstream-checks.ts
+++ b/src/poison/create-upstream-checks.ts
@@ -24,12 +24,14 @@
 	readonly links: Pick<UpstreamLinks, 'confirmCutOff' | 'recordConnectFailure'>;
 	/** Returns the other hosts with a recent report. */
 	readonly alive: () => readonly KnownHost[];
+	/** Returns those that have reported within the last minute. */
+	readonly listHeard: () => readonly KnownHost[];
 	readonly call: PeerRpc;
 	readonly random: () => number;
 };
 
 /** Creates the checks that tell an upstream that is down from one that a single host can't reach. */
-export function createUpstreamChecks({engineClient, registry, links, alive, call, random}: UpstreamChecksOptions): UpstreamChecks {
+export function createUpstreamChecks({engineClient, registry, links, alive, listHeard, call, random}: UpstreamChecksOptions): UpstreamChecks {
 	/** Hosts that reach the service come first. */
 	const chooseAsked = ({service}: Upstream): readonly KnownHost[] => alive()
 		.map(host => ({host, score: random() + (host.lostServices?.includes(service) ? 1 : 0)}))
@@ -60,8 +62,13 @@
 	return {
 		async askOthers(upstream) {
 			const opinions = await Promise.all(chooseAsked(upstream).map(async host => ask(upstream, host)));
-			const opinion = strongestFirst.find(each => opinions.includes(each)) ?? 'nobody';
-			log.info({upstream: upstream.id, opinions, opinion}, 'asked others whether an upstream is up');
+			const stated = strongestFirst.find(each => opinions.includes(each)) ?? 'nobody';
+			// A host that hears no other one and reaches no upstream is itself cut off.
+			const isCutOff = stated === 'nobody' && listHeard().length > 0 && await links.confirmCutOff();
+			const opinion = isCutOff ? 'unsure' : stated;
+			log.info({
+				upstream: upstream.id, opinions, opinion, isCutOff,
+			}, 'asked others whether an upstream is up');
 			return opinion;
 		},
 		async answer(id, startedAt) {
--- a/src/start-gateway.ts
+++ b/src/start-gateway.ts
@@ -307,7 +307,7 @@
 	};
 
 	const upstreamChecks = createUpstreamChecks({
-		engineClient, registry, links, alive: reportExchange.alive, call: peerClient.call, random,
+		engineClient, registry, links, alive: reportExchange.alive, listHeard: reportExchange.listHeard, call: peerClient.call, random,
 	});
 	const crashes = createPoisonRequestDetector({
 		checkUpstream: createCrashChecker({
