--- a/test/poison/upstream-checks.test.ts
+++ b/test/poison/upstream-checks.test.ts
@@ -1,7 +1,6 @@
 // Guards against sound requests that count as crashing upstreams at a host that is cut off from all others: docs/incidents/crashes-that-nobody-can-confirm.md.
 import {describe, expect, test} from 'vitest';
 import {type Upstream} from '../../src/forwarding/upstream.js';
-import {type PeerRpc} from '../../src/peers/peer-rpc.js';
 import {createCrashChecker} from '../../src/poison/create-crash-checker.js';
 import {createUpstreamChecks} from '../../src/poison/create-upstream-checks.js';
 import {type UpstreamOpinion} from '../../src/poison/upstream-opinion.js';
@@ -10,7 +9,7 @@
 const upstream: Upstream = {
 	id: 'i-1', service: 's', address: 'a', domain: 'd', slots: 1, isLeaving: false, startedAt: 5, softwareVersion: 'v1', weights: new Map(),
 };
-const toHost = (_value: unknown, index: number): KnownHost => ({host: `h-${index}`, peers: `h-${index}`}) as KnownHost;
+const toHost = (index: number): KnownHost => ({host: `h-${index}`, peers: `h-${index}`}) as KnownHost;
 
 type Case = {
 	/** What the other hosts with a recent report say; `undefined` where one does not answer. */
@@ -21,21 +20,21 @@
 };
 
 function createChecks({opinions, heard, isCutOff}: Case) {
-	const alive = opinions.map(toHost);
+	const alive = opinions.map((_opinion, index) => toHost(index));
 	return createUpstreamChecks({
 		engineClient: {isUp: async () => false},
 		registry: {get: () => upstream},
 		links: {confirmCutOff: async () => isCutOff, recordConnectFailure: () => undefined},
 		alive: () => alive,
-		listHeard: () => Array.from({length: heard}, (value, index) => toHost(value, index)),
-		call: (async (peers: string) => {
+		listHeard: () => Array.from({length: heard}, (_value, index) => toHost(index)),
+		async call(peers: string) {
 			const opinion = opinions[alive.findIndex(host => host.peers === peers)];
 			if (opinion === undefined) {
 				throw new Error('unreachable');
 			}
 
-			return {opinion};
-		}) as unknown as PeerRpc,
+			return {opinion} as never;
+		},
 		random: () => 0.5,
 	});
 }
