Stand-ins for upstreams keep their port after they have stopped

Seen: test/links/hosts-cut-off-from-upstreams.test.ts "tells callers at once when the upstreams are down for everybody" red once in `npx vitest run test/poison test/links`: 13 answers of 200 from upstreams that had been stopped.

Cause: stand-ins took ephemeral ports, which another process of tests may get once they have stopped. Shown: with another stand-in at the port of one that was stopped the case is red in the same way, 13 answers of 200; that it was this in the run that was seen is likely, not shown. 3 of 3 plays alone green.

Change: stand-ins take claimed ports, as links and hosts do.

--- a/test/links/hosts-cut-off-from-upstreams.test.ts
+++ b/test/links/hosts-cut-off-from-upstreams.test.ts
@@ -129,7 +129,7 @@
 		const atOthers = during.filter(({host}) => !cutHosts.includes(host));
 		expect(getServedShare(atOthers), describeUnserved(atOthers)).toBeGreaterThanOrEqual(minShare);
 		expect(getServedShare(atCut), describeUnserved(atCut)).toBeGreaterThanOrEqual(minShare * getServedShare(atOthers));
-		expect(getServedShare(after)).toBe(1);
+		expect(getServedShare(after), describeUnserved(after)).toBe(1);
 		// What may run once ran once at the most, and a refusal that promises it did not run.
 		for (const each of [...await before, ...during].filter(({target}) => target.startsWith('/book/'))) {
 			expect(countRuns(system, each.id)).toBeLessThanOrEqual([429, 503].includes(each.response.status) ? 0 : 1);
@@ -150,7 +150,7 @@
 		const after = await sendSteadily(hosts, 1000);
 		await system.stop();
 		expect(during.map(({response}) => response.status).filter(status => ![429, 503].includes(status))).toEqual([]);
-		expect(getServedShare(after)).toBe(1);
+		expect(getServedShare(after), describeUnserved(after)).toBe(1);
 	});
 });
 
--- a/test/support/create-upstream-server.ts
+++ b/test/support/create-upstream-server.ts
@@ -1,6 +1,7 @@
 import {
 	createServer, type Socket, type Server, type AddressInfo,
 } from 'node:net';
+import {findTestPorts} from './find-test-ports.js';
 
 /** A request as the stand-in received it. */
 export type ReceivedRequest = {
@@ -43,8 +44,9 @@
 	};
 }
 
-/** Starts the stand-in, on a free port if none is given. */
-export async function createUpstreamServer(port = 0): Promise<UpstreamServer> {
+/** Starts the stand-in, on a port that no other one gets after it has stopped if none is given. */
+export async function createUpstreamServer(port?: number): Promise<UpstreamServer> {
+	const [chosen] = port === undefined ? await findTestPorts(1) : [port];
 	const sockets = new Set<Socket>();
 	const receivedRequests: ReceivedRequest[] = [];
 	const closedConnections: number[] = [];
@@ -82,7 +84,7 @@
 		});
 	});
 	await new Promise<void>(resolve => {
-		server.listen(port, '127.0.0.1', resolve);
+		server.listen(chosen, '127.0.0.1', resolve);
 	});
 	const standIn: UpstreamServer = {
 		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
